--- /dev/null
+++ b/src/brassdrum/admission/lending.py
@@ -0,0 +1,149 @@
+"""Lend slices of an organisation's limits to daemons: one lender an organisation, short terms."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from brassdrum.admission.limits import Allowance
+
+__all__ = ["BorrowerDemand", "Grant", "Lender", "lender_of", "static_slice", "water_fill"]
+
+_HEADROOM = 1.25
+_RESERVE = 0.02
+
+
+def _weight(organisation: str, daemon: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{organisation}\0{daemon}".encode())
+
+
+def lender_of(organisation: str, daemons: Sequence[str]) -> str | None:
+    """Return the daemon that lends an organisation's limits, by rendezvous hashing."""
+    return max(
+        daemons,
+        key=lambda daemon: (_weight(organisation, daemon), daemon),
+        default=None,
+    )
+
+
+def static_slice(limits: Allowance, daemon: str, daemons: Sequence[str]) -> Allowance:
+    """Return the part that a daemon may use when it cannot reach the lender."""
+    ordered = sorted({*daemons, daemon})
+    part = limits.scaled(1.0 / len(ordered))
+    spare = limits.concurrency - part.concurrency * len(ordered)
+    extra = 1 if ordered.index(daemon) < spare else 0
+    return Allowance(part.requests_per_second, part.tokens_per_second, part.concurrency + extra)
+
+
+@dataclass(frozen=True, slots=True)
+class BorrowerDemand:
+    """Tell what one daemon's callers ask for."""
+
+    requests_per_second: float
+    tokens_per_second: float
+    concurrency: int
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """Hold what was lent to a daemon until a time."""
+
+    allowance: Allowance
+    expires: float
+
+
+def water_fill(limit: float, demands: Mapping[str, float]) -> dict[str, float]:
+    """Share a limit: small demands are met, larger ones get equal parts of what is left."""
+    shares: dict[str, float] = {}
+    left = limit
+    ordered = sorted(demands.items(), key=lambda item: (item[1], item[0]))
+    for position, (name, demand) in enumerate(ordered):
+        share = min(demand, left / (len(ordered) - position))
+        shares[name] = share
+        left -= share
+    if demands and left > 0:
+        total = sum(demands.values()) + _RESERVE * len(demands)
+        for name, demand in demands.items():
+            shares[name] += left * (demand + _RESERVE) / total
+    return shares
+
+
+class Lender:
+    """Decide one organisation's slices; what is lent never adds up to more than the limits."""
+
+    def __init__(self, limits: Allowance, term_seconds: float, started: float) -> None:
+        self._limits = limits
+        self._term = term_seconds
+        self._started = started
+        self._demands_by_daemon: dict[str, tuple[float, BorrowerDemand]] = {}
+        self._grants_by_daemon: dict[str, Grant] = {}
+
+    def set_limits(self, limits: Allowance) -> None:
+        """Change the limits that are lent from now on."""
+        self._limits = limits
+
+    def lend(
+        self, daemon: str, demand: BorrowerDemand, daemons: Sequence[str], now: float
+    ) -> Grant:
+        """Return the slice of a daemon for one term.
+
+        In its first term a lender does not know what the one before it lent, and grants no more
+        than static slices.
+        """
+        self._forget(now)
+        self._demands_by_daemon[daemon] = (now, demand)
+        if now - self._started < self._term:
+            grant = Grant(static_slice(self._limits, daemon, daemons), now + self._term)
+        else:
+            grant = Grant(self._allocate(daemon), now + self._term)
+        self._grants_by_daemon[daemon] = grant
+        return grant
+
+    def _forget(self, now: float) -> None:
+        for name, (at, _) in list(self._demands_by_daemon.items()):
+            if now - at > 2 * self._term:
+                del self._demands_by_daemon[name]
+        for name, grant in list(self._grants_by_daemon.items()):
+            if grant.expires <= now:
+                del self._grants_by_daemon[name]
+
+    def _allocate(self, daemon: str) -> Allowance:
+        demands = {name: demand for name, (_, demand) in self._demands_by_daemon.items()}
+        requests = self._share(
+            daemon,
+            self._limits.requests_per_second,
+            {name: demand.requests_per_second * _HEADROOM for name, demand in demands.items()},
+            {name: g.allowance.requests_per_second for name, g in self._grants_by_daemon.items()},
+        )
+        tokens = self._share(
+            daemon,
+            self._limits.tokens_per_second,
+            {name: demand.tokens_per_second * _HEADROOM for name, demand in demands.items()},
+            {name: g.allowance.tokens_per_second for name, g in self._grants_by_daemon.items()},
+        )
+        held = {
+            name: max(grant.allowance.concurrency, self._running(name))
+            for name, grant in self._grants_by_daemon.items()
+        }
+        concurrency = self._share(
+            daemon,
+            self._limits.concurrency,
+            {name: float(demand.concurrency + 1) for name, demand in demands.items()},
+            held,
+        )
+        return Allowance(requests, tokens, max(0, math.floor(concurrency + 1e-9)))
+
+    def _running(self, daemon: str) -> int:
+        known = self._demands_by_daemon.get(daemon)
+        return 0 if known is None else known[1].concurrency
+
+    @staticmethod
+    def _share(
+        daemon: str, limit: float, demands: Mapping[str, float], granted: Mapping[str, float]
+    ) -> float:
+        target = water_fill(limit, demands)[daemon]
+        others = sum(amount for name, amount in granted.items() if name != daemon)
+        return max(0.0, min(target, limit - others))
--- /dev/null
+++ b/src/brassdrum/admission/limits.py
@@ -0,0 +1,153 @@
+"""Hold one organisation's use on one daemon to its slice of the contract's limits."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+__all__ = ["Allowance", "DemandMeter", "LocalLimiter", "Refusal", "TokenBucket"]
+
+_BURST_SECONDS = 1.0
+_DEMAND_HALF_LIFE = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Allowance:
+    """Give rates per second and concurrency that may be used."""
+
+    requests_per_second: float
+    tokens_per_second: float
+    concurrency: int
+
+    def scaled(self, part: float) -> Allowance:
+        """Return a part of the allowance; concurrency is rounded down."""
+        return Allowance(
+            self.requests_per_second * part,
+            self.tokens_per_second * part,
+            math.floor(self.concurrency * part + 1e-9),
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Tell which limit refused and when to come back, in seconds."""
+
+    limit: str
+    retry_after: float
+
+
+class TokenBucket:
+    """Fill at a rate; may be overdrawn by one taking, which later takings wait for."""
+
+    def __init__(self, rate: float, now: float) -> None:
+        self._rate = rate
+        self._level = rate * _BURST_SECONDS
+        self._at = now
+
+    def set_rate(self, rate: float, now: float) -> None:
+        """Change the rate; what has been overdrawn stays."""
+        self._fill(now)
+        self._rate = rate
+        self._level = min(self._level, self._depth())
+
+    def wait(self, now: float, amount: float = 0.0) -> float:
+        """Return the seconds until something may be taken, 0 for now."""
+        self._fill(now)
+        missing = min(amount, self._depth()) - self._level
+        if missing <= 0 and self._level > 0:
+            return 0.0
+        if self._rate <= 0:
+            return math.inf
+        return max(missing, -self._level + 1e-9) / self._rate
+
+    def take(self, amount: float, now: float) -> None:
+        """Take an amount; a negative one gives back."""
+        self._fill(now)
+        self._level = min(self._level - amount, self._depth())
+
+    def _depth(self) -> float:
+        return max(1.0, self._rate * _BURST_SECONDS)
+
+    def _fill(self, now: float) -> None:
+        elapsed = max(0.0, now - self._at)
+        self._at = now
+        self._level = min(self._depth(), self._level + elapsed * self._rate)
+
+
+class DemandMeter:
+    """Measure what callers ask for, refused or not, with older demand fading."""
+
+    def __init__(self, now: float) -> None:
+        self._at = now
+        self._requests = 0.0
+        self._tokens = 0.0
+
+    def add(self, tokens: float, now: float) -> None:
+        """Count one request."""
+        self._fade(now)
+        self._requests += math.log(2) / _DEMAND_HALF_LIFE
+        self._tokens += tokens * math.log(2) / _DEMAND_HALF_LIFE
+
+    def rates(self, now: float) -> tuple[float, float]:
+        """Return requests and tokens per second."""
+        self._fade(now)
+        return self._requests, self._tokens
+
+    def _fade(self, now: float) -> None:
+        factor = 0.5 ** (max(0.0, now - self._at) / _DEMAND_HALF_LIFE)
+        self._at = now
+        self._requests *= factor
+        self._tokens *= factor
+
+
+class LocalLimiter:
+    """Admit or refuse one organisation's requests on this daemon."""
+
+    def __init__(self, allowance: Allowance, now: float) -> None:
+        self._allowance = allowance
+        self._requests = TokenBucket(allowance.requests_per_second, now)
+        self._tokens = TokenBucket(allowance.tokens_per_second, now)
+        self.demand = DemandMeter(now)
+        self.in_flight = 0
+        self.refused_for_concurrency = 0
+
+    @property
+    def allowance(self) -> Allowance:
+        """Return the slice in force."""
+        return self._allowance
+
+    def set_allowance(self, allowance: Allowance, now: float) -> None:
+        """Change the slice."""
+        if allowance == self._allowance:
+            return
+        self._allowance = allowance
+        self._requests.set_rate(allowance.requests_per_second, now)
+        self._tokens.set_rate(allowance.tokens_per_second, now)
+
+    def acquire(self, tokens: int, now: float) -> Refusal | None:
+        """Take room for a request, or return why there is none."""
+        self.demand.add(tokens, now)
+        if self.in_flight >= self._allowance.concurrency:
+            self.refused_for_concurrency += 1
+            return Refusal("concurrency", 1.0)
+        wait = self._requests.wait(now, 1.0)
+        if wait > 0:
+            return Refusal("requests_per_second", wait)
+        wait = self._tokens.wait(now)
+        if wait > 0:
+            return Refusal("tokens_per_second", wait)
+        self._requests.take(1.0, now)
+        self._tokens.take(tokens, now)
+        self.in_flight += 1
+        return None
+
+    def release(self, estimated_tokens: int, real_tokens: int, now: float) -> None:
+        """Give the request's place back and correct its tokens by what it really used."""
+        self.in_flight = max(0, self.in_flight - 1)
+        self._tokens.take(real_tokens - estimated_tokens, now)
+
+    def wanted_concurrency(self) -> int:
+        """Return how many requests would run at once if nothing held them."""
+        wanted = self.in_flight + min(self.refused_for_concurrency, self.in_flight + 1)
+        self.refused_for_concurrency = 0
+        return wanted
--- /dev/null
+++ b/src/brassdrum/admission/queue.py
@@ -0,0 +1,195 @@
+"""Order waiting work fairly between organisations, earliest deadline first within each."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from dataclasses import dataclass, field
+
+from brassdrum.admission.work import LengthBand, Work
+from brassdrum.contracts.documents import Urgency
+
+__all__ = ["Account", "FairQueue"]
+
+_URGENCY_WEIGHT = {Urgency.INTERACTIVE: 4.0, Urgency.STANDARD: 2.0, Urgency.BULK: 1.0}
+_AGED_SHARE = 0.5
+
+
+@dataclass(slots=True)
+class Account:
+    """Tell what one organisation used, waited for and was refused, and who delayed it."""
+
+    organisation: str
+    used_cost: float = 0.0
+    dispatched: int = 0
+    refused: int = 0
+    waited_seconds: float = 0.0
+    delayed_by: dict[str, float] = field(default_factory=dict)
+    virtual_time: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class _FlowKey:
+    organisation: str
+    target: str
+    band: LengthBand
+
+
+@dataclass(slots=True)
+class _Waiting:
+    work: Work
+    used_before: dict[str, float]
+
+
+class FairQueue:
+    """Keep waiting work in flows; the heads of all flows compete by weighted fair shares.
+
+    A flow is one organisation's work of one length band for one target, so that a long request
+    that finds no room never holds up short ones behind it.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._count = itertools.count()
+        self._flows: dict[_FlowKey, list[tuple[float, int, str]]] = {}
+        self._waiting_by_id: dict[str, _Waiting] = {}
+        self._queued_by_organisation: dict[str, int] = {}
+        self.accounts_by_organisation: dict[str, Account] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting_by_id)
+
+    def queued(self, organisation: str) -> int:
+        """Return how many requests of an organisation wait."""
+        return self._queued_by_organisation.get(organisation, 0)
+
+    def account(self, organisation: str) -> Account:
+        """Return an organisation's account, made at its first use."""
+        account = self.accounts_by_organisation.get(organisation)
+        if account is None:
+            account = Account(organisation, virtual_time=self._floor())
+            self.accounts_by_organisation[organisation] = account
+        return account
+
+    def push(self, work: Work) -> Work | None:
+        """Add work; when full, return what is shed instead, which may be the new work."""
+        shed = None
+        if len(self) >= self._capacity:
+            shed = self._least_urgent(work)
+            self.account(shed.organisation).refused += 1
+            if shed is work:
+                return shed
+            self.remove(shed.id)
+        account = self.account(work.organisation)
+        if self.queued(work.organisation) == 0:
+            # An idle organisation keeps no credit: it competes from now on.
+            account.virtual_time = max(account.virtual_time, self._floor())
+        used = {name: item.used_cost for name, item in self.accounts_by_organisation.items()}
+        self._waiting_by_id[work.id] = _Waiting(work, used)
+        self._queued_by_organisation[work.organisation] = self.queued(work.organisation) + 1
+        flow = self._flows.setdefault(_FlowKey(work.organisation, work.target, work.band), [])
+        heapq.heappush(flow, (work.start_by, next(self._count), work.id))
+        return shed
+
+    def heads(self, now: float) -> list[Work]:
+        """Return the first work of every flow, in the order in which it deserves room."""
+        heads = []
+        for key in list(self._flows):
+            work = self._head(key)
+            if work is not None:
+                heads.append(work)
+        heads.sort(key=lambda work: self._rank(work, now))
+        return heads
+
+    def overdue(self, now: float) -> list[Work]:
+        """Return work that can no longer start in time."""
+        return [item.work for item in self._waiting_by_id.values() if item.work.start_by <= now]
+
+    def remove(self, work_id: str) -> Work | None:
+        """Take work out without charging it."""
+        waiting = self._waiting_by_id.pop(work_id, None)
+        if waiting is None:
+            return None
+        organisation = waiting.work.organisation
+        self._queued_by_organisation[organisation] -= 1
+        if self._queued_by_organisation[organisation] == 0:
+            del self._queued_by_organisation[organisation]
+        return waiting.work
+
+    def dispatch(self, work_id: str, now: float) -> None:
+        """Take work out because it goes to an endpoint, and charge its organisation."""
+        waiting = self._waiting_by_id.get(work_id)
+        if waiting is None:
+            return
+        self.remove(work_id)
+        work = waiting.work
+        account = self.account(work.organisation)
+        wait = max(0.0, now - work.arrived)
+        account.waited_seconds += wait
+        self._blame(account, waiting, wait)
+        account.dispatched += 1
+        account.used_cost += work.cost
+        weight = work.share * _URGENCY_WEIGHT[work.urgency]
+        account.virtual_time += work.cost / weight
+
+    def correct(self, organisation: str, work: Work, real_cost: float) -> None:
+        """Replace the estimated cost of dispatched work by what it really took."""
+        account = self.account(organisation)
+        difference = real_cost - work.cost
+        account.used_cost += difference
+        account.virtual_time += difference / (work.share * _URGENCY_WEIGHT[work.urgency])
+
+    def _head(self, key: _FlowKey) -> Work | None:
+        flow = self._flows[key]
+        while flow:
+            waiting = self._waiting_by_id.get(flow[0][2])
+            if waiting is not None:
+                return waiting.work
+            heapq.heappop(flow)
+        del self._flows[key]
+        return None
+
+    def _rank(self, work: Work, now: float) -> tuple[int, float, float]:
+        waited = now - work.arrived
+        allowed = max(1e-9, work.start_by - work.arrived)
+        aged = 0 if waited > _AGED_SHARE * allowed else 1
+        if aged == 0:
+            return (0, work.start_by, 0.0)
+        return (1, self.account(work.organisation).virtual_time, work.start_by)
+
+    def _floor(self) -> float:
+        times = [
+            self.accounts_by_organisation[name].virtual_time
+            for name in self._queued_by_organisation
+            if name in self.accounts_by_organisation
+        ]
+        if times:
+            return min(times)
+        return max(
+            (account.virtual_time for account in self.accounts_by_organisation.values()),
+            default=0.0,
+        )
+
+    def _least_urgent(self, new: Work) -> Work:
+        candidates = [item.work for item in self._waiting_by_id.values()]
+        candidates.append(new)
+        return max(
+            candidates,
+            key=lambda work: (
+                work.urgency.rank,
+                self.queued(work.organisation) / work.share,
+                work.start_by,
+                work is new,
+            ),
+        )
+
+    def _blame(self, account: Account, waiting: _Waiting, wait: float) -> None:
+        used_by_other = {}
+        for name, other in self.accounts_by_organisation.items():
+            used = other.used_cost - waiting.used_before.get(name, 0.0)
+            if used > 0:
+                used_by_other[name] = used
+        total = sum(used_by_other.values())
+        for name, used in used_by_other.items():
+            delayed = account.delayed_by.get(name, 0.0)
+            account.delayed_by[name] = delayed + wait * used / total
--- /dev/null
+++ b/src/brassdrum/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Contracts and configuration: documents, their acceptance and their checkpoints."""
--- /dev/null
+++ b/src/brassdrum/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""One daemon: its state, its loops and its HTTP application."""
--- /dev/null
+++ b/src/brassdrum/daemon/admin.py
@@ -0,0 +1,179 @@
+"""Answer the balancer and the operators: health, readiness, status, explanations, metrics."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Callable
+
+from brassdrum.contracts.keys import hash_key
+from brassdrum.daemon.core import Core
+from brassdrum.errors import EndpointFailedError, InvalidRequestError, NotPermittedError
+from brassdrum.membership.gossip import Gossip
+from brassdrum.membership.peer_pb2 import DaemonEntry, DaemonState
+from brassdrum.routing.state import EndpointState
+from brassdrum.wsgi import Request, Response, json_response
+
+__all__ = ["AdminHandler"]
+
+_TOKEN_SALT = "operator"
+
+
+class AdminHandler:
+    """Serve the paths under ``/-/``."""
+
+    def __init__(self, core: Core, gossip: Gossip, not_ready: Callable[[], str | None]) -> None:
+        self._core = core
+        self._gossip = gossip
+        self._not_ready = not_ready
+
+    def health(self, request: Request) -> Response:
+        """Tell that the process answers."""
+        return json_response({"status": "ok", "daemon": self._core.settings.name})
+
+    def ready(self, request: Request) -> Response:
+        """Tell whether the balancer may send requests."""
+        reason = self._not_ready()
+        if reason is None:
+            return json_response({"status": "ready"})
+        return json_response({"status": "not ready", "reason": reason}, 503)
+
+    def metrics(self, request: Request) -> Response:
+        """Show the Prometheus page."""
+        page = self._core.metrics.page()
+        return Response(200, [page], "text/plain; version=0.0.4", length=len(page))
+
+    def status(self, request: Request) -> Response:
+        """Show daemons, endpoints, load, revisions, duties and accounts."""
+        self._check_operator(request)
+        core = self._core
+        now = core.clock.monotonic()
+        with self._gossip.lock:
+            daemons = [_daemon(self._gossip.table.own, live=True)]
+            live = {record.entry.name for record in self._gossip.table.live_peers(now)}
+            for record in self._gossip.table.records():
+                daemons.append(_daemon(record.entry, live=record.entry.name in live))
+        with core.dispatcher.lock:
+            states = core.dispatcher.fleet.states_by_name
+            endpoints = [_endpoint(state, now) for state in states.values()]
+            accounts = [
+                {
+                    "organisation": account.organisation,
+                    "used_cost": round(account.used_cost),
+                    "dispatched": account.dispatched,
+                    "queued": core.dispatcher.queue.queued(account.organisation),
+                    "refused": account.refused,
+                    "waited_seconds": round(account.waited_seconds, 3),
+                    "delayed_by": {k: round(v, 3) for k, v in account.delayed_by.items()},
+                }
+                for account in core.dispatcher.queue.accounts_by_organisation.values()
+            ]
+        content = {
+            "daemon": core.settings.name,
+            "not_ready": self._not_ready(),
+            "log_answers": core.control.log_answers,
+            "revision": core.control.revision,
+            "through": core.control.through,
+            "active": len(core.active),
+            "queued": len(core.dispatcher.queue),
+            "claims": sum(len(shard.fold) for shard in core.claims.shards),
+            "unwritten_records": sum(shard.appender.unwritten for shard in core.claims.shards),
+            "pending_cancels": len(core.cancels),
+            "daemons": daemons,
+            "endpoints": endpoints,
+            "organisations": accounts,
+        }
+        content |= core.control.with_fold(_control)  # type: ignore[operator]
+        return json_response(content)
+
+    def held(self, request: Request) -> Response:
+        """Show who holds memory at every engine."""
+        self._check_operator(request)
+        held_by_endpoint: dict[str, object] = {}
+        for name, engine in self._core.dispatcher.fleet.engines_by_name.items():
+            try:
+                held_by_endpoint[name] = engine.held()
+            except EndpointFailedError as error:
+                held_by_endpoint[name] = {"error": error.message}
+        return json_response({"held": held_by_endpoint})
+
+    def documents(self, request: Request) -> Response:
+        """Show the accepted documents."""
+        self._check_operator(request)
+        return json_response({"documents": self._core.control.with_fold(_documents)})
+
+    def explain(self, request: Request) -> Response:
+        """Tell what was decided on a request, by its id."""
+        self._check_operator(request)
+        request_id = request.query.get("request")
+        if not request_id:
+            raise InvalidRequestError("The query has no 'request'.")
+        return json_response({"steps": self._core.explanations.get(request_id)})
+
+    def _check_operator(self, request: Request) -> None:
+        expected = self._core.settings.operator_token_hash
+        if expected is None:
+            return
+        given = request.header("Brassdrum-Operator-Token") or ""
+        if not hmac.compare_digest(hash_key(given, _TOKEN_SALT), expected):
+            raise NotPermittedError(
+                "The operator token is missing or wrong.",
+                remedy="Send Brassdrum-Operator-Token, or set BRASSDRUM_OPERATOR_TOKEN.",
+            )
+
+
+def _daemon(entry: DaemonEntry, *, live: bool) -> dict[str, object]:
+    return {
+        "name": entry.name,
+        "zone": entry.zone,
+        "http_address": entry.http_address,
+        "peer_address": entry.peer_address,
+        "state": DaemonState.Name(entry.state).lower(),
+        "revision": entry.revision,
+        "live": live,
+    }
+
+
+def _endpoint(state: EndpointState, now: float) -> dict[str, object]:
+    return {
+        "name": state.endpoint.name,
+        "kind": state.endpoint.kind.value,
+        "zone": state.endpoint.zone,
+        "pool": state.endpoint.pool,
+        "leaving": state.leaving,
+        "failing": not state.breaker.allows(now),
+        "own_streams": len(state.own_by_id),
+        "streams": state.streams(now),
+        "queued_tokens": state.queued_tokens(now),
+        "long_prefills": state.long_prefills(now),
+    }
+
+
+def _control(fold) -> dict[str, object]:
+    return {
+        "skipped_records": fold.skipped_count,
+        "last_skipped": [
+            {"offset": item.offset, "reason": item.reason} for item in list(fold.skipped)[-5:]
+        ],
+        "duties": [
+            {"duty": lease.duty, "holder": lease.holder, "fence": lease.fence}
+            for lease in fold.leases.all()
+        ],
+    }
+
+
+def _documents(fold) -> list[dict[str, object]]:
+    return [
+        {
+            "kind": key.kind.value,
+            "name": key.name,
+            "revision": document.revision,
+            "body": _without_hashes(document.body),
+        }
+        for key, document in sorted(fold.documents_by_key.items())
+    ]
+
+
+def _without_hashes(body: dict[str, object] | None) -> dict[str, object] | None:
+    if body is None or not isinstance(body.get("keys"), list):
+        return body
+    return body | {"keys": [key.get("id") for key in body["keys"]]}
--- /dev/null
+++ b/src/brassdrum/daemon/answers.py
@@ -0,0 +1,96 @@
+"""Build whole answers from a stream's events."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+
+from brassdrum.errors import EndpointFailedError
+
+__all__ = ["AnswerBuilder", "Usage"]
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Hold an engine's count of tokens."""
+
+    prompt_tokens: int
+    completion_tokens: int
+
+    @property
+    def total(self) -> int:
+        """Return all tokens."""
+        return self.prompt_tokens + self.completion_tokens
+
+    @classmethod
+    def in_event(cls, data: bytes) -> Usage | None:
+        """Return the usage that an event carries, or None."""
+        if b'"usage"' not in data:
+            return None
+        try:
+            usage = json.loads(data).get("usage")
+        except ValueError:
+            return None
+        if not isinstance(usage, dict):
+            return None
+        return cls(int(usage.get("prompt_tokens", 0)), int(usage.get("completion_tokens", 0)))
+
+
+@dataclass(slots=True)
+class _Choice:
+    texts: list[str] = field(default_factory=list)
+    finish_reason: str | None = None
+
+
+class AnswerBuilder:
+    """Join the pieces of a streamed answer into the one that a caller asked for whole."""
+
+    def __init__(self, model: str, *, chat: bool) -> None:
+        self._model = model
+        self._chat = chat
+        self._id = ""
+        self._created = 0
+        self._usage: dict | None = None
+        self._choices_by_index: dict[int, _Choice] = {}
+
+    def add(self, data: bytes) -> None:
+        """Add one event, or raise ``EndpointFailedError`` when it is no JSON."""
+        try:
+            content = json.loads(data)
+        except ValueError as error:
+            raise EndpointFailedError("The endpoint sent an event that is no JSON.") from error
+        self._id = content.get("id", self._id)
+        self._created = content.get("created", self._created)
+        self._usage = content.get("usage") or self._usage
+        for piece in content.get("choices", []):
+            choice = self._choices_by_index.setdefault(piece.get("index", 0), _Choice())
+            text = piece.get("delta", {}).get("content") if self._chat else piece.get("text")
+            if text:
+                choice.texts.append(text)
+            choice.finish_reason = piece.get("finish_reason") or choice.finish_reason
+
+    def content(self) -> dict[str, object]:
+        """Return the whole answer."""
+        answer: dict[str, object] = {
+            "id": self._id,
+            "object": "chat.completion" if self._chat else "text_completion",
+            "created": self._created,
+            "model": self._model,
+            "choices": [
+                self._choice(index, choice)
+                for index, choice in sorted(self._choices_by_index.items())
+            ],
+        }
+        if self._usage is not None:
+            answer["usage"] = self._usage
+        return answer
+
+    def _choice(self, index: int, choice: _Choice) -> dict[str, object]:
+        text = "".join(choice.texts)
+        content: dict[str, object] = {"index": index, "finish_reason": choice.finish_reason}
+        if self._chat:
+            content["message"] = {"role": "assistant", "content": text}
+        else:
+            content["text"] = text
+            content["logprobs"] = None
+        return content
--- /dev/null
+++ b/src/brassdrum/daemon/attempts.py
@@ -0,0 +1,106 @@
+"""Try a request at endpoints until it is answered or may not be tried again."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import TypeVar
+
+from brassdrum.admission.work import Work
+from brassdrum.daemon.core import Core, Scope
+from brassdrum.daemon.dispatcher import Placement
+from brassdrum.errors import (
+    BrassdrumError,
+    DeadlineExceededError,
+    EndpointFailedError,
+    NoEndpointError,
+)
+from brassdrum.telemetry.observe import observe
+
+__all__ = ["Attempts"]
+
+T = TypeVar("T")
+
+
+class Attempts:
+    """Place work, send it, and decide after a failure."""
+
+    def __init__(self, core: Core, scope: Scope, *, repeatable: bool) -> None:
+        self._core = core
+        self._scope = scope
+        self._repeatable = repeatable
+        self._attempt = 0
+
+    def run(self, work: Work, send: Callable[[Placement], T]) -> T:
+        """Return what ``send`` returns at the first endpoint where it succeeds.
+
+        ``send`` keeps the placement when it succeeds; after a failure it is released here.
+        """
+        self._core.retry_budget.request()
+        while True:
+            self._attempt += 1
+            placement = self._place(work)
+            try:
+                answer = send(placement)
+            except BrassdrumError as error:
+                self._core.dispatcher.release(placement)
+                self._judge_endpoint(placement, error)
+                work = self._again(work, placement, error)
+                continue
+            except BaseException:
+                self._core.dispatcher.release(placement)
+                raise
+            placement.state.breaker.succeeded()
+            return answer
+
+    def _place(self, work: Work) -> Placement:
+        scope = self._scope
+        with scope.trace.hop("queue", band=work.band.value):
+            placement = self._core.dispatcher.place(work, scope.request.disconnected)
+        name = placement.state.endpoint.name
+        with scope.trace.hop("route", endpoint=name, attempt=self._attempt):
+            self._core.explanations.add(
+                scope.request_id,
+                "routed",
+                f"attempt {self._attempt} to {name} after {placement.waited:.3f} s in the queue",
+            )
+        observe(self._core.metrics.queue_wait.record, placement.waited, {"band": work.band.value})
+        return placement
+
+    def _judge_endpoint(self, placement: Placement, error: BrassdrumError) -> None:
+        now = self._core.clock.monotonic()
+        if isinstance(error, EndpointFailedError | DeadlineExceededError):
+            placement.state.breaker.failed(now)
+            return
+        if isinstance(error, NoEndpointError) and error.__cause__ is not None:
+            # No connection; a refusal by a live engine has no cause and is no failure.
+            placement.state.breaker.failed(now)
+            return
+        placement.state.breaker.succeeded()
+
+    def _again(self, work: Work, placement: Placement, error: BrassdrumError) -> Work:
+        scope = self._scope
+        if not isinstance(error, EndpointFailedError | NoEndpointError):
+            raise error
+        now = self._core.clock.monotonic()
+        decision = self._core.retries.decide(
+            error,
+            attempt=self._attempt,
+            repeatable=self._repeatable,
+            answer_started=False,
+            time_left=scope.deadline - now,
+        )
+        self._core.explanations.add(
+            scope.request_id,
+            "attempt failed",
+            f"{error.code}: {error.message} retry={decision.retry} {decision.reason}",
+        )
+        if not decision.retry:
+            raise error
+        observe(self._core.metrics.retries.add, 1, {"reason": error.code})
+        self._core.clock.sleep(decision.pause)
+        avoid = work.avoid | {placement.state.endpoint.name}
+        candidates = self._core.dispatcher.fleet.states_by_target.get(work.target, [])
+        if all(state.endpoint.name in avoid for state in candidates):
+            avoid = frozenset()
+        return replace(work, id=f"{scope.request_id}.{self._attempt + 1}", avoid=avoid)
--- /dev/null
+++ b/src/brassdrum/daemon/calls.py
@@ -0,0 +1,122 @@
+"""Handle calls of plain services."""
+
+from __future__ import annotations
+
+import re
+
+from brassdrum.admission.work import Work, service_target
+from brassdrum.contracts.documents import Service
+from brassdrum.daemon.attempts import Attempts
+from brassdrum.daemon.claiming import claim, replay
+from brassdrum.daemon.core import Core, Scope
+from brassdrum.daemon.dispatcher import Placement
+from brassdrum.daemon.finishing import Ending
+from brassdrum.endpoints.service import ServiceAnswer, ServiceCallRequest
+from brassdrum.errors import BrassdrumError, UnknownModelError
+from brassdrum.outcomes.claims import OutcomeRecord
+from brassdrum.wsgi import Request, Response
+
+__all__ = ["ServiceHandler", "is_repeatable"]
+
+_PASSED_HEADERS = ("Content-Type", "Accept", "Effect-Id")
+_CALL_TOKENS = 1
+
+
+def is_repeatable(service: Service, method: str, path: str) -> bool:
+    """Return whether a call is declared repeatable; what is not declared is not.
+
+    ``{name}`` in a declared path matches one part of the path.
+    """
+    for call in service.calls:
+        if call.method != method:
+            continue
+        pattern = re.sub(r"\\\{\w+\\\}", "[^/]+", re.escape(call.path))
+        if re.fullmatch(pattern, path):
+            return call.repeatable
+    return False
+
+
+class ServiceHandler:
+    """Admit, place and answer calls under ``/services/NAME/PATH``."""
+
+    def __init__(self, core: Core) -> None:
+        self._core = core
+
+    def handle(self, request: Request) -> Response:
+        """Answer one call."""
+        scope = self._core.scope(request, "caller")
+        ending = Ending(self._core, scope)
+        try:
+            return self._run(scope, ending)
+        except BrassdrumError as error:
+            ending.failed(error)
+            raise
+        except BaseException:
+            ending.failed(BrassdrumError("The daemon failed to handle the call."))
+            raise
+
+    def _run(self, scope: Scope, ending: Ending) -> Response:
+        body = scope.request.body()
+        name = scope.request.parameters["service"]
+        path = "/" + scope.request.parameters["path"]
+        with scope.trace.hop("admission"):
+            service = self._service(scope, name)
+            self._core.limits.acquire(scope.organisation, _CALL_TOKENS)
+            work = self._work(scope, name)
+            ending.admitted(work)
+        ticket = claim(self._core, scope, body)
+        if isinstance(ticket, OutcomeRecord):
+            ending.succeeded(None)
+            return replay(ticket)
+        ending.ticket = ticket
+        ending.repeatable = scope.may_repeat and is_repeatable(service, scope.request.method, path)
+        attempts = Attempts(self._core, scope, repeatable=ending.repeatable)
+        answer = attempts.run(work, lambda placement: self._send(scope, placement, path, body))
+        ticket.finish(answer.status, answer.content_type, answer.body)
+        ending.succeeded(None)
+        return Response(
+            answer.status,
+            [answer.body],
+            answer.content_type,
+            {"Brassdrum-Request-Id": scope.request_id},
+            len(answer.body),
+        )
+
+    def _service(self, scope: Scope, name: str) -> Service:
+        if name not in scope.contract.services:
+            raise UnknownModelError(f"The contract covers no service {name!r}.")
+        service = scope.view.services_by_name.get(name)
+        if service is None:
+            raise UnknownModelError(f"The fleet has no service {name!r}.")
+        return service
+
+    def _work(self, scope: Scope, name: str) -> Work:
+        return Work(
+            id=f"{scope.request_id}.1",
+            organisation=scope.organisation,
+            target=service_target(name),
+            prompt_tokens=_CALL_TOKENS,
+            answer_tokens=0,
+            urgency=scope.contract.urgency,
+            share=scope.contract.share,
+            arrived=scope.arrived,
+            start_by=min(scope.arrived + scope.contract.longest_wait_seconds, scope.deadline),
+            deadline=scope.deadline,
+        )
+
+    def _send(self, scope: Scope, placement: Placement, path: str, body: bytes) -> ServiceAnswer:
+        client = self._core.dispatcher.fleet.services_by_name[placement.state.endpoint.name]
+        headers = {}
+        for name in _PASSED_HEADERS:
+            value = scope.request.header(name)
+            if value is not None:
+                headers[name] = value
+        traceparent = scope.trace.traceparent()
+        if traceparent is not None:
+            headers["traceparent"] = traceparent
+        seconds = max(0.05, scope.deadline - self._core.clock.monotonic())
+        request = ServiceCallRequest(scope.request.method, path, body, headers, seconds)
+        with scope.trace.hop("endpoint", endpoint=placement.state.endpoint.name):
+            answer = client.call(request)
+        self._core.dispatcher.release(placement)
+        return answer
--- /dev/null
+++ b/src/brassdrum/daemon/core.py
@@ -0,0 +1,199 @@
+"""Hold the parts of one daemon that its request handlers share."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+import uuid
+from dataclasses import dataclass, field
+
+from brassdrum.clock import Clock
+from brassdrum.contracts.documents import Contract
+from brassdrum.contracts.view import FleetView
+from brassdrum.daemon.cancels import Cancels
+from brassdrum.daemon.control import ControlState
+from brassdrum.daemon.dispatcher import Dispatcher
+from brassdrum.daemon.explanations import Explanations
+from brassdrum.daemon.limits import LimitBook
+from brassdrum.daemon.watch import Watch
+from brassdrum.errors import InvalidRequestError, NotReadyError, UnknownKeyError
+from brassdrum.outcomes.claimer import Claims
+from brassdrum.outcomes.resume import ResumeTokens
+from brassdrum.outcomes.retries import RetryBudget, RetryPolicy
+from brassdrum.settings import DaemonSettings
+from brassdrum.telemetry.metrics import Metrics
+from brassdrum.telemetry.traces import RequestTrace, Tracing
+from brassdrum.wsgi import Request
+
+__all__ = ["ActiveRequests", "Core", "Scope"]
+
+_LONGEST_KEY = 255
+_LONGEST_ID = 128
+
+
+class ActiveRequests:
+    """Count the requests in work, so that a shutdown can wait for them."""
+
+    def __init__(self) -> None:
+        self._changed = threading.Condition()
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def enter(self) -> None:
+        """Count one in."""
+        with self._changed:
+            self._count += 1
+
+    def leave(self) -> None:
+        """Count one out."""
+        with self._changed:
+            self._count -= 1
+            self._changed.notify_all()
+
+    def wait_idle(self, seconds: float) -> bool:
+        """Wait until none is left; return whether that came true."""
+        with self._changed:
+            return self._changed.wait_for(lambda: self._count == 0, seconds)
+
+
+@dataclass(slots=True)
+class Scope:
+    """Hold what is known of one request from its headers and its contract."""
+
+    request: Request
+    request_id: str
+    contract: Contract
+    view: FleetView
+    trace: RequestTrace
+    arrived: float
+    deadline: float
+    idempotency_key: str | None
+    may_repeat: bool
+
+    @property
+    def organisation(self) -> str:
+        """Return the name of the caller's organisation."""
+        return self.contract.organisation
+
+
+@dataclass(slots=True)
+class Core:
+    """Join the parts of a daemon."""
+
+    settings: DaemonSettings
+    clock: Clock
+    control: ControlState
+    dispatcher: Dispatcher
+    limits: LimitBook
+    claims: Claims
+    resume_tokens: ResumeTokens
+    watch: Watch
+    cancels: Cancels
+    explanations: Explanations
+    metrics: Metrics
+    tracing: Tracing
+    retry_budget: RetryBudget
+    retries: RetryPolicy = field(init=False)
+    active: ActiveRequests = field(default_factory=ActiveRequests)
+    stopping: threading.Event = field(default_factory=threading.Event)
+
+    def __post_init__(self) -> None:
+        self.retries = RetryPolicy(self.retry_budget, random.Random())
+
+    def scope(self, request: Request, name: str) -> Scope:
+        """Return the scope of a request, or raise why it is refused before it is read."""
+        view = self.control.view
+        if view is None or self.stopping.is_set():
+            raise NotReadyError("This daemon takes no new work.", retry_after=1.0)
+        contract = self._contract(request, view)
+        arrived = self.clock.monotonic()
+        seconds = _seconds(request, contract)
+        trace = self.tracing.request(name, _trace_headers(request))
+        request_id = _request_id(request)
+        trace.set("brassdrum.request_id", request_id)
+        trace.set("brassdrum.organisation", contract.organisation)
+        return Scope(
+            request=request,
+            request_id=request_id,
+            contract=contract,
+            view=view,
+            trace=trace,
+            arrived=arrived,
+            deadline=arrived + seconds,
+            idempotency_key=_idempotency_key(request),
+            may_repeat=request.header("Brassdrum-Repeatable") != "false",
+        )
+
+    def wall_time(self, monotonic: float) -> float:
+        """Return a monotonic time as seconds since the epoch."""
+        return self.clock.now().timestamp() + monotonic - self.clock.monotonic()
+
+    def new_stream_id(self) -> str:
+        """Return an id that no other stream has."""
+        return f"{self.settings.name}-{uuid.uuid4().hex}"
+
+    @staticmethod
+    def _contract(request: Request, view: FleetView) -> Contract:
+        secret = _secret(request)
+        if secret is None:
+            raise UnknownKeyError("The request carries no API key.")
+        owner = view.keys.find(secret)
+        if owner is None:
+            raise UnknownKeyError("The API key is in no contract.")
+        return view.contracts_by_organisation[owner.organisation]
+
+
+def _secret(request: Request) -> str | None:
+    value = request.header("Authorization") or ""
+    scheme, _, secret = value.partition(" ")
+    if scheme.lower() != "bearer" or not secret:
+        return None
+    return secret.strip()
+
+
+def _seconds(request: Request, contract: Contract) -> float:
+    longest = contract.longest_wait_seconds + contract.longest_run_seconds
+    value = request.header("Brassdrum-Timeout")
+    if value is None:
+        return longest
+    try:
+        seconds = float(value)
+    except ValueError:
+        raise InvalidRequestError(
+            "The header Brassdrum-Timeout is no number.", remedy="Give it in seconds, as in '30'."
+        ) from None
+    if not 0 < seconds < float("inf"):
+        raise InvalidRequestError("The header Brassdrum-Timeout is not above 0.")
+    return min(longest, seconds)
+
+
+def _request_id(request: Request) -> str:
+    value = request.header("Brassdrum-Request-Id") or request.header("X-Request-Id")
+    if value is None:
+        return f"{time.time_ns():x}-{uuid.uuid4().hex[:12]}"
+    if len(value) > _LONGEST_ID or not value.isprintable():
+        raise InvalidRequestError("The request id is longer than 128 characters or not printable.")
+    return value
+
+
+def _idempotency_key(request: Request) -> str | None:
+    value = request.header("Idempotency-Key")
+    if value is None:
+        return None
+    if not value or len(value) > _LONGEST_KEY or not value.isprintable():
+        raise InvalidRequestError(
+            "The Idempotency-Key is empty, over 255 characters or not printable."
+        )
+    return value
+
+
+def _trace_headers(request: Request) -> dict[str, str]:
+    headers = {}
+    for name in ("traceparent", "tracestate"):
+        value = request.header(name)
+        if value is not None:
+            headers[name] = value
+    return headers
--- /dev/null
+++ b/src/brassdrum/daemon/endpoint_watch.py
@@ -0,0 +1,118 @@
+"""Learn the endpoints' load, cache events and departures."""
+
+from __future__ import annotations
+
+import logging
+import random
+from concurrent.futures import ThreadPoolExecutor
+
+from brassdrum.clock import Clock
+from brassdrum.daemon.dispatcher import Dispatcher
+from brassdrum.endpoints.engine import EngineClient, EngineLoad
+from brassdrum.errors import EndpointFailedError, PlatformUnavailableError
+from brassdrum.platform.hosts import Host, HostList
+from brassdrum.routing.state import LoadReport
+
+__all__ = ["EndpointWatch", "HostWatch"]
+
+_logger = logging.getLogger(__name__)
+_POLL_THREADS = 8
+
+
+class EndpointWatch:
+    """Poll the engines' reports and cache events."""
+
+    def __init__(self, dispatcher: Dispatcher, clock: Clock) -> None:
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._executor = ThreadPoolExecutor(_POLL_THREADS, thread_name_prefix="poll")
+        self._last_event_by_endpoint: dict[str, int] = {}
+        self._draining: set[str] = set()
+
+    @property
+    def draining(self) -> set[str]:
+        """Return the endpoints that say themselves that they are leaving."""
+        return set(self._draining)
+
+    def step(self) -> None:
+        """Poll every engine once, in random order."""
+        engines = list(self._dispatcher.fleet.engines_by_name.values())
+        random.shuffle(engines)
+        known = self._dispatcher.fleet.states_by_name
+        list(self._executor.map(self._poll, [item for item in engines if item.name in known]))
+        self._dispatcher.pump()
+
+    def close(self) -> None:
+        """Stop polling."""
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+    def _poll(self, engine: EngineClient) -> None:
+        try:
+            load = engine.load()
+            self._take_load(engine.name, load)
+            self._take_events(engine)
+        except EndpointFailedError as error:
+            _logger.debug("no report", extra={"endpoint": engine.name, "reason": str(error)})
+
+    def _take_load(self, name: str, load: EngineLoad) -> None:
+        # The engine's clock may differ from ours: a report from the future counts as made now.
+        age = max(0.0, self._clock.now().timestamp() - load.at)
+        report = LoadReport(
+            at=self._clock.monotonic() - age,
+            streams=load.streams + load.waiting,
+            queued_tokens=load.queued_tokens,
+            kv_tokens_held=load.kv_tokens_held,
+        )
+        if load.draining:
+            self._draining.add(name)
+        else:
+            self._draining.discard(name)
+        with self._dispatcher.lock:
+            state = self._dispatcher.fleet.states_by_name.get(name)
+            if state is not None:
+                state.report = report
+
+    def _take_events(self, engine: EngineClient) -> None:
+        last = self._last_event_by_endpoint.get(engine.name, 0)
+        events = engine.cache_events(last)
+        if not events:
+            return
+        prefixes = self._dispatcher.fleet.prefixes
+        with self._dispatcher.lock:
+            for event in events:
+                if event.number > last + 1 and last:
+                    prefixes.missed(engine.name, event.number - last - 1)
+                last = event.number
+                if event.stored:
+                    prefixes.stored(engine.name, [event.block])
+                else:
+                    prefixes.removed(engine.name, event.block)
+            prefixes.heard(engine.name, len(events))
+        self._last_event_by_endpoint[engine.name] = last
+
+
+class HostWatch:
+    """Read the platform's host list; when it does not answer, the last list holds."""
+
+    def __init__(self, hosts: HostList) -> None:
+        self._hosts = hosts
+        self._last: list[Host] = []
+        self.answers = False
+
+    def step(self) -> None:
+        """Read the list once."""
+        try:
+            self._last = self._hosts.read()
+            self.answers = True
+        except PlatformUnavailableError as error:
+            if self.answers:
+                _logger.warning("host list not readable", extra={"reason": str(error)})
+            self.answers = False
+
+    def leaving_endpoints(self) -> set[str]:
+        """Return the endpoints that the list says are leaving."""
+        return {host.name for host in self._last if host.role == "endpoint" and host.leaving}
+
+    def daemon_addresses(self) -> list[str]:
+        """Return the peer addresses of the daemons on the list."""
+        return [host.peer_address for host in self._last if host.role == "daemon"]
--- /dev/null
+++ b/src/brassdrum/daemon/finishing.py
@@ -0,0 +1,119 @@
+"""End a request once: give back its limits, settle its claim, tell logs, metrics and traces."""
+
+from __future__ import annotations
+
+import logging
+
+from brassdrum.admission.work import Work
+from brassdrum.daemon.answers import Usage
+from brassdrum.daemon.claiming import ClaimTicket
+from brassdrum.daemon.core import Core, Scope
+from brassdrum.daemon.dispatcher import Placement
+from brassdrum.errors import BrassdrumError, CallerDisconnectedError
+from brassdrum.telemetry.observe import observe
+
+__all__ = ["Ending"]
+
+_logger = logging.getLogger(__name__)
+_DECODE_WEIGHT = 4
+
+
+class Ending:
+    """Hold what has to be undone or told when a request ends, however it ends."""
+
+    def __init__(self, core: Core, scope: Scope) -> None:
+        self._core = core
+        self._scope = scope
+        self._work: Work | None = None
+        self._ended = False
+        self.ticket = ClaimTicket()
+        self.repeatable = False
+        core.active.enter()
+
+    def admitted(self, work: Work) -> None:
+        """Note that limits were taken for the request."""
+        self._work = work
+        self._core.dispatcher.fleet.note_arrival(work)
+        self._core.explanations.add(
+            self._scope.request_id,
+            "admitted",
+            f"{work.organisation} {work.target} about {work.prompt_tokens}+{work.answer_tokens} "
+            f"tokens, {work.start_by - work.arrived:.1f} s to start",
+        )
+
+    def answered(self, placement: Placement, characters: int, usage: Usage | None) -> None:
+        """Give the place at the endpoint back and learn from the engine's count."""
+        cost = None
+        if usage is not None:
+            cost = usage.prompt_tokens + _DECODE_WEIGHT * usage.completion_tokens
+            estimate = self._core.dispatcher.fleet.estimates_by_model.get(placement.work.target)
+            if estimate is not None:
+                estimate.learn_ratio(characters, usage.prompt_tokens)
+        self._core.dispatcher.release(placement, cost)
+
+    def succeeded(self, usage: Usage | None) -> None:
+        """End a request that was answered."""
+        if usage is not None:
+            self._count_tokens(usage)
+        self._end("ok", usage)
+
+    def failed(self, error: BrassdrumError) -> None:
+        """End a request that was refused or failed."""
+        self.ticket.failed(error, repeatable=self.repeatable)
+        self._core.explanations.add(
+            self._scope.request_id, "ended", f"{error.code} ran={error.ran.value}: {error.message}"
+        )
+        self._core.dispatcher.refused(self._scope.organisation)
+        self._end(error.code, None)
+
+    def interrupted(self) -> None:
+        """End a request whose caller went away in the middle of its answer."""
+        self.failed(CallerDisconnectedError("The caller closed its connection."))
+
+    def _end(self, result: str, usage: Usage | None) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        if self._work is not None:
+            estimated = self._work.kv_tokens
+            real = estimated if usage is None and result == "ok" else _total(usage)
+            self._core.limits.release(self._scope.organisation, estimated, real)
+        observe(self._tell, result)
+        self._core.active.leave()
+
+    def _tell(self, result: str) -> None:
+        scope = self._scope
+        target = "" if self._work is None else self._work.target
+        self._core.metrics.requests.add(
+            1, {"organisation": scope.organisation, "target": target, "result": result}
+        )
+        scope.trace.set("brassdrum.result", result)
+        scope.trace.end()
+        _logger.info(
+            "request ended",
+            extra={
+                "request_id": scope.request_id,
+                "organisation": scope.organisation,
+                "trace_id": scope.trace.trace_id,
+                "target": target,
+                "result": result,
+                "seconds": round(self._core.clock.monotonic() - scope.arrived, 4),
+            },
+        )
+
+    def _count_tokens(self, usage: Usage) -> None:
+        organisation = self._scope.organisation
+        observe(
+            self._core.metrics.tokens.add,
+            usage.prompt_tokens,
+            {"organisation": organisation, "kind": "prompt"},
+        )
+        observe(
+            self._core.metrics.tokens.add,
+            usage.completion_tokens,
+            {"organisation": organisation, "kind": "completion"},
+        )
+
+
+def _total(usage: Usage | None) -> int:
+    return 0 if usage is None else usage.total
--- /dev/null
+++ b/src/brassdrum/daemon/generation.py
@@ -0,0 +1,360 @@
+"""Handle completions and chat completions."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from brassdrum.admission.work import Work
+from brassdrum.daemon.answers import AnswerBuilder, Usage
+from brassdrum.daemon.attempts import Attempts
+from brassdrum.daemon.claiming import claim, replay
+from brassdrum.daemon.core import Core, Scope
+from brassdrum.daemon.dispatcher import Placement
+from brassdrum.daemon.engine_run import CheckedEvent, EngineRun, StreamIdentity
+from brassdrum.daemon.finishing import Ending
+from brassdrum.endpoints.engine import EngineRequest
+from brassdrum.endpoints.openai import ChatRequest, CompletionRequest, parse_chat, parse_completion
+from brassdrum.errors import (
+    BrassdrumError,
+    DeadlineUnreachableError,
+    PromptTooLongError,
+    Ran,
+    UnknownModelError,
+)
+from brassdrum.outcomes.claims import OutcomeRecord
+from brassdrum.outcomes.resume import ResumeTicket
+from brassdrum.outcomes.stream import EventVerdict
+from brassdrum.routing.blocks import block_hashes
+from brassdrum.telemetry.observe import observe
+from brassdrum.wsgi import Request, Response, json_response
+
+__all__ = ["GenerationHandler"]
+
+_logger = logging.getLogger(__name__)
+_FIRST_EVENT_SECONDS = 15.0
+_FIRST_EVENT_FACTOR = 5.0
+_LARGEST_REPLAY = 32 * 1024
+_SSE = "text/event-stream"
+_DONE = b"data: [DONE]\n\n"
+
+
+@dataclass(frozen=True, slots=True)
+class Generation:
+    """Hold a parsed request; the body itself goes to the engine unchanged."""
+
+    body: bytes
+    path: str
+    model: str
+    chat: bool
+    stream: bool
+    characters: int
+    prompt_tokens: int
+    answer_tokens: int
+    blocks: tuple[int, ...]
+
+    @property
+    def tokens(self) -> int:
+        """Return the most tokens that the request may use."""
+        return self.prompt_tokens + self.answer_tokens
+
+
+class GenerationHandler:
+    """Admit, place and answer generation requests."""
+
+    def __init__(self, core: Core) -> None:
+        self._core = core
+
+    def completions(self, request: Request) -> Response:
+        """Answer ``POST /v1/completions``."""
+        return self._handle(request, chat=False)
+
+    def chat(self, request: Request) -> Response:
+        """Answer ``POST /v1/chat/completions``."""
+        return self._handle(request, chat=True)
+
+    def _handle(self, request: Request, *, chat: bool) -> Response:
+        scope = self._core.scope(request, "caller")
+        ending = Ending(self._core, scope)
+        try:
+            return self._run(scope, ending, chat=chat)
+        except BrassdrumError as error:
+            ending.failed(error)
+            raise
+        except BaseException:
+            ending.failed(BrassdrumError("The daemon failed to handle the request."))
+            raise
+
+    def _run(self, scope: Scope, ending: Ending, *, chat: bool) -> Response:
+        body = scope.request.body()
+        with scope.trace.hop("admission"):
+            generation = self._parse(scope, body, chat=chat)
+            work = self._admit(scope, generation)
+            ending.admitted(work)
+        ticket = claim(self._core, scope, body)
+        if isinstance(ticket, OutcomeRecord):
+            ending.succeeded(None)
+            return replay(ticket)
+        ending.ticket = ticket
+        repeatable = generation.model in scope.contract.repeatable.models and scope.may_repeat
+        ending.repeatable = repeatable
+        attempts = Attempts(self._core, scope, repeatable=repeatable)
+        if generation.stream:
+            return attempts.run(
+                work, lambda placement: self._streamed(scope, generation, placement, ending)
+            )
+        return attempts.run(
+            work, lambda placement: self._whole(scope, generation, placement, ending)
+        )
+
+    def _parse(self, scope: Scope, body: bytes, *, chat: bool) -> Generation:
+        content: ChatRequest | CompletionRequest
+        content = parse_chat(body) if chat else parse_completion(body)
+        if content.model not in scope.contract.models:
+            raise UnknownModelError(f"The contract covers no model {content.model!r}.")
+        estimate = self._core.dispatcher.fleet.estimates_by_model.get(content.model)
+        if estimate is None or content.model not in scope.view.models_by_name:
+            raise UnknownModelError(f"The fleet has no model {content.model!r}.")
+        text = content.prompt_text()
+        return Generation(
+            body=body,
+            path=scope.request.path,
+            model=content.model,
+            chat=chat,
+            stream=content.stream,
+            characters=len(text),
+            prompt_tokens=estimate.tokens(len(text)),
+            answer_tokens=content.answer_tokens,
+            blocks=tuple(block_hashes(text)),
+        )
+
+    def _admit(self, scope: Scope, generation: Generation) -> Work:
+        limits = scope.contract.limits
+        if generation.prompt_tokens > limits.longest_prompt:
+            raise PromptTooLongError(
+                f"The prompt has about {generation.prompt_tokens} tokens; "
+                f"the contract allows {limits.longest_prompt}."
+            )
+        if generation.answer_tokens > limits.longest_answer:
+            raise PromptTooLongError(
+                f"The answer may have {generation.answer_tokens} tokens; "
+                f"the contract allows {limits.longest_answer}."
+            )
+        context = scope.view.models_by_name[generation.model].context_tokens
+        if generation.tokens > context:
+            raise PromptTooLongError(f"Prompt and answer exceed the model's {context} tokens.")
+        fleet = self._core.dispatcher.fleet
+        if generation.tokens > fleet.largest_memory(generation.model):
+            raise PromptTooLongError("No endpoint can hold this prompt.")
+        needed = fleet.estimates_by_model[generation.model].prefill_seconds(
+            generation.prompt_tokens
+        )
+        start_by = min(scope.arrived + scope.contract.longest_wait_seconds, scope.deadline - needed)
+        if start_by <= scope.arrived:
+            raise DeadlineUnreachableError(
+                f"The prompt alone takes about {needed:.1f} s, more than the time left.",
+                remedy="Allow more time by Brassdrum-Timeout.",
+            )
+        self._core.limits.acquire(scope.organisation, generation.tokens)
+        return Work(
+            id=f"{scope.request_id}.1",
+            organisation=scope.organisation,
+            target=generation.model,
+            prompt_tokens=generation.prompt_tokens,
+            answer_tokens=generation.answer_tokens,
+            urgency=scope.contract.urgency,
+            share=scope.contract.share,
+            arrived=scope.arrived,
+            start_by=start_by,
+            deadline=scope.deadline,
+            blocks=generation.blocks,
+        )
+
+    def _streamed(
+        self, scope: Scope, generation: Generation, placement: Placement, ending: Ending
+    ) -> Response:
+        run, ticket = self._open(scope, generation, placement)
+        events = run.events()
+        first = self._first(scope, events, placement, generation)
+        headers = {
+            "Brassdrum-Request-Id": scope.request_id,
+            "Brassdrum-Resume-Token": self._core.resume_tokens.sign(ticket),
+            "Cache-Control": "no-store",
+        }
+        body = StreamBody(first, events, run, generation, placement, ending)
+        return Response(200, body, _SSE, headers)
+
+    def _whole(
+        self, scope: Scope, generation: Generation, placement: Placement, ending: Ending
+    ) -> Response:
+        run, _ = self._open(scope, generation, placement)
+        events = run.events()
+        builder = AnswerBuilder(generation.model, chat=generation.chat)
+        event: CheckedEvent | None = self._first(scope, events, placement, generation)
+        usage = None
+        try:
+            while event is not None:
+                builder.add(event.data)
+                usage = Usage.in_event(event.data) or usage
+                event = next(events, None)
+        finally:
+            run.close()
+        response = json_response(builder.content(), Brassdrum_Request_Id=scope.request_id)
+        ending.answered(placement, generation.characters, usage)
+        ending.ticket.finish(200, response.content_type, b"".join(response.chunks))
+        ending.succeeded(usage)
+        return response
+
+    def _first(
+        self,
+        scope: Scope,
+        events: Iterator[CheckedEvent],
+        placement: Placement,
+        generation: Generation,
+    ) -> CheckedEvent:
+        clock = self._core.clock
+        started = clock.monotonic()
+        with scope.trace.hop("first token", endpoint=placement.state.endpoint.name):
+            first = next(events)
+        now = clock.monotonic()
+        self._core.dispatcher.first_token(placement)
+        if placement.idle_at_start:
+            estimate = self._core.dispatcher.fleet.estimates_by_model[generation.model]
+            estimate.learn_prefill(placement.own.prefill_tokens, now - started)
+        observe(
+            self._core.metrics.first_token.record,
+            now - scope.arrived,
+            {"band": placement.work.band.value},
+        )
+        return first
+
+    def _open(
+        self, scope: Scope, generation: Generation, placement: Placement
+    ) -> tuple[EngineRun, ResumeTicket]:
+        core = self._core
+        endpoint = placement.state.endpoint.name
+        engine = core.dispatcher.fleet.engines_by_name[endpoint]
+        stream = core.new_stream_id()
+        now = core.clock.monotonic()
+        request = EngineRequest(
+            path=generation.path,
+            body=generation.body,
+            stream=stream,
+            owner=core.settings.name,
+            priority=_priority(placement.work),
+            seconds=max(0.05, scope.deadline - now),
+            traceparent=scope.trace.traceparent(),
+        )
+        estimate = core.dispatcher.fleet.estimates_by_model[generation.model]
+        expected = estimate.prefill_seconds(generation.prompt_tokens)
+        run = EngineRun(
+            engine,
+            StreamIdentity(stream, generation.model, generation.chat),
+            lambda: engine.open(request),
+            clock=core.clock,
+            watch=core.watch,
+            cancels=core.cancels,
+            deadline=scope.deadline,
+            first_event_by=now + _FIRST_EVENT_SECONDS + _FIRST_EVENT_FACTOR * expected,
+            idle_seconds=core.settings.idle_timeout_seconds,
+            disconnected=scope.request.disconnected,
+            on_dropped=self._dropped,
+        )
+        ticket = ResumeTicket(
+            organisation=scope.organisation,
+            request=scope.request_id,
+            endpoint=endpoint,
+            stream=stream,
+            model=generation.model,
+            chat=generation.chat,
+            deadline=core.wall_time(scope.deadline),
+        )
+        return run, ticket
+
+    def _dropped(self, verdict: EventVerdict) -> None:
+        _logger.warning("engine event dropped", extra={"verdict": verdict.value})
+        observe(self._core.metrics.dropped_events.add, 1, {"verdict": verdict.value})
+
+
+class StreamBody:
+    """Pass a stream's events to the caller; release everything however it ends.
+
+    A class and not a generator: a caller that goes away before the first read must still be
+    cleaned up after, and closing a generator that never ran does nothing.
+    """
+
+    def __init__(
+        self,
+        first: CheckedEvent,
+        events: Iterator[CheckedEvent],
+        run: EngineRun,
+        generation: Generation,
+        placement: Placement,
+        ending: Ending,
+    ) -> None:
+        self._next: CheckedEvent | None = first
+        self._events = events
+        self._run = run
+        self._generation = generation
+        self._placement = placement
+        self._ending = ending
+        self._usage: Usage | None = None
+        self._kept: list[bytes] = []
+        self._kept_bytes = 0
+        self._ended = False
+
+    def __iter__(self) -> StreamBody:
+        return self
+
+    def __next__(self) -> bytes:
+        if self._ended:
+            raise StopIteration
+        try:
+            event = self._next if self._next is not None else next(self._events)
+        except StopIteration:
+            return self._finish()
+        except BrassdrumError as error:
+            return self._fail(error)
+        self._next = None
+        self._usage = Usage.in_event(event.data) or self._usage
+        chunk = b"id: %d\ndata: %s\n\n" % (event.index, event.data)
+        self._keep(chunk)
+        return chunk
+
+    def close(self) -> None:
+        """Release what the stream holds; called by the server at the end or when a caller left."""
+        if not self._ended:
+            self._ended = True
+            self._run.close()
+            self._ending.answered(self._placement, self._generation.characters, self._usage)
+            self._ending.interrupted()
+
+    def _finish(self) -> bytes:
+        self._ended = True
+        self._keep(_DONE)
+        self._ending.answered(self._placement, self._generation.characters, self._usage)
+        whole = self._kept_bytes <= _LARGEST_REPLAY
+        body = b"".join(self._kept) if whole else b" " * (_LARGEST_REPLAY + 1)
+        self._ending.ticket.finish(200, _SSE, body)
+        self._ending.succeeded(self._usage)
+        return _DONE
+
+    def _fail(self, error: BrassdrumError) -> bytes:
+        self._ended = True
+        error.ran = Ran.MAYBE
+        self._ending.answered(self._placement, self._generation.characters, self._usage)
+        self._ending.failed(error)
+        return b"data: " + b"".join(json_response(error.body()).chunks) + b"\n\n"
+
+    def _keep(self, chunk: bytes) -> None:
+        if self._ending.ticket.claimer is None or self._kept_bytes > _LARGEST_REPLAY:
+            return
+        self._kept_bytes += len(chunk)
+        self._kept.append(chunk)
+
+
+def _priority(work: Work) -> int:
+    """Return the engine's priority: shorter and more urgent first, aged long work in between."""
+    bands = {"short": 0, "medium": 3, "long": 6}
+    return bands[work.band.value] + work.urgency.rank
--- /dev/null
+++ b/src/brassdrum/daemon/limits.py
@@ -0,0 +1,190 @@
+"""Hold contracts' limits over all daemons: borrow slices, lend them, fall back to static ones."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterable
+
+import grpc
+
+from brassdrum.admission.lending import BorrowerDemand, Grant, Lender, lender_of, static_slice
+from brassdrum.admission.limits import Allowance, LocalLimiter
+from brassdrum.clock import Clock
+from brassdrum.contracts.documents import Contract
+from brassdrum.errors import LimitExceededError
+from brassdrum.membership.gossip import PeerClients
+from brassdrum.membership.peer_pb2 import Demand, LendReply, LendRequest, Slice
+
+__all__ = ["LimitBook"]
+
+_TERM_SECONDS = 2.0
+_CALL_SECONDS = 0.5
+_ACTIVE_RATE = 0.01
+
+
+def _allowance(contract: Contract) -> Allowance:
+    limits = contract.limits
+    return Allowance(limits.requests_per_second, limits.tokens_per_second, limits.concurrency)
+
+
+class LimitBook:
+    """Know every organisation's slice on this daemon and lend those it is the lender of."""
+
+    def __init__(
+        self,
+        name: str,
+        clock: Clock,
+        clients: PeerClients,
+        daemons: Callable[[], list[str]],
+        address_of: Callable[[str], str | None],
+        term_seconds: float = _TERM_SECONDS,
+    ) -> None:
+        self._name = name
+        self._clock = clock
+        self._clients = clients
+        self._daemons = daemons
+        self._address_of = address_of
+        self._term = term_seconds
+        self._lock = threading.Lock()
+        self._limits_by_organisation: dict[str, Allowance] = {}
+        self._limiters_by_organisation: dict[str, LocalLimiter] = {}
+        self._grants_by_organisation: dict[str, Grant] = {}
+        self._lenders_by_organisation: dict[str, Lender] = {}
+
+    def configure(self, contracts: Iterable[Contract]) -> None:
+        """Take over the limits of the contracts in force."""
+        with self._lock:
+            self._limits_by_organisation = {
+                contract.organisation: _allowance(contract) for contract in contracts
+            }
+            for organisation, limits in self._limits_by_organisation.items():
+                lender = self._lenders_by_organisation.get(organisation)
+                if lender is not None:
+                    lender.set_limits(limits)
+
+    def acquire(self, organisation: str, tokens: int) -> None:
+        """Take room for a request, or raise ``LimitExceededError``; it did not run then."""
+        now = self._clock.monotonic()
+        with self._lock:
+            limiter = self._limiter(organisation, now)
+            limiter.set_allowance(self._slice(organisation, now), now)
+            refusal = limiter.acquire(tokens, now)
+        if refusal is not None:
+            raise LimitExceededError(
+                f"The contract's {refusal.limit} is used up.",
+                retry_after=min(60.0, max(0.05, refusal.retry_after)),
+            )
+
+    def release(self, organisation: str, estimated_tokens: int, real_tokens: int) -> None:
+        """Give a request's place back and correct its tokens."""
+        now = self._clock.monotonic()
+        with self._lock:
+            self._limiter(organisation, now).release(estimated_tokens, real_tokens, now)
+
+    def in_flight(self, organisation: str) -> int:
+        """Return how many requests of an organisation run here."""
+        with self._lock:
+            limiter = self._limiters_by_organisation.get(organisation)
+            return 0 if limiter is None else limiter.in_flight
+
+    def slice_of(self, organisation: str) -> Allowance:
+        """Return the slice in force on this daemon."""
+        with self._lock:
+            return self._slice(organisation, self._clock.monotonic())
+
+    def borrow(self) -> None:
+        """Ask the lenders of all active organisations for slices of the next term."""
+        daemons = self._daemons()
+        demands_by_lender: dict[str, list[Demand]] = {}
+        for demand in self._demands():
+            lender = lender_of(demand.organisation, daemons)
+            if lender is not None:
+                demands_by_lender.setdefault(lender, []).append(demand)
+        for lender, demands in demands_by_lender.items():
+            request = LendRequest(borrower=self._name, demands=demands)
+            if lender == self._name:
+                self._take(self.lend(request))
+                continue
+            address = self._address_of(lender)
+            if address is not None:
+                call = self._clients.stub(address).Lend.future(request, timeout=_CALL_SECONDS)
+                call.add_done_callback(self._receive)
+
+    def lend(self, request: LendRequest) -> LendReply:
+        """Return slices for a borrower."""
+        now = self._clock.monotonic()
+        daemons = self._daemons()
+        reply = LendReply()
+        with self._lock:
+            for demand in request.demands:
+                limits = self._limits_by_organisation.get(demand.organisation)
+                if limits is None:
+                    continue
+                lender = self._lenders_by_organisation.get(demand.organisation)
+                if lender is None:
+                    lender = Lender(limits, self._term, now)
+                    self._lenders_by_organisation[demand.organisation] = lender
+                asked = BorrowerDemand(
+                    demand.requests_per_second, demand.tokens_per_second, demand.concurrency
+                )
+                grant = lender.lend(request.borrower, asked, daemons, now)
+                reply.slices.append(_slice(demand.organisation, grant, now))
+        return reply
+
+    def _limiter(self, organisation: str, now: float) -> LocalLimiter:
+        limiter = self._limiters_by_organisation.get(organisation)
+        if limiter is None:
+            limiter = LocalLimiter(self._slice(organisation, now), now)
+            self._limiters_by_organisation[organisation] = limiter
+        return limiter
+
+    def _slice(self, organisation: str, now: float) -> Allowance:
+        grant = self._grants_by_organisation.get(organisation)
+        if grant is not None and grant.expires > now:
+            return grant.allowance
+        limits = self._limits_by_organisation.get(organisation, Allowance(0.0, 0.0, 0))
+        return static_slice(limits, self._name, self._daemons())
+
+    def _demands(self) -> list[Demand]:
+        now = self._clock.monotonic()
+        demands = []
+        with self._lock:
+            for organisation, limiter in self._limiters_by_organisation.items():
+                requests, tokens = limiter.demand.rates(now)
+                wanted = limiter.wanted_concurrency()
+                if requests < _ACTIVE_RATE and wanted == 0:
+                    continue
+                demands.append(
+                    Demand(
+                        organisation=organisation,
+                        requests_per_second=requests,
+                        tokens_per_second=tokens,
+                        concurrency=wanted,
+                    )
+                )
+        return demands
+
+    def _receive(self, call: grpc.Future) -> None:
+        if call.cancelled() or call.exception() is not None:
+            return
+        self._take(call.result())
+
+    def _take(self, reply: LendReply) -> None:
+        now = self._clock.monotonic()
+        with self._lock:
+            for lent in reply.slices:
+                allowance = Allowance(
+                    lent.requests_per_second, lent.tokens_per_second, lent.concurrency
+                )
+                grant = Grant(allowance, now + lent.term_seconds)
+                self._grants_by_organisation[lent.organisation] = grant
+
+
+def _slice(organisation: str, grant: Grant, now: float) -> Slice:
+    return Slice(
+        organisation=organisation,
+        requests_per_second=grant.allowance.requests_per_second,
+        tokens_per_second=grant.allowance.tokens_per_second,
+        concurrency=grant.allowance.concurrency,
+        term_seconds=grant.expires - now,
+    )
--- /dev/null
+++ b/src/brassdrum/daemon/main.py
@@ -0,0 +1,353 @@
+"""Join the parts of one daemon, start them, and stop them without cutting a request."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+from brassdrum.clock import Clock, SystemClock
+from brassdrum.contracts.checkpoints import CheckpointWriter
+from brassdrum.contracts.records import CLAIM_SHARDS
+from brassdrum.contracts.view import FleetView
+from brassdrum.daemon.admin import AdminHandler
+from brassdrum.daemon.calls import ServiceHandler
+from brassdrum.daemon.cancels import Cancels
+from brassdrum.daemon.control import ControlState
+from brassdrum.daemon.core import Core
+from brassdrum.daemon.dispatcher import Dispatcher
+from brassdrum.daemon.endpoint_watch import EndpointWatch, HostWatch
+from brassdrum.daemon.explanations import Explanations
+from brassdrum.daemon.fleet import Fleet
+from brassdrum.daemon.generation import GenerationHandler
+from brassdrum.daemon.limits import LimitBook
+from brassdrum.daemon.resuming import ResumeHandler
+from brassdrum.daemon.watch import Watch
+from brassdrum.leadership.holder import DutyHolder
+from brassdrum.leadership.lease import Lease
+from brassdrum.loops import BackgroundLoops
+from brassdrum.membership.gossip import Gossip, PeerClients, PeerServer
+from brassdrum.membership.peer_pb2 import LEAVING, READY, STARTING, DaemonEntry, EndpointLoad
+from brassdrum.membership.peers import PeerTable
+from brassdrum.outcomes.claimer import Claims
+from brassdrum.outcomes.resume import ResumeTokens
+from brassdrum.outcomes.retries import RetryBudget
+from brassdrum.platform.hosts import HttpHostList
+from brassdrum.platform.log import HttpLog
+from brassdrum.routing.state import PeerLoad
+from brassdrum.settings import DaemonSettings
+from brassdrum.telemetry.metrics import Metrics
+from brassdrum.telemetry.traces import Tracing
+from brassdrum.wsgi import HttpServer, Request, Response, Router, json_response
+
+__all__ = ["Daemon"]
+
+_logger = logging.getLogger(__name__)
+_CHECKPOINT_DUTY = "checkpoint"
+_DEFAULT_WINDOW_SECONDS = 3600.0
+_RETRY_SHARE = 0.1
+_WATCH_SECONDS = 0.2
+_TICK_SECONDS = 0.05
+_FLUSH_SECONDS = 5.0
+
+
+class Daemon:
+    """Run one daemon."""
+
+    def __init__(
+        self, settings: DaemonSettings, clock: Clock | None = None, policy: str | None = None
+    ) -> None:
+        self.settings = settings
+        self._clock = clock or SystemClock()
+        self._log = HttpLog(settings.platform.url, settings.platform.timeout_seconds)
+        self._clients = PeerClients()
+        self._peer_server = PeerServer(settings.peer.host, settings.peer.port)
+        self._was_ready = False
+        self._control = ControlState(self._log, self._clock, self._peer_snapshots, self._configure)
+        self._claims = Claims(
+            self._log, CLAIM_SHARDS, settings.name, self._clock, _DEFAULT_WINDOW_SECONDS
+        )
+        self._dispatcher = Dispatcher(
+            self._clock, Fleet(self._clock, settings.zone, policy), settings.queue_length
+        )
+        self._limits = LimitBook(
+            settings.name, self._clock, self._clients, self._serving, self._peer_address
+        )
+        self._hosts = HostWatch(
+            HttpHostList(settings.platform.url, settings.platform.timeout_seconds)
+        )
+        self._endpoint_watch = EndpointWatch(self._dispatcher, self._clock)
+        self.core = self._make_core()
+        self._http = HttpServer(
+            self._router_placeholder,
+            settings.http.host,
+            settings.http.port,
+            settings.threads,
+            settings.max_body_bytes,
+        )
+        self.gossip = Gossip(
+            PeerTable(self._own_entry(), settings.gossip_seconds),
+            self._clients,
+            self._clock,
+            self._seeds,
+            self._describe,
+            self._merged,
+        )
+        self._router = self._make_router()
+        self._duty = DutyHolder(
+            _CHECKPOINT_DUTY,
+            settings.name,
+            self._log,
+            self._clock,
+            self._checkpoint_lease,
+            lambda: self._control.log_answers,
+            settings.lease_seconds,
+        )
+        self._checkpoints = CheckpointWriter(
+            self._log,
+            self._clock,
+            self._control.with_fold,
+            lambda: self._duty.fence() is not None,
+            settings.checkpoint_seconds,
+        )
+        self._loops = BackgroundLoops(settings.name)
+
+    @property
+    def url(self) -> str:
+        """Return the base URL for callers."""
+        return f"http://{self.settings.http.host}:{self._http.port}"
+
+    @property
+    def peer_address(self) -> str:
+        """Return the address for other daemons."""
+        return f"{self.settings.peer.host}:{self._peer_server.port}"
+
+    def not_ready(self) -> str | None:
+        """Return why the balancer shall not send requests, or None."""
+        if self.core.stopping.is_set():
+            return "this daemon is stopping"
+        reason = self._control.not_ready()
+        if reason is not None:
+            return reason
+        if not self._was_ready:
+            with self.gossip.lock:
+                newest = self.gossip.table.newest_revision(self._clock.monotonic())
+            if newest > self._control.revision:
+                return f"a peer holds revision {newest}; this daemon {self._control.revision}"
+            self._was_ready = True
+        return None
+
+    def start(self) -> None:
+        """Begin to serve and to follow the platform."""
+        self._peer_server.start(self.gossip.answer, self._control.snapshot, self._limits.lend)
+        self._http.start()
+        settings = self.settings
+        loops = self._loops
+        loops.every("control", self._control.pause, self._control.step)
+        for shard in self._claims.shards:
+            loops.every("claims", shard.tail.pause, shard.tail.step)
+            loops.every("appender", lambda: 0.0, shard.appender.step)
+        loops.every("gossip", self.gossip.pause, self.gossip.step)
+        loops.every("limits", lambda: settings.gossip_seconds, self._limits.borrow)
+        loops.every("hosts", lambda: settings.poll_seconds, self._hosts.step)
+        loops.every("endpoints", lambda: settings.poll_seconds, self._endpoint_watch.step)
+        loops.every("leaving", lambda: settings.poll_seconds / 2, self._mark_leaving)
+        loops.every("watch", lambda: _WATCH_SECONDS, self.core.watch.step)
+        loops.every("cancels", lambda: 0.0, self.core.cancels.step)
+        loops.every("tick", lambda: _TICK_SECONDS, self._dispatcher.pump)
+        loops.every("duty", lambda: settings.lease_seconds / 10, self._duty.step)
+        loops.every("checkpoint", lambda: settings.lease_seconds / 5, self._checkpoints.step)
+        _logger.info("daemon started", extra={"http": self.url, "peer": self.peer_address})
+
+    def stop(self) -> None:
+        """Stop gracefully: the balancer notices first, then every request ends."""
+        self._leave()
+        time.sleep(self.settings.shutdown.notice_seconds)
+        self.core.stopping.set()
+        if not self.core.active.wait_idle(self.settings.shutdown.drain_seconds):
+            _logger.warning(
+                "requests cut at the drain limit", extra={"left": len(self.core.active)}
+            )
+        self._duty.release()
+        self._flush()
+        self.close()
+
+    def close(self) -> None:
+        """Stop at once."""
+        self._http.close()
+        self._peer_server.close()
+        self._loops.stop(timeout=0.5)
+        self._endpoint_watch.close()
+        self._clients.close()
+        self.core.tracing.close()
+        self.core.metrics.close()
+        _logger.info("daemon stopped")
+
+    def _make_core(self) -> Core:
+        settings = self.settings
+        return Core(
+            settings=settings,
+            clock=self._clock,
+            control=self._control,
+            dispatcher=self._dispatcher,
+            limits=self._limits,
+            claims=self._claims,
+            resume_tokens=ResumeTokens(settings.resume_keys),
+            watch=Watch(self._clock),
+            cancels=Cancels(self._clock),
+            explanations=Explanations(self._clock),
+            metrics=Metrics(settings.name),
+            tracing=Tracing(settings.telemetry, settings.name),
+            retry_budget=RetryBudget(_RETRY_SHARE),
+        )
+
+    def _make_router(self) -> Router:
+        generation = GenerationHandler(self.core)
+        services = ServiceHandler(self.core)
+        admin = AdminHandler(self.core, self.gossip, self.not_ready)
+        router = Router()
+        router.add("POST", "/v1/completions", generation.completions)
+        router.add("POST", "/v1/chat/completions", generation.chat)
+        router.add("GET", "/v1/models", self._models)
+        router.add("GET", "/v1/resume", ResumeHandler(self.core).handle)
+        router.add("*", "/services/{service}/{path*}", services.handle)
+        router.add("GET", "/-/health", admin.health)
+        router.add("GET", "/-/ready", admin.ready)
+        router.add("GET", "/-/metrics", admin.metrics)
+        router.add("GET", "/-/status", admin.status)
+        router.add("GET", "/-/held", admin.held)
+        router.add("GET", "/-/documents", admin.documents)
+        router.add("GET", "/-/explain", admin.explain)
+        return router
+
+    def _router_placeholder(self, environ, start_response):
+        # The server is made first, because gossip tells others the port that it got.
+        return self._router(environ, start_response)
+
+    def _models(self, request: Request) -> Response:
+        scope = self.core.scope(request, "caller")
+        data = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "brassdrum"}
+            for name in scope.contract.models
+            if name in scope.view.models_by_name
+        ]
+        scope.trace.end()
+        return json_response({"object": "list", "data": data})
+
+    def _configure(self, view: FleetView) -> None:
+        with self._dispatcher.lock:
+            self._dispatcher.fleet.configure(view.configuration)
+        self._limits.configure(view.contracts_by_organisation.values())
+        self._claims.set_window(view.configuration.idempotency_window_seconds)
+
+    def _own_entry(self) -> DaemonEntry:
+        return DaemonEntry(
+            name=self.settings.name,
+            zone=self.settings.zone,
+            peer_address=self.peer_address,
+            http_address=f"{self.settings.http.host}:{self._http.port}",
+            incarnation=time.time_ns() // 1_000_000,
+            state=STARTING,
+            revision=-1,
+            through=-1,
+        )
+
+    def _describe(self, entry: DaemonEntry) -> None:
+        entry.revision = self._control.revision
+        entry.through = self._control.through
+        if entry.state != LEAVING:
+            entry.state = STARTING if self.not_ready() else READY
+        now = self._clock.monotonic()
+        with self._dispatcher.lock:
+            fleet = self._dispatcher.fleet
+            entry.long_share = fleet.long_share
+            del entry.loads[:]
+            for name, state in fleet.states_by_name.items():
+                if not state.own_by_id:
+                    continue
+                entry.loads.append(
+                    EndpointLoad(
+                        endpoint=name,
+                        streams=len(state.own_by_id),
+                        queued_tokens=state.own_queued_tokens(),
+                        long_prefills=state.own_long_prefills(),
+                    )
+                )
+            failing = fleet.failing(now)
+        del entry.leaving_endpoints[:]
+        entry.leaving_endpoints.extend(sorted(self._own_leaving()))
+        del entry.failing_endpoints[:]
+        entry.failing_endpoints.extend(failing)
+
+    def _merged(self) -> None:
+        now = self._clock.monotonic()
+        with self.gossip.lock:
+            records = self.gossip.table.live_peers(now)
+        with self._dispatcher.lock:
+            fleet = self._dispatcher.fleet
+            shares = [fleet.long_share]
+            for record in records:
+                shares.append(record.entry.long_share)
+                for load in record.entry.loads:
+                    state = fleet.states_by_name.get(load.endpoint)
+                    if state is None:
+                        continue
+                    state.peers_by_daemon[record.entry.name] = PeerLoad(
+                        record.heard, load.streams, load.queued_tokens, load.long_prefills
+                    )
+                _drop_ended(fleet, record.entry)
+            fleet.peer_long_share = sum(shares) / len(shares)
+
+    def _own_leaving(self) -> set[str]:
+        return self._hosts.leaving_endpoints() | self._endpoint_watch.draining
+
+    def _mark_leaving(self) -> None:
+        with self.gossip.lock:
+            gossiped = self.gossip.table.leaving_endpoints(self._clock.monotonic())
+        leaving = self._own_leaving() | gossiped
+        with self._dispatcher.lock:
+            for name, state in self._dispatcher.fleet.states_by_name.items():
+                if state.leaving and name not in leaving:
+                    state.since = self._clock.monotonic()
+                state.leaving = name in leaving
+
+    def _serving(self) -> list[str]:
+        with self.gossip.lock:
+            return self.gossip.table.serving(self._clock.monotonic())
+
+    def _peer_address(self, daemon: str) -> str | None:
+        with self.gossip.lock:
+            record = self.gossip.table.record(daemon)
+        return None if record is None else record.entry.peer_address
+
+    def _seeds(self) -> list[str]:
+        return [*self.settings.peers, *self._hosts.daemon_addresses()]
+
+    def _peer_snapshots(self) -> list[bytes]:
+        addresses = set(self._seeds())
+        with self.gossip.lock:
+            for record in self.gossip.table.live_peers(self._clock.monotonic()):
+                addresses.add(record.entry.peer_address)
+        addresses.discard(self.peer_address)
+        return [self._clients.snapshot(address) for address in sorted(addresses)[:3]]
+
+    def _checkpoint_lease(self) -> Lease | None:
+        lease = self._control.with_fold(lambda fold: fold.leases.get(_CHECKPOINT_DUTY))
+        return lease if isinstance(lease, Lease) else None
+
+    def _leave(self) -> None:
+        _logger.info("daemon leaving", extra={"active": len(self.core.active)})
+        with self.gossip.lock:
+            self.gossip.table.own.state = LEAVING
+
+    def _flush(self) -> None:
+        limit = time.monotonic() + _FLUSH_SECONDS
+        for shard in self._claims.shards:
+            while shard.appender.unwritten and time.monotonic() < limit:
+                time.sleep(0.05)
+
+
+def _drop_ended(fleet: Fleet, entry: DaemonEntry) -> None:
+    loaded = {load.endpoint for load in entry.loads}
+    for name, state in fleet.states_by_name.items():
+        if name not in loaded:
+            state.peers_by_daemon.pop(entry.name, None)
--- /dev/null
+++ b/src/brassdrum/daemon/watch.py
@@ -0,0 +1,77 @@
+"""End exchanges whose time is over, whose caller went away or that fell silent."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from brassdrum.clock import Clock
+
+__all__ = ["AbortReason", "Watch", "Watched"]
+
+
+class AbortReason(StrEnum):
+    """Name why an exchange was ended from outside."""
+
+    DEADLINE = "deadline"
+    DISCONNECTED = "disconnected"
+    SILENT = "silent"
+
+
+@dataclass(slots=True)
+class Watched:
+    """Hold one exchange; ``silent_after`` moves with each event that arrives."""
+
+    deadline: float
+    silent_after: float
+    disconnected: Callable[[], bool]
+    abort: Callable[[], None]
+    reason: AbortReason | None = None
+
+
+class Watch:
+    """Look at every exchange again and again; a blocked reader cannot do so itself."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._watched_by_id: dict[int, Watched] = {}
+
+    def __len__(self) -> int:
+        return len(self._watched_by_id)
+
+    def add(self, watched: Watched) -> None:
+        """Begin to watch."""
+        with self._lock:
+            self._watched_by_id[id(watched)] = watched
+
+    def remove(self, watched: Watched) -> None:
+        """Stop watching."""
+        with self._lock:
+            self._watched_by_id.pop(id(watched), None)
+
+    def step(self) -> None:
+        """Abort what has to end."""
+        now = self._clock.monotonic()
+        with self._lock:
+            all_watched = list(self._watched_by_id.values())
+        for watched in all_watched:
+            if watched.reason is not None:
+                continue
+            reason = _reason(watched, now)
+            if reason is None:
+                continue
+            watched.reason = reason
+            watched.abort()
+
+
+def _reason(watched: Watched, now: float) -> AbortReason | None:
+    if now >= watched.deadline:
+        return AbortReason.DEADLINE
+    if now >= watched.silent_after:
+        return AbortReason.SILENT
+    if watched.disconnected():
+        return AbortReason.DISCONNECTED
+    return None
--- /dev/null
+++ b/src/brassdrum/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the endpoints: model engines and plain services."""
--- /dev/null
+++ b/src/brassdrum/endpoints/engine.py
@@ -0,0 +1,260 @@
+"""Reach one model engine by HTTP.
+
+Assumed of the engines, and kept here only: events carry an SSE id ``STREAM/INDEX``; the headers
+below; a stream outlives its connection for a while, so that it can be read on from an index.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from brassdrum.errors import (
+    BrassdrumError,
+    EndpointFailedError,
+    InvalidRequestError,
+    NoEndpointError,
+    Ran,
+)
+from brassdrum.http_pool import ConnectFailedError, Exchange, ExchangeFailedError, HttpPool
+from brassdrum.outcomes.stream import StreamEvent
+
+__all__ = ["CacheEvent", "EngineClient", "EngineLoad", "EngineRequest", "EventSource"]
+
+_CONTROL_SECONDS = 2.0
+_READ_BYTES = 65536
+
+
+@dataclass(frozen=True, slots=True)
+class EngineRequest:
+    """Hold what is sent to an engine; the body goes on unchanged."""
+
+    path: str
+    body: bytes
+    stream: str
+    owner: str
+    priority: int
+    seconds: float
+    traceparent: str | None = None
+    reservation: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """Hold an engine's report; ``age`` is how old it was when it arrived, in seconds."""
+
+    at: float
+    streams: int
+    waiting: int
+    queued_tokens: int
+    kv_tokens_held: int
+    draining: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """Tell that an engine stored or removed a block of its prefix cache."""
+
+    number: int
+    stored: bool
+    block: int
+
+
+class EventSource:
+    """Read the events of one connection to an engine."""
+
+    def __init__(self, exchange: Exchange) -> None:
+        self._exchange = exchange
+        self._buffer = b""
+        self._aborted = False
+
+    def abort(self) -> None:
+        """Wake a reader that is blocked: the connection ends now."""
+        self._aborted = True
+        sock = self._exchange.connection.sock
+        if sock is None:
+            return
+        try:
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._exchange.drop()
+
+    def events(self) -> Iterator[StreamEvent]:
+        """Yield events until the connection ends; raise ``ExchangeFailedError`` when it breaks."""
+        while True:
+            end = self._buffer.find(b"\n\n")
+            if end >= 0:
+                block = self._buffer[:end]
+                self._buffer = self._buffer[end + 2 :]
+                yield _parse_event(block)
+                continue
+            data = self._read()
+            if not data:
+                return
+            self._buffer += data
+
+    def finish(self) -> None:
+        """Give the connection back after the final event."""
+        try:
+            if not self._exchange.response.read1(1):
+                self._exchange.finish()
+                return
+        except (OSError, ValueError, AttributeError):
+            pass
+        self._exchange.drop()
+
+    def _read(self) -> bytes:
+        try:
+            return self._exchange.response.read1(_READ_BYTES)
+        except Exception as error:
+            # Besides OSError and HTTPException, a socket shut down by abort() makes http.client
+            # fail in its own ways (ValueError, AttributeError).
+            raise ExchangeFailedError(f"{type(error).__name__}: {error}") from error
+
+
+def _parse_event(block: bytes) -> StreamEvent:
+    name = ""
+    data = b""
+    for line in block.split(b"\n"):
+        if line.startswith(b"data: "):
+            data = line[6:]
+            continue
+        if line.startswith(b"id: "):
+            name = line[4:].decode("ascii", "replace")
+    return StreamEvent(name, data)
+
+
+class EngineClient:
+    """Send requests and orders to one engine."""
+
+    def __init__(self, name: str, url: str) -> None:
+        self.name = name
+        self.url = url
+        self._pool = HttpPool(url, _CONTROL_SECONDS)
+
+    def open(self, request: EngineRequest) -> EventSource:
+        """Start a stream.
+
+        Raises ``NoEndpointError`` when nothing ran (no connection, or the engine refused before
+        it started), ``InvalidRequestError`` when the engine rejects the body, else
+        ``EndpointFailedError``.
+        """
+        headers = {
+            "Content-Type": "application/json",
+            "X-Stream-Id": request.stream,
+            "X-Owner": request.owner,
+            "X-Priority": str(request.priority),
+            "X-Time-Left": f"{request.seconds:.3f}",
+        }
+        if request.traceparent:
+            headers["traceparent"] = request.traceparent
+        if request.reservation:
+            headers["X-Reservation"] = request.reservation
+        try:
+            exchange = self._pool.request(
+                "POST", request.path, request.body, headers, timeout=request.seconds, fresh=True
+            )
+        except ConnectFailedError as error:
+            raise NoEndpointError(f"Endpoint {self.name} cannot be reached: {error}.") from error
+        except ExchangeFailedError as error:
+            raise EndpointFailedError(f"Endpoint {self.name} did not answer: {error}.") from error
+        if exchange.status == 200:
+            return EventSource(exchange)
+        raise self._refusal(exchange)
+
+    def resume(
+        self, stream: str, start: int, *, model: str, chat: bool, seconds: float
+    ) -> EventSource:
+        """Read a stream on from an index, or raise ``EndpointFailedError``."""
+        path = f"/v1/streams/{stream}?from={start}&model={model}&chat={int(chat)}"
+        try:
+            exchange = self._pool.request("GET", path, timeout=seconds)
+        except (ConnectFailedError, ExchangeFailedError) as error:
+            raise EndpointFailedError(f"Endpoint {self.name} did not answer: {error}.") from error
+        if exchange.status == 200:
+            return EventSource(exchange)
+        exchange.drop()
+        raise EndpointFailedError(f"Endpoint {self.name} no longer holds the stream.")
+
+    def cancel(self, stream: str) -> bool:
+        """Ask the engine to end a stream; return whether it answered."""
+        return self._answered("POST", f"/v1/streams/{stream}/cancel", b"{}")
+
+    def load(self) -> EngineLoad:
+        """Return the engine's report, or raise ``EndpointFailedError``."""
+        content = self._get("/v1/load")
+        try:
+            return EngineLoad(
+                at=float(content["at"]),
+                streams=int(content["streams"]),
+                waiting=int(content["waiting"]),
+                queued_tokens=int(content["queued_tokens"]),
+                kv_tokens_held=int(content["kv_tokens_held"]),
+                draining=bool(content.get("draining", False)),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise EndpointFailedError(
+                f"Endpoint {self.name} sent no load report: {error}."
+            ) from error
+
+    def cache_events(self, after: int) -> list[CacheEvent]:
+        """Return cache events with numbers above one, or raise ``EndpointFailedError``."""
+        content = self._get(f"/v1/cache/events?from={after}")
+        try:
+            return [
+                CacheEvent(int(number), kind == "stored", int(block))
+                for number, kind, block in content["events"]
+            ]
+        except (KeyError, TypeError, ValueError) as error:
+            raise EndpointFailedError(f"Endpoint {self.name} sent no events: {error}.") from error
+
+    def held(self) -> list[dict]:
+        """Return who holds memory at the engine, or raise ``EndpointFailedError``."""
+        return list(self._get("/v1/held").get("held", []))
+
+    def reserve(self, reservation: str, owner: str, tokens: int, seconds: float) -> bool:
+        """Reserve memory or renew it; return whether the engine agreed."""
+        body = json.dumps({"owner": owner, "tokens": tokens, "seconds": seconds}).encode()
+        return self._answered("PUT", f"/v1/reservations/{reservation}", body)
+
+    def release(self, reservation: str) -> bool:
+        """Free a reservation; return whether the engine answered."""
+        return self._answered("DELETE", f"/v1/reservations/{reservation}", None)
+
+    def _answered(self, method: str, path: str, body: bytes | None) -> bool:
+        try:
+            status, _ = self._pool.call(method, path, body)
+        except (ConnectFailedError, ExchangeFailedError):
+            return False
+        return status == 200
+
+    def _get(self, path: str) -> dict:
+        try:
+            status, body = self._pool.call("GET", path)
+        except (ConnectFailedError, ExchangeFailedError) as error:
+            raise EndpointFailedError(f"Endpoint {self.name} did not answer: {error}.") from error
+        if status != 200:
+            raise EndpointFailedError(f"Endpoint {self.name} answered with status {status}.")
+        try:
+            return json.loads(body)
+        except ValueError as error:
+            raise EndpointFailedError(f"Endpoint {self.name} sent no JSON.") from error
+
+    def _refusal(self, exchange: Exchange) -> BrassdrumError:
+        status = exchange.status
+        try:
+            error = json.loads(exchange.read()).get("error", {})
+        except (ExchangeFailedError, ValueError, AttributeError):
+            error = {}
+        message = str(error.get("message", f"status {status}"))
+        if status in (400, 404, 422):
+            return InvalidRequestError(f"Endpoint {self.name} rejects the request: {message}")
+        if status in (409, 429, 503) and error.get("ran") == Ran.NO.value:
+            return NoEndpointError(f"Endpoint {self.name} refused: {message}", ran=Ran.NO)
+        return EndpointFailedError(f"Endpoint {self.name} failed: {message}")
--- /dev/null
+++ b/src/brassdrum/http_pool.py
@@ -0,0 +1,184 @@
+"""Keep connections of ``http.client`` to one neighbour and reuse them where that is safe."""
+
+from __future__ import annotations
+
+import http.client
+import socket
+import threading
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+from urllib.parse import urlsplit
+
+__all__ = ["ConnectFailedError", "Exchange", "ExchangeFailedError", "HttpPool"]
+
+_MAX_IDLE = 64
+_FAILURES = (OSError, http.client.HTTPException)
+
+
+class ConnectFailedError(Exception):
+    """Tell that no byte of the request left this process."""
+
+
+class ExchangeFailedError(Exception):
+    """Tell that the request may have arrived but its answer did not."""
+
+
+@dataclass(slots=True)
+class Exchange:
+    """Hold one request's response until it is read or dropped."""
+
+    pool: HttpPool
+    connection: http.client.HTTPConnection
+    response: http.client.HTTPResponse
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+        return self.response.status
+
+    def header(self, name: str) -> str | None:
+        """Return a response header, or None."""
+        return self.response.headers.get(name)
+
+    def set_timeout(self, seconds: float) -> None:
+        """Bound each following read."""
+        if self.connection.sock is not None:
+            self.connection.sock.settimeout(max(0.001, seconds))
+
+    def read(self) -> bytes:
+        """Return the whole body and give the connection back."""
+        try:
+            body = self.response.read()
+        except _FAILURES as error:
+            self.drop()
+            raise ExchangeFailedError(_describe(error)) from error
+        self.pool.give_back(self.connection, self.response)
+        return body
+
+    def readline(self) -> bytes:
+        """Return the next line, empty at the end of the body."""
+        try:
+            return self.response.readline()
+        except _FAILURES as error:
+            self.drop()
+            raise ExchangeFailedError(_describe(error)) from error
+
+    def finish(self) -> None:
+        """Give the connection back after the body was read to its end."""
+        self.pool.give_back(self.connection, self.response)
+
+    def drop(self) -> None:
+        """Close the connection, whatever is left on it."""
+        self.connection.close()
+
+
+class HttpPool:
+    """Open, reuse and close connections to one base URL."""
+
+    def __init__(self, url: str, timeout: float = 5.0) -> None:
+        parts = urlsplit(url)
+        self.url = url
+        self._host = parts.hostname or "127.0.0.1"
+        self._port = parts.port or 80
+        self._timeout = timeout
+        self._idle: deque[http.client.HTTPConnection] = deque()
+        self._lock = threading.Lock()
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        *,
+        timeout: float | None = None,
+        fresh: bool = False,
+    ) -> Exchange:
+        """Send a request and return its response with the body unread.
+
+        ``fresh`` opens a new connection: a reused one may have been closed by the other side, and
+        then nobody knows whether the request ran. Raises ``ConnectFailedError`` or
+        ``ExchangeFailedError``.
+        """
+        limit = self._timeout if timeout is None else max(0.001, timeout)
+        connection, reused = (None, False) if fresh else self._take()
+        if connection is None:
+            connection = self._connect(limit)
+        try:
+            return self._send(connection, method, path, body, headers, limit)
+        except ExchangeFailedError:
+            if not reused:
+                raise
+        return self._send(self._connect(limit), method, path, body, headers, limit)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        *,
+        timeout: float | None = None,
+    ) -> tuple[int, bytes]:
+        """Send a repeatable request and return status and whole body."""
+        exchange = self.request(method, path, body, headers, timeout=timeout)
+        return exchange.status, exchange.read()
+
+    def give_back(
+        self, connection: http.client.HTTPConnection, response: http.client.HTTPResponse
+    ) -> None:
+        """Keep a connection whose response was read to its end."""
+        if response.will_close or not response.isclosed():
+            connection.close()
+            return
+        with self._lock:
+            if len(self._idle) < _MAX_IDLE:
+                self._idle.append(connection)
+                return
+        connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            while self._idle:
+                self._idle.pop().close()
+
+    def _take(self) -> tuple[http.client.HTTPConnection | None, bool]:
+        with self._lock:
+            if self._idle:
+                return self._idle.pop(), True
+        return None, False
+
+    def _connect(self, timeout: float) -> http.client.HTTPConnection:
+        connection = http.client.HTTPConnection(self._host, self._port, timeout=timeout)
+        try:
+            connection.connect()
+        except OSError as error:
+            connection.close()
+            raise ConnectFailedError(_describe(error)) from error
+        if connection.sock is not None:
+            connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return connection
+
+    def _send(
+        self,
+        connection: http.client.HTTPConnection,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: Mapping[str, str] | None,
+        timeout: float,
+    ) -> Exchange:
+        try:
+            if connection.sock is not None:
+                connection.sock.settimeout(timeout)
+            connection.request(method, path, body=body, headers=dict(headers or {}))
+            return Exchange(self, connection, connection.getresponse())
+        except _FAILURES as error:
+            connection.close()
+            raise ExchangeFailedError(_describe(error)) from error
+
+
+def _describe(error: BaseException) -> str:
+    return f"{type(error).__name__}: {error}"
--- /dev/null
+++ b/src/brassdrum/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which daemons and endpoints are there: host list, heartbeats, gossip."""
--- /dev/null
+++ b/src/brassdrum/outcomes/__init__.py
@@ -0,0 +1,1 @@
+"""Outcomes: claims, retries, resumed streams and whole answers."""
--- /dev/null
+++ b/src/brassdrum/outcomes/appender.py
@@ -0,0 +1,125 @@
+"""Write records of one stream in groups, so that many cost one append."""
+
+from __future__ import annotations
+
+import threading
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import Future
+from dataclasses import dataclass, field
+
+from brassdrum.clock import Clock
+from brassdrum.errors import PlatformUnavailableError
+from brassdrum.platform.log import Log
+
+__all__ = ["BatchAppender"]
+
+_URGENT_LINGER = 0.005
+_LAZY_LINGER = 0.25
+_MOST_RECORDS = 500
+_MOST_LAZY = 20_000
+_RETRY_SECONDS = 0.5
+_IDLE_SECONDS = 0.5
+
+
+@dataclass(slots=True)
+class _Pending:
+    value: dict[str, object]
+    future: Future[int] = field(default_factory=Future)
+
+
+class BatchAppender:
+    """Append urgent records within milliseconds; lazy ones ride along or wait a little.
+
+    An urgent record whose append fails is given back to its writer, who reads on to learn the
+    truth. Lazy records are appended again until the log answers; a repeated one is harmless.
+    """
+
+    def __init__(self, log: Log, stream: str, clock: Clock) -> None:
+        self._log = log
+        self._stream = stream
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._urgent: deque[_Pending] = deque()
+        self._lazy: deque[_Pending] = deque(maxlen=_MOST_LAZY)
+        self._lazy_since: float | None = None
+        self.appends = 0
+
+    def urgent(self, value: dict[str, object]) -> Future[int]:
+        """Append soon; the future gives the offset or raises ``PlatformUnavailableError``."""
+        pending = _Pending(value)
+        with self._changed:
+            self._urgent.append(pending)
+            self._changed.notify()
+        return pending.future
+
+    def lazy(self, value: dict[str, object]) -> None:
+        """Append when it costs little, and again until the log has it."""
+        with self._changed:
+            self._lazy.append(_Pending(value))
+            if self._lazy_since is None:
+                self._lazy_since = self._clock.monotonic()
+            self._changed.notify()
+
+    @property
+    def unwritten(self) -> int:
+        """Return how many records wait for the log."""
+        with self._changed:
+            return len(self._urgent) + len(self._lazy)
+
+    def step(self) -> None:
+        """Wait for records and append one group."""
+        with self._changed:
+            self._changed.wait_for(self._due, _IDLE_SECONDS)
+            if not self._due():
+                return
+            if self._urgent and len(self._urgent) < _MOST_RECORDS:
+                self._changed.wait(_URGENT_LINGER)
+            urgent = _take(self._urgent, _MOST_RECORDS)
+            lazy = _take(self._lazy, _MOST_RECORDS - len(urgent))
+            self._lazy_since = self._clock.monotonic() if self._lazy else None
+        self._append(urgent, lazy)
+
+    def flush(self, stopping: Callable[[], bool]) -> None:
+        """Append until nothing is left or the caller says stop."""
+        while self.unwritten and not stopping():
+            self.step()
+
+    def _due(self) -> bool:
+        if self._urgent or len(self._lazy) >= _MOST_RECORDS:
+            return True
+        if self._lazy_since is None:
+            return False
+        return self._clock.monotonic() - self._lazy_since >= _LAZY_LINGER
+
+    def _append(self, urgent: list[_Pending], lazy: list[_Pending]) -> None:
+        values = [pending.value for pending in [*urgent, *lazy]]
+        if not values:
+            return
+        self.appends += 1
+        try:
+            first = self._log.append(self._stream, values)
+        except PlatformUnavailableError as error:
+            self._give_back(urgent, lazy, error)
+            return
+        for position, pending in enumerate(urgent):
+            pending.future.set_result(first + position)
+
+    def _give_back(
+        self, urgent: list[_Pending], lazy: list[_Pending], error: PlatformUnavailableError
+    ) -> None:
+        for pending in urgent:
+            pending.future.set_exception(error)
+        if not lazy:
+            return
+        with self._changed:
+            self._lazy.extendleft(reversed(lazy))
+            self._lazy_since = self._clock.monotonic()
+        self._clock.sleep(_RETRY_SECONDS)
+
+
+def _take(queue: deque[_Pending], most: int) -> list[_Pending]:
+    taken = []
+    while queue and len(taken) < most:
+        taken.append(queue.popleft())
+    return taken
--- /dev/null
+++ b/src/brassdrum/outcomes/breaker.py
@@ -0,0 +1,48 @@
+"""Stop sending to an endpoint that fails; an endpoint that is merely full does not count."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["Breaker"]
+
+_FAILURES_TO_OPEN = 3
+_FIRST_OPEN_SECONDS = 1.0
+_LONGEST_OPEN_SECONDS = 30.0
+
+
+@dataclass(slots=True)
+class Breaker:
+    """Count failures in a row; open for a growing time, then let single probes through."""
+
+    failures: int = 0
+    open_until: float = 0.0
+    _openings: int = 0
+    _probe_until: float = 0.0
+
+    def allows(self, now: float) -> bool:
+        """Return whether a request may be sent."""
+        if self.failures < _FAILURES_TO_OPEN:
+            return True
+        return now >= self.open_until and now >= self._probe_until
+
+    def sent(self, now: float) -> None:
+        """Note that a request is sent; while half open, others wait for its result."""
+        if self.failures >= _FAILURES_TO_OPEN:
+            self._probe_until = now + _FIRST_OPEN_SECONDS
+
+    def succeeded(self) -> None:
+        """Note an answer of any kind."""
+        self.failures = 0
+        self._openings = 0
+        self._probe_until = 0.0
+
+    def failed(self, now: float) -> None:
+        """Note a refused connection, a broken answer or silence."""
+        self.failures += 1
+        if self.failures < _FAILURES_TO_OPEN:
+            return
+        seconds = min(_LONGEST_OPEN_SECONDS, _FIRST_OPEN_SECONDS * 2**self._openings)
+        self._openings = min(self._openings + 1, 10)
+        self.open_until = now + seconds
+        self._probe_until = 0.0
--- /dev/null
+++ b/src/brassdrum/outcomes/claims.py
@@ -0,0 +1,202 @@
+"""Judge claims on idempotency keys from the order of a claim stream alone."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
+
+from brassdrum.contracts.records import NewerFormatError, UnreadableRecordError
+
+__all__ = [
+    "AbandonRecord",
+    "Claim",
+    "ClaimFold",
+    "ClaimKey",
+    "ClaimRecord",
+    "ClaimState",
+    "OutcomeRecord",
+    "parse_claim_record",
+]
+
+
+class _Strict(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+ClaimId = Annotated[str, Field(min_length=8, max_length=64)]
+
+
+class ClaimRecord(_Strict):
+    """Claim an organisation's key before the request is dispatched."""
+
+    format: Literal[1]
+    kind: Literal["claim"]
+    id: ClaimId
+    organisation: str
+    key: str
+    fingerprint: str
+    daemon: str
+    deadline: float
+
+
+class AbandonRecord(_Strict):
+    """Give a claim up before anything was dispatched under it."""
+
+    format: Literal[1]
+    kind: Literal["abandon"]
+    id: ClaimId
+
+
+class OutcomeRecord(_Strict):
+    """Keep the answer that a claimed request got; a body over the limit is left out."""
+
+    format: Literal[1]
+    kind: Literal["outcome"]
+    id: ClaimId
+    status: int
+    content_type: str
+    body: str | None
+
+
+_ADAPTER: TypeAdapter[ClaimRecord | AbandonRecord | OutcomeRecord] = TypeAdapter(
+    Annotated[ClaimRecord | AbandonRecord | OutcomeRecord, Field(discriminator="kind")]
+)
+
+
+def parse_claim_record(value: object) -> ClaimRecord | AbandonRecord | OutcomeRecord:
+    """Return a claim-stream record, or raise ``UnreadableRecordError`` or ``NewerFormatError``."""
+    if isinstance(value, dict) and isinstance(value.get("format"), int) and value["format"] > 1:
+        raise NewerFormatError(f"claim record format {value['format']}")
+    try:
+        return _ADAPTER.validate_python(value)
+    except ValidationError as error:
+        raise UnreadableRecordError(str(error.errors(include_url=False)[0]["msg"])) from error
+
+
+class ClaimState(StrEnum):
+    """Name the states of a claim; ``charts/claim.json`` gives their order."""
+
+    CLAIMED = "claimed"
+    ABANDONED = "abandoned"
+    DONE = "done"
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimKey:
+    """Identify an idempotency key within its organisation."""
+
+    organisation: str
+    key: str
+
+
+@dataclass(slots=True)
+class Claim:
+    """Hold one claim; the first in the log for its key wins."""
+
+    id: str
+    key: ClaimKey
+    fingerprint: str
+    daemon: str
+    deadline: float
+    at: float
+    state: ClaimState = ClaimState.CLAIMED
+    outcome: OutcomeRecord | None = None
+
+
+@dataclass(slots=True)
+class ClaimFold:
+    """Hold the claims that follow from the records of one stream.
+
+    Ages are told by the times that the log gave its records, so that no daemon's clock matters.
+    """
+
+    window_seconds: float
+    next_offset: int = 0
+    skipped_count: int = 0
+    needs_upgrade: str | None = None
+    by_key: dict[ClaimKey, Claim] = field(default_factory=dict)
+    _by_id: OrderedDict[str, Claim] = field(default_factory=OrderedDict)
+    _abandoned_early: OrderedDict[str, float] = field(default_factory=OrderedDict)
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def apply(self, offset: int, time: float, value: object) -> None:
+        """Apply the record appended at a time; garbage is counted and skipped."""
+        if offset < self.next_offset or self.needs_upgrade is not None:
+            return
+        self._forget(time)
+        try:
+            record = parse_claim_record(value)
+        except NewerFormatError as error:
+            self.needs_upgrade = str(error)
+            return
+        except UnreadableRecordError:
+            self.skipped_count += 1
+            self.next_offset = offset + 1
+            return
+        self.next_offset = offset + 1
+        if isinstance(record, ClaimRecord):
+            self._claim(time, record)
+            return
+        if isinstance(record, AbandonRecord):
+            self._abandon(time, record)
+            return
+        self._finish(record)
+
+    def get(self, claim_id: str) -> Claim | None:
+        """Return a claim by its id, whether it won or lost, or None if it was not seen."""
+        return self._by_id.get(claim_id)
+
+    def holds(self, claim_id: str) -> bool:
+        """Return whether this claim is the one that may dispatch its key's request."""
+        claim = self._by_id.get(claim_id)
+        if claim is None or claim.state is not ClaimState.CLAIMED:
+            return False
+        return self.by_key.get(claim.key) is claim
+
+    def _forget(self, now: float) -> None:
+        while self._by_id:
+            claim = next(iter(self._by_id.values()))
+            if claim.at + self.window_seconds > now:
+                break
+            self._by_id.popitem(last=False)
+            if self.by_key.get(claim.key) is claim:
+                del self.by_key[claim.key]
+        while self._abandoned_early:
+            if next(iter(self._abandoned_early.values())) + self.window_seconds > now:
+                break
+            self._abandoned_early.popitem(last=False)
+
+    def _claim(self, time: float, record: ClaimRecord) -> None:
+        if record.id in self._by_id:
+            return
+        key = ClaimKey(record.organisation, record.key)
+        claim = Claim(record.id, key, record.fingerprint, record.daemon, record.deadline, time)
+        self._by_id[record.id] = claim
+        if self._abandoned_early.pop(record.id, None) is not None:
+            # A late append of a claim whose daemon gave up: it was never dispatched.
+            claim.state = ClaimState.ABANDONED
+            return
+        holder = self.by_key.get(key)
+        if holder is None or holder.state is ClaimState.ABANDONED:
+            self.by_key[key] = claim
+
+    def _abandon(self, time: float, record: AbandonRecord) -> None:
+        claim = self._by_id.get(record.id)
+        if claim is None:
+            self._abandoned_early[record.id] = time
+            return
+        if claim.state is ClaimState.CLAIMED:
+            claim.state = ClaimState.ABANDONED
+
+    def _finish(self, record: OutcomeRecord) -> None:
+        claim = self._by_id.get(record.id)
+        if claim is None or claim.state is not ClaimState.CLAIMED:
+            return
+        claim.state = ClaimState.DONE
+        claim.outcome = record
--- /dev/null
+++ b/src/brassdrum/outcomes/resume.py
@@ -0,0 +1,84 @@
+"""Sign and verify the tokens by which any daemon can go on with a stream."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import hashlib
+import hmac
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from brassdrum.errors import ResumeRefusedError
+from brassdrum.settings import ResumeKey
+
+__all__ = ["ResumeTicket", "ResumeTokens"]
+
+
+class ResumeTicket(BaseModel):
+    """Name the stream that a token resumes; ``deadline`` is in seconds since the epoch."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    organisation: str
+    request: str
+    endpoint: str
+    stream: str
+    model: str
+    chat: bool
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Parts:
+    key_id: str
+    payload: bytes
+    signature: bytes
+
+
+class ResumeTokens:
+    """Make and check tokens; the first key signs, all keys verify, so keys can be rotated."""
+
+    def __init__(self, keys: Sequence[ResumeKey]) -> None:
+        self._signing = keys[0]
+        self._by_id = {key.id: key for key in keys}
+
+    def sign(self, ticket: ResumeTicket) -> str:
+        """Return a token to hand to the caller."""
+        payload = base64.urlsafe_b64encode(ticket.model_dump_json().encode()).rstrip(b"=")
+        signature = _signature(self._signing, payload)
+        return f"{self._signing.id}.{payload.decode()}.{signature.hex()}"
+
+    def verify(self, token: str, organisation: str, now: float) -> ResumeTicket:
+        """Return the ticket, or raise ``ResumeRefusedError``; ``now`` is an epoch time in s."""
+        parts = _split(token)
+        key = self._by_id.get(parts.key_id)
+        if key is None or not hmac.compare_digest(_signature(key, parts.payload), parts.signature):
+            raise ResumeRefusedError("The resume token was not signed by this fleet.")
+        padding = b"=" * (-len(parts.payload) % 4)
+        try:
+            ticket = ResumeTicket.model_validate_json(
+                base64.urlsafe_b64decode(parts.payload + padding)
+            )
+        except (ValidationError, binascii.Error) as error:
+            raise ResumeRefusedError("The resume token has no readable content.") from error
+        if ticket.organisation != organisation:
+            raise ResumeRefusedError("The resume token belongs to another organisation.")
+        if ticket.deadline <= now:
+            raise ResumeRefusedError("The request's time is over.")
+        return ticket
+
+
+def _signature(key: ResumeKey, payload: bytes) -> bytes:
+    return hmac.new(key.secret.encode(), payload, hashlib.sha256).digest()
+
+
+def _split(token: str) -> _Parts:
+    pieces = token.split(".")
+    try:
+        key_id, payload, signature = pieces
+        return _Parts(key_id, payload.encode("ascii"), bytes.fromhex(signature))
+    except ValueError as error:
+        raise ResumeRefusedError("The resume token is malformed.") from error
--- /dev/null
+++ b/src/brassdrum/outcomes/retries.py
@@ -0,0 +1,75 @@
+"""Decide whether a failed request may be tried again, and when."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from brassdrum.errors import BrassdrumError, Ran
+
+__all__ = ["RetryBudget", "RetryDecision", "RetryPolicy"]
+
+_FIRST_PAUSE = 0.02
+_LONGEST_PAUSE = 2.0
+_MOST_ATTEMPTS = 4
+_BUDGET_FLOOR = 10.0
+
+
+class RetryBudget:
+    """Keep retries below a share of the requests, so that failures cause no storm."""
+
+    def __init__(self, share: float) -> None:
+        self._share = share
+        self._level = _BUDGET_FLOOR
+
+    def request(self) -> None:
+        """Earn a part of a retry by a first attempt."""
+        self._level = min(self._level + self._share, _BUDGET_FLOOR * 10)
+
+    def spend(self) -> bool:
+        """Take one retry, or return False when none is left."""
+        if self._level < 1.0:
+            return False
+        self._level -= 1.0
+        return True
+
+
+@dataclass(frozen=True, slots=True)
+class RetryDecision:
+    """Tell whether to try again, after how many seconds, or why not."""
+
+    retry: bool
+    pause: float = 0.0
+    reason: str = ""
+
+
+class RetryPolicy:
+    """Allow repeats only where nothing ran or repeating does no harm."""
+
+    def __init__(self, budget: RetryBudget, rng: random.Random) -> None:
+        self._budget = budget
+        self._random = rng
+
+    def decide(
+        self,
+        error: BrassdrumError,
+        *,
+        attempt: int,
+        repeatable: bool,
+        answer_started: bool,
+        time_left: float,
+    ) -> RetryDecision:
+        """Return what to do after the given attempt, counted from 1, failed."""
+        if answer_started:
+            return RetryDecision(False, reason="part of the answer was sent")
+        if error.ran is not Ran.NO and not repeatable:
+            return RetryDecision(False, reason="it may have run and may not be repeated")
+        if attempt >= _MOST_ATTEMPTS:
+            return RetryDecision(False, reason="attempts used up")
+        longest = min(_LONGEST_PAUSE, _FIRST_PAUSE * 2**attempt)
+        pause = self._random.uniform(0.0, longest)
+        if pause >= time_left:
+            return RetryDecision(False, reason="no time left")
+        if not self._budget.spend():
+            return RetryDecision(False, reason="retry budget used up")
+        return RetryDecision(True, pause)
--- /dev/null
+++ b/src/brassdrum/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions on which endpoint runs a request."""
