Prove the callers' interface with a stock client and bad input

Cause: the API was unproved. Change: behave scenarios on loopback sockets; 15 kinds of bad input. Conclusion: refusals carry code, remedy and ran; a caller that leaves frees the engine.

--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios that operators can read."""
--- /dev/null
+++ b/features/steps/caller_steps.py
@@ -0,0 +1,192 @@
+"""Steps of callers."""
+
+import json
+import socket
+from urllib.parse import urlsplit
+
+import openai
+from behave import given, then, when
+
+from brassdrum.contracts.documents import Urgency
+from brassdrum.standins.site import MODEL, sample_contract
+from features.steps.site_steps import caller
+from features.support import eventually
+
+
+def stock_client(context):
+    return openai.OpenAI(
+        base_url=f"{context.site.daemons[0].url}/v1", api_key=context.secret, max_retries=0
+    )
+
+
+@when("a stock client streams {tokens:d} tokens")
+def step_stock_stream(context, tokens):
+    chunks = stock_client(context).completions.create(
+        model=MODEL, prompt="blue linen", max_tokens=tokens, stream=True
+    )
+    context.streamed = "".join(chunk.choices[0].text for chunk in chunks)
+    context.expected = "".join(f"w{n} " for n in range(tokens))
+
+
+@when("a stock client asks for {tokens:d} tokens in one answer")
+def step_stock_whole(context, tokens):
+    answer = stock_client(context).completions.create(
+        model=MODEL, prompt="blue linen", max_tokens=tokens
+    )
+    context.whole = answer.choices[0].text
+    assert answer.usage.completion_tokens == tokens
+
+
+@when("a stock client chats for {tokens:d} tokens")
+def step_stock_chat(context, tokens):
+    chunks = stock_client(context).chat.completions.create(
+        model=MODEL,
+        messages=[{"role": "user", "content": [{"type": "text", "text": "blue linen"}]}],
+        max_completion_tokens=tokens,
+        stream=True,
+    )
+    context.chatted = "".join(chunk.choices[0].delta.content or "" for chunk in chunks)
+
+
+@then("all three texts are the same and whole")
+def step_texts(context):
+    assert context.streamed == context.whole == context.chatted == context.expected
+
+
+@then("the stock client sees the models of the contract")
+def step_models(context):
+    assert [model.id for model in stock_client(context).models.list()] == [MODEL]
+
+
+def _completion(**fields):
+    content = {"model": MODEL, "prompt": "blue", "max_tokens": 4, "stream": True} | fields
+    return json.dumps(content).encode()
+
+
+MISTAKES = {
+    "malformed JSON": {"body": b'{"model": '},
+    "a list instead of an object": {"body": b"[1, 2]"},
+    "a prompt that is a number": {"body": _completion(prompt=7)},
+    "no API key": {"headers": {"Authorization": ""}},
+    "an unknown API key": {"headers": {"Authorization": "Bearer bd_sample_wrong"}},
+    "an unknown model": {"body": _completion(model="other")},
+    "a timeout that is no number": {"headers": {"Brassdrum-Timeout": "soon"}},
+    "a timeout that is infinite": {"headers": {"Brassdrum-Timeout": "inf"}},
+    "a prompt no engine can hold": {"body": _completion(prompt="x" * 3_900_000)},
+    "an answer over the contract": {"body": _completion(max_tokens=100_000)},
+    "a forged resume token": {
+        "method": "GET",
+        "path": "/v1/resume",
+        "headers": {"Brassdrum-Resume-Token": "k1.e30.00"},
+    },
+    "a garbled resume token": {
+        "method": "GET",
+        "path": "/v1/resume",
+        "headers": {"Brassdrum-Resume-Token": "nonsense"},
+    },
+    "an event id that is no index": {
+        "method": "GET",
+        "path": "/v1/resume",
+        "headers": {"Last-Event-ID": "x"},
+        "token": True,
+    },
+    "an unknown path": {"path": "/v1/nothing"},
+    "a key of 300 characters": {"headers": {"Idempotency-Key": "k" * 300}},
+}
+
+
+@when("a caller sends {mistake}")
+def step_mistake(context, mistake):
+    if mistake == "20 million bytes":
+        context.answer = caller(context).send("POST", "/v1/completions", b"x" * 20_000_000)
+        return
+    case = MISTAKES[mistake]
+    headers = dict(case.get("headers", {}))
+    if case.get("token"):
+        streamed = caller(context).complete(MODEL, "blue", 2)
+        headers["Brassdrum-Resume-Token"] = streamed.headers["Brassdrum-Resume-Token"]
+    method = case.get("method", "POST")
+    body = case.get("body", _completion()) if method == "POST" else None
+    path = case.get("path", "/v1/completions")
+    context.answer = caller(context).send(method, path, body, headers)
+
+
+@then('it is refused with {code}, a remedy and ran "{ran}"')
+def step_refused(context, code, ran):
+    error = context.answer.error
+    assert error is not None, context.answer
+    assert error["code"] == code, error
+    assert error["remedy"] and error["ran"] == ran, error
+
+
+@then("a good request still succeeds")
+def step_good(context):
+    answer = caller(context).complete(MODEL, "blue", 4)
+    assert answer.whole and answer.tokens == 5, answer
+
+
+@when("a caller closes its connection in the middle of its body")
+def step_cut_body(context):
+    parts = urlsplit(context.site.daemons[0].url)
+    with socket.create_connection((parts.hostname, parts.port)) as connection:
+        head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n"
+        connection.sendall(head.encode() + b'{"model"')
+
+
+@given('another organisation "{name}"')
+def step_other(context, name):
+    context.other_secret, contract = sample_contract(name, Urgency.STANDARD)
+    revision = context.site.publish([contract])
+    eventually(
+        lambda: all(d.core.control.revision >= revision for d in context.site.daemons), "revision"
+    )
+
+
+@when("a caller streams {tokens:d} tokens")
+def step_stream(context, tokens):
+    context.first = caller(context).complete(MODEL, "blue", tokens)
+    assert context.first.whole
+
+
+@when('"{name}" tries to resume the stream')
+def step_foreign_resume(context, name):
+    token = context.first.headers["Brassdrum-Resume-Token"]
+    context.answer = caller(context, secret=context.other_secret).send(
+        "GET", "/v1/resume", None, {"Brassdrum-Resume-Token": token}
+    )
+
+
+@when("a caller closes its connection after the first token of {tokens:d}")
+def step_leave(context, tokens):
+    parts = urlsplit(context.site.daemons[0].url)
+    body = _completion(max_tokens=tokens)
+    head = (
+        f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {context.secret}\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    with socket.create_connection((parts.hostname, parts.port)) as connection:
+        connection.sendall(head.encode() + body)
+        assert b"200 OK" in connection.recv(65536)
+
+
+@then("the engine holds no memory")
+@then("the engines hold no memory")
+def step_no_memory(context):
+    for engine in context.site.engines:
+        eventually(lambda engine=engine: not engine.model.held(), "engine memory freed")
+
+
+@then("the pages for balancer and operators answer")
+def step_pages(context):
+    trace = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+    answer = caller(context).send(
+        "POST", "/v1/completions", _completion(), {"traceparent": trace, "X-Request-Id": "r-1"}
+    )
+    assert answer.whole and answer.headers["Brassdrum-Request-Id"] == "r-1"
+    assert caller(context).send("GET", "/-/ready", None).status == 200
+    assert caller(context).send("GET", "/-/health", None).status == 200
+    assert b"brassdrum_requests_total" in caller(context).send("GET", "/-/metrics", None).body
+    steps = json.loads(caller(context).send("GET", "/-/explain?request=r-1", None).body)["steps"]
+    assert [step["step"] for step in steps] == ["admitted", "routed"], steps
+    held = json.loads(caller(context).send("GET", "/-/held", None).body)["held"]
+    assert list(held) == ["engine-1"]
