--- /dev/null
+++ b/features/at_most_once.feature
@@ -0,0 +1,55 @@
+Feature: What may not be repeated runs at most once
+
+  Scenario: A hold sent through three daemons at once runs once
+    Given a site of 3 daemons and 1 engine
+    When 30 callers send 10 holds with keys through 3 daemons at once
+    Then each hold ran once and every answer is the first one's
+
+  Scenario: An answer lost after the action
+    Given a site of 2 daemons and 1 engine
+    When the service loses every answer
+    And a hold is sent with a key and again through another daemon
+    Then the first caller is told that it may have run
+    And the second caller is told the same and nothing ran twice
+
+  Scenario: Without a key a lost answer is not repeated either
+    Given a site of 1 daemon and 1 engine
+    When the service loses every answer
+    And a hold is sent without a key
+    Then the caller is told that it may have run and it ran once
+
+  Scenario: A call that is declared repeatable is tried again
+    Given a site of 1 daemon and 1 engine
+    When the service loses a fifth of the answers
+    And 20 lists of lots are read
+    Then all 20 succeed
+
+  Scenario: A key used with another body
+    Given a site of 2 daemons and 1 engine
+    When a hold is sent with key "k-1" and body "a"
+    And a hold is sent with key "k-1" and body "b"
+    Then it is refused with idempotency_key_reused, a remedy and ran "no"
+
+  Scenario: A key older than the window
+    Given a site of 1 daemon and 1 engine
+    When a hold is sent with a timed key from last year
+    Then it is refused with idempotency_key_expired, a remedy and ran "no"
+
+  Scenario: The daemon that claimed dies before the answer
+    Given a site of 1 daemon and 1 engine
+    And two daemons in processes of their own
+    When the service answers only after 60 seconds
+    And a hold is sent with a key through the first process, which is killed
+    Then the second process does not run it again and says it may have run
+
+  Scenario: The daemon that claimed is paused and goes on later
+    Given a site of 1 daemon and 1 engine
+    And two daemons in processes of their own
+    When holds are sent through both processes while the first is paused again and again
+    Then no hold ran twice
+
+  Scenario: Appends of claims are lost
+    Given a site of 2 daemons and 1 engine
+    When the log loses the answers to the next 20 appends
+    And 30 callers send 10 holds with keys through 2 daemons at once
+    Then each hold ran once and every answer is the first one's
--- a/src/brassdrum/outcomes/breaker.py
+++ b/src/brassdrum/outcomes/breaker.py
@@ -6,7 +6,7 @@
 
 __all__ = ["Breaker"]
 
-_FAILURES_TO_OPEN = 3
+_FAILURES_TO_OPEN = 5
 _FIRST_OPEN_SECONDS = 1.0
 _LONGEST_OPEN_SECONDS = 30.0
 
