Prove whole answers, resumed streams, replacement and leaving endpoints

Cause: engines that cut, cross or repeat answers, killed daemons and leaving endpoints were unproved. Found and mended: (1) three resumes without progress gave up on an engine that cuts 30 of 100 answers, now ten with growing pauses; (2) a hanging engine turned into endpoint_failed at the deadline because the wait for its headers could not be ended from outside: the connection is now handed out before the first byte leaves and the watch ends it; (3) a stream whose start was not answered is now cancelled too, so that the engine keeps no memory for it.

--- /dev/null
+++ b/features/steps/stream_steps.py
@@ -0,0 +1,140 @@
+"""Steps on streams."""
+
+import json
+import re
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import then, when
+
+from brassdrum.caller import Answer, Caller
+from brassdrum.http_pool import ExchangeFailedError, HttpPool
+from brassdrum.standins.site import MODEL
+from features.steps.caller_steps import _completion
+from features.steps.site_steps import caller
+
+
+def texts(body):
+    """Return the texts of an answer's events in order."""
+    found = []
+    for line in body.split(b"\n"):
+        if line.startswith(b"data: {"):
+            found.append(json.loads(line[6:])["choices"][0]["text"])
+    return found
+
+
+def words(count):
+    return [f"w{n} " for n in range(count)]
+
+
+def set_engine(context, number, **faults):
+    body = json.dumps(faults).encode()
+    HttpPool(context.site.engines[number].url).call("POST", "/faults", body)
+
+
+@when("{callers:d} callers stream {tokens:d} tokens each")
+def step_many(context, callers, tokens):
+    with ThreadPoolExecutor(10) as executor:
+        futures = [
+            executor.submit(caller(context).complete, MODEL, f"prompt {n}", tokens)
+            for n in range(callers)
+        ]
+        context.answers = [future.result() for future in futures]
+    context.tokens = tokens
+
+
+@then("every answer is whole, in order and the caller's own")
+def step_whole(context):
+    for answer in context.answers:
+        assert answer.whole, (answer.status, answer.error)
+        if answer.headers["Content-Type"] == "application/json":
+            text = json.loads(answer.body)["choices"][0]["text"]
+            assert text == "".join(words(context.tokens)), text
+            continue
+        assert texts(answer.body)[:-1] == words(context.tokens), answer.body
+        ids = re.findall(rb"id: (\d+)", answer.body)
+        assert [int(number) for number in ids] == list(range(context.tokens + 1))
+
+
+@when("a caller reads a third of a stream at the first process, which is killed")
+def step_third(context):
+    context.tokens = 600
+    answer = Answer()
+    first = Caller(context.processes[0].url, context.secret)
+    stream = first.stream(
+        "POST", "/v1/completions", _completion(max_tokens=600), None, answer, time.monotonic()
+    )
+    try:
+        for _ in stream:
+            if answer.tokens == context.tokens // 3:
+                context.processes[0].kill()
+    except ExchangeFailedError:
+        pass
+    assert not answer.whole
+    # What was cut in the middle of an event is thrown away, as the SSE standard says.
+    end = answer.body.rfind(b"\n\n") + 2
+    context.part = answer.body[:end]
+    context.token = answer.headers["Brassdrum-Resume-Token"]
+    context.last_id = re.findall(rb"id: (\d+)", context.part)[-1].decode()
+
+
+@when("the caller resumes at the second process")
+def step_resume(context):
+    second = Caller(context.processes[1].url, context.secret)
+    headers = {"Brassdrum-Resume-Token": context.token, "Last-Event-ID": context.last_id}
+    context.rest = second.send("GET", "/v1/resume", None, headers)
+    assert context.rest.whole, context.rest.error
+
+
+@then("both parts together are the answer byte for byte")
+def step_bytes(context):
+    whole = context.part + context.rest.body
+    assert texts(whole)[:-1] == words(context.tokens)
+    streams = set(re.findall(rb'"id":"([^"]+)"', whole))
+    assert len(streams) == 1, streams
+    ids = [int(number) for number in re.findall(rb"id: (\d+)\n", whole)]
+    assert ids == list(range(context.tokens + 1))
+
+
+@when("one engine hangs on every request")
+def step_hang(context):
+    set_engine(context, 0, hang=1.0)
+
+
+@when("a request with {seconds:d} seconds left goes to the hanging engine")
+def step_hanging(context, seconds):
+    headers = {"Brassdrum-Timeout": str(seconds)}
+    deadline = time.monotonic() + 60
+    while time.monotonic() < deadline:
+        context.answer = caller(context).complete(MODEL, "blue", 4, headers)
+        if not context.answer.whole:
+            return
+    raise AssertionError("no request went to the hanging engine")
+
+
+@then("it fails with {code} before {seconds:d} seconds are over")
+def step_fails(context, code, seconds):
+    assert context.answer.code == code, context.answer
+    assert context.answer.seconds < seconds
+
+
+@when("{callers:d} callers ask for whole answers while one engine dies")
+def step_engine_dies(context, callers):
+    context.tokens = 200
+    body = _completion(max_tokens=context.tokens, stream=False)
+    killer = threading.Timer(0.2, context.site.engines[0].close)
+    killer.start()
+    with ThreadPoolExecutor(12) as executor:
+        futures = [
+            executor.submit(caller(context, n % 2).send, "POST", "/v1/completions", body)
+            for n in range(callers)
+        ]
+        context.answers = [future.result() for future in futures]
+    killer.join()
+
+
+@when("a request of {tokens:d} tokens has half a second")
+def step_too_long(context, tokens):
+    headers = {"Brassdrum-Timeout": "0.5"}
+    context.answer = caller(context).complete(MODEL, "x" * tokens * 4, 4, headers)
--- a/src/brassdrum/daemon/engine_run.py
+++ b/src/brassdrum/daemon/engine_run.py
@@ -10,13 +10,14 @@
 from brassdrum.daemon.watch import AbortReason, Watch, Watched
 from brassdrum.endpoints.engine import EngineClient, EventSource
 from brassdrum.errors import CallerDisconnectedError, DeadlineExceededError, EndpointFailedError
-from brassdrum.http_pool import ExchangeFailedError
+from brassdrum.http_pool import Connected, ExchangeFailedError
 from brassdrum.outcomes.stream import EventVerdict, StreamChecker
 
 __all__ = ["CheckedEvent", "EngineRun", "StreamIdentity"]
 
-_RESUMES_WITHOUT_PROGRESS = 3
+_RESUMES_WITHOUT_PROGRESS = 10
 _RESUME_PAUSE_SECONDS = 0.05
+_LONGEST_RESUME_PAUSE_SECONDS = 1.0
 _UNFINISHED = b'"finish_reason":null'
 
 
@@ -44,7 +45,7 @@
         self,
         engine: EngineClient,
         identity: StreamIdentity,
-        connect: Callable[[], EventSource],
+        connect: Callable[[Callable[[Connected], None]], EventSource],
         *,
         clock: Clock,
         watch: Watch,
@@ -67,9 +68,11 @@
         self._on_dropped = on_dropped
         self._checker = StreamChecker(identity.stream, next_index)
         self._source: EventSource | None = None
+        self._connected: Connected | None = None
         self._watched = Watched(deadline, first_event_by, disconnected, self._abort)
         self._whole = False
         self._closed = False
+        self._may_run = False
         self._resumes = 0
         self._last_data = b""
 
@@ -86,7 +89,7 @@
         """
         self._watch.add(self._watched)
         try:
-            self._source = self._connect()
+            self._source = self._first_connection()
             while True:
                 yield from self._read()
                 if self._whole:
@@ -101,13 +104,23 @@
             return
         self._closed = True
         self._watch.remove(self._watched)
-        if self._source is None:
-            return
-        if self._whole:
+        if self._whole and self._source is not None:
             self._source.finish()
             return
-        self._source.close()
-        self._cancels.add(self._engine, self._identity.stream)
+        if self._source is not None:
+            self._source.close()
+        if self._may_run:
+            self._cancels.add(self._engine, self._identity.stream)
+
+    def _first_connection(self) -> EventSource:
+        try:
+            source = self._connect(self._note_connected)
+        except EndpointFailedError:
+            self._may_run = True
+            self._raise_abort()
+            raise
+        self._may_run = True
+        return source
 
     def _read(self) -> Iterator[CheckedEvent]:
         assert self._source is not None
@@ -132,24 +145,34 @@
     def _recover(self) -> None:
         assert self._source is not None
         self._source.close()
-        reason = self._watched.reason
-        if reason is AbortReason.DEADLINE or self._clock.monotonic() >= self._deadline:
-            raise DeadlineExceededError("The request's time passed before its answer was whole.")
-        if reason is AbortReason.DISCONNECTED:
-            raise CallerDisconnectedError("The caller closed its connection.")
-        if reason is AbortReason.SILENT or self._resumes >= _RESUMES_WITHOUT_PROGRESS:
-            raise EndpointFailedError(f"Endpoint {self._engine.name} stopped answering.")
+        self._raise_abort()
+        if self._resumes >= _RESUMES_WITHOUT_PROGRESS:
+            raise EndpointFailedError(f"Endpoint {self._engine.name} breaks every connection.")
         if self._resumes:
-            self._clock.sleep(_RESUME_PAUSE_SECONDS * 2**self._resumes)
+            pause = _RESUME_PAUSE_SECONDS * 2**self._resumes
+            self._clock.sleep(min(_LONGEST_RESUME_PAUSE_SECONDS, pause))
         self._resumes += 1
         self._source = self._engine.resume(
             self._identity.stream,
             self._checker.next_index,
+            self._note_connected,
             model=self._identity.model,
             chat=self._identity.chat,
             seconds=max(0.05, self._deadline - self._clock.monotonic()),
         )
 
+    def _raise_abort(self) -> None:
+        reason = self._watched.reason
+        if reason is AbortReason.DEADLINE or self._clock.monotonic() >= self._deadline:
+            raise DeadlineExceededError("The request's time passed before its answer was whole.")
+        if reason is AbortReason.DISCONNECTED:
+            raise CallerDisconnectedError("The caller closed its connection.")
+        if reason is AbortReason.SILENT:
+            raise EndpointFailedError(f"Endpoint {self._engine.name} stopped answering.")
+
+    def _note_connected(self, connected: Connected) -> None:
+        self._connected = connected
+
     def _abort(self) -> None:
-        if self._source is not None:
-            self._source.abort()
+        if self._connected is not None:
+            self._connected.abort()
--- a/src/brassdrum/daemon/generation.py
+++ b/src/brassdrum/daemon/generation.py
@@ -251,7 +251,7 @@
         run = EngineRun(
             engine,
             StreamIdentity(stream, generation.model, generation.chat),
-            lambda: engine.open(request),
+            lambda on_connected: engine.open(request, on_connected),
             clock=core.clock,
             watch=core.watch,
             cancels=core.cancels,
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -175,7 +175,7 @@
         """Stop at once."""
         self._http.close()
         self._peer_server.close()
-        self._loops.stop(timeout=0.5)
+        self._loops.stop(timeout=0.1)
         self._endpoint_watch.close()
         self._clients.close()
         self.core.tracing.close()
--- a/src/brassdrum/daemon/resuming.py
+++ b/src/brassdrum/daemon/resuming.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from brassdrum.daemon.core import Core, Scope
 from brassdrum.daemon.engine_run import CheckedEvent, EngineRun, StreamIdentity
 from brassdrum.daemon.finishing import Ending
-from brassdrum.endpoints.engine import EngineClient
+from brassdrum.endpoints.engine import EngineClient, EventSource
 from brassdrum.errors import (
     BrassdrumError,
     EndpointFailedError,
@@ -15,6 +15,7 @@
     Ran,
     ResumeRefusedError,
 )
+from brassdrum.http_pool import Connected
 from brassdrum.outcomes.resume import ResumeTicket
 from brassdrum.wsgi import Request, Response, json_response
 
@@ -73,10 +74,11 @@
         deadline = now + ticket.deadline - core.clock.now().timestamp()
         identity = StreamIdentity(ticket.stream, ticket.model, ticket.chat)
 
-        def connect():
+        def connect(on_connected: Callable[[Connected], None]) -> EventSource:
             return engine.resume(
                 ticket.stream,
                 start,
+                on_connected,
                 model=ticket.model,
                 chat=ticket.chat,
                 seconds=max(0.05, deadline - now),
--- a/src/brassdrum/endpoints/engine.py
+++ b/src/brassdrum/endpoints/engine.py
@@ -7,8 +7,7 @@
 from __future__ import annotations
 
 import json
-import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from brassdrum.errors import (
@@ -18,7 +17,13 @@
     NoEndpointError,
     Ran,
 )
-from brassdrum.http_pool import ConnectFailedError, Exchange, ExchangeFailedError, HttpPool
+from brassdrum.http_pool import (
+    Connected,
+    ConnectFailedError,
+    Exchange,
+    ExchangeFailedError,
+    HttpPool,
+)
 from brassdrum.outcomes.stream import StreamEvent
 
 __all__ = ["CacheEvent", "EngineClient", "EngineLoad", "EngineRequest", "EventSource"]
@@ -68,18 +73,6 @@
     def __init__(self, exchange: Exchange) -> None:
         self._exchange = exchange
         self._buffer = b""
-        self._aborted = False
-
-    def abort(self) -> None:
-        """Wake a reader that is blocked: the connection ends now."""
-        self._aborted = True
-        sock = self._exchange.connection.sock
-        if sock is None:
-            return
-        try:
-            sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass
 
     def close(self) -> None:
         """Close the connection."""
@@ -138,7 +131,9 @@
         self.url = url
         self._pool = HttpPool(url, _CONTROL_SECONDS)
 
-    def open(self, request: EngineRequest) -> EventSource:
+    def open(
+        self, request: EngineRequest, on_connected: Callable[[Connected], None]
+    ) -> EventSource:
         """Start a stream.
 
         Raises ``NoEndpointError`` when nothing ran (no connection, or the engine refused before
@@ -158,7 +153,13 @@
             headers["X-Reservation"] = request.reservation
         try:
             exchange = self._pool.request(
-                "POST", request.path, request.body, headers, timeout=request.seconds, fresh=True
+                "POST",
+                request.path,
+                request.body,
+                headers,
+                timeout=request.seconds,
+                fresh=True,
+                on_connected=on_connected,
             )
         except ConnectFailedError as error:
             raise NoEndpointError(f"Endpoint {self.name} cannot be reached: {error}.") from error
@@ -169,12 +170,21 @@
         raise self._refusal(exchange)
 
     def resume(
-        self, stream: str, start: int, *, model: str, chat: bool, seconds: float
+        self,
+        stream: str,
+        start: int,
+        on_connected: Callable[[Connected], None],
+        *,
+        model: str,
+        chat: bool,
+        seconds: float,
     ) -> EventSource:
         """Read a stream on from an index, or raise ``EndpointFailedError``."""
         path = f"/v1/streams/{stream}?from={start}&model={model}&chat={int(chat)}"
         try:
-            exchange = self._pool.request("GET", path, timeout=seconds)
+            exchange = self._pool.request(
+                "GET", path, timeout=seconds, fresh=True, on_connected=on_connected
+            )
         except (ConnectFailedError, ExchangeFailedError) as error:
             raise EndpointFailedError(f"Endpoint {self.name} did not answer: {error}.") from error
         if exchange.status == 200:
--- a/src/brassdrum/http_pool.py
+++ b/src/brassdrum/http_pool.py
@@ -6,11 +6,11 @@
 import socket
 import threading
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
-__all__ = ["ConnectFailedError", "Exchange", "ExchangeFailedError", "HttpPool"]
+__all__ = ["ConnectFailedError", "Connected", "Exchange", "ExchangeFailedError", "HttpPool"]
 
 _MAX_IDLE = 64
 _FAILURES = (OSError, http.client.HTTPException)
@@ -24,6 +24,23 @@
     """Tell that the request may have arrived but its answer did not."""
 
 
+@dataclass(frozen=True, slots=True)
+class Connected:
+    """Hold a connection that a request is about to use."""
+
+    connection: http.client.HTTPConnection
+
+    def abort(self) -> None:
+        """Wake whoever reads or writes: the connection ends now."""
+        sock = self.connection.sock
+        if sock is None:
+            return
+        try:
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+
 @dataclass(slots=True)
 class Exchange:
     """Hold one request's response until it is read or dropped."""
@@ -94,17 +111,21 @@
         *,
         timeout: float | None = None,
         fresh: bool = False,
+        on_connected: Callable[[Connected], None] | None = None,
     ) -> Exchange:
         """Send a request and return its response with the body unread.
 
         ``fresh`` opens a new connection: a reused one may have been closed by the other side, and
-        then nobody knows whether the request ran. Raises ``ConnectFailedError`` or
-        ``ExchangeFailedError``.
+        then nobody knows whether the request ran. ``on_connected`` is handed the connection before
+        the first byte leaves, so that another thread can end a wait for the response. Raises
+        ``ConnectFailedError`` or ``ExchangeFailedError``.
         """
         limit = self._timeout if timeout is None else max(0.001, timeout)
         connection, reused = (None, False) if fresh else self._take()
         if connection is None:
             connection = self._connect(limit)
+        if on_connected is not None:
+            on_connected(Connected(connection))
         try:
             return self._send(connection, method, path, body, headers, limit)
         except ExchangeFailedError:
--- a/src/brassdrum/loops.py
+++ b/src/brassdrum/loops.py
@@ -5,7 +5,7 @@
 import logging
 import threading
 from collections.abc import Callable
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor, wait
 
 __all__ = ["BackgroundLoops"]
 
@@ -39,11 +39,9 @@
     def stop(self, timeout: float = 5.0) -> None:
         """Ask all loops to end and wait for them."""
         self._stopping.set()
-        for future in self._futures:
-            try:
-                future.result(timeout)
-            except TimeoutError:
-                _logger.debug("a background loop still waits for its neighbour")
+        _, running = wait(self._futures, timeout)
+        if running:
+            _logger.debug("loops still wait for a neighbour", extra={"count": len(running)})
         self._executor.shutdown(wait=False, cancel_futures=True)
 
     def _repeat(self, name: str, seconds: Callable[[], float], step: Callable[[], None]) -> None:
--- a/src/brassdrum/standins/engine.py
+++ b/src/brassdrum/standins/engine.py
@@ -58,6 +58,7 @@
         self.settings = settings
         self.model = EngineModel(settings)
         self.started = 0
+        self.draining = False
         self.started_by_id: dict[str, int] = {}
         self._faults = settings.faults
         self._random = random.Random(settings.seed)
@@ -76,7 +77,7 @@
         router.add("POST", "/v1/streams/{stream}/cancel", self._cancel)
         router.add("PUT", "/v1/reservations/{reservation}", self._reserve)
         router.add("DELETE", "/v1/reservations/{reservation}", self._release)
-        router.add("GET", "/v1/load", lambda request: json_response(self.model.report()))
+        router.add("GET", "/v1/load", self._load)
         router.add("GET", "/v1/held", lambda request: json_response({"held": self.model.held()}))
         router.add("GET", "/v1/cache/events", self._events)
         router.add("POST", "/v1/orders", self._order)
@@ -172,6 +173,9 @@
         with self._lock:
             return self._random.random() < share
 
+    def _load(self, request: Request) -> Response:
+        return json_response(self.model.report() | {"draining": self.draining})
+
     def _cancel(self, request: Request) -> Response:
         return json_response({"found": self.model.cancel(request.parameters["stream"])})
 
--- a/src/brassdrum/standins/site.py
+++ b/src/brassdrum/standins/site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
 from brassdrum.contracts.documents import (
@@ -208,5 +209,6 @@
 
     def close(self) -> None:
         """Stop everything at once."""
-        for part in [*self.daemons, *self.engines, *self.services, self.platform]:
-            part.close()
+        parts = [*self.daemons, *self.engines, *self.services, self.platform]
+        with ThreadPoolExecutor(len(parts)) as executor:
+            list(executor.map(lambda part: part.close(), parts))
--- a/src/brassdrum/wsgi.py
+++ b/src/brassdrum/wsgi.py
@@ -21,6 +21,7 @@
 _logger = logging.getLogger(__name__)
 _SPARE_CONNECTIONS = 4096
 _NO_BODY_LIMIT = 1 << 30
+_CLOSE_SECONDS = 0.1
 
 Environ = Mapping[str, object]
 StartResponse = Callable[..., object]
@@ -202,7 +203,7 @@
     def close(self) -> None:
         """Stop serving and close all connections."""
         self._server.close()
-        self._server.task_dispatcher.shutdown(timeout=1)
+        self._server.task_dispatcher.shutdown(timeout=_CLOSE_SECONDS)
         for channel in list(self._server._map.values()):
             if channel is not self._server:
                 channel.close()
