Hold contracts' limits over all daemons by lent slices

Found and mended: (1) a daemon that had not yet heard its peers took the whole limit: 18 of 6 ran; readiness now waits for the host list or a peer, and known daemons count even when not heard; (2) slices lost at a change of lender: 11 of 6 ran; a daemon without a slice asks at once, a lapsed slice never grows, a new lender counts what runs; (3) two sides of a partition each lent all: a lender now keeps back the part of the known daemons that it does not hear.

--- a/src/brassdrum/admission/lending.py
+++ b/src/brassdrum/admission/lending.py
@@ -10,7 +10,7 @@
 
 from brassdrum.admission.limits import Allowance
 
-__all__ = ["BorrowerDemand", "Grant", "Lender", "lender_of", "static_slice", "water_fill"]
+__all__ = ["BorrowerDemand", "Census", "Grant", "Lender", "lender_of", "static_slice", "water_fill"]
 
 _HEADROOM = 1.25
 _RESERVE = 0.02
@@ -38,6 +38,20 @@
     return Allowance(part.requests_per_second, part.tokens_per_second, part.concurrency + extra)
 
 
+@dataclass(frozen=True, slots=True)
+class Census:
+    """Tell which daemons are heard and which are known of, heard or not."""
+
+    live: Sequence[str]
+    known: Sequence[str]
+
+    @property
+    def part_heard(self) -> float:
+        """Return the part of the known daemons that is heard, above 0."""
+        known = {*self.known, *self.live}
+        return len(set(self.live)) / len(known) if known else 1.0
+
+
 @dataclass(frozen=True, slots=True)
 class BorrowerDemand:
     """Tell what one daemon's callers ask for."""
@@ -54,6 +68,17 @@
     allowance: Allowance
     expires: float
 
+    def lapsed(self, static: Allowance) -> Allowance:
+        """Return what a daemon may use while no lender renews: never more than it was lent.
+
+        All daemons together then stay within the limits, whoever else fell back already.
+        """
+        return Allowance(
+            min(self.allowance.requests_per_second, static.requests_per_second),
+            min(self.allowance.tokens_per_second, static.tokens_per_second),
+            min(self.allowance.concurrency, static.concurrency),
+        )
+
 
 def water_fill(limit: float, demands: Mapping[str, float]) -> dict[str, float]:
     """Share a limit: small demands are met, larger ones get equal parts of what is left."""
@@ -85,23 +110,36 @@
         """Change the limits that are lent from now on."""
         self._limits = limits
 
-    def lend(
-        self, daemon: str, demand: BorrowerDemand, daemons: Sequence[str], now: float
-    ) -> Grant:
+    def lend(self, daemon: str, demand: BorrowerDemand, census: Census, now: float) -> Grant:
         """Return the slice of a daemon for one term.
 
         In its first term a lender does not know what the one before it lent, and grants no more
-        than static slices.
+        than static slices. While some known daemons are not heard, their part is kept back: they
+        may be on the other side of a partition, with a lender of their own.
         """
         self._forget(now)
         self._demands_by_daemon[daemon] = (now, demand)
         if now - self._started < self._term:
-            grant = Grant(static_slice(self._limits, daemon, daemons), now + self._term)
+            slice_ = self._first_slice(daemon, census)
         else:
-            grant = Grant(self._allocate(daemon), now + self._term)
+            slice_ = self._allocate(daemon, self._limits.scaled(census.part_heard))
+        grant = Grant(slice_, now + self._term)
         self._grants_by_daemon[daemon] = grant
         return grant
 
+    def _first_slice(self, daemon: str, census: Census) -> Allowance:
+        part = static_slice(self._limits, daemon, census.known)
+        running = sum(
+            demand.concurrency
+            for name, (_, demand) in self._demands_by_daemon.items()
+            if name != daemon
+        )
+        # What runs on others under slices of the lender before still counts.
+        room = max(0, self._limits.concurrency - running)
+        return Allowance(
+            part.requests_per_second, part.tokens_per_second, min(part.concurrency, room)
+        )
+
     def _forget(self, now: float) -> None:
         for name, (at, _) in list(self._demands_by_daemon.items()):
             if now - at > 2 * self._term:
@@ -110,17 +148,17 @@
             if grant.expires <= now:
                 del self._grants_by_daemon[name]
 
-    def _allocate(self, daemon: str) -> Allowance:
+    def _allocate(self, daemon: str, limits: Allowance) -> Allowance:
         demands = {name: demand for name, (_, demand) in self._demands_by_daemon.items()}
         requests = self._share(
             daemon,
-            self._limits.requests_per_second,
+            limits.requests_per_second,
             {name: demand.requests_per_second * _HEADROOM for name, demand in demands.items()},
             {name: g.allowance.requests_per_second for name, g in self._grants_by_daemon.items()},
         )
         tokens = self._share(
             daemon,
-            self._limits.tokens_per_second,
+            limits.tokens_per_second,
             {name: demand.tokens_per_second * _HEADROOM for name, demand in demands.items()},
             {name: g.allowance.tokens_per_second for name, g in self._grants_by_daemon.items()},
         )
@@ -130,7 +168,7 @@
         }
         concurrency = self._share(
             daemon,
-            self._limits.concurrency,
+            limits.concurrency,
             {name: float(demand.concurrency + 1) for name, demand in demands.items()},
             held,
         )
--- a/src/brassdrum/daemon/endpoint_watch.py
+++ b/src/brassdrum/daemon/endpoint_watch.py
@@ -98,12 +98,14 @@
         self._hosts = hosts
         self._last: list[Host] = []
         self.answers = False
+        self.read_once = False
 
     def step(self) -> None:
         """Read the list once."""
         try:
             self._last = self._hosts.read()
             self.answers = True
+            self.read_once = True
         except PlatformUnavailableError as error:
             if self.answers:
                 _logger.warning("host list not readable", extra={"reason": str(error)})
@@ -113,6 +115,10 @@
         """Return the endpoints that the list says are leaving."""
         return {host.name for host in self._last if host.role == "endpoint" and host.leaving}
 
+    def daemon_names(self) -> list[str]:
+        """Return the names of the daemons on the list that are not leaving."""
+        return [host.name for host in self._last if host.role == "daemon" and not host.leaving]
+
     def daemon_addresses(self) -> list[str]:
         """Return the peer addresses of the daemons on the list."""
         return [host.peer_address for host in self._last if host.role == "daemon"]
--- a/src/brassdrum/daemon/limits.py
+++ b/src/brassdrum/daemon/limits.py
@@ -7,7 +7,14 @@
 
 import grpc
 
-from brassdrum.admission.lending import BorrowerDemand, Grant, Lender, lender_of, static_slice
+from brassdrum.admission.lending import (
+    BorrowerDemand,
+    Census,
+    Grant,
+    Lender,
+    lender_of,
+    static_slice,
+)
 from brassdrum.admission.limits import Allowance, LocalLimiter
 from brassdrum.clock import Clock
 from brassdrum.contracts.documents import Contract
@@ -20,6 +27,9 @@
 _TERM_SECONDS = 2.0
 _CALL_SECONDS = 0.5
 _ACTIVE_RATE = 0.01
+_ASK_AGAIN_SECONDS = 0.5
+_FIRST_CALL_SECONDS = 0.1
+_LAPSED_TERMS = 5.0
 
 
 def _allowance(contract: Contract) -> Allowance:
@@ -35,19 +45,20 @@
         name: str,
         clock: Clock,
         clients: PeerClients,
-        daemons: Callable[[], list[str]],
+        census: Callable[[], Census],
         address_of: Callable[[str], str | None],
         term_seconds: float = _TERM_SECONDS,
     ) -> None:
         self._name = name
         self._clock = clock
         self._clients = clients
-        self._daemons = daemons
+        self._census = census
         self._address_of = address_of
         self._term = term_seconds
         self._lock = threading.Lock()
         self._limits_by_organisation: dict[str, Allowance] = {}
         self._limiters_by_organisation: dict[str, LocalLimiter] = {}
+        self._asked_by_organisation: dict[str, float] = {}
         self._grants_by_organisation: dict[str, Grant] = {}
         self._lenders_by_organisation: dict[str, Lender] = {}
 
@@ -64,6 +75,7 @@
 
     def acquire(self, organisation: str, tokens: int) -> None:
         """Take room for a request, or raise ``LimitExceededError``; it did not run then."""
+        self._borrow_first(organisation, tokens)
         now = self._clock.monotonic()
         with self._lock:
             limiter = self._limiter(organisation, now)
@@ -94,7 +106,7 @@
 
     def borrow(self) -> None:
         """Ask the lenders of all active organisations for slices of the next term."""
-        daemons = self._daemons()
+        daemons = self._census().live
         demands_by_lender: dict[str, list[Demand]] = {}
         for demand in self._demands():
             lender = lender_of(demand.organisation, daemons)
@@ -113,7 +125,7 @@
     def lend(self, request: LendRequest) -> LendReply:
         """Return slices for a borrower."""
         now = self._clock.monotonic()
-        daemons = self._daemons()
+        census = self._census()
         reply = LendReply()
         with self._lock:
             for demand in request.demands:
@@ -127,10 +139,38 @@
                 asked = BorrowerDemand(
                     demand.requests_per_second, demand.tokens_per_second, demand.concurrency
                 )
-                grant = lender.lend(request.borrower, asked, daemons, now)
+                grant = lender.lend(request.borrower, asked, census, now)
                 reply.slices.append(_slice(demand.organisation, grant, now))
         return reply
 
+    def _borrow_first(self, organisation: str, tokens: int) -> None:
+        """Ask the lender at once when an organisation that was idle here sends a request."""
+        now = self._clock.monotonic()
+        with self._lock:
+            grant = self._grants_by_organisation.get(organisation)
+            asked = self._asked_by_organisation.get(organisation, float("-inf"))
+            if (grant is not None and grant.expires > now) or now - asked < _ASK_AGAIN_SECONDS:
+                return
+            self._asked_by_organisation[organisation] = now
+        lender = lender_of(organisation, self._census().live)
+        demand = Demand(
+            organisation=organisation,
+            requests_per_second=1.0,
+            tokens_per_second=tokens,
+            concurrency=self.in_flight(organisation) + 1,
+        )
+        request = LendRequest(borrower=self._name, demands=[demand])
+        if lender == self._name:
+            self._take(self.lend(request))
+            return
+        address = None if lender is None else self._address_of(lender)
+        if address is None:
+            return
+        try:
+            self._take(self._clients.stub(address).Lend(request, timeout=_FIRST_CALL_SECONDS))
+        except grpc.RpcError:
+            return
+
     def _limiter(self, organisation: str, now: float) -> LocalLimiter:
         limiter = self._limiters_by_organisation.get(organisation)
         if limiter is None:
@@ -143,7 +183,10 @@
         if grant is not None and grant.expires > now:
             return grant.allowance
         limits = self._limits_by_organisation.get(organisation, Allowance(0.0, 0.0, 0))
-        return static_slice(limits, self._name, self._daemons())
+        static = static_slice(limits, self._name, self._census().known)
+        if grant is not None and now - grant.expires < _LAPSED_TERMS * self._term:
+            return grant.lapsed(static)
+        return static
 
     def _demands(self) -> list[Demand]:
         now = self._clock.monotonic()
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -5,6 +5,7 @@
 import logging
 import time
 
+from brassdrum.admission.lending import Census
 from brassdrum.clock import Clock, SystemClock
 from brassdrum.contracts.checkpoints import CheckpointWriter
 from brassdrum.contracts.records import CLAIM_SHARDS
@@ -48,6 +49,7 @@
 _WATCH_SECONDS = 0.2
 _TICK_SECONDS = 0.05
 _FLUSH_SECONDS = 5.0
+_LONELY_SECONDS = 5.0
 
 
 class Daemon:
@@ -62,6 +64,7 @@
         self._clients = PeerClients()
         self._peer_server = PeerServer(settings.peer.host, settings.peer.port)
         self._was_ready = False
+        self._made_at = self._clock.monotonic()
         self._control = ControlState(self._log, self._clock, self._peer_snapshots, self._configure)
         self._claims = Claims(
             self._log, CLAIM_SHARDS, settings.name, self._clock, _DEFAULT_WINDOW_SECONDS
@@ -70,7 +73,7 @@
             self._clock, Fleet(self._clock, settings.zone, policy), settings.queue_length
         )
         self._limits = LimitBook(
-            settings.name, self._clock, self._clients, self._serving, self._peer_address
+            settings.name, self._clock, self._clients, self._census, self._peer_address
         )
         self._hosts = HostWatch(
             HttpHostList(settings.platform.url, settings.platform.timeout_seconds)
@@ -133,9 +136,14 @@
                 newest = self.gossip.table.newest_revision(self._clock.monotonic())
             if newest > self._control.revision:
                 return f"a peer holds revision {newest}; this daemon {self._control.revision}"
+            if newest < 0 and not self._hosts.read_once and self._age() < _LONELY_SECONDS:
+                return "neither the host list nor a peer has been heard yet"
             self._was_ready = True
         return None
 
+    def _age(self) -> float:
+        return self._clock.monotonic() - self._made_at
+
     def start(self) -> None:
         """Begin to serve and to follow the platform."""
         self._peer_server.start(self.gossip.answer, self._control.snapshot, self._limits.lend)
@@ -310,9 +318,10 @@
                     state.since = self._clock.monotonic()
                 state.leaving = name in leaving
 
-    def _serving(self) -> list[str]:
+    def _census(self) -> Census:
         with self.gossip.lock:
-            return self.gossip.table.serving(self._clock.monotonic())
+            live = self.gossip.table.serving(self._clock.monotonic())
+        return Census(live, sorted({*live, *self._hosts.daemon_names()}))
 
     def _peer_address(self, daemon: str) -> str | None:
         with self.gossip.lock:
--- a/src/brassdrum/standins/site.py
+++ b/src/brassdrum/standins/site.py
@@ -116,15 +116,21 @@
         for standin in [*self.engines, *self.services]:
             standin.start()
         for number in range(1, self.shape.daemons + 1):
-            self.start_daemon(f"daemon-{number}")
+            self._add_daemon(f"daemon-{number}")
+        for daemon in self.daemons:
+            daemon.start()
         self.publish([self.configuration(), *contracts])
         self.wait_ready()
 
     def start_daemon(self, name: str) -> Daemon:
         """Start one more daemon and put it on the host list."""
+        daemon = self._add_daemon(name)
+        daemon.start()
+        return daemon
+
+    def _add_daemon(self, name: str) -> Daemon:
         number = len(self.daemons)
         daemon = Daemon(self.daemon_settings(name, number), policy=self.shape.policy_name)
-        daemon.start()
         self.daemons.append(daemon)
         self.platform.put_host(
             name,
