Relay open streams from one thread instead of one thread each

Cause: with 450 streams at 14 tokens/s every token woke a thread of its own; the daemon used 2.3 cores, mostly in the kernel, and the short prompts behind it waited for the interpreter lock. Ruled out: the application's own code (91 of 1000 samples at 200/s held the lock). Change: a response detaches from its waitress thread after the first event; one selector thread reads all engines' sockets (HTTP/1.0, so without chunks) and writes to the callers' channels. Found on the way: waitress flushes without its lock when no request runs in a thread, so two threads sent the same bytes twice; a detached channel takes the lock (streams.feature failed, now passes).

--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -2,7 +2,6 @@
 
 import json
 import random
-from types import SimpleNamespace
 
 from behave import then
 from hypothesis import given, settings
@@ -21,7 +20,6 @@
     parse_checkpoint,
     parse_control_record,
 )
-from brassdrum.endpoints.engine import EventSource
 from brassdrum.errors import (
     EndpointFailedError,
     NoEndpointError,
@@ -33,7 +31,7 @@
 from brassdrum.outcomes.claims import ClaimFold, parse_claim_record
 from brassdrum.outcomes.resume import ResumeTicket, ResumeTokens
 from brassdrum.outcomes.retries import RetryBudget, RetryPolicy
-from brassdrum.outcomes.stream import EventVerdict, StreamChecker
+from brassdrum.outcomes.stream import EventVerdict, StreamAssembler, StreamChecker
 from brassdrum.settings import ResumeKey
 from brassdrum.standins.site import sample_contract
 
@@ -406,18 +404,6 @@
 )
 
 
-class _Bytes:
-    """Give bytes in pieces as a connection would."""
-
-    def __init__(self, pieces):
-        self.response, self._pieces = self, list(pieces)
-        self.connection = SimpleNamespace(sock=None)
-
-    def read1(self, size):
-        """Return the next piece."""
-        return self._pieces.pop(0) if self._pieces else b""
-
-
 @then("no bytes make a decoder fail but with its typed error")
 def step_fuzz(context):
     @settings(max_examples=300)
@@ -432,8 +418,9 @@
     @settings(max_examples=200)
     @given(st.lists(st.binary(min_size=1) | st.just(b"data: {}\n\n") | st.just(b"id: a/0\n")))
     def events(pieces):
-        for event in EventSource(_Bytes(pieces)).events():
-            assert isinstance(event.name, str) and isinstance(event.data, bytes)
+        assembler = StreamAssembler("a", 0, lambda verdict: None)
+        seen = [event.index for piece in pieces for event in assembler.feed(piece)]
+        assert seen == list(range(len(seen)))
 
     records()
     events()
--- /dev/null
+++ b/src/brassdrum/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiments and reports; tools for developers, no part of the serving path."""
--- a/src/brassdrum/cli/bench.py
+++ b/src/brassdrum/cli/bench.py
@@ -1,11 +1,54 @@
-"""The command ``bench``."""
+"""The command ``bench``: measurements for developers."""
 
 from __future__ import annotations
 
 import argparse
+from dataclasses import asdict
+from pathlib import Path
+
+from brassdrum.cli.output import print_json, print_rows
+from brassdrum.cli.serve import wait_for_signal
+from brassdrum.settings import load_settings
 
 __all__ = ["add_commands"]
 
+# The bench's modules are imported when used: a daemon does not pay for them.
+
+
+def _run_overhead(options: argparse.Namespace) -> int:
+    from brassdrum.bench.overhead import OverheadPlan, measure_overhead
+
+    plan = OverheadPlan(options.streams, options.rate, options.seconds, options.seed)
+    result = asdict(measure_overhead(plan))
+    if options.json:
+        print_json(result)
+        return 0
+    print_rows(("measure", "value"), [(name, value) for name, value in result.items()])
+    return 0
+
+
+def _run_source(options: argparse.Namespace) -> int:
+    from brassdrum.bench.source import PacedSource, PacedSourceSettings
+
+    source = PacedSource(load_settings(options.settings, PacedSourceSettings))
+    source.start()
+    print(f"paced source at {source.url}", flush=True)
+    wait_for_signal()
+    source.close()
+    return 0
+
 
 def add_commands(commands: argparse._SubParsersAction) -> None:
     """Add the command to a parser."""
+    bench = commands.add_parser("bench", help="measure on this machine")
+    actions = bench.add_subparsers(dest="action", required=True, metavar="ACTION")
+    overhead = actions.add_parser("overhead", help="what one daemon adds to a request")
+    overhead.add_argument("--streams", type=int, default=450, help="streams held open")
+    overhead.add_argument("--rate", type=float, default=25.0, help="short requests a second")
+    overhead.add_argument("--seconds", type=float, default=20.0)
+    overhead.add_argument("--seed", type=int, default=1)
+    overhead.add_argument("--json", action="store_true", help="print JSON")
+    overhead.set_defaults(run=_run_overhead)
+    source = actions.add_parser("source", help="serve tokens at a steady pace (used by overhead)")
+    source.add_argument("--settings", type=Path, required=True)
+    source.set_defaults(run=_run_source)
--- a/src/brassdrum/cli/serve.py
+++ b/src/brassdrum/cli/serve.py
@@ -21,10 +21,11 @@
 from brassdrum.standins.service import ServiceStandin
 from brassdrum.telemetry.logs import configure_logging
 
-__all__ = ["add_commands"]
+__all__ = ["add_commands", "wait_for_signal"]
 
 
-def _wait_for_signal() -> None:
+def wait_for_signal() -> None:
+    """Wait until the process is told to stop."""
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
@@ -37,7 +38,7 @@
     daemon = Daemon(settings, policy=options.policy)
     daemon.start()
     print(f"{settings.name} serves callers at {daemon.url}", flush=True)
-    _wait_for_signal()
+    wait_for_signal()
     daemon.stop()
     return 0
 
@@ -53,13 +54,13 @@
     configure_logging("WARNING", options.kind)
     standin.start()
     print(f"{options.kind} stand-in at {standin.url}", flush=True)
-    _wait_for_signal()
+    wait_for_signal()
     standin.close()
     return 0
 
 
 def _run_demo(options: argparse.Namespace) -> int:
-    return run_demo(serve=options.serve, as_json=options.json, wait=_wait_for_signal)
+    return run_demo(serve=options.serve, as_json=options.json, wait=wait_for_signal)
 
 
 def add_commands(commands: argparse._SubParsersAction) -> None:
--- a/src/brassdrum/daemon/claiming.py
+++ b/src/brassdrum/daemon/claiming.py
@@ -21,7 +21,7 @@
     claim_id: str = ""
     settled: bool = False
 
-    def finish(self, status: int, content_type: str, body: bytes) -> None:
+    def finish(self, status: int, content_type: str, body: bytes | None) -> None:
         """Keep the answer for later callers with the key."""
         if self.claimer is None or self.settled:
             return
--- a/src/brassdrum/daemon/core.py
+++ b/src/brassdrum/daemon/core.py
@@ -16,6 +16,7 @@
 from brassdrum.daemon.dispatcher import Dispatcher
 from brassdrum.daemon.explanations import Explanations
 from brassdrum.daemon.limits import LimitBook
+from brassdrum.daemon.relay import Relay
 from brassdrum.daemon.watch import Watch
 from brassdrum.errors import InvalidRequestError, NotReadyError, UnknownKeyError
 from brassdrum.outcomes.claimer import Claims
@@ -92,6 +93,7 @@
     resume_tokens: ResumeTokens
     watch: Watch
     cancels: Cancels
+    relay: Relay
     explanations: Explanations
     metrics: Metrics
     tracing: Tracing
--- a/src/brassdrum/daemon/engine_run.py
+++ b/src/brassdrum/daemon/engine_run.py
@@ -2,23 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+import socket
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from brassdrum.clock import Clock
 from brassdrum.daemon.cancels import Cancels
 from brassdrum.daemon.watch import AbortReason, Watch, Watched
-from brassdrum.endpoints.engine import EngineClient, EventSource
+from brassdrum.endpoints.engine import EngineClient, EngineConnection
 from brassdrum.errors import CallerDisconnectedError, DeadlineExceededError, EndpointFailedError
 from brassdrum.http_pool import Connected, ExchangeFailedError
-from brassdrum.outcomes.stream import EventVerdict, StreamChecker
+from brassdrum.outcomes.stream import CheckedEvent, EventVerdict, StreamAssembler
 
-__all__ = ["CheckedEvent", "EngineRun", "StreamIdentity"]
+__all__ = ["EngineRun", "RunTimes", "StreamIdentity"]
 
 _RESUMES_WITHOUT_PROGRESS = 10
 _RESUME_PAUSE_SECONDS = 0.05
 _LONGEST_RESUME_PAUSE_SECONDS = 1.0
-_UNFINISHED = b'"finish_reason":null'
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,28 +31,31 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CheckedEvent:
-    """Hold one event that the caller may see."""
+class RunTimes:
+    """Bound a run: monotonic times of its end and first event, seconds between events."""
 
-    index: int
-    data: bytes
+    deadline: float
+    first_event_by: float
+    idle_seconds: float
 
 
 class EngineRun:
-    """Yield a stream's events once each; resume it at its engine when its connection breaks."""
+    """Yield a stream's events once each; resume it at its engine when its connection breaks.
+
+    ``start`` and ``next_events`` block. After ``take_over`` the socket is watched elsewhere, which
+    feeds what arrives and calls ``recover``, which blocks, when the connection ends early.
+    """
 
     def __init__(
         self,
         engine: EngineClient,
         identity: StreamIdentity,
-        connect: Callable[[Callable[[Connected], None]], EventSource],
+        connect: Callable[[Callable[[Connected], None]], EngineConnection],
         *,
         clock: Clock,
         watch: Watch,
         cancels: Cancels,
-        deadline: float,
-        first_event_by: float,
-        idle_seconds: float,
+        times: RunTimes,
         disconnected: Callable[[], bool],
         on_dropped: Callable[[EventVerdict], None],
         next_index: int = 0,
@@ -63,40 +66,104 @@
         self._clock = clock
         self._watch = watch
         self._cancels = cancels
-        self._deadline = deadline
-        self._idle_seconds = idle_seconds
-        self._on_dropped = on_dropped
-        self._checker = StreamChecker(identity.stream, next_index)
-        self._source: EventSource | None = None
+        self._times = times
+        self._assembler = StreamAssembler(identity.stream, next_index, on_dropped)
+        self._connection: EngineConnection | None = None
         self._connected: Connected | None = None
-        self._watched = Watched(deadline, first_event_by, disconnected, self._abort)
-        self._whole = False
+        self._watched = Watched(times.deadline, times.first_event_by, disconnected, self._abort)
         self._closed = False
         self._may_run = False
+        self._taken_over = False
         self._resumes = 0
-        self._last_data = b""
 
     @property
     def whole(self) -> bool:
         """Return whether the answer arrived whole."""
-        return self._whole
+        return self._assembler.whole
+
+    @property
+    def broken(self) -> bool:
+        """Return whether the connection can give nothing more that is of use."""
+        return self._assembler.broken
+
+    @property
+    def aborted(self) -> bool:
+        """Return whether the exchange was ended from outside."""
+        return self._watched.reason is not None
 
-    def events(self) -> Iterator[CheckedEvent]:
-        """Yield events to the end of the answer.
+    @property
+    def socket(self) -> socket.socket:
+        """Return the socket of the present connection."""
+        assert self._connection is not None
+        return self._connection.socket
+
+    def start(self) -> list[CheckedEvent]:
+        """Connect and wait for the first events.
 
-        Raises ``EndpointFailedError``, ``DeadlineExceededError`` or ``CallerDisconnectedError``;
-        the engine is told to stop then, again and again until it has answered.
+        Raises ``NoEndpointError``, ``EndpointFailedError``, ``DeadlineExceededError`` or
+        ``CallerDisconnectedError``; the engine is told to stop then, until it has answered.
         """
         self._watch.add(self._watched)
         try:
-            self._source = self._first_connection()
-            while True:
-                yield from self._read()
-                if self._whole:
-                    return
-                self._recover()
-        finally:
+            self._connection = self._first_connection()
+            return self.next_events()
+        except BaseException:
             self.close()
+            raise
+
+    def next_events(self) -> list[CheckedEvent]:
+        """Wait for more events; none when the answer is whole. Raises as ``start`` does."""
+        assert self._connection is not None
+        try:
+            while not self.whole:
+                events = self.feed(self._read())
+                if events:
+                    return events
+                if self.broken:
+                    self.recover()
+        except BaseException:
+            self.close()
+            raise
+        return []
+
+    def feed(self, data: bytes) -> list[CheckedEvent]:
+        """Return the events that became complete; no data means that the connection ended."""
+        if not data:
+            self._assembler.broken = not self.whole
+            return []
+        events = self._assembler.feed(data)
+        if events:
+            self._resumes = 0
+            self._watched.silent_after = self._clock.monotonic() + self._times.idle_seconds
+        return events
+
+    def take_over(self) -> list[CheckedEvent]:
+        """Make the socket non-blocking and return events that had arrived already."""
+        assert self._connection is not None
+        self._taken_over = True
+        data = self._connection.take_over()
+        return self.feed(data) if data else []
+
+    def recover(self) -> None:
+        """Connect again at the first missing event. Raises as ``start`` does."""
+        assert self._connection is not None
+        self._connection.close()
+        self._raise_abort()
+        if self._resumes >= _RESUMES_WITHOUT_PROGRESS:
+            raise EndpointFailedError(f"Endpoint {self._engine.name} breaks every connection.")
+        if self._resumes:
+            pause = _RESUME_PAUSE_SECONDS * 2**self._resumes
+            self._clock.sleep(min(_LONGEST_RESUME_PAUSE_SECONDS, pause))
+        self._resumes += 1
+        self._connection = self._engine.resume(
+            self._identity.stream,
+            self._assembler.next_index,
+            self._note_connected,
+            model=self._identity.model,
+            chat=self._identity.chat,
+            seconds=max(0.05, self._times.deadline - self._clock.monotonic()),
+        )
+        self._assembler.restart()
 
     def close(self) -> None:
         """End the exchange; cancel the stream unless it arrived whole."""
@@ -104,66 +171,31 @@
             return
         self._closed = True
         self._watch.remove(self._watched)
-        if self._whole and self._source is not None:
-            self._source.finish()
-            return
-        if self._source is not None:
-            self._source.close()
-        if self._may_run:
+        if self._connection is not None:
+            self._connection.close()
+        if self._may_run and not self.whole:
             self._cancels.add(self._engine, self._identity.stream)
 
-    def _first_connection(self) -> EventSource:
+    def _first_connection(self) -> EngineConnection:
         try:
-            source = self._connect(self._note_connected)
+            connection = self._connect(self._note_connected)
         except EndpointFailedError:
             self._may_run = True
             self._raise_abort()
             raise
         self._may_run = True
-        return source
+        return connection
 
-    def _read(self) -> Iterator[CheckedEvent]:
-        assert self._source is not None
+    def _read(self) -> bytes:
+        assert self._connection is not None
         try:
-            for event in self._source.events():
-                self._watched.silent_after = self._clock.monotonic() + self._idle_seconds
-                if event.final:
-                    self._whole = bool(self._last_data) and _UNFINISHED not in self._last_data
-                    return
-                verdict = self._checker.check(event.name)
-                if verdict is EventVerdict.DELIVER:
-                    self._resumes = 0
-                    self._last_data = event.data
-                    yield CheckedEvent(self._checker.next_index - 1, event.data)
-                    continue
-                self._on_dropped(verdict)
-                if verdict is EventVerdict.GAP:
-                    return
+            return self._connection.read()
         except ExchangeFailedError:
-            return
-
-    def _recover(self) -> None:
-        assert self._source is not None
-        self._source.close()
-        self._raise_abort()
-        if self._resumes >= _RESUMES_WITHOUT_PROGRESS:
-            raise EndpointFailedError(f"Endpoint {self._engine.name} breaks every connection.")
-        if self._resumes:
-            pause = _RESUME_PAUSE_SECONDS * 2**self._resumes
-            self._clock.sleep(min(_LONGEST_RESUME_PAUSE_SECONDS, pause))
-        self._resumes += 1
-        self._source = self._engine.resume(
-            self._identity.stream,
-            self._checker.next_index,
-            self._note_connected,
-            model=self._identity.model,
-            chat=self._identity.chat,
-            seconds=max(0.05, self._deadline - self._clock.monotonic()),
-        )
+            return b""
 
     def _raise_abort(self) -> None:
         reason = self._watched.reason
-        if reason is AbortReason.DEADLINE or self._clock.monotonic() >= self._deadline:
+        if reason is AbortReason.DEADLINE or self._clock.monotonic() >= self._times.deadline:
             raise DeadlineExceededError("The request's time passed before its answer was whole.")
         if reason is AbortReason.DISCONNECTED:
             raise CallerDisconnectedError("The caller closed its connection.")
--- a/src/brassdrum/daemon/generation.py
+++ b/src/brassdrum/daemon/generation.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 from brassdrum.admission.work import Work
@@ -12,8 +11,10 @@
 from brassdrum.daemon.claiming import claim, replay
 from brassdrum.daemon.core import Core, Scope
 from brassdrum.daemon.dispatcher import Placement
-from brassdrum.daemon.engine_run import CheckedEvent, EngineRun, StreamIdentity
+from brassdrum.daemon.engine_run import EngineRun, RunTimes, StreamIdentity
 from brassdrum.daemon.finishing import Ending
+from brassdrum.daemon.relay import RelayedStream, StreamEnd
+from brassdrum.daemon.streaming import DONE, SSE, StreamBody, error_chunk
 from brassdrum.endpoints.engine import EngineRequest
 from brassdrum.endpoints.openai import ChatRequest, CompletionRequest, parse_chat, parse_completion
 from brassdrum.errors import (
@@ -25,7 +26,7 @@
 )
 from brassdrum.outcomes.claims import OutcomeRecord
 from brassdrum.outcomes.resume import ResumeTicket
-from brassdrum.outcomes.stream import EventVerdict
+from brassdrum.outcomes.stream import CheckedEvent, EventVerdict
 from brassdrum.routing.blocks import block_hashes
 from brassdrum.telemetry.observe import observe
 from brassdrum.wsgi import Request, Response, json_response
@@ -36,8 +37,6 @@
 _FIRST_EVENT_SECONDS = 15.0
 _FIRST_EVENT_FACTOR = 5.0
 _LARGEST_REPLAY = 32 * 1024
-_SSE = "text/event-stream"
-_DONE = b"data: [DONE]\n\n"
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,29 +174,30 @@
         self, scope: Scope, generation: Generation, placement: Placement, ending: Ending
     ) -> Response:
         run, ticket = self._open(scope, generation, placement)
-        events = run.events()
-        first = self._first(scope, events, placement, generation)
+        first = self._first(scope, run, placement, generation)
         headers = {
             "Brassdrum-Request-Id": scope.request_id,
             "Brassdrum-Resume-Token": self._core.resume_tokens.sign(ticket),
             "Cache-Control": "no-store",
         }
-        body = StreamBody(first, events, run, generation, placement, ending)
-        return Response(200, body, _SSE, headers)
+        end = GenerationEnd(generation, placement, ending)
+        stream = RelayedStream(run, end, error_chunk)
+        body = StreamBody(scope.request, self._core.relay, stream, end, first)
+        return Response(200, body, SSE, headers)
 
     def _whole(
         self, scope: Scope, generation: Generation, placement: Placement, ending: Ending
     ) -> Response:
         run, _ = self._open(scope, generation, placement)
-        events = run.events()
         builder = AnswerBuilder(generation.model, chat=generation.chat)
-        event: CheckedEvent | None = self._first(scope, events, placement, generation)
+        events = self._first(scope, run, placement, generation)
         usage = None
         try:
-            while event is not None:
-                builder.add(event.data)
-                usage = Usage.in_event(event.data) or usage
-                event = next(events, None)
+            while events:
+                for event in events:
+                    builder.add(event.data)
+                    usage = Usage.in_event(event.data) or usage
+                events = run.next_events()
         finally:
             run.close()
         response = json_response(builder.content(), Brassdrum_Request_Id=scope.request_id)
@@ -207,16 +207,12 @@
         return response
 
     def _first(
-        self,
-        scope: Scope,
-        events: Iterator[CheckedEvent],
-        placement: Placement,
-        generation: Generation,
-    ) -> CheckedEvent:
+        self, scope: Scope, run: EngineRun, placement: Placement, generation: Generation
+    ) -> list[CheckedEvent]:
         clock = self._core.clock
         started = clock.monotonic()
         with scope.trace.hop("first token", endpoint=placement.state.endpoint.name):
-            first = next(events)
+            first = run.start()
         now = clock.monotonic()
         self._core.dispatcher.first_token(placement)
         if placement.idle_at_start:
@@ -255,9 +251,11 @@
             clock=core.clock,
             watch=core.watch,
             cancels=core.cancels,
-            deadline=scope.deadline,
-            first_event_by=now + _FIRST_EVENT_SECONDS + _FIRST_EVENT_FACTOR * expected,
-            idle_seconds=core.settings.idle_timeout_seconds,
+            times=RunTimes(
+                deadline=scope.deadline,
+                first_event_by=now + _FIRST_EVENT_SECONDS + _FIRST_EVENT_FACTOR * expected,
+                idle_seconds=core.settings.idle_timeout_seconds,
+            ),
             disconnected=scope.request.disconnected,
             on_dropped=self._dropped,
         )
@@ -277,81 +275,46 @@
         observe(self._core.metrics.dropped_events.add, 1, {"verdict": verdict.value})
 
 
-class StreamBody:
-    """Pass a stream's events to the caller; release everything however it ends.
-
-    A class and not a generator: a caller that goes away before the first read must still be
-    cleaned up after, and closing a generator that never ran does nothing.
-    """
-
-    def __init__(
-        self,
-        first: CheckedEvent,
-        events: Iterator[CheckedEvent],
-        run: EngineRun,
-        generation: Generation,
-        placement: Placement,
-        ending: Ending,
-    ) -> None:
-        self._next: CheckedEvent | None = first
-        self._events = events
-        self._run = run
+class GenerationEnd(StreamEnd):
+    """Count what a stream used, keep a small answer for its key and end the request."""
+
+    def __init__(self, generation: Generation, placement: Placement, ending: Ending) -> None:
         self._generation = generation
         self._placement = placement
         self._ending = ending
         self._usage: Usage | None = None
         self._kept: list[bytes] = []
         self._kept_bytes = 0
-        self._ended = False
-
-    def __iter__(self) -> StreamBody:
-        return self
 
-    def __next__(self) -> bytes:
-        if self._ended:
-            raise StopIteration
-        try:
-            event = self._next if self._next is not None else next(self._events)
-        except StopIteration:
-            return self._finish()
-        except BrassdrumError as error:
-            return self._fail(error)
-        self._next = None
+    def delivered(self, event: CheckedEvent, chunk: bytes) -> None:
+        """Look for the engine's count and keep the chunk while the answer is small."""
         self._usage = Usage.in_event(event.data) or self._usage
-        chunk = b"id: %d\ndata: %s\n\n" % (event.index, event.data)
-        self._keep(chunk)
-        return chunk
-
-    def close(self) -> None:
-        """Release what the stream holds; called by the server at the end or when a caller left."""
-        if not self._ended:
-            self._ended = True
-            self._run.close()
-            self._ending.answered(self._placement, self._generation.characters, self._usage)
-            self._ending.interrupted()
-
-    def _finish(self) -> bytes:
-        self._ended = True
-        self._keep(_DONE)
-        self._ending.answered(self._placement, self._generation.characters, self._usage)
+        if self._ending.ticket.claimer is None or self._kept_bytes > _LARGEST_REPLAY:
+            return
+        self._kept_bytes += len(chunk)
+        self._kept.append(chunk)
+
+    def finished(self) -> None:
+        """End a request that was answered whole."""
+        self._release()
         whole = self._kept_bytes <= _LARGEST_REPLAY
-        body = b"".join(self._kept) if whole else b" " * (_LARGEST_REPLAY + 1)
-        self._ending.ticket.finish(200, _SSE, body)
+        body = b"".join([*self._kept, DONE]) if whole else None
+        self._ending.ticket.finish(200, SSE, body)
         self._ending.succeeded(self._usage)
-        return _DONE
 
-    def _fail(self, error: BrassdrumError) -> bytes:
-        self._ended = True
+    def failed(self, error: BrassdrumError) -> None:
+        """End a request whose answer broke off."""
         error.ran = Ran.MAYBE
-        self._ending.answered(self._placement, self._generation.characters, self._usage)
+        self._release()
         self._ending.failed(error)
-        return b"data: " + b"".join(json_response(error.body()).chunks) + b"\n\n"
 
-    def _keep(self, chunk: bytes) -> None:
-        if self._ending.ticket.claimer is None or self._kept_bytes > _LARGEST_REPLAY:
-            return
-        self._kept_bytes += len(chunk)
-        self._kept.append(chunk)
+    def interrupted(self) -> None:
+        """End a request whose caller went away."""
+        self._release()
+        self._ending.interrupted()
+
+    def _release(self) -> None:
+        self._ending.answered(self._placement, self._generation.characters, self._usage)
 
 
 def _priority(work: Work) -> int:
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -21,6 +21,7 @@
 from brassdrum.daemon.fleet import Fleet
 from brassdrum.daemon.generation import GenerationHandler
 from brassdrum.daemon.limits import LimitBook
+from brassdrum.daemon.relay import Relay
 from brassdrum.daemon.resuming import ResumeHandler
 from brassdrum.daemon.watch import Watch
 from brassdrum.leadership.holder import DutyHolder
@@ -147,6 +148,7 @@
     def start(self) -> None:
         """Begin to serve and to follow the platform."""
         self._peer_server.start(self.gossip.answer, self._control.snapshot, self._limits.lend)
+        self.core.relay.start()
         self._http.start()
         settings = self.settings
         loops = self._loops
@@ -182,6 +184,7 @@
     def close(self) -> None:
         """Stop at once."""
         self._http.close()
+        self.core.relay.close()
         self._peer_server.close()
         self._loops.stop(timeout=0.1)
         self._endpoint_watch.close()
@@ -202,6 +205,7 @@
             resume_tokens=ResumeTokens(settings.resume_keys),
             watch=Watch(self._clock),
             cancels=Cancels(self._clock),
+            relay=Relay(),
             explanations=Explanations(self._clock),
             metrics=Metrics(settings.name),
             tracing=Tracing(settings.telemetry, settings.name),
--- a/src/brassdrum/daemon/resuming.py
+++ b/src/brassdrum/daemon/resuming.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 from brassdrum.daemon.core import Core, Scope
-from brassdrum.daemon.engine_run import CheckedEvent, EngineRun, StreamIdentity
+from brassdrum.daemon.engine_run import EngineRun, RunTimes, StreamIdentity
 from brassdrum.daemon.finishing import Ending
-from brassdrum.endpoints.engine import EngineClient, EventSource
+from brassdrum.daemon.relay import RelayedStream, StreamEnd
+from brassdrum.daemon.streaming import SSE, StreamBody, error_chunk
+from brassdrum.endpoints.engine import EngineClient, EngineConnection
 from brassdrum.errors import (
     BrassdrumError,
     EndpointFailedError,
@@ -17,13 +19,10 @@
 )
 from brassdrum.http_pool import Connected
 from brassdrum.outcomes.resume import ResumeTicket
-from brassdrum.wsgi import Request, Response, json_response
+from brassdrum.wsgi import Request, Response
 
 __all__ = ["ResumeHandler"]
 
-_SSE = "text/event-stream"
-_DONE = b"data: [DONE]\n\n"
-
 
 class ResumeHandler:
     """Answer ``GET /v1/resume``."""
@@ -57,14 +56,16 @@
             )
         start = _next_index(scope.request)
         run = self._open(scope, ticket, engine, start)
-        events = run.events()
         try:
-            first = next(events, None)
+            first = run.start()
         except EndpointFailedError as error:
             raise ResumeRefusedError("The stream is no longer held.", ran=Ran.MAYBE) from error
         self._core.explanations.add(scope.request_id, "resumed", f"{ticket.request} from {start}")
         headers = {"Brassdrum-Request-Id": ticket.request, "Brassdrum-Resume-Token": token}
-        return Response(200, _ResumedBody(first, events, run, ending), _SSE, headers)
+        end = _ResumeEnd(ending)
+        stream = RelayedStream(run, end, error_chunk)
+        body = StreamBody(scope.request, self._core.relay, stream, end, first)
+        return Response(200, body, SSE, headers)
 
     def _open(
         self, scope: Scope, ticket: ResumeTicket, engine: EngineClient, start: int
@@ -74,7 +75,7 @@
         deadline = now + ticket.deadline - core.clock.now().timestamp()
         identity = StreamIdentity(ticket.stream, ticket.model, ticket.chat)
 
-        def connect(on_connected: Callable[[Connected], None]) -> EventSource:
+        def connect(on_connected: Callable[[Connected], None]) -> EngineConnection:
             return engine.resume(
                 ticket.stream,
                 start,
@@ -91,9 +92,11 @@
             clock=core.clock,
             watch=core.watch,
             cancels=core.cancels,
-            deadline=deadline,
-            first_event_by=now + core.settings.idle_timeout_seconds,
-            idle_seconds=core.settings.idle_timeout_seconds,
+            times=RunTimes(
+                deadline=deadline,
+                first_event_by=now + core.settings.idle_timeout_seconds,
+                idle_seconds=core.settings.idle_timeout_seconds,
+            ),
             disconnected=scope.request.disconnected,
             on_dropped=lambda verdict: None,
             next_index=start,
@@ -109,45 +112,20 @@
     return int(value) + 1
 
 
-class _ResumedBody:
-    """Pass the rest of a stream on."""
+class _ResumeEnd(StreamEnd):
+    """End the request that resumed a stream."""
 
-    def __init__(
-        self,
-        first: CheckedEvent | None,
-        events: Iterator[CheckedEvent],
-        run: EngineRun,
-        ending: Ending,
-    ) -> None:
-        self._next = first
-        self._events = events
-        self._run = run
+    def __init__(self, ending: Ending) -> None:
         self._ending = ending
-        self._ended = False
 
-    def __iter__(self) -> _ResumedBody:
-        return self
+    def finished(self) -> None:
+        """End it as answered."""
+        self._ending.succeeded(None)
 
-    def __next__(self) -> bytes:
-        if self._ended:
-            raise StopIteration
-        try:
-            event = self._next if self._next is not None else next(self._events)
-        except StopIteration:
-            self._ended = True
-            self._ending.succeeded(None)
-            return _DONE
-        except BrassdrumError as error:
-            self._ended = True
-            error.ran = Ran.MAYBE
-            self._ending.failed(error)
-            return b"data: " + b"".join(json_response(error.body()).chunks) + b"\n\n"
-        self._next = None
-        return b"id: %d\ndata: %s\n\n" % (event.index, event.data)
-
-    def close(self) -> None:
-        """Release what the stream holds."""
-        if not self._ended:
-            self._ended = True
-            self._run.close()
-            self._ending.interrupted()
+    def failed(self, error: BrassdrumError) -> None:
+        """End it as failed."""
+        self._ending.failed(error)
+
+    def interrupted(self) -> None:
+        """End it because the caller went away."""
+        self._ending.interrupted()
--- a/src/brassdrum/endpoints/engine.py
+++ b/src/brassdrum/endpoints/engine.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Iterator
+import socket
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from brassdrum.errors import (
@@ -24,9 +25,8 @@
     ExchangeFailedError,
     HttpPool,
 )
-from brassdrum.outcomes.stream import StreamEvent
 
-__all__ = ["CacheEvent", "EngineClient", "EngineLoad", "EngineRequest", "EventSource"]
+__all__ = ["CacheEvent", "EngineClient", "EngineLoad", "EngineRequest", "EngineConnection"]
 
 _CONTROL_SECONDS = 2.0
 _READ_BYTES = 65536
@@ -67,60 +67,35 @@
     block: int
 
 
-class EventSource:
-    """Read the events of one connection to an engine."""
+class EngineConnection:
+    """Hold the open response of one stream."""
 
     def __init__(self, exchange: Exchange) -> None:
         self._exchange = exchange
-        self._buffer = b""
 
-    def close(self) -> None:
-        """Close the connection."""
-        self._exchange.drop()
-
-    def events(self) -> Iterator[StreamEvent]:
-        """Yield events until the connection ends; raise ``ExchangeFailedError`` when it breaks."""
-        while True:
-            end = self._buffer.find(b"\n\n")
-            if end >= 0:
-                block = self._buffer[:end]
-                self._buffer = self._buffer[end + 2 :]
-                yield _parse_event(block)
-                continue
-            data = self._read()
-            if not data:
-                return
-            self._buffer += data
-
-    def finish(self) -> None:
-        """Give the connection back after the final event."""
-        try:
-            if not self._exchange.response.read1(1):
-                self._exchange.finish()
-                return
-        except (OSError, ValueError, AttributeError):
-            pass
-        self._exchange.drop()
+    @property
+    def socket(self) -> socket.socket:
+        """Return the socket, to wait on once the connection was taken over."""
+        return self._exchange.socket
 
-    def _read(self) -> bytes:
+    def read(self) -> bytes:
+        """Wait for bytes; empty at the end. Raises ``ExchangeFailedError`` when it breaks."""
         try:
             return self._exchange.response.read1(_READ_BYTES)
         except Exception as error:
-            # Besides OSError and HTTPException, a socket shut down by abort() makes http.client
-            # fail in its own ways (ValueError, AttributeError).
+            # Besides OSError and HTTPException, a socket that another thread shut down makes
+            # http.client fail in its own ways (ValueError, AttributeError).
             raise ExchangeFailedError(f"{type(error).__name__}: {error}") from error
 
+    def take_over(self) -> bytes:
+        """Stop blocking; return what has arrived but was not read yet."""
+        self.socket.setblocking(False)
+        file = self._exchange.response.fp
+        return (file.read1(_READ_BYTES) or b"") if file is not None else b""
 
-def _parse_event(block: bytes) -> StreamEvent:
-    name = ""
-    data = b""
-    for line in block.split(b"\n"):
-        if line.startswith(b"data: "):
-            data = line[6:]
-            continue
-        if line.startswith(b"id: "):
-            name = line[4:].decode("ascii", "replace")
-    return StreamEvent(name, data)
+    def close(self) -> None:
+        """Close the connection."""
+        self._exchange.drop()
 
 
 class EngineClient:
@@ -133,7 +108,7 @@
 
     def open(
         self, request: EngineRequest, on_connected: Callable[[Connected], None]
-    ) -> EventSource:
+    ) -> EngineConnection:
         """Start a stream.
 
         Raises ``NoEndpointError`` when nothing ran (no connection, or the engine refused before
@@ -159,6 +134,7 @@
                 headers,
                 timeout=request.seconds,
                 fresh=True,
+                unframed=True,
                 on_connected=on_connected,
             )
         except ConnectFailedError as error:
@@ -166,7 +142,7 @@
         except ExchangeFailedError as error:
             raise EndpointFailedError(f"Endpoint {self.name} did not answer: {error}.") from error
         if exchange.status == 200:
-            return EventSource(exchange)
+            return EngineConnection(exchange)
         raise self._refusal(exchange)
 
     def resume(
@@ -178,17 +154,22 @@
         model: str,
         chat: bool,
         seconds: float,
-    ) -> EventSource:
+    ) -> EngineConnection:
         """Read a stream on from an index, or raise ``EndpointFailedError``."""
         path = f"/v1/streams/{stream}?from={start}&model={model}&chat={int(chat)}"
         try:
             exchange = self._pool.request(
-                "GET", path, timeout=seconds, fresh=True, on_connected=on_connected
+                "GET",
+                path,
+                timeout=seconds,
+                fresh=True,
+                unframed=True,
+                on_connected=on_connected,
             )
         except (ConnectFailedError, ExchangeFailedError) as error:
             raise EndpointFailedError(f"Endpoint {self.name} did not answer: {error}.") from error
         if exchange.status == 200:
-            return EventSource(exchange)
+            return EngineConnection(exchange)
         exchange.drop()
         raise EndpointFailedError(f"Endpoint {self.name} no longer holds the stream.")
 
--- a/src/brassdrum/http_pool.py
+++ b/src/brassdrum/http_pool.py
@@ -26,17 +26,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Connected:
-    """Hold a connection that a request is about to use."""
+    """Hold the socket of a connection that a request is about to use."""
 
-    connection: http.client.HTTPConnection
+    socket: socket.socket
 
     def abort(self) -> None:
         """Wake whoever reads or writes: the connection ends now."""
-        sock = self.connection.sock
-        if sock is None:
-            return
         try:
-            sock.shutdown(socket.SHUT_RDWR)
+            self.socket.shutdown(socket.SHUT_RDWR)
         except OSError:
             pass
 
@@ -48,6 +45,7 @@
     pool: HttpPool
     connection: http.client.HTTPConnection
     response: http.client.HTTPResponse
+    socket: socket.socket
 
     @property
     def status(self) -> int:
@@ -60,8 +58,7 @@
 
     def set_timeout(self, seconds: float) -> None:
         """Bound each following read."""
-        if self.connection.sock is not None:
-            self.connection.sock.settimeout(max(0.001, seconds))
+        self.socket.settimeout(max(0.001, seconds))
 
     def read(self) -> bytes:
         """Return the whole body and give the connection back."""
@@ -87,9 +84,15 @@
 
     def drop(self) -> None:
         """Close the connection, whatever is left on it."""
+        self.response.close()
         self.connection.close()
 
 
+class _UnframedConnection(http.client.HTTPConnection):
+    _http_vsn = 10
+    _http_vsn_str = "HTTP/1.0"
+
+
 class HttpPool:
     """Open, reuse and close connections to one base URL."""
 
@@ -111,21 +114,23 @@
         *,
         timeout: float | None = None,
         fresh: bool = False,
+        unframed: bool = False,
         on_connected: Callable[[Connected], None] | None = None,
     ) -> Exchange:
         """Send a request and return its response with the body unread.
 
         ``fresh`` opens a new connection: a reused one may have been closed by the other side, and
         then nobody knows whether the request ran. ``on_connected`` is handed the connection before
-        the first byte leaves, so that another thread can end a wait for the response. Raises
+        the first byte leaves, so that another thread can end a wait for the response.
+        ``unframed`` asks by HTTP/1.0, so that the body comes as it is, without chunks. Raises
         ``ConnectFailedError`` or ``ExchangeFailedError``.
         """
         limit = self._timeout if timeout is None else max(0.001, timeout)
         connection, reused = (None, False) if fresh else self._take()
         if connection is None:
-            connection = self._connect(limit)
+            connection = self._connect(limit, unframed=unframed)
         if on_connected is not None:
-            on_connected(Connected(connection))
+            on_connected(Connected(connection.sock))
         try:
             return self._send(connection, method, path, body, headers, limit)
         except ExchangeFailedError:
@@ -171,8 +176,9 @@
                 return self._idle.pop(), True
         return None, False
 
-    def _connect(self, timeout: float) -> http.client.HTTPConnection:
-        connection = http.client.HTTPConnection(self._host, self._port, timeout=timeout)
+    def _connect(self, timeout: float, *, unframed: bool = False) -> http.client.HTTPConnection:
+        kind = _UnframedConnection if unframed else http.client.HTTPConnection
+        connection = kind(self._host, self._port, timeout=timeout)
         try:
             connection.connect()
         except OSError as error:
@@ -194,8 +200,10 @@
         try:
             if connection.sock is not None:
                 connection.sock.settimeout(timeout)
+            # getresponse() lets go of the socket when the server will close the connection.
+            sock = connection.sock
             connection.request(method, path, body=body, headers=dict(headers or {}))
-            return Exchange(self, connection, connection.getresponse())
+            return Exchange(self, connection, connection.getresponse(), sock)
         except _FAILURES as error:
             connection.close()
             raise ExchangeFailedError(_describe(error)) from error
--- a/src/brassdrum/outcomes/claimer.py
+++ b/src/brassdrum/outcomes/claimer.py
@@ -126,10 +126,10 @@
         record = AbandonRecord(format=1, kind="abandon", id=claim_id)
         self.appender.lazy(record.model_dump())
 
-    def finish(self, claim_id: str, status: int, content_type: str, body: bytes) -> None:
+    def finish(self, claim_id: str, status: int, content_type: str, body: bytes | None) -> None:
         """Keep the answer; a large body is left out and later callers learn only that it ran."""
         text = None
-        if len(body) <= _LARGEST_BODY:
+        if body is not None and len(body) <= _LARGEST_BODY:
             text = body.decode("utf-8", "replace")
         record = OutcomeRecord(
             format=1,
--- a/src/brassdrum/outcomes/stream.py
+++ b/src/brassdrum/outcomes/stream.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["EventVerdict", "StreamChecker", "StreamEvent"]
+__all__ = ["CheckedEvent", "EventVerdict", "StreamAssembler", "StreamChecker", "StreamEvent"]
+
+_UNFINISHED = b'"finish_reason":null'
 
 
 class EventVerdict(StrEnum):
@@ -30,6 +33,14 @@
         return self.data == b"[DONE]"
 
 
+@dataclass(frozen=True, slots=True)
+class CheckedEvent:
+    """Hold one event that the caller may see."""
+
+    index: int
+    data: bytes
+
+
 class StreamChecker:
     """Let through one stream's events in order, each once."""
 
@@ -50,3 +61,64 @@
         if int(index) < self.next_index:
             return EventVerdict.REPEATED
         return EventVerdict.GAP
+
+
+class StreamAssembler:
+    """Turn the bytes of one connection after another into a stream's events, each once."""
+
+    def __init__(
+        self, stream: str, next_index: int, on_dropped: Callable[[EventVerdict], None]
+    ) -> None:
+        self._checker = StreamChecker(stream, next_index)
+        self._on_dropped = on_dropped
+        self._buffer = b""
+        self._last_data = b""
+        self.whole = False
+        self.broken = False
+
+    @property
+    def next_index(self) -> int:
+        """Return the index of the first event still missing."""
+        return self._checker.next_index
+
+    def restart(self) -> None:
+        """Begin with a new connection that starts at ``next_index``."""
+        self._buffer = b""
+        self.broken = False
+
+    def feed(self, data: bytes) -> list[CheckedEvent]:
+        """Return the events that became complete; sets ``whole`` or ``broken`` at an end."""
+        *blocks, self._buffer = (self._buffer + data).split(b"\n\n")
+        events = []
+        for block in blocks:
+            if self.whole or self.broken:
+                break
+            event = self._take(_parse(block))
+            if event is not None:
+                events.append(event)
+        return events
+
+    def _take(self, event: StreamEvent) -> CheckedEvent | None:
+        if event.final:
+            self.whole = bool(self._last_data) and _UNFINISHED not in self._last_data
+            self.broken = not self.whole
+            return None
+        verdict = self._checker.check(event.name)
+        if verdict is EventVerdict.DELIVER:
+            self._last_data = event.data
+            return CheckedEvent(self._checker.next_index - 1, event.data)
+        self._on_dropped(verdict)
+        self.broken = verdict is EventVerdict.GAP
+        return None
+
+
+def _parse(block: bytes) -> StreamEvent:
+    name = ""
+    data = b""
+    for line in block.split(b"\n"):
+        if line.startswith(b"data: "):
+            data = line[6:]
+            continue
+        if line.startswith(b"id: "):
+            name = line[4:].decode("ascii", "replace")
+    return StreamEvent(name, data)
--- a/src/brassdrum/wsgi.py
+++ b/src/brassdrum/wsgi.py
@@ -15,6 +15,7 @@
 from waitress.server import BaseWSGIServer, MultiSocketServer
 
 from brassdrum.errors import BrassdrumError, InvalidRequestError
+from brassdrum.wsgi_stream import DETACH, DetachableChannel, StreamWriter
 
 __all__ = ["HttpServer", "Request", "Response", "Router", "json_response"]
 
@@ -65,6 +66,10 @@
             raise InvalidRequestError("The body is no JSON object.")
         return content
 
+    def detach(self) -> StreamWriter:
+        """Take the response out of this thread; the writer ends it."""
+        return self._environ[DETACH]()  # type: ignore[operator]
+
     def disconnected(self) -> bool:
         """Return whether the caller closed its connection."""
         probe = self._environ.get("waitress.client_disconnected")
@@ -189,6 +194,7 @@
             outbuf_high_watermark=1 << 20,
             clear_untrusted_proxy_headers=True,
         )
+        self._server.channel_class = DetachableChannel
         self._thread = threading.Thread(target=self._run, name=f"http-{port}", daemon=True)
 
     @property
