Take the callers' sockets of open streams out of waitress's loop

Cause: after the relay, half of the daemon's samples waited for the interpreter lock; waitress's main loop looks at all 450 connections at every wake and was woken by every token that was not yet sent. Change: the relay owns the sockets of both sides; it sees a caller leave, holds up only the stream of a caller that reads slowly, and cuts one that takes nothing until its deadline.

--- a/src/brassdrum/daemon/engine_run.py
+++ b/src/brassdrum/daemon/engine_run.py
@@ -71,6 +71,7 @@
         self._connection: EngineConnection | None = None
         self._connected: Connected | None = None
         self._watched = Watched(times.deadline, times.first_event_by, disconnected, self._abort)
+        self.on_aborted: Callable[[], None] | None = None
         self._closed = False
         self._may_run = False
         self._taken_over = False
@@ -87,9 +88,9 @@
         return self._assembler.broken
 
     @property
-    def aborted(self) -> bool:
-        """Return whether the exchange was ended from outside."""
-        return self._watched.reason is not None
+    def ended(self) -> bool:
+        """Return whether the exchange was closed."""
+        return self._closed
 
     @property
     def socket(self) -> socket.socket:
@@ -208,3 +209,5 @@
     def _abort(self) -> None:
         if self._connected is not None:
             self._connected.abort()
+        if self.on_aborted is not None:
+            self.on_aborted()
--- a/src/brassdrum/daemon/streaming.py
+++ b/src/brassdrum/daemon/streaming.py
@@ -6,6 +6,7 @@
 from brassdrum.errors import BrassdrumError, Ran
 from brassdrum.outcomes.stream import CheckedEvent
 from brassdrum.wsgi import Request, json_response
+from brassdrum.wsgi_stream import StreamWriter
 
 __all__ = ["DONE", "SSE", "StreamBody", "error_chunk"]
 
@@ -48,8 +49,7 @@
             return self._first_chunk()
         if not self._handed_over:
             self._handed_over = True
-            self._stream.attach(self._request.detach())
-            self._relay.add(self._stream)
+            self._request.detach(self._detached)
         raise StopIteration
 
     def close(self) -> None:
@@ -57,6 +57,13 @@
         if not self._handed_over:
             self._stream.interrupt()
 
+    def _detached(self, writer: StreamWriter | None) -> None:
+        if writer is None:
+            self._stream.interrupt()
+            return
+        self._stream.attach(writer)
+        self._relay.add(self._stream)
+
     def _first_chunk(self) -> bytes:
         chunks = []
         for event in self._first:
--- a/src/brassdrum/wsgi.py
+++ b/src/brassdrum/wsgi.py
@@ -66,9 +66,9 @@
             raise InvalidRequestError("The body is no JSON object.")
         return content
 
-    def detach(self) -> StreamWriter:
-        """Take the response out of this thread; the writer ends it."""
-        return self._environ[DETACH]()  # type: ignore[operator]
+    def detach(self, on_detached: Callable[[StreamWriter | None], None]) -> None:
+        """Take the response out of the server; the callback gets None if the caller has left."""
+        self._environ[DETACH](on_detached)  # type: ignore[operator]
 
     def disconnected(self) -> bool:
         """Return whether the caller closed its connection."""
--- a/src/brassdrum/wsgi_stream.py
+++ b/src/brassdrum/wsgi_stream.py
@@ -1,50 +1,79 @@
-"""Let a response leave its thread: go on writing to a waitress channel from elsewhere.
+"""Let a response leave waitress: another thread goes on writing to the caller's socket.
 
-A waitress thread serves one request to its end. With hundreds of open streams that means hundreds
-of threads that wake for every token; this module lets the thread go after the first event. It uses
-the places that waitress gives for it (``channel_class``, ``task_class``).
+A waitress thread serves one request to its end, and its main loop looks at every connection at
+every wake. With hundreds of open streams both cost more than the streams themselves. This module
+takes a connection out after its first event. It uses the places that waitress gives for it
+(``channel_class``, ``task_class``, the trigger that runs a function in the main loop).
 """
 
 from __future__ import annotations
 
-import time
+import socket
+from collections.abc import Callable
 
-from waitress.channel import ClientDisconnected, HTTPChannel
+from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
-__all__ = ["DETACH", "ClientDisconnected", "DetachableChannel", "StreamWriter"]
+__all__ = ["DETACH", "DetachableChannel", "StreamWriter"]
 
 DETACH = "brassdrum.detach"
+_SEND_BYTES = 256 * 1024
+
+OnDetached = Callable[["StreamWriter | None"], None]
 
 
 class StreamWriter:
-    """Write the rest of a detached response; any one thread at a time."""
+    """Write the rest of a response to its socket; used by one thread only."""
 
-    def __init__(self, task: DetachableTask) -> None:
-        self._channel = task.channel
-        self._chunked = task.chunked_response
+    def __init__(self, sock: socket.socket, leftover: bytes, *, chunked: bool) -> None:
+        self.socket = sock
+        self._chunked = chunked
+        self._buffer = bytearray(leftover)
+        self._ending = False
 
     @property
     def backlog(self) -> int:
         """Return the bytes that the caller has not taken yet."""
-        return self._channel.total_outbufs_len
+        return len(self._buffer)
+
+    @property
+    def ended(self) -> bool:
+        """Return whether the response was ended and all of it was sent."""
+        return self._ending and not self._buffer
 
     def write(self, data: bytes) -> None:
-        """Send bytes as soon as possible, or raise ``ClientDisconnected``."""
+        """Send bytes now or when the caller takes them; raise ``OSError`` when it left."""
         if self._chunked:
             data = b"%X\r\n%b\r\n" % (len(data), data)
-        self._channel.last_activity = time.time()
-        self._channel.write_soon(data)
+        if not self._buffer:
+            data = data[self._send(data) :]
+        self._buffer += data
+
+    def flush(self) -> None:
+        """Send what waits, as far as the caller takes it; raise ``OSError`` when it left."""
+        if self._buffer:
+            del self._buffer[: self._send(self._buffer[:_SEND_BYTES])]
 
     def end(self) -> None:
-        """End the response and close the connection when all is sent."""
+        """End the response; the rest is sent by ``flush``."""
+        if self._chunked:
+            self._buffer += b"0\r\n\r\n"
+        self._ending = True
+        self.flush()
+
+    def close(self) -> None:
+        """Close the connection."""
         try:
-            if self._chunked:
-                self._channel.write_soon(b"0\r\n\r\n")
-        except ClientDisconnected:
-            return
-        self._channel.close_when_flushed = True
-        self._channel.server.pull_trigger()
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+        self.socket.close()
+
+    def _send(self, data: bytes | bytearray) -> int:
+        try:
+            return self.socket.send(data)
+        except BlockingIOError:
+            return 0
 
 
 class DetachableTask(WSGITask):
@@ -70,34 +99,44 @@
         if not self.detached:
             super().finish()
 
-    def _detach(self) -> StreamWriter:
+    def _detach(self, on_detached: OnDetached) -> None:
         self.detached = True
-        self.channel.detached = True
-        return StreamWriter(self)
+        self.channel.detach(on_detached, chunked=self.chunked_response)
 
 
 class DetachableChannel(HTTPChannel):
     """Serve one connection; after a detached response it takes no further request."""
 
     task_class = DetachableTask
-    detached = False
+
+    def __init__(self, *arguments: object, **named: object) -> None:
+        self._on_detached: OnDetached | None = None
+        self._chunked = False
+        super().__init__(*arguments, **named)
+
+    def detach(self, on_detached: OnDetached, *, chunked: bool) -> None:
+        """Hand the socket over once the request's thread is done with it."""
+        self._chunked = chunked
+        self._on_detached = on_detached
 
     def received(self, data: bytes) -> bool:
         """Take bytes from the caller; what follows a detached request is dropped."""
-        if self.detached:
+        if self._on_detached is not None:
             return False
         return super().received(data)
 
-    def handle_write(self) -> None:
-        """Send what is left; take the lock, because a writer is at work elsewhere.
-
-        The base class sends without the lock when no request runs in a thread.
-        """
-        if not self.detached:
-            super().handle_write()
+    def service(self) -> None:
+        """Run one request in a thread."""
+        super().service()
+        if self._on_detached is not None:
+            # Only the main loop may change the table of connections.
+            self.server.trigger.pull_trigger(self._hand_over)
+
+    def _hand_over(self) -> None:
+        assert self._on_detached is not None
+        if not self.connected or self.will_close:
+            self._on_detached(None)
             return
-        self._flush_exception(self._flush_some_if_lockable)
-        if self.close_when_flushed and not self.total_outbufs_len:
-            self.will_close = True
-        if self.will_close:
-            self.handle_close()
+        leftover = b"".join(outbuf.get(len(outbuf), skip=True) for outbuf in self.outbufs)
+        self.del_channel()
+        self._on_detached(StreamWriter(self.socket, leftover, chunked=self._chunked))
