Measure what control costs against the fleet's size; observe endpoints for each other

Change: bench slopes; in fleets over 12 daemons two daemons observe each endpoint and tell the others.

--- a/src/brassdrum/cli/bench.py
+++ b/src/brassdrum/cli/bench.py
@@ -27,6 +27,21 @@
     return 0
 
 
+def _run_slopes(options: argparse.Namespace) -> int:
+    from brassdrum.bench.slopes import measure_point
+
+    points = []
+    for size in options.size:
+        daemons, endpoints, organisations = (int(part) for part in size.split(","))
+        point = measure_point(daemons, endpoints, organisations, options.changes, options.seconds)
+        points.append(asdict(point))
+        if not options.json:
+            print(f"{size}: {points[-1]}", flush=True)
+    if options.json:
+        print_json(points)
+    return 0
+
+
 def _run_source(options: argparse.Namespace) -> int:
     from brassdrum.bench.source import PacedSource, PacedSourceSettings
 
@@ -49,6 +64,14 @@
     overhead.add_argument("--seed", type=int, default=1)
     overhead.add_argument("--json", action="store_true", help="print JSON")
     overhead.set_defaults(run=_run_overhead)
+    slopes = actions.add_parser("slopes", help="what control costs against the fleet's size")
+    slopes.add_argument(
+        "size", nargs="+", metavar="DAEMONS,ENDPOINTS,ORGANISATIONS", help="sizes to measure"
+    )
+    slopes.add_argument("--changes", type=int, default=5, help="publishes while measuring")
+    slopes.add_argument("--seconds", type=float, default=15.0)
+    slopes.add_argument("--json", action="store_true", help="print JSON")
+    slopes.set_defaults(run=_run_slopes)
     source = actions.add_parser("source", help="serve tokens at a steady pace (used by overhead)")
     source.add_argument("--settings", type=Path, required=True)
     source.set_defaults(run=_run_source)
--- a/src/brassdrum/daemon/admin.py
+++ b/src/brassdrum/daemon/admin.py
@@ -78,6 +78,7 @@
             "claims": sum(len(shard.fold) for shard in core.claims.shards),
             "unwritten_records": sum(shard.appender.unwritten for shard in core.claims.shards),
             "pending_cancels": len(core.cancels),
+            "control_cost": core.cost.totals(),
             "daemons": daemons,
             "endpoints": endpoints,
             "organisations": accounts,
--- a/src/brassdrum/daemon/core.py
+++ b/src/brassdrum/daemon/core.py
@@ -23,6 +23,7 @@
 from brassdrum.outcomes.resume import ResumeTokens
 from brassdrum.outcomes.retries import RetryBudget, RetryPolicy
 from brassdrum.settings import DaemonSettings
+from brassdrum.telemetry.control_cost import ControlCost
 from brassdrum.telemetry.metrics import Metrics
 from brassdrum.telemetry.traces import RequestTrace, Tracing
 from brassdrum.wsgi import Request
@@ -98,6 +99,7 @@
     metrics: Metrics
     tracing: Tracing
     retry_budget: RetryBudget
+    cost: ControlCost
     retries: RetryPolicy = field(init=False)
     active: ActiveRequests = field(default_factory=ActiveRequests)
     stopping: threading.Event = field(default_factory=threading.Event)
--- a/src/brassdrum/daemon/endpoint_watch.py
+++ b/src/brassdrum/daemon/endpoint_watch.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 from brassdrum.clock import Clock
@@ -22,7 +23,10 @@
 class EndpointWatch:
     """Poll the engines' reports and cache events."""
 
-    def __init__(self, dispatcher: Dispatcher, clock: Clock) -> None:
+    def __init__(
+        self, dispatcher: Dispatcher, clock: Clock, observed: Callable[[str], bool]
+    ) -> None:
+        self._observed = observed
         self._dispatcher = dispatcher
         self._clock = clock
         self._executor = ThreadPoolExecutor(_POLL_THREADS, thread_name_prefix="poll")
@@ -35,11 +39,12 @@
         return set(self._draining)
 
     def step(self) -> None:
-        """Poll every engine once, in random order."""
+        """Poll the engines that this daemon observes once, in random order."""
         engines = list(self._dispatcher.fleet.engines_by_name.values())
         random.shuffle(engines)
         known = self._dispatcher.fleet.states_by_name
-        list(self._executor.map(self._poll, [item for item in engines if item.name in known]))
+        mine = [item for item in engines if item.name in known and self._observed(item.name)]
+        list(self._executor.map(self._poll, mine))
         self._dispatcher.pump()
 
     def close(self) -> None:
--- a/src/brassdrum/daemon/fleet.py
+++ b/src/brassdrum/daemon/fleet.py
@@ -4,7 +4,7 @@
 
 import bisect
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from brassdrum.admission.work import LengthBand, Work, is_service, service_target
 from brassdrum.clock import Clock
@@ -27,7 +27,14 @@
 class Fleet:
     """Know every endpoint; changed only under the dispatcher's lock."""
 
-    def __init__(self, clock: Clock, zone: str, policy: str | None = None) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        zone: str,
+        policy: str | None = None,
+        on_call: Callable[[int], None] | None = None,
+    ) -> None:
+        self._on_call = on_call
         self._clock = clock
         self._zone = zone
         self._policy_override = policy
@@ -103,7 +110,9 @@
             known.endpoint = endpoint
             return known
         if endpoint.kind is EndpointKind.ENGINE:
-            self.engines_by_name[endpoint.name] = EngineClient(endpoint.name, endpoint.url)
+            self.engines_by_name[endpoint.name] = EngineClient(
+                endpoint.name, endpoint.url, self._on_call
+            )
         else:
             self.services_by_name[endpoint.name] = ServiceClient(endpoint.name, endpoint.url)
         now = self._clock.monotonic()
--- a/src/brassdrum/daemon/limits.py
+++ b/src/brassdrum/daemon/limits.py
@@ -21,6 +21,7 @@
 from brassdrum.errors import LimitExceededError
 from brassdrum.membership.gossip import PeerClients
 from brassdrum.membership.peer_pb2 import Demand, LendReply, LendRequest, Slice
+from brassdrum.telemetry.control_cost import ControlCost
 
 __all__ = ["LimitBook"]
 
@@ -47,6 +48,7 @@
         clients: PeerClients,
         census: Callable[[], Census],
         address_of: Callable[[str], str | None],
+        cost: ControlCost,
         term_seconds: float = _TERM_SECONDS,
     ) -> None:
         self._name = name
@@ -54,6 +56,7 @@
         self._clients = clients
         self._census = census
         self._address_of = address_of
+        self._cost = cost
         self._term = term_seconds
         self._lock = threading.Lock()
         self._limits_by_organisation: dict[str, Allowance] = {}
@@ -119,6 +122,7 @@
                 continue
             address = self._address_of(lender)
             if address is not None:
+                self._cost.add("limits", request.ByteSize())
                 call = self._clients.stub(address).Lend.future(request, timeout=_CALL_SECONDS)
                 call.add_done_callback(self._receive)
 
@@ -127,6 +131,8 @@
         now = self._clock.monotonic()
         census = self._census()
         reply = LendReply()
+        if request.borrower != self._name:
+            self._cost.add("limits", request.ByteSize())
         with self._lock:
             for demand in request.demands:
                 limits = self._limits_by_organisation.get(demand.organisation)
@@ -210,6 +216,7 @@
     def _receive(self, call: grpc.Future) -> None:
         if call.cancelled() or call.exception() is not None:
             return
+        self._cost.add("limits", call.result().ByteSize())
         self._take(call.result())
 
     def _take(self, reply: LendReply) -> None:
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -28,15 +28,24 @@
 from brassdrum.leadership.lease import Lease
 from brassdrum.loops import BackgroundLoops
 from brassdrum.membership.gossip import Gossip, PeerClients, PeerServer
-from brassdrum.membership.peer_pb2 import LEAVING, READY, STARTING, DaemonEntry, EndpointLoad
+from brassdrum.membership.observers import ObserverMap, ReportSharing, polls_itself
+from brassdrum.membership.peer_pb2 import (
+    LEAVING,
+    READY,
+    STARTING,
+    DaemonEntry,
+    EndpointLoad,
+    EndpointReport,
+)
 from brassdrum.membership.peers import PeerTable
 from brassdrum.outcomes.claimer import Claims
 from brassdrum.outcomes.resume import ResumeTokens
 from brassdrum.outcomes.retries import RetryBudget
 from brassdrum.platform.hosts import HttpHostList
 from brassdrum.platform.log import HttpLog
-from brassdrum.routing.state import PeerLoad
+from brassdrum.routing.state import LoadReport, PeerLoad
 from brassdrum.settings import DaemonSettings
+from brassdrum.telemetry.control_cost import ControlCost
 from brassdrum.telemetry.metrics import Metrics
 from brassdrum.telemetry.traces import Tracing
 from brassdrum.wsgi import HttpServer, Request, Response, Router, json_response
@@ -61,7 +70,12 @@
     ) -> None:
         self.settings = settings
         self._clock = clock or SystemClock()
-        self._log = HttpLog(settings.platform.url, settings.platform.timeout_seconds)
+        self._cost = ControlCost()
+        self._log = HttpLog(
+            settings.platform.url,
+            settings.platform.timeout_seconds,
+            lambda size: self._cost.add("log", size),
+        )
         self._clients = PeerClients()
         self._peer_server = PeerServer(settings.peer.host, settings.peer.port)
         self._was_ready = False
@@ -71,15 +85,23 @@
             self._log, CLAIM_SHARDS, settings.name, self._clock, _DEFAULT_WINDOW_SECONDS
         )
         self._dispatcher = Dispatcher(
-            self._clock, Fleet(self._clock, settings.zone, policy), settings.queue_length
+            self._clock,
+            Fleet(
+                self._clock, settings.zone, policy, lambda size: self._cost.add("endpoints", size)
+            ),
+            settings.queue_length,
         )
         self._limits = LimitBook(
-            settings.name, self._clock, self._clients, self._census, self._peer_address
+            settings.name, self._clock, self._clients, self._census, self._peer_address, self._cost
         )
         self._hosts = HostWatch(
-            HttpHostList(settings.platform.url, settings.platform.timeout_seconds)
+            HttpHostList(
+                settings.platform.url,
+                settings.platform.timeout_seconds,
+                lambda size: self._cost.add("hosts", size),
+            )
         )
-        self._endpoint_watch = EndpointWatch(self._dispatcher, self._clock)
+        self._endpoint_watch = EndpointWatch(self._dispatcher, self._clock, self._observes)
         self.core = self._make_core()
         self._http = HttpServer(
             self._router_placeholder,
@@ -95,7 +117,10 @@
             self._seeds,
             self._describe,
             self._merged,
+            self._cost,
         )
+        self._reports = ReportSharing()
+        self._observers = ObserverMap(settings.name)
         self._router = self._make_router()
         self._duty = DutyHolder(
             _CHECKPOINT_DUTY,
@@ -210,6 +235,7 @@
             metrics=Metrics(settings.name),
             tracing=Tracing(settings.telemetry, settings.name),
             retry_budget=RetryBudget(_RETRY_SHARE),
+            cost=self._cost,
         )
 
     def _make_router(self) -> Router:
@@ -269,22 +295,16 @@
         if entry.state != LEAVING:
             entry.state = STARTING if self.not_ready() else READY
         now = self._clock.monotonic()
+        small = polls_itself(len(self._serving))
         with self._dispatcher.lock:
             fleet = self._dispatcher.fleet
             entry.long_share = fleet.long_share
             del entry.loads[:]
-            for name, state in fleet.states_by_name.items():
-                if not state.own_by_id:
-                    continue
-                entry.loads.append(
-                    EndpointLoad(
-                        endpoint=name,
-                        streams=len(state.own_by_id),
-                        queued_tokens=state.own_queued_tokens(),
-                        long_prefills=state.own_long_prefills(),
-                    )
-                )
+            entry.loads.extend(_own_loads(fleet, long_only=not small))
+            reports = [] if small else self._observed_reports(now)
             failing = fleet.failing(now)
+        del entry.reports[:]
+        entry.reports.extend(self._reports.choose(reports))
         del entry.leaving_endpoints[:]
         entry.leaving_endpoints.extend(sorted(self._own_leaving()))
         del entry.failing_endpoints[:]
@@ -306,6 +326,8 @@
                     state.peers_by_daemon[record.entry.name] = PeerLoad(
                         record.heard, load.streams, load.queued_tokens, load.long_prefills
                     )
+                for report in record.entry.reports:
+                    _take_report(fleet, report, record.heard)
                 _drop_ended(fleet, record.entry)
             fleet.peer_long_share = sum(shares) / len(shares)
 
@@ -322,11 +344,35 @@
                     state.since = self._clock.monotonic()
                 state.leaving = name in leaving
 
-    def _census(self) -> Census:
+    @property
+    def _serving(self) -> list[str]:
         with self.gossip.lock:
-            live = self.gossip.table.serving(self._clock.monotonic())
+            return self.gossip.table.serving(self._clock.monotonic())
+
+    def _census(self) -> Census:
+        live = self._serving
         return Census(live, sorted({*live, *self._hosts.daemon_names()}))
 
+    def _observes(self, endpoint: str) -> bool:
+        return self._observers.observes(endpoint, self._serving)
+
+    def _observed_reports(self, now: float) -> list[EndpointReport]:
+        serving = self._serving
+        reports = []
+        for name, state in self._dispatcher.fleet.states_by_name.items():
+            if state.report is None or not self._observers.observes(name, serving):
+                continue
+            reports.append(
+                EndpointReport(
+                    endpoint=name,
+                    age_milliseconds=int(max(0.0, now - state.report.at) * 1000),
+                    streams=state.report.streams,
+                    queued_tokens=state.report.queued_tokens,
+                    kv_tokens_held=state.report.kv_tokens_held,
+                )
+            )
+        return reports
+
     def _peer_address(self, daemon: str) -> str | None:
         with self.gossip.lock:
             record = self.gossip.table.record(daemon)
@@ -359,6 +405,31 @@
                 time.sleep(0.05)
 
 
+def _own_loads(fleet: Fleet, *, long_only: bool) -> list[EndpointLoad]:
+    loads = []
+    for name, state in fleet.states_by_name.items():
+        long_prefills = state.own_long_prefills()
+        if not state.own_by_id or (long_only and long_prefills == 0):
+            continue
+        loads.append(
+            EndpointLoad(
+                endpoint=name,
+                streams=len(state.own_by_id),
+                queued_tokens=state.own_queued_tokens(),
+                long_prefills=long_prefills,
+            )
+        )
+    return loads
+
+
+def _take_report(fleet: Fleet, told: EndpointReport, heard: float) -> None:
+    state = fleet.states_by_name.get(told.endpoint)
+    at = heard - told.age_milliseconds / 1000
+    if state is None or (state.report is not None and state.report.at >= at):
+        return
+    state.report = LoadReport(at, told.streams, told.queued_tokens, told.kv_tokens_held)
+
+
 def _drop_ended(fleet: Fleet, entry: DaemonEntry) -> None:
     loaded = {load.endpoint for load in entry.loads}
     for name, state in fleet.states_by_name.items():
--- a/src/brassdrum/endpoints/engine.py
+++ b/src/brassdrum/endpoints/engine.py
@@ -101,10 +101,10 @@
 class EngineClient:
     """Send requests and orders to one engine."""
 
-    def __init__(self, name: str, url: str) -> None:
+    def __init__(self, name: str, url: str, on_call: Callable[[int], None] | None = None) -> None:
         self.name = name
         self.url = url
-        self._pool = HttpPool(url, _CONTROL_SECONDS)
+        self._pool = HttpPool(url, _CONTROL_SECONDS, on_call)
 
     def open(
         self, request: EngineRequest, on_connected: Callable[[Connected], None]
--- a/src/brassdrum/http_pool.py
+++ b/src/brassdrum/http_pool.py
@@ -13,6 +13,8 @@
 __all__ = ["ConnectFailedError", "Connected", "Exchange", "ExchangeFailedError", "HttpPool"]
 
 _MAX_IDLE = 64
+# Request line and headers of both sides together, as http.client and waitress send them.
+_HEADER_BYTES = 260
 _FAILURES = (OSError, http.client.HTTPException)
 
 
@@ -96,12 +98,15 @@
 class HttpPool:
     """Open, reuse and close connections to one base URL."""
 
-    def __init__(self, url: str, timeout: float = 5.0) -> None:
+    def __init__(
+        self, url: str, timeout: float = 5.0, on_call: Callable[[int], None] | None = None
+    ) -> None:
         parts = urlsplit(url)
         self.url = url
         self._host = parts.hostname or "127.0.0.1"
         self._port = parts.port or 80
         self._timeout = timeout
+        self._on_call = on_call
         self._idle: deque[http.client.HTTPConnection] = deque()
         self._lock = threading.Lock()
 
@@ -147,9 +152,12 @@
         *,
         timeout: float | None = None,
     ) -> tuple[int, bytes]:
-        """Send a repeatable request and return status and whole body."""
+        """Send a repeatable request and return status and whole body; ``on_call`` gets its size."""
         exchange = self.request(method, path, body, headers, timeout=timeout)
-        return exchange.status, exchange.read()
+        answer = exchange.read()
+        if self._on_call is not None:
+            self._on_call(_HEADER_BYTES + len(path) + len(body or b"") + len(answer))
+        return exchange.status, answer
 
     def give_back(
         self, connection: http.client.HTTPConnection, response: http.client.HTTPResponse
--- a/src/brassdrum/membership/gossip.py
+++ b/src/brassdrum/membership/gossip.py
@@ -25,6 +25,7 @@
     add_PeerServicer_to_server,
 )
 from brassdrum.membership.peers import PeerTable
+from brassdrum.telemetry.control_cost import ControlCost
 
 __all__ = ["Gossip", "PeerClients", "PeerServer"]
 
@@ -91,11 +92,11 @@
         seeds: Callable[[], list[str]],
         describe: Callable[[DaemonEntry], None],
         on_merge: Callable[[], None],
+        cost: ControlCost,
     ) -> None:
         self.table = table
         self.lock = threading.RLock()
-        self.messages_sent = 0
-        self.bytes_sent = 0
+        self._cost = cost
         self._clients = clients
         self._clock = clock
         self._seeds = seeds
@@ -136,6 +137,8 @@
             self.table.merge(message.entries, self._clock.monotonic())
             entries = self.table.all_entries() if message.wants_all else [self.table.own]
             reply = GossipMessage(sender=self.table.own.name, entries=entries)
+        self._cost.add("gossip", message.ByteSize())
+        self._cost.add("gossip", reply.ByteSize())
         self._on_merge()
         return reply
 
@@ -145,8 +148,7 @@
         return self._random.sample(seeds, min(3, len(seeds)))
 
     def _send(self, address: str, message: GossipMessage) -> None:
-        self.messages_sent += 1
-        self.bytes_sent += message.ByteSize()
+        self._cost.add("gossip", message.ByteSize())
         call = self._clients.stub(address).Gossip.future(message, timeout=_CALL_SECONDS)
         call.add_done_callback(self._receive)
 
@@ -154,6 +156,7 @@
         if call.cancelled() or call.exception() is not None:
             return
         reply = call.result()
+        self._cost.add("gossip", reply.ByteSize())
         with self.lock:
             self.table.merge(reply.entries, self._clock.monotonic())
         self._on_merge()
--- a/src/brassdrum/platform/hosts.py
+++ b/src/brassdrum/platform/hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -33,8 +34,10 @@
 class HttpHostList:
     """Reach the host list by HTTP."""
 
-    def __init__(self, url: str, timeout: float) -> None:
-        self._pool = HttpPool(url, timeout)
+    def __init__(
+        self, url: str, timeout: float, on_call: Callable[[int], None] | None = None
+    ) -> None:
+        self._pool = HttpPool(url, timeout, on_call)
 
     def read(self) -> list[Host]:
         """Return all hosts, or raise ``PlatformUnavailableError``."""
--- a/src/brassdrum/platform/log.py
+++ b/src/brassdrum/platform/log.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -54,8 +54,10 @@
 class HttpLog:
     """Reach the log service by HTTP."""
 
-    def __init__(self, url: str, timeout: float) -> None:
-        self._pool = HttpPool(url, timeout)
+    def __init__(
+        self, url: str, timeout: float, on_call: Callable[[int], None] | None = None
+    ) -> None:
+        self._pool = HttpPool(url, timeout, on_call)
         self._timeout = timeout
 
     def append(self, stream: str, values: Sequence[object]) -> int:
--- a/src/brassdrum/telemetry/traces.py
+++ b/src/brassdrum/telemetry/traces.py
@@ -41,7 +41,10 @@
 
     @contextmanager
     def hop(self, name: str, **attributes: str | int | float) -> Iterator[trace.Span]:
-        """Record a hop as a child span."""
+        """Record a hop as a child span; a trace that nobody exports costs nothing."""
+        if not self._span.is_recording():
+            yield self._span
+            return
         with self._tracer.start_as_current_span(
             name, context=self._context, attributes=attributes
         ) as span:
