--- a/src/brassdrum/daemon/cancels.py
+++ b/src/brassdrum/daemon/cancels.py
@@ -14,7 +14,7 @@
 _GIVE_UP_SECONDS = 60.0
 _RETRY_SECONDS = 0.5
 _MOST_PENDING = 10_000
-_IDLE_SECONDS = 0.5
+_IDLE_SECONDS = 5.0
 
 
 @dataclass(slots=True)
--- a/src/brassdrum/daemon/endpoint_watch.py
+++ b/src/brassdrum/daemon/endpoint_watch.py
@@ -18,19 +18,21 @@
 
 _logger = logging.getLogger(__name__)
 _POLL_THREADS = 8
+_EVENTS_LAG_SECONDS = 15.0
 
 
 class EndpointWatch:
     """Poll the engines' reports and cache events."""
 
     def __init__(
-        self, dispatcher: Dispatcher, clock: Clock, observed: Callable[[str], bool]
+        self, dispatcher: Dispatcher, clock: Clock, observed: Callable[[], Callable[[str], bool]]
     ) -> None:
         self._observed = observed
         self._dispatcher = dispatcher
         self._clock = clock
         self._executor = ThreadPoolExecutor(_POLL_THREADS, thread_name_prefix="poll")
         self._last_event_by_endpoint: dict[str, int] = {}
+        self._busy_at_by_endpoint: dict[str, float] = {}
         self._draining: set[str] = set()
 
     @property
@@ -43,7 +45,8 @@
         engines = list(self._dispatcher.fleet.engines_by_name.values())
         random.shuffle(engines)
         known = self._dispatcher.fleet.states_by_name
-        mine = [item for item in engines if item.name in known and self._observed(item.name)]
+        observed = self._observed()
+        mine = [item for item in engines if item.name in known and observed(item.name)]
         list(self._executor.map(self._poll, mine))
         self._dispatcher.pump()
 
@@ -55,10 +58,18 @@
         try:
             load = engine.load()
             self._take_load(engine.name, load)
-            self._take_events(engine)
+            if self._busy_lately(engine.name, load):
+                self._take_events(engine)
         except EndpointFailedError as error:
             _logger.debug("no report", extra={"endpoint": engine.name, "reason": str(error)})
 
+    def _busy_lately(self, name: str, load: EngineLoad) -> bool:
+        """Return whether cache events may be on their way; an idle engine changes nothing."""
+        now = self._clock.monotonic()
+        if load.streams or load.waiting:
+            self._busy_at_by_endpoint[name] = now
+        return now - self._busy_at_by_endpoint.get(name, float("-inf")) < _EVENTS_LAG_SECONDS
+
     def _take_load(self, name: str, load: EngineLoad) -> None:
         # The engine's clock may differ from ours: a report from the future counts as made now.
         age = max(0.0, self._clock.now().timestamp() - load.at)
--- a/src/brassdrum/daemon/fleet.py
+++ b/src/brassdrum/daemon/fleet.py
@@ -15,7 +15,7 @@
 from brassdrum.routing.estimate import ModelEstimate
 from brassdrum.routing.policies import POLICIES, Policy, RoutingContext
 from brassdrum.routing.prefix import PrefixIndex
-from brassdrum.routing.state import EndpointState
+from brassdrum.routing.state import EndpointState, PeerLoad
 
 __all__ = ["Fleet"]
 
@@ -47,6 +47,7 @@
         self.engines_by_name: dict[str, EngineClient] = {}
         self.services_by_name: dict[str, ServiceClient] = {}
         self.estimates_by_model: dict[str, ModelEstimate] = {}
+        self._endpoints_by_peer: dict[str, set[str]] = {}
         self.prefixes = PrefixIndex()
         self.long_share = 0.0
         self.peer_long_share: float | None = None
@@ -90,6 +91,23 @@
         weight = min(1.0, _LONG_SHARE_RATE * work.prompt_tokens / 4_000)
         self.long_share += weight * (seen - self.long_share)
 
+    def take_peer_load(self, daemon: str, endpoint: str, load: PeerLoad) -> None:
+        """Note what another daemon has in flight at an endpoint."""
+        state = self.states_by_name.get(endpoint)
+        if state is None:
+            return
+        state.peers_by_daemon[daemon] = load
+        self._endpoints_by_peer.setdefault(daemon, set()).add(endpoint)
+
+    def drop_peer_loads(self, daemon: str, still_loaded: set[str]) -> None:
+        """Forget a daemon's loads at endpoints where it has nothing in flight any more."""
+        loaded = self._endpoints_by_peer.get(daemon, set())
+        for endpoint in loaded - still_loaded:
+            loaded.discard(endpoint)
+            state = self.states_by_name.get(endpoint)
+            if state is not None:
+                state.peers_by_daemon.pop(daemon, None)
+
     def largest_memory(self, target: str) -> int:
         """Return the memory of the largest engine for a target, in tokens."""
         states = self.states_by_target.get(target, [])
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections.abc import Callable
 
 from brassdrum.admission.lending import Census
 from brassdrum.clock import Clock, SystemClock
@@ -28,7 +29,7 @@
 from brassdrum.leadership.lease import Lease
 from brassdrum.loops import BackgroundLoops
 from brassdrum.membership.gossip import Gossip, PeerClients, PeerServer
-from brassdrum.membership.observers import ObserverMap, ReportSharing, polls_itself
+from brassdrum.membership.observers import ObserverMap, ReportSharing, polls_itself, tells_all_loads
 from brassdrum.membership.peer_pb2 import (
     LEAVING,
     READY,
@@ -58,6 +59,8 @@
 _RETRY_SHARE = 0.1
 _WATCH_SECONDS = 0.2
 _TICK_SECONDS = 0.05
+_IDLE_SECONDS = 0.5
+_HOST_READERS_PER_POLL = 8
 _FLUSH_SECONDS = 5.0
 _LONELY_SECONDS = 5.0
 
@@ -167,6 +170,17 @@
             self._was_ready = True
         return None
 
+    def _hosts_pause(self) -> float:
+        """Return a pause that grows with the fleet: any one reader tells the others by gossip."""
+        base = self.settings.poll_seconds
+        return base * max(1.0, len(self._serving) / _HOST_READERS_PER_POLL)
+
+    def _watch_pause(self) -> float:
+        return _WATCH_SECONDS if len(self.core.watch) else _IDLE_SECONDS
+
+    def _tick_pause(self) -> float:
+        return _TICK_SECONDS if len(self._dispatcher.queue) else _IDLE_SECONDS
+
     def _age(self) -> float:
         return self._clock.monotonic() - self._made_at
 
@@ -183,12 +197,12 @@
             loops.every("appender", lambda: 0.0, shard.appender.step)
         loops.every("gossip", self.gossip.pause, self.gossip.step)
         loops.every("limits", lambda: settings.gossip_seconds, self._limits.borrow)
-        loops.every("hosts", lambda: settings.poll_seconds, self._hosts.step)
+        loops.every("hosts", self._hosts_pause, self._hosts.step)
         loops.every("endpoints", lambda: settings.poll_seconds, self._endpoint_watch.step)
         loops.every("leaving", lambda: settings.poll_seconds / 2, self._mark_leaving)
-        loops.every("watch", lambda: _WATCH_SECONDS, self.core.watch.step)
+        loops.every("watch", self._watch_pause, self.core.watch.step)
         loops.every("cancels", lambda: 0.0, self.core.cancels.step)
-        loops.every("tick", lambda: _TICK_SECONDS, self._dispatcher.pump)
+        loops.every("tick", self._tick_pause, self._dispatcher.pump)
         loops.every("duty", lambda: settings.lease_seconds / 10, self._duty.step)
         loops.every("checkpoint", lambda: settings.lease_seconds / 5, self._checkpoints.step)
         _logger.info("daemon started", extra={"http": self.url, "peer": self.peer_address})
@@ -295,13 +309,13 @@
         if entry.state != LEAVING:
             entry.state = STARTING if self.not_ready() else READY
         now = self._clock.monotonic()
-        small = polls_itself(len(self._serving))
+        daemons = len(self._serving)
         with self._dispatcher.lock:
             fleet = self._dispatcher.fleet
             entry.long_share = fleet.long_share
             del entry.loads[:]
-            entry.loads.extend(_own_loads(fleet, long_only=not small))
-            reports = [] if small else self._observed_reports(now)
+            entry.loads.extend(_own_loads(fleet, long_only=not tells_all_loads(daemons)))
+            reports = [] if polls_itself(daemons) else self._observed_reports(now)
             failing = fleet.failing(now)
         del entry.reports[:]
         entry.reports.extend(self._reports.choose(reports))
@@ -310,26 +324,27 @@
         del entry.failing_endpoints[:]
         entry.failing_endpoints.extend(failing)
 
-    def _merged(self) -> None:
+    def _merged(self, newer: list[DaemonEntry]) -> None:
         now = self._clock.monotonic()
         with self.gossip.lock:
-            records = self.gossip.table.live_peers(now)
+            shares = [record.entry.long_share for record in self.gossip.table.live_peers(now)]
         with self._dispatcher.lock:
             fleet = self._dispatcher.fleet
-            shares = [fleet.long_share]
-            for record in records:
-                shares.append(record.entry.long_share)
-                for load in record.entry.loads:
-                    state = fleet.states_by_name.get(load.endpoint)
-                    if state is None:
-                        continue
-                    state.peers_by_daemon[record.entry.name] = PeerLoad(
-                        record.heard, load.streams, load.queued_tokens, load.long_prefills
-                    )
-                for report in record.entry.reports:
-                    _take_report(fleet, report, record.heard)
-                _drop_ended(fleet, record.entry)
-            fleet.peer_long_share = sum(shares) / len(shares)
+            for entry in newer:
+                self._take_loads(fleet, entry, now)
+            fleet.peer_long_share = (fleet.long_share + sum(shares)) / (1 + len(shares))
+
+    @staticmethod
+    def _take_loads(fleet: Fleet, entry: DaemonEntry, now: float) -> None:
+        fleet.drop_peer_loads(entry.name, {load.endpoint for load in entry.loads})
+        for load in entry.loads:
+            fleet.take_peer_load(
+                entry.name,
+                load.endpoint,
+                PeerLoad(now, load.streams, load.queued_tokens, load.long_prefills),
+            )
+        for report in entry.reports:
+            _take_report(fleet, report, now)
 
     def _own_leaving(self) -> set[str]:
         return self._hosts.leaving_endpoints() | self._endpoint_watch.draining
@@ -353,8 +368,9 @@
         live = self._serving
         return Census(live, sorted({*live, *self._hosts.daemon_names()}))
 
-    def _observes(self, endpoint: str) -> bool:
-        return self._observers.observes(endpoint, self._serving)
+    def _observes(self) -> Callable[[str], bool]:
+        serving = self._serving
+        return lambda endpoint: self._observers.observes(endpoint, serving)
 
     def _observed_reports(self, now: float) -> list[EndpointReport]:
         serving = self._serving
@@ -428,10 +444,3 @@
     if state is None or (state.report is not None and state.report.at >= at):
         return
     state.report = LoadReport(at, told.streams, told.queued_tokens, told.kv_tokens_held)
-
-
-def _drop_ended(fleet: Fleet, entry: DaemonEntry) -> None:
-    loaded = {load.endpoint for load in entry.loads}
-    for name, state in fleet.states_by_name.items():
-        if name not in loaded:
-            state.peers_by_daemon.pop(entry.name, None)
--- a/src/brassdrum/membership/gossip.py
+++ b/src/brassdrum/membership/gossip.py
@@ -33,7 +33,8 @@
 _CALL_SECONDS = 1.0
 _SNAPSHOT_SECONDS = 5.0
 _SERVER_THREADS = 8
-_SEED_ROUNDS = 10
+_FIRST_ROUNDS = 5
+_SEED_ROUNDS = 30
 _MESSAGE_BYTES = 64 << 20
 _OPTIONS = [
     ("grpc.max_receive_message_length", _MESSAGE_BYTES),
@@ -91,7 +92,7 @@
         clock: Clock,
         seeds: Callable[[], list[str]],
         describe: Callable[[DaemonEntry], None],
-        on_merge: Callable[[], None],
+        on_merge: Callable[[list[DaemonEntry]], None],
         cost: ControlCost,
     ) -> None:
         self.table = table
@@ -113,18 +114,16 @@
             now = self._clock.monotonic()
             self.table.forget(now)
             targets = set(self.table.targets(now, self._random))
-            message = GossipMessage(
-                sender=self.table.own.name,
-                entries=self.table.rumours(),
-                wants_all=self._rounds % _SEED_ROUNDS == 0,
-            )
-            if not targets or message.wants_all:
-                targets.update(self._random_seeds())
+            message = GossipMessage(sender=self.table.own.name, entries=self.table.rumours())
+            seeds = set() if targets and not self._seeks_all() else self._random_seeds()
             known = {record.entry.peer_address for record in self.table.records()}
             self._rounds += 1
-        self._clients.retain(known | targets)
+        self._clients.retain(known | targets | seeds)
         for address in targets:
             self._send(address, message)
+        for address in seeds:
+            full = GossipMessage(sender=message.sender, entries=[self.table.own], wants_all=True)
+            self._send(address, full)
 
     def pause(self) -> float:
         """Return the seconds until the next round."""
@@ -134,18 +133,22 @@
     def answer(self, message: GossipMessage) -> GossipMessage:
         """Merge another daemon's entries and return ours."""
         with self.lock:
-            self.table.merge(message.entries, self._clock.monotonic())
-            entries = self.table.all_entries() if message.wants_all else [self.table.own]
+            newer = self.table.merge(message.entries, self._clock.monotonic())
+            entries = self.table.all_entries() if message.wants_all else [self.table.heartbeat()]
             reply = GossipMessage(sender=self.table.own.name, entries=entries)
         self._cost.add("gossip", message.ByteSize())
         self._cost.add("gossip", reply.ByteSize())
-        self._on_merge()
+        self._on_merge(newer)
         return reply
 
-    def _random_seeds(self) -> list[str]:
+    def _seeks_all(self) -> bool:
+        """Return whether to ask one daemon for everything, to mend what rumours missed."""
+        return self._rounds < _FIRST_ROUNDS or self._rounds % _SEED_ROUNDS == 0
+
+    def _random_seeds(self) -> set[str]:
         own = self.table.own.peer_address
         seeds = [address for address in self._seeds() if address and address != own]
-        return self._random.sample(seeds, min(3, len(seeds)))
+        return set(self._random.sample(seeds, min(1, len(seeds))))
 
     def _send(self, address: str, message: GossipMessage) -> None:
         self._cost.add("gossip", message.ByteSize())
@@ -158,8 +161,8 @@
         reply = call.result()
         self._cost.add("gossip", reply.ByteSize())
         with self.lock:
-            self.table.merge(reply.entries, self._clock.monotonic())
-        self._on_merge()
+            newer = self.table.merge(reply.entries, self._clock.monotonic())
+        self._on_merge(newer)
 
 
 class _Servicer(PeerServicer):
--- a/src/brassdrum/membership/observers.py
+++ b/src/brassdrum/membership/observers.py
@@ -8,16 +8,22 @@
 
 from brassdrum.membership.peer_pb2 import EndpointReport
 
-__all__ = ["ObserverMap", "ReportSharing", "observers_of", "polls_itself"]
+__all__ = ["ObserverMap", "ReportSharing", "observers_of", "polls_itself", "tells_all_loads"]
 
 _OBSERVERS = 2
-_SMALL_FLEET = 12
+_POLLING_FLEET = 6
+_LOADS_FLEET = 12
 _REFRESH_ROUNDS = 8
 
 
 def polls_itself(daemons: int) -> bool:
     """Return whether each daemon asks every endpoint: fresher, and cheap in a small fleet."""
-    return daemons <= _SMALL_FLEET
+    return daemons <= _POLLING_FLEET
+
+
+def tells_all_loads(daemons: int) -> bool:
+    """Return whether a daemon tells all its work at endpoints; a large one tells long work only."""
+    return daemons <= _LOADS_FLEET
 
 
 def observers_of(endpoint: str, daemons: Sequence[str]) -> list[str]:
--- a/src/brassdrum/membership/peers.py
+++ b/src/brassdrum/membership/peers.py
@@ -10,11 +10,13 @@
 
 __all__ = ["PeerRecord", "PeerTable", "gossip_period"]
 
-_FANOUT = 3
-_FORWARD_ROUNDS = 2
+_FANOUT = 2
+_FORWARD_ROUNDS = 1
 _SUSPECT_PERIODS = 6.0
+_ADDRESS_ROUNDS = 8
+_STATIC_FIELDS = ("zone", "peer_address", "http_address")
 _FORGET_SECONDS = 120.0
-_DAEMONS_PER_SECOND = 45.0
+_DAEMONS_PER_SECOND = 25.0
 
 
 def gossip_period(base: float, daemons: int) -> float:
@@ -24,10 +26,11 @@
 
 @dataclass(slots=True)
 class PeerRecord:
-    """Hold a daemon's last entry and when it last advanced, on our clock."""
+    """Hold a daemon's last entry, as it was told, and when it last advanced, on our clock."""
 
     entry: DaemonEntry
     heard: float
+    told: DaemonEntry
     rounds_left: int = _FORWARD_ROUNDS
 
 
@@ -48,9 +51,19 @@
         """Begin a round: our own entry gets a new version."""
         self.own.version += 1
 
-    def merge(self, entries: Iterable[DaemonEntry], now: float) -> list[str]:
-        """Take over newer entries; return the names of daemons that are new or restarted."""
-        fresh = []
+    def heartbeat(self) -> DaemonEntry:
+        """Return our entry for a round, without its addresses in most of them."""
+        if self.own.version % _ADDRESS_ROUNDS == 0 or self.own.version <= _ADDRESS_ROUNDS:
+            return self.own
+        entry = DaemonEntry()
+        entry.CopyFrom(self.own)
+        for field in _STATIC_FIELDS:
+            entry.ClearField(field)
+        return entry
+
+    def merge(self, entries: Iterable[DaemonEntry], now: float) -> list[DaemonEntry]:
+        """Take over newer entries and return them."""
+        newer = []
         for entry in entries:
             if entry.name == self.own.name:
                 self._refute(entry)
@@ -58,19 +71,26 @@
             known = self._records_by_name.get(entry.name)
             if known is not None and _order(entry) <= _order(known.entry):
                 continue
-            if known is None or known.entry.incarnation != entry.incarnation:
-                fresh.append(entry.name)
-            self._records_by_name[entry.name] = PeerRecord(entry, now)
-        return fresh
+            told = DaemonEntry()
+            told.CopyFrom(entry)
+            same_life = known is not None and known.entry.incarnation == entry.incarnation
+            if not entry.peer_address:
+                if not same_life:
+                    # Its addresses come in one of the next rounds.
+                    continue
+                _copy_addresses(known.entry, entry)
+            self._records_by_name[entry.name] = PeerRecord(entry, now, told)
+            newer.append(entry)
+        return newer
 
     def rumours(self) -> list[DaemonEntry]:
         """Return our entry and those that were news recently, for one round."""
-        entries = [self.own]
+        entries = [self.heartbeat()]
         for record in self._records_by_name.values():
             if record.rounds_left <= 0:
                 continue
             record.rounds_left -= 1
-            entries.append(record.entry)
+            entries.append(record.told)
         return entries
 
     def all_entries(self) -> list[DaemonEntry]:
@@ -136,5 +156,10 @@
             self.own.incarnation = entry.incarnation + 1
 
 
+def _copy_addresses(known: DaemonEntry, entry: DaemonEntry) -> None:
+    for field in _STATIC_FIELDS:
+        setattr(entry, field, getattr(known, field))
+
+
 def _order(entry: DaemonEntry) -> tuple[int, int]:
     return entry.incarnation, entry.version
--- a/src/brassdrum/outcomes/appender.py
+++ b/src/brassdrum/outcomes/appender.py
@@ -19,7 +19,7 @@
 _MOST_RECORDS = 500
 _MOST_LAZY = 20_000
 _RETRY_SECONDS = 0.5
-_IDLE_SECONDS = 0.5
+_IDLE_SECONDS = 2.0
 
 
 @dataclass(slots=True)
@@ -59,6 +59,7 @@
             self._lazy.append(_Pending(value))
             if self._lazy_since is None:
                 self._lazy_since = self._clock.monotonic()
+            # The loop that waits without a limit has to begin the time of this record.
             self._changed.notify()
 
     @property
@@ -70,7 +71,7 @@
     def step(self) -> None:
         """Wait for records and append one group."""
         with self._changed:
-            self._changed.wait_for(self._due, _IDLE_SECONDS)
+            self._changed.wait_for(self._due, _LAZY_LINGER if self._lazy else _IDLE_SECONDS)
             if not self._due():
                 return
             if self._urgent and len(self._urgent) < _MOST_RECORDS:
--- a/src/brassdrum/platform/tail.py
+++ b/src/brassdrum/platform/tail.py
@@ -27,7 +27,7 @@
         clock: Clock,
         next_offset: Callable[[], int],
         on_page: Callable[[LogPage], None],
-        wait: float = 1.0,
+        wait: float = 5.0,
     ) -> None:
         self._log = log
         self._stream = stream
--- a/src/brassdrum/settings.py
+++ b/src/brassdrum/settings.py
@@ -93,7 +93,7 @@
     queue_length: Annotated[int, Field(ge=1)] = 256
     max_body_bytes: Annotated[int, Field(ge=1024)] = 16 * 1024 * 1024
     idle_timeout_seconds: Seconds = 60.0
-    gossip_seconds: Seconds = 0.5
+    gossip_seconds: Seconds = 1.0
     poll_seconds: Seconds = 1.0
     lease_seconds: Seconds = 10.0
     checkpoint_seconds: Seconds = 600.0
