--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -5,6 +5,11 @@
     When 30 callers send 10 holds with keys through 3 daemons at once
     Then each hold ran once and every answer is the first one's
 
+  Scenario: The second caller gets the first one's answer
+    Given a site of 2 daemons and 1 engine
+    When a hold is sent with a key and again through another daemon
+    Then both have the first answer at once and the second is marked as a replay
+
   Scenario: An answer lost after the action
     Given a site of 2 daemons and 1 engine
     When the service loses every answer
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -66,6 +66,14 @@
     context.answers = [hold(context, "twice", 0), hold(context, "twice", 1)]
 
 
+@then("both have the first answer at once and the second is marked as a replay")
+def step_replayed(context):
+    first, second = context.answers
+    assert first.status == second.status == 200, second.error
+    assert first.body == second.body and second.headers["Idempotent-Replay"] == "true"
+    assert runs(context)["twice"] == 1
+
+
 @then("the first caller is told that it may have run")
 def step_may(context):
     assert context.answers[0].code == "endpoint_failed", context.answers[0]
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -14,6 +14,7 @@
 from brassdrum.contracts.records import CHECKPOINT_STREAM, CONTROL_STREAM
 from brassdrum.daemon.main import Daemon
 from brassdrum.platform.publish import Publisher, read_control
+from brassdrum.standins.site import MODEL
 from features.steps.caller_steps import _completion
 from features.steps.site_steps import caller, log_of, start_site
 from features.support import eventually
@@ -216,3 +217,7 @@
     account = run_cli("status", "--daemon", daemon, "--organisation", "quilters")[1]
     assert "used_cost" in account
     assert "routed" in run_cli("explain", "asked", "--platform", platform)[1]
+    described = ["--organisation", "quilters", "--target", MODEL, "--daemon", daemon]
+    assert "short: to engine-1" in run_cli("explain", *described)[1]
+    long = run_cli("explain", *described, "--prompt-tokens", 2_000_000)[1]
+    assert "prompt_too_long" in long, long
--- a/src/brassdrum/daemon/admin.py
+++ b/src/brassdrum/daemon/admin.py
@@ -7,6 +7,7 @@
 
 from brassdrum.contracts.keys import hash_key
 from brassdrum.daemon.core import Core
+from brassdrum.daemon.explain import DescribedRequest, explain_described
 from brassdrum.errors import EndpointFailedError, InvalidRequestError, NotPermittedError
 from brassdrum.membership.gossip import Gossip
 from brassdrum.membership.peer_pb2 import DaemonEntry, DaemonState
@@ -103,11 +104,14 @@
         return json_response({"documents": self._core.control.with_fold(_documents)})
 
     def explain(self, request: Request) -> Response:
-        """Tell what was decided on a request, by its id."""
+        """Tell what was decided on a request, or would be on a described one."""
         self._check_operator(request)
-        request_id = request.query.get("request")
+        query = request.query
+        if query.get("organisation"):
+            return json_response({"steps": explain_described(self._core, _described(query))})
+        request_id = query.get("request")
         if not request_id:
-            raise InvalidRequestError("The query has no 'request'.")
+            raise InvalidRequestError("The query has neither 'request' nor 'organisation'.")
         return json_response({"steps": self._core.explanations.get(request_id)})
 
     def _check_operator(self, request: Request) -> None:
@@ -122,6 +126,18 @@
             )
 
 
+def _described(query: dict[str, str]) -> DescribedRequest:
+    try:
+        return DescribedRequest(
+            query["organisation"],
+            query["target"],
+            int(query.get("prompt_tokens", "1000")),
+            int(query.get("answer_tokens", "256")),
+        )
+    except (KeyError, ValueError) as error:
+        raise InvalidRequestError(f"The described request is incomplete: {error}.") from error
+
+
 def _daemon(entry: DaemonEntry, *, live: bool) -> dict[str, object]:
     return {
         "name": entry.name,
--- /dev/null
+++ b/src/brassdrum/daemon/explain.py
@@ -0,0 +1,106 @@
+"""Tell what would become of a described request, without running it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from brassdrum.admission.work import Work, band_of, is_service
+from brassdrum.contracts.documents import Contract
+from brassdrum.contracts.view import FleetView
+from brassdrum.daemon.core import Core
+
+__all__ = ["DescribedRequest", "explain_described"]
+
+
+@dataclass(frozen=True, slots=True)
+class DescribedRequest:
+    """Hold what an operator asks about."""
+
+    organisation: str
+    target: str
+    prompt_tokens: int
+    answer_tokens: int
+
+
+def explain_described(core: Core, asked: DescribedRequest) -> list[dict[str, str]]:
+    """Return the steps that the request would take now on this daemon."""
+    view = core.control.view
+    if view is None:
+        return [_step("refused", "not_ready: no configuration is in force")]
+    contract = view.contracts_by_organisation.get(asked.organisation)
+    if contract is None:
+        return [_step("refused", "unknown_api_key: no contract of that organisation is in force")]
+    steps = [_step("contract", f"revision {view.revision}, urgency {contract.urgency.value}")]
+    refusal = _refusal(core, view, contract, asked)
+    if refusal:
+        return [*steps, _step("refused", refusal)]
+    steps.append(_step("limits", _limits(core, contract)))
+    with core.dispatcher.lock:
+        steps.append(_step("queue", _queue(core, contract)))
+        steps.append(_step("route", _route(core, contract, asked)))
+    return steps
+
+
+def _step(name: str, detail: str) -> dict[str, str]:
+    return {"at": "now", "step": name, "detail": detail}
+
+
+def _refusal(core: Core, view: FleetView, contract: Contract, asked: DescribedRequest) -> str:
+    if is_service(asked.target):
+        return ""
+    if asked.target not in contract.models:
+        return f"unknown_model: the contract covers {', '.join(contract.models) or 'no models'}"
+    model = view.models_by_name.get(asked.target)
+    if model is None:
+        return "unknown_model: the fleet does not have it"
+    limits = contract.limits
+    if asked.prompt_tokens > limits.longest_prompt:
+        return f"prompt_too_long: the contract allows {limits.longest_prompt}"
+    if asked.answer_tokens > limits.longest_answer:
+        return f"prompt_too_long: the contract allows answers of {limits.longest_answer}"
+    tokens = asked.prompt_tokens + asked.answer_tokens
+    if tokens > model.context_tokens:
+        return f"prompt_too_long: the model holds {model.context_tokens}"
+    largest = core.dispatcher.fleet.largest_memory(asked.target)
+    if tokens > largest:
+        return f"prompt_too_long: the largest endpoint holds {largest}"
+    return ""
+
+
+def _limits(core: Core, contract: Contract) -> str:
+    part = core.limits.slice_of(contract.organisation)
+    running = core.limits.in_flight(contract.organisation)
+    return (
+        f"this daemon may use {part.requests_per_second:.1f} requests/s, "
+        f"{part.tokens_per_second:.0f} tokens/s and {part.concurrency} at once of the contract's "
+        f"{contract.limits.concurrency}; {running} run here"
+    )
+
+
+def _queue(core: Core, contract: Contract) -> str:
+    waiting = core.dispatcher.queue.queued(contract.organisation)
+    return f"{len(core.dispatcher.queue)} wait here, {waiting} of this organisation"
+
+
+def _route(core: Core, contract: Contract, asked: DescribedRequest) -> str:
+    now = core.clock.monotonic()
+    fleet = core.dispatcher.fleet
+    states = fleet.states_by_target.get(asked.target, [])
+    usable = [state for state in states if state.usable(now)]
+    work = Work(
+        id="described",
+        organisation=contract.organisation,
+        target=asked.target,
+        prompt_tokens=asked.prompt_tokens,
+        answer_tokens=asked.answer_tokens,
+        urgency=contract.urgency,
+        share=contract.share,
+        arrived=now,
+        start_by=now + contract.longest_wait_seconds,
+        deadline=now + contract.longest_wait_seconds + contract.longest_run_seconds,
+    )
+    chosen = fleet.choose(work)
+    band = band_of(asked.prompt_tokens).value
+    if chosen is None:
+        return f"{band}: would wait; {len(usable)} of {len(states)} endpoints are usable, all full"
+    return f"{band}: to {chosen.endpoint.name}; {len(usable)} of {len(states)} are usable"
--- a/src/brassdrum/demo.py
+++ b/src/brassdrum/demo.py
@@ -76,7 +76,7 @@
 
 def run_demo(*, serve: bool, as_json: bool, wait: Callable[[], None]) -> int:
     """Run the demo; return 0 when every answer was whole."""
-    configure_logging("WARNING", "demo")
+    configure_logging("ERROR", "demo")
     quilters_key, quilters = sample_contract("quilters", Urgency.INTERACTIVE)
     archive_key, archive = sample_contract("archive", Urgency.BULK)
     site = Site(SiteShape())
--- a/src/brassdrum/outcomes/appender.py
+++ b/src/brassdrum/outcomes/appender.py
@@ -59,7 +59,6 @@
             self._lazy.append(_Pending(value))
             if self._lazy_since is None:
                 self._lazy_since = self._clock.monotonic()
-            # The loop that waits without a limit has to begin the time of this record.
             self._changed.notify()
 
     @property
@@ -71,7 +70,8 @@
     def step(self) -> None:
         """Wait for records and append one group."""
         with self._changed:
-            self._changed.wait_for(self._due, _LAZY_LINGER if self._lazy else _IDLE_SECONDS)
+            self._changed.wait_for(lambda: bool(self._urgent or self._lazy), _IDLE_SECONDS)
+            self._changed.wait_for(self._due, _LAZY_LINGER)
             if not self._due():
                 return
             if self._urgent and len(self._urgent) < _MOST_RECORDS:
--- a/src/brassdrum/standins/site.py
+++ b/src/brassdrum/standins/site.py
@@ -215,6 +215,7 @@
 
     def close(self) -> None:
         """Stop everything at once."""
-        parts = [*self.daemons, *self.engines, *self.services, self.platform]
-        with ThreadPoolExecutor(len(parts)) as executor:
-            list(executor.map(lambda part: part.close(), parts))
+        neighbours = [*self.engines, *self.services, self.platform]
+        for parts in (self.daemons, neighbours):
+            with ThreadPoolExecutor(max(1, len(parts))) as executor:
+                list(executor.map(lambda part: part.close(), parts))
