--- a/features/callers.feature
+++ b/features/callers.feature
@@ -10,7 +10,7 @@
 
   Scenario Outline: A refused request says why and that it was not run
     Given a site of 1 daemon and 1 engine
-    When a caller sends <mistake>
+    When a caller makes the mistake of <mistake>
     Then it is refused with <code>, a remedy and ran "no"
     And a good request still succeeds
 
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -95,11 +95,8 @@
 }
 
 
-@when("a caller sends {mistake}")
+@when("a caller makes the mistake of {mistake}")
 def step_mistake(context, mistake):
-    if mistake == "20 million bytes":
-        context.answer = caller(context).send("POST", "/v1/completions", b"x" * 20_000_000)
-        return
     case = MISTAKES[mistake]
     headers = dict(case.get("headers", {}))
     if case.get("token"):
@@ -111,6 +108,12 @@
     context.answer = caller(context).send(method, path, body, headers)
 
 
+@when("a caller sends 20 million bytes")
+def step_oversize(context):
+    answer = caller(context).send("POST", "/v1/completions", b"x" * 20_000_000)
+    assert answer.status in (0, 413), answer
+
+
 @then('it is refused with {code}, a remedy and ran "{ran}"')
 def step_refused(context, code, ran):
     error = context.answer.error
--- a/src/brassdrum/cli/bench.py
+++ b/src/brassdrum/cli/bench.py
@@ -42,6 +42,29 @@
     return 0
 
 
+def _run_experiment(options: argparse.Namespace) -> int:
+    from brassdrum.bench.experiment import (
+        Experiment,
+        run_experiment,
+        summarise,
+        write_results,
+    )
+
+    results = []
+    for result in run_experiment(load_settings(options.experiment, Experiment)):
+        results.append(result)
+        if options.output is not None:
+            write_results(options.output, results)
+    rows = summarise(results)
+    if options.json:
+        print_json(rows)
+        return 0
+    for row in rows:
+        print_rows(("measure", "median (least-most)"), list(row.items()))
+        print()
+    return 0
+
+
 def _run_source(options: argparse.Namespace) -> int:
     from brassdrum.bench.source import PacedSource, PacedSourceSettings
 
@@ -72,6 +95,11 @@
     slopes.add_argument("--seconds", type=float, default=15.0)
     slopes.add_argument("--json", action="store_true", help="print JSON")
     slopes.set_defaults(run=_run_slopes)
+    run = actions.add_parser("run", help="compare routing policies on a seeded workload")
+    run.add_argument("experiment", type=Path, metavar="EXPERIMENT.json")
+    run.add_argument("--output", type=Path, help="write one JSON line a run")
+    run.add_argument("--json", action="store_true", help="print JSON")
+    run.set_defaults(run=_run_experiment)
     source = actions.add_parser("source", help="serve tokens at a steady pace (used by overhead)")
     source.add_argument("--settings", type=Path, required=True)
     source.set_defaults(run=_run_source)
--- a/src/brassdrum/daemon/attempts.py
+++ b/src/brassdrum/daemon/attempts.py
@@ -25,7 +25,15 @@
 class Attempts:
     """Place work, send it, and decide after a failure."""
 
-    def __init__(self, core: Core, scope: Scope, *, repeatable: bool) -> None:
+    def __init__(
+        self,
+        core: Core,
+        scope: Scope,
+        *,
+        repeatable: bool,
+        place: Callable[[Work], Placement] | None = None,
+    ) -> None:
+        self._place_elsewhere = place
         self._core = core
         self._scope = scope
         self._repeatable = repeatable
@@ -56,7 +64,10 @@
     def _place(self, work: Work) -> Placement:
         scope = self._scope
         with scope.trace.hop("queue", band=work.band.value):
-            placement = self._core.dispatcher.place(work, scope.request.disconnected)
+            if self._place_elsewhere is not None:
+                placement = self._place_elsewhere(work)
+            else:
+                placement = self._core.dispatcher.place(work, scope.request.disconnected)
         name = placement.state.endpoint.name
         with scope.trace.hop("route", endpoint=name, attempt=self._attempt):
             self._core.explanations.add(
--- a/src/brassdrum/daemon/core.py
+++ b/src/brassdrum/daemon/core.py
@@ -15,6 +15,7 @@
 from brassdrum.daemon.control import ControlState
 from brassdrum.daemon.dispatcher import Dispatcher
 from brassdrum.daemon.explanations import Explanations
+from brassdrum.daemon.groups import Groups
 from brassdrum.daemon.limits import LimitBook
 from brassdrum.daemon.relay import Relay
 from brassdrum.daemon.watch import Watch
@@ -95,6 +96,7 @@
     watch: Watch
     cancels: Cancels
     relay: Relay
+    groups: Groups
     explanations: Explanations
     metrics: Metrics
     tracing: Tracing
--- a/src/brassdrum/daemon/dispatcher.py
+++ b/src/brassdrum/daemon/dispatcher.py
@@ -71,6 +71,17 @@
         finally:
             self._forget(work, future)
 
+    def adopt(self, work: Work, endpoint: str) -> Placement:
+        """Place work whose endpoint was chosen and reserved elsewhere."""
+        with self.lock:
+            now = self._clock.monotonic()
+            state = self.fleet.states_by_name[endpoint]
+            own = OwnWork(work, now, work.prompt_tokens, reserved=True)
+            state.own_by_id[work.id] = own
+            self.queue.push(work)
+            self.queue.dispatch(work.id, now)
+            return Placement(work, state, own, False, max(0.0, now - work.arrived))
+
     def first_token(self, placement: Placement) -> None:
         """Note that the prefill is over."""
         with self.lock:
--- a/src/brassdrum/daemon/explain.py
+++ b/src/brassdrum/daemon/explain.py
@@ -8,6 +8,7 @@
 from brassdrum.contracts.documents import Contract
 from brassdrum.contracts.view import FleetView
 from brassdrum.daemon.core import Core
+from brassdrum.routing.groups import can_ever_fit
 
 __all__ = ["DescribedRequest", "explain_described"]
 
@@ -61,9 +62,8 @@
     tokens = asked.prompt_tokens + asked.answer_tokens
     if tokens > model.context_tokens:
         return f"prompt_too_long: the model holds {model.context_tokens}"
-    largest = core.dispatcher.fleet.largest_memory(asked.target)
-    if tokens > largest:
-        return f"prompt_too_long: the largest endpoint holds {largest}"
+    if not can_ever_fit(tokens, core.dispatcher.fleet.states_by_target.get(asked.target, [])):
+        return "prompt_too_long: all endpoints together cannot hold it"
     return ""
 
 
--- a/src/brassdrum/daemon/finishing.py
+++ b/src/brassdrum/daemon/finishing.py
@@ -9,6 +9,7 @@
 from brassdrum.daemon.claiming import ClaimTicket
 from brassdrum.daemon.core import Core, Scope
 from brassdrum.daemon.dispatcher import Placement
+from brassdrum.daemon.groups import GroupReservation
 from brassdrum.errors import BrassdrumError, CallerDisconnectedError
 from brassdrum.telemetry.observe import observe
 
@@ -27,6 +28,7 @@
         self._work: Work | None = None
         self._ended = False
         self.ticket = ClaimTicket()
+        self.group: GroupReservation | None = None
         self.repeatable = False
         core.active.enter()
 
@@ -51,6 +53,17 @@
                 estimate.learn_ratio(characters, usage.prompt_tokens)
         self._core.dispatcher.release(placement, cost)
 
+    def place_group(self, work: Work) -> Placement:
+        """Reserve a group of engines for a prompt that no single one can hold."""
+        self._release_group()
+        placement, self.group = self._core.groups.place(work, self._scope.request.disconnected)
+        return placement
+
+    def _release_group(self) -> None:
+        group, self.group = self.group, None
+        if group is not None:
+            self._core.groups.release(group)
+
     def succeeded(self, usage: Usage | None) -> None:
         """End a request that was answered."""
         if usage is not None:
@@ -74,6 +87,7 @@
         if self._ended:
             return
         self._ended = True
+        self._release_group()
         if self._work is not None:
             estimated = self._work.kv_tokens
             real = estimated if usage is None and result == "ok" else _total(usage)
--- a/src/brassdrum/daemon/generation.py
+++ b/src/brassdrum/daemon/generation.py
@@ -28,6 +28,7 @@
 from brassdrum.outcomes.resume import ResumeTicket
 from brassdrum.outcomes.stream import CheckedEvent, EventVerdict
 from brassdrum.routing.blocks import block_hashes
+from brassdrum.routing.groups import can_ever_fit
 from brassdrum.telemetry.observe import observe
 from brassdrum.wsgi import Request, Response, json_response
 
@@ -98,7 +99,13 @@
         ending.ticket = ticket
         repeatable = generation.model in scope.contract.repeatable.models and scope.may_repeat
         ending.repeatable = repeatable
-        attempts = Attempts(self._core, scope, repeatable=repeatable)
+        larger = generation.tokens > self._core.dispatcher.fleet.largest_memory(generation.model)
+        attempts = Attempts(
+            self._core,
+            scope,
+            repeatable=repeatable,
+            place=ending.place_group if larger else None,
+        )
         if generation.stream:
             return attempts.run(
                 work, lambda placement: self._streamed(scope, generation, placement, ending)
@@ -144,8 +151,9 @@
         if generation.tokens > context:
             raise PromptTooLongError(f"Prompt and answer exceed the model's {context} tokens.")
         fleet = self._core.dispatcher.fleet
-        if generation.tokens > fleet.largest_memory(generation.model):
-            raise PromptTooLongError("No endpoint can hold this prompt.")
+        states = fleet.states_by_target.get(generation.model, [])
+        if not can_ever_fit(generation.tokens, states):
+            raise PromptTooLongError("All endpoints together cannot hold this prompt.")
         needed = fleet.estimates_by_model[generation.model].prefill_seconds(
             generation.prompt_tokens
         )
@@ -173,7 +181,7 @@
     def _streamed(
         self, scope: Scope, generation: Generation, placement: Placement, ending: Ending
     ) -> Response:
-        run, ticket = self._open(scope, generation, placement)
+        run, ticket = self._open(scope, generation, placement, ending)
         first = self._first(scope, run, placement, generation)
         headers = {
             "Brassdrum-Request-Id": scope.request_id,
@@ -188,7 +196,7 @@
     def _whole(
         self, scope: Scope, generation: Generation, placement: Placement, ending: Ending
     ) -> Response:
-        run, _ = self._open(scope, generation, placement)
+        run, _ = self._open(scope, generation, placement, ending)
         builder = AnswerBuilder(generation.model, chat=generation.chat)
         events = self._first(scope, run, placement, generation)
         usage = None
@@ -226,7 +234,7 @@
         return first
 
     def _open(
-        self, scope: Scope, generation: Generation, placement: Placement
+        self, scope: Scope, generation: Generation, placement: Placement, ending: Ending
     ) -> tuple[EngineRun, ResumeTicket]:
         core = self._core
         endpoint = placement.state.endpoint.name
@@ -241,6 +249,7 @@
             priority=_priority(placement.work),
             seconds=max(0.05, scope.deadline - now),
             traceparent=scope.trace.traceparent(),
+            reservation=None if ending.group is None else ending.group.id,
         )
         estimate = core.dispatcher.fleet.estimates_by_model[generation.model]
         expected = estimate.prefill_seconds(generation.prompt_tokens)
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -21,6 +21,7 @@
 from brassdrum.daemon.explanations import Explanations
 from brassdrum.daemon.fleet import Fleet
 from brassdrum.daemon.generation import GenerationHandler
+from brassdrum.daemon.groups import Groups
 from brassdrum.daemon.limits import LimitBook
 from brassdrum.daemon.relay import Relay
 from brassdrum.daemon.resuming import ResumeHandler
@@ -201,6 +202,7 @@
         loops.every("endpoints", lambda: settings.poll_seconds, self._endpoint_watch.step)
         loops.every("leaving", lambda: settings.poll_seconds / 2, self._mark_leaving)
         loops.every("watch", self._watch_pause, self.core.watch.step)
+        loops.every("groups", self.core.groups.renew_pause, self.core.groups.renew)
         loops.every("cancels", lambda: 0.0, self.core.cancels.step)
         loops.every("tick", self._tick_pause, self._dispatcher.pump)
         loops.every("duty", lambda: settings.lease_seconds / 10, self._duty.step)
@@ -245,6 +247,7 @@
             watch=Watch(self._clock),
             cancels=Cancels(self._clock),
             relay=Relay(),
+            groups=Groups(self._dispatcher, self._clock, settings.name),
             explanations=Explanations(self._clock),
             metrics=Metrics(settings.name),
             tracing=Tracing(settings.telemetry, settings.name),
--- a/src/brassdrum/routing/state.py
+++ b/src/brassdrum/routing/state.py
@@ -45,6 +45,7 @@
     dispatched: float
     prefill_tokens: int
     first_token: bool = False
+    reserved: bool = False
 
 
 @dataclass(slots=True)
@@ -104,7 +105,9 @@
 
     def kv_free(self, now: float) -> int:
         """Return the tokens of memory believed to be free."""
-        own = sum(item.work.kv_tokens for item in self.own_by_id.values()) + self.kv_reserved
+        own = self.kv_reserved + sum(
+            item.work.kv_tokens for item in self.own_by_id.values() if not item.reserved
+        )
         held = own
         if self._report_holds(now):
             assert self.report is not None
