--- a/features/steps/site_steps.py
+++ b/features/steps/site_steps.py
@@ -41,6 +41,12 @@
     start_site(context, daemons, engines)
 
 
+@given("a site of {daemons:d} daemons and {engines:d} engines that prefill fast")
+def step_fast_site(context, daemons, engines):
+    fast = ENGINE.model_copy(update={"speed": 200.0, "resume_seconds": 1.0})
+    start_site(context, daemons, engines, fast)
+
+
 @given("a site of {daemons:d} daemons whose contract allows {limits}")
 def step_limited_site(context, daemons, limits):
     numbers = {}
--- a/src/brassdrum/cli/bench.py
+++ b/src/brassdrum/cli/bench.py
@@ -65,6 +65,17 @@
     return 0
 
 
+def _run_decisions(options: argparse.Namespace) -> int:
+    from brassdrum.bench.decisions import measure_decisions
+
+    figures = [asdict(figure) for figure in measure_decisions(options.seed)]
+    if options.json:
+        print_json(figures)
+        return 0
+    print_rows(("decision", "size", "value", "unit"), [list(f.values()) for f in figures])
+    return 0
+
+
 def _run_source(options: argparse.Namespace) -> int:
     from brassdrum.bench.source import PacedSource, PacedSourceSettings
 
@@ -95,6 +106,10 @@
     slopes.add_argument("--seconds", type=float, default=15.0)
     slopes.add_argument("--json", action="store_true", help="print JSON")
     slopes.set_defaults(run=_run_slopes)
+    decisions = actions.add_parser("decisions", help="the pure decisions against sizes")
+    decisions.add_argument("--seed", type=int, default=1)
+    decisions.add_argument("--json", action="store_true", help="print JSON")
+    decisions.set_defaults(run=_run_decisions)
     run = actions.add_parser("run", help="compare routing policies on a seeded workload")
     run.add_argument("experiment", type=Path, metavar="EXPERIMENT.json")
     run.add_argument("--output", type=Path, help="write one JSON line a run")
--- a/src/brassdrum/routing/policies.py
+++ b/src/brassdrum/routing/policies.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import bisect
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -11,14 +12,14 @@
 from brassdrum.contracts.documents import Policy as PolicySettings
 from brassdrum.registry import Registry
 from brassdrum.routing.blocks import BLOCK_CHARACTERS
-from brassdrum.routing.state import EndpointState
+from brassdrum.routing.state import EndpointLoad, EndpointState
 
 __all__ = ["POLICIES", "Policy", "RoutingContext"]
 
 _CHARACTERS_PER_TOKEN = 4
 _BLOCK_TOKENS = BLOCK_CHARACTERS // _CHARACTERS_PER_TOKEN
 _SCAN_UP_TO = 16
-_SAMPLES = 8
+_SAMPLES = 6
 _ZONE_SECONDS = 0.003
 _BACKLOG_SECONDS = 1.0
 _DECODE_SECONDS_PER_STREAM = 0.002
@@ -50,12 +51,16 @@
 POLICIES: Registry[type[Policy]] = Registry("routing policy")
 
 
-def _has_room(state: EndpointState, work: Work, now: float) -> bool:
+def _room(state: EndpointState, work: Work, now: float) -> EndpointLoad | None:
+    """Return the load of an endpoint that has room for work, else None."""
     if not state.usable(now) or state.endpoint.name in work.avoid:
-        return False
-    if state.streams(now) >= max(1.0, state.endpoint.max_streams * state.weight(now)):
-        return False
-    return state.endpoint.kv_tokens == 0 or state.kv_free(now) >= work.kv_tokens
+        return None
+    load = state.load(now)
+    if load.streams >= max(1.0, state.endpoint.max_streams * state.weight(now)):
+        return None
+    if state.endpoint.kv_tokens and load.kv_free < work.kv_tokens:
+        return None
+    return load
 
 
 @POLICIES.register("round_robin")
@@ -72,11 +77,29 @@
         for _ in range(len(endpoints)):
             self._turn += 1
             state = endpoints[self._turn % len(endpoints)]
-            if _has_room(state, work, context.now):
+            if _room(state, work, context.now) is not None:
                 return state
         return None
 
 
+def _least(
+    work: Work,
+    endpoints: Sequence[EndpointState],
+    context: RoutingContext,
+    measure: Callable[[EndpointLoad], int],
+) -> EndpointState | None:
+    best = None
+    best_rank = (0.0, 0.0)
+    for state in endpoints:
+        load = _room(state, work, context.now)
+        if load is None:
+            continue
+        rank = (float(measure(load)), context.random.random())
+        if best is None or rank < best_rank:
+            best, best_rank = state, rank
+    return best
+
+
 @POLICIES.register("least_outstanding")
 class LeastOutstanding:
     """Take the endpoint with the fewest streams; a baseline."""
@@ -85,12 +108,7 @@
         self, work: Work, endpoints: Sequence[EndpointState], context: RoutingContext
     ) -> EndpointState | None:
         """Return the endpoint with the fewest streams among those with room."""
-        fit = [state for state in endpoints if _has_room(state, work, context.now)]
-        return min(
-            fit,
-            key=lambda state: (state.streams(context.now), context.random.random()),
-            default=None,
-        )
+        return _least(work, endpoints, context, lambda load: load.streams)
 
 
 @POLICIES.register("shortest_queue_by_tokens")
@@ -101,18 +119,49 @@
         self, work: Work, endpoints: Sequence[EndpointState], context: RoutingContext
     ) -> EndpointState | None:
         """Return the endpoint with the shortest queue among those with room."""
-        fit = [state for state in endpoints if _has_room(state, work, context.now)]
-        return min(
-            fit,
-            key=lambda state: (state.queued_tokens(context.now), context.random.random()),
-            default=None,
-        )
+        return _least(work, endpoints, context, lambda load: load.queued_tokens)
 
 
 @dataclass(frozen=True, slots=True)
-class _Pools:
-    short: Sequence[EndpointState]
-    long: Sequence[EndpointState]
+class _Pool:
+    """Hold a range of the endpoints, without copying them."""
+
+    endpoints: Sequence[EndpointState]
+    start: int
+    stop: int
+
+    def candidates(self, context: RoutingContext) -> Iterator[EndpointState]:
+        """Yield all of a small pool, a few random ones of a large one.
+
+        Few random candidates keep daemons with the same late picture from herding.
+        """
+        if self.stop - self.start <= _SCAN_UP_TO:
+            for index in range(self.start, self.stop):
+                yield self.endpoints[index]
+            return
+        for index in context.random.sample(range(self.start, self.stop), _SAMPLES):
+            yield self.endpoints[index]
+        for name in context.prefix_blocks:
+            index = bisect.bisect_left(
+                self.endpoints, name, self.start, self.stop, key=lambda s: s.endpoint.name
+            )
+            if index < self.stop and self.endpoints[index].endpoint.name == name:
+                yield self.endpoints[index]
+
+
+Fits = Callable[[EndpointLoad, RoutingContext], bool]
+
+
+def _long_fits(load: EndpointLoad, context: RoutingContext) -> bool:
+    return load.long_prefills < context.settings.long_prefills_per_engine
+
+
+def _short_fits(load: EndpointLoad, context: RoutingContext) -> bool:
+    return load.queued_tokens < max(1.0, _BACKLOG_SECONDS * context.prefill_rate)
+
+
+def _spill_fits(load: EndpointLoad, context: RoutingContext) -> bool:
+    return load.long_prefills == 0 and _short_fits(load, context)
 
 
 @POLICIES.register("length_aware")
@@ -123,75 +172,48 @@
         self, work: Work, endpoints: Sequence[EndpointState], context: RoutingContext
     ) -> EndpointState | None:
         """Return the endpoint with the least predicted cost, or None to wait."""
-        pools = self._pools(endpoints, context)
+        border = self._border(len(endpoints), context)
+        long = _Pool(endpoints, border, len(endpoints))
         if work.band is LengthBand.LONG:
-            return self._best(work, pools.long, context, self._long_fits)
-        first = self._best(work, pools.short, context, self._short_fits)
+            return self._best(work, long, context, _long_fits)
+        short = _Pool(endpoints, 0, border or len(endpoints))
+        first = self._best(work, short, context, _short_fits)
         if first is not None:
             return first
-        return self._best(work, pools.long, context, self._spill_fits)
+        return self._best(work, long, context, _spill_fits)
 
-    def _pools(self, endpoints: Sequence[EndpointState], context: RoutingContext) -> _Pools:
-        count = len(endpoints)
+    @staticmethod
+    def _border(count: int, context: RoutingContext) -> int:
+        """Return the index where the pool for long prompts begins."""
         if count < 2:
-            return _Pools(endpoints, endpoints)
+            return 0
         share = context.long_share * (0.75 + 0.5 * context.settings.short_weight)
-        long = min(count - 1, max(1, round(share * count)))
-        return _Pools(endpoints[: count - long], endpoints[count - long :])
+        return count - min(count - 1, max(1, round(share * count)))
 
     def _best(
-        self, work: Work, pool: Sequence[EndpointState], context: RoutingContext, fits
+        self, work: Work, pool: _Pool, context: RoutingContext, fits: Fits
     ) -> EndpointState | None:
         best = None
         best_seconds = 0.0
-        for state in self._candidates(pool, context):
-            if not _has_room(state, work, context.now) or not fits(state, work, context):
+        for state in pool.candidates(context):
+            load = _room(state, work, context.now)
+            if load is None or not fits(load, context):
                 continue
-            seconds = self._seconds(state, work, context)
+            seconds = self._seconds(state, load, work, context)
             if best is None or seconds < best_seconds:
                 best, best_seconds = state, seconds
         return best
 
-    def _candidates(
-        self, pool: Sequence[EndpointState], context: RoutingContext
-    ) -> Sequence[EndpointState]:
-        if len(pool) <= _SCAN_UP_TO:
-            return pool
-        # Few random candidates, so that daemons with the same late picture do not herd.
-        chosen = context.random.sample(range(len(pool)), _SAMPLES)
-        candidates = [pool[index] for index in chosen]
-        if context.prefix_blocks:
-            names = set(context.prefix_blocks)
-            candidates += [state for state in pool if state.endpoint.name in names]
-        return candidates
-
-    def _seconds(self, state: EndpointState, work: Work, context: RoutingContext) -> float:
-        now = context.now
+    @staticmethod
+    def _seconds(
+        state: EndpointState, load: EndpointLoad, work: Work, context: RoutingContext
+    ) -> float:
         cached = context.prefix_blocks.get(state.endpoint.name, 0.0) * _BLOCK_TOKENS
         prefill = max(1.0, work.prompt_tokens - cached)
         slowdown = 1.0 + work.prompt_tokens / (2 * _SLOWDOWN_TOKENS)
         seconds = prefill * slowdown / context.prefill_rate
-        seconds += self._queued(state, work, now) / context.prefill_rate / state.weight(now)
-        seconds += state.streams(now) * _DECODE_SECONDS_PER_STREAM
+        seconds += load.queued_tokens / context.prefill_rate / state.weight(context.now)
+        seconds += load.streams * _DECODE_SECONDS_PER_STREAM
         if state.endpoint.zone != context.zone:
             seconds += _ZONE_SECONDS
         return seconds * (1.0 + 0.01 * context.random.random())
-
-    @staticmethod
-    def _queued(state: EndpointState, work: Work, now: float) -> float:
-        return float(state.queued_tokens(now))
-
-    @staticmethod
-    def _long_fits(state: EndpointState, work: Work, context: RoutingContext) -> bool:
-        return state.long_prefills(context.now) < context.settings.long_prefills_per_engine
-
-    @staticmethod
-    def _short_fits(state: EndpointState, work: Work, context: RoutingContext) -> bool:
-        backlog = state.queued_tokens(context.now)
-        return backlog == 0 or backlog < _BACKLOG_SECONDS * context.prefill_rate
-
-    @staticmethod
-    def _spill_fits(state: EndpointState, work: Work, context: RoutingContext) -> bool:
-        return state.long_prefills(context.now) == 0 and LengthAware._short_fits(
-            state, work, context
-        )
--- a/src/brassdrum/routing/state.py
+++ b/src/brassdrum/routing/state.py
@@ -9,7 +9,7 @@
 from brassdrum.contracts.documents import Endpoint
 from brassdrum.outcomes.breaker import Breaker
 
-__all__ = ["EndpointState", "LoadReport", "OwnWork", "PeerLoad"]
+__all__ = ["EndpointLoad", "EndpointState", "LoadReport", "OwnWork", "PeerLoad"]
 
 _SLOW_START_SECONDS = 10.0
 _SLOW_START_FLOOR = 0.1
@@ -37,6 +37,16 @@
     long_prefills: int
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointLoad:
+    """Hold what is believed of an endpoint at one moment."""
+
+    streams: int
+    queued_tokens: int
+    long_prefills: int
+    kv_free: int
+
+
 @dataclass(slots=True)
 class OwnWork:
     """Hold one request of this daemon at an endpoint."""
@@ -67,52 +77,45 @@
 
     def own_queued_tokens(self) -> int:
         """Return this daemon's prompt tokens without a first token yet."""
-        return sum(own.prefill_tokens for own in self.own_by_id.values() if not own.first_token)
+        return self._own_load()[1]
 
     def own_long_prefills(self) -> int:
         """Return this daemon's long prompts without a first token yet."""
-        return sum(
-            1
-            for own in self.own_by_id.values()
-            if not own.first_token and own.work.band is LengthBand.LONG
-        )
+        return self._own_load()[2]
+
+    def load(self, now: float) -> EndpointLoad:
+        """Return the load believed to be there: the larger of report and sum of dispatches."""
+        streams, queued, long_prefills, kv_held = self._own_load()
+        since_streams, since_queued = self._own_since_report()
+        own_queued = queued
+        for peer in self.peers_by_daemon.values():
+            if now - peer.at > _PEER_EXPIRES_SECONDS:
+                continue
+            streams += peer.streams
+            queued += peer.queued_tokens
+            long_prefills += peer.long_prefills
+        report = self.report
+        if report is not None and now - report.at <= _REPORT_EXPIRES_SECONDS:
+            streams = max(streams, report.streams + since_streams)
+            queued = max(own_queued, min(queued, report.queued_tokens + since_queued))
+            kv_held = max(kv_held, report.kv_tokens_held)
+        return EndpointLoad(streams, queued, long_prefills, self.endpoint.kv_tokens - kv_held)
 
     def streams(self, now: float) -> int:
-        """Return the streams believed to run, by the larger of report and sum of dispatches."""
-        dispatched = len(self.own_by_id) + sum(peer.streams for peer in self._peers(now))
-        if not self._report_holds(now):
-            return dispatched
-        assert self.report is not None
-        return max(dispatched, self.report.streams + self._own_since_report())
+        """Return the streams believed to run."""
+        return self.load(now).streams
 
     def queued_tokens(self, now: float) -> int:
         """Return the prompt tokens believed to wait for their prefill or be in it."""
-        dispatched = self.own_queued_tokens()
-        dispatched += sum(peer.queued_tokens for peer in self._peers(now))
-        if not self._report_holds(now):
-            return dispatched
-        assert self.report is not None
-        since = sum(
-            own.prefill_tokens
-            for own in self.own_by_id.values()
-            if own.dispatched > self.report.at and not own.first_token
-        )
-        return max(self.own_queued_tokens(), min(dispatched, self.report.queued_tokens + since))
+        return self.load(now).queued_tokens
 
     def long_prefills(self, now: float) -> int:
         """Return the long prompts believed to be in prefill."""
-        return self.own_long_prefills() + sum(peer.long_prefills for peer in self._peers(now))
+        return self.load(now).long_prefills
 
     def kv_free(self, now: float) -> int:
         """Return the tokens of memory believed to be free."""
-        own = self.kv_reserved + sum(
-            item.work.kv_tokens for item in self.own_by_id.values() if not item.reserved
-        )
-        held = own
-        if self._report_holds(now):
-            assert self.report is not None
-            held = max(own, self.report.kv_tokens_held)
-        return self.endpoint.kv_tokens - held
+        return self.load(now).kv_free
 
     def weight(self, now: float) -> float:
         """Return the part of its capacity to use: a new endpoint starts slowly."""
@@ -127,14 +130,27 @@
             if name not in live:
                 del self.peers_by_daemon[name]
 
-    def _peers(self, now: float) -> list[PeerLoad]:
-        return [
-            peer for peer in self.peers_by_daemon.values() if now - peer.at <= _PEER_EXPIRES_SECONDS
-        ]
-
-    def _report_holds(self, now: float) -> bool:
-        return self.report is not None and now - self.report.at <= _REPORT_EXPIRES_SECONDS
-
-    def _own_since_report(self) -> int:
-        assert self.report is not None
-        return sum(1 for own in self.own_by_id.values() if own.dispatched > self.report.at)
+    def _own_load(self) -> tuple[int, int, int, int]:
+        queued = 0
+        long_prefills = 0
+        held = self.kv_reserved
+        for own in self.own_by_id.values():
+            if not own.reserved:
+                held += own.work.kv_tokens
+            if own.first_token:
+                continue
+            queued += own.prefill_tokens
+            long_prefills += own.work.band is LengthBand.LONG
+        return len(self.own_by_id), queued, long_prefills, held
+
+    def _own_since_report(self) -> tuple[int, int]:
+        if self.report is None:
+            return 0, 0
+        streams = 0
+        queued = 0
+        for own in self.own_by_id.values():
+            if own.dispatched <= self.report.at:
+                continue
+            streams += 1
+            queued += 0 if own.first_token else own.prefill_tokens
+        return streams, queued
