--- a/features/properties.feature
+++ b/features/properties.feature
@@ -29,5 +29,8 @@
     Then no bytes make a decoder fail but with its typed error
     And no changed resume token is accepted
 
+  Scenario: State charts
+    Then every edge of every chart is reached and none outside is taken
+
   Scenario: Retries
     Then nothing that may have run is repeated unless it may be, and retries stay in budget
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -2,6 +2,8 @@
 
 import json
 import random
+import threading
+from types import SimpleNamespace
 
 from behave import then
 from hypothesis import given, settings
@@ -11,6 +13,7 @@
 from brassdrum.admission.limits import Allowance, LocalLimiter, TokenBucket
 from brassdrum.admission.queue import FairQueue
 from brassdrum.admission.work import Work
+from brassdrum.charts import OutsideChartError, load_chart
 from brassdrum.clock import ManualClock
 from brassdrum.contracts.documents import Urgency
 from brassdrum.contracts.fold import ControlFold
@@ -20,6 +23,7 @@
     parse_checkpoint,
     parse_control_record,
 )
+from brassdrum.daemon.main import Daemon
 from brassdrum.errors import (
     EndpointFailedError,
     NoEndpointError,
@@ -28,7 +32,8 @@
 )
 from brassdrum.leadership.holder import DutyHolder
 from brassdrum.leadership.lease import LeaseTable
-from brassdrum.outcomes.claims import ClaimFold, parse_claim_record
+from brassdrum.outcomes.breaker import Breaker
+from brassdrum.outcomes.claims import Claim, ClaimFold, ClaimKey, parse_claim_record
 from brassdrum.outcomes.resume import ResumeTicket, ResumeTokens
 from brassdrum.outcomes.retries import RetryBudget, RetryPolicy
 from brassdrum.outcomes.stream import EventVerdict, StreamAssembler, StreamChecker
@@ -456,6 +461,83 @@
     check()
 
 
+def _walk(chart, take):
+    """Drive code with random triggers; return the edges it took, checking each."""
+    taken = set()
+
+    @settings(max_examples=200)
+    @given(st.lists(st.sampled_from(sorted({edge[1] for edge in chart.edges})), max_size=12))
+    def check(triggers):
+        state = chart.initial
+        for before, trigger, after in take(triggers):
+            assert before == state
+            if after != before or chart.allows(before, trigger):
+                assert chart.next(before, trigger) == after, (before, trigger, after)
+                taken.add((before, trigger, after))
+            state = after
+
+    check()
+    assert taken == set(chart.edges), set(chart.edges) - taken
+
+
+def _claim_walk(triggers):
+    claim = Claim("id", ClaimKey("o", "k"), "f", "d", 1.0, 0.0)
+    for trigger in triggers:
+        before = claim.state.value
+        claim.follow(trigger)
+        yield before, trigger, claim.state.value
+
+
+def _lease_walk(triggers):
+    table = LeaseTable()
+    for offset, trigger in enumerate(triggers):
+        lease = table.get("duty")
+        before = "held" if lease is not None and lease.holder else "free"
+        record = {"format": 1, "kind": "lease", "id": f"record-{offset}", "duty": "duty"}
+        record |= {"holder": "d", "action": trigger, "term_seconds": 1.0}
+        record |= {"previous": -1 if lease is None else lease.last}
+        table.apply(offset, parse_control_record(record))
+        lease = table.get("duty")
+        yield before, trigger, "held" if lease is not None and lease.holder else "free"
+
+
+def _breaker_walk(triggers):
+    breaker, now = Breaker(), 0.0
+    for trigger in triggers:
+        before, now = breaker.state, now + 100.0
+        if trigger == "trip":
+            breaker.failures += 10
+            breaker.failed(now)
+        elif trigger == "probe":
+            breaker.sent(now)
+        else:
+            breaker.succeeded()
+        yield before, trigger, breaker.state
+
+
+def _daemon_walk(triggers):
+    daemon = SimpleNamespace(_state="starting", _state_lock=threading.Lock())
+    for trigger in triggers:
+        before = daemon._state
+        try:
+            Daemon._follow(daemon, trigger)
+        except OutsideChartError:
+            pass
+        yield before, trigger, daemon._state
+
+
+@then("every edge of every chart is reached and none outside is taken")
+def step_charts(context):
+    walks = {
+        "claim": _claim_walk,
+        "lease": _lease_walk,
+        "breaker": _breaker_walk,
+        "daemon": _daemon_walk,
+    }
+    for name, walk in walks.items():
+        _walk(load_chart(name), walk)
+
+
 @then("nothing that may have run is repeated unless it may be, and retries stay in budget")
 def step_retries(context):
     @given(st.lists(st.tuples(st.booleans(), st.booleans(), st.booleans()), max_size=200))
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import logging
+import threading
 import time
 from collections.abc import Callable
 
 from brassdrum.admission.lending import Census
+from brassdrum.charts import load_chart
 from brassdrum.clock import Clock, SystemClock
 from brassdrum.contracts.checkpoints import CheckpointWriter
 from brassdrum.contracts.records import CLAIM_SHARDS
@@ -55,6 +57,7 @@
 __all__ = ["Daemon"]
 
 _logger = logging.getLogger(__name__)
+_CHART = load_chart("daemon")
 _CHECKPOINT_DUTY = "checkpoint"
 _DEFAULT_WINDOW_SECONDS = 3600.0
 _RETRY_SHARE = 0.1
@@ -83,6 +86,9 @@
         self._clients = PeerClients()
         self._peer_server = PeerServer(settings.peer.host, settings.peer.port)
         self._was_ready = False
+        self._state = _CHART.initial
+        self._state_lock = threading.Lock()
+        self._ready_lock = threading.RLock()
         self._made_at = self._clock.monotonic()
         self._control = ControlState(self._log, self._clock, self._peer_snapshots, self._configure)
         self._claims = Claims(
@@ -156,11 +162,15 @@
 
     def not_ready(self) -> str | None:
         """Return why the balancer shall not send requests, or None."""
-        if self.core.stopping.is_set():
-            return "this daemon is stopping"
+        if self._state in ("leaving", "draining", "stopped"):
+            return f"this daemon is {self._state}"
         reason = self._control.not_ready()
         if reason is not None:
             return reason
+        with self._ready_lock:
+            return self._first_ready()
+
+    def _first_ready(self) -> str | None:
         if not self._was_ready:
             with self.gossip.lock:
                 newest = self.gossip.table.newest_revision(self._clock.monotonic())
@@ -169,6 +179,7 @@
             if newest < 0 and not self._hosts.read_once and self._age() < _LONELY_SECONDS:
                 return "neither the host list nor a peer has been heard yet"
             self._was_ready = True
+            self._follow("become_ready")
         return None
 
     def _hosts_pause(self) -> float:
@@ -182,6 +193,10 @@
     def _tick_pause(self) -> float:
         return _TICK_SECONDS if len(self._dispatcher.queue) else _IDLE_SECONDS
 
+    def _follow(self, trigger: str) -> None:
+        with self._state_lock:
+            self._state = _CHART.next(self._state, trigger)
+
     def _age(self) -> float:
         return self._clock.monotonic() - self._made_at
 
@@ -213,6 +228,7 @@
         """Stop gracefully: the balancer notices first, then every request ends."""
         self._leave()
         time.sleep(self.settings.shutdown.notice_seconds)
+        self._follow("drain")
         self.core.stopping.set()
         if not self.core.active.wait_idle(self.settings.shutdown.drain_seconds):
             _logger.warning(
@@ -224,6 +240,9 @@
 
     def close(self) -> None:
         """Stop at once."""
+        if self._state == "stopped":
+            return
+        self._follow("stop")
         self._http.close()
         self.core.relay.close()
         self._peer_server.close()
@@ -414,6 +433,7 @@
 
     def _leave(self) -> None:
         _logger.info("daemon leaving", extra={"active": len(self.core.active)})
+        self._follow("leave")
         with self.gossip.lock:
             self.gossip.table.own.state = LEAVING
 
--- a/src/brassdrum/leadership/lease.py
+++ b/src/brassdrum/leadership/lease.py
@@ -4,10 +4,13 @@
 
 from dataclasses import dataclass, replace
 
+from brassdrum.charts import load_chart
 from brassdrum.contracts.records import CheckpointDuty, LeaseRecord
 
 __all__ = ["Challenger", "Lease", "LeaseTable"]
 
+_CHART = load_chart("lease")
+_HELD = "held"
 _MARGIN = 0.25
 
 
@@ -42,6 +45,9 @@
         last = -1 if current is None else current.last
         if record.previous != last:
             return False
+        state = _CHART.initial if current is None or current.holder is None else _HELD
+        if not _CHART.allows(state, record.action):
+            return False
         if record.action == "claim":
             self._by_duty[record.duty] = Lease(
                 record.duty, record.holder, offset, offset, record.term_seconds
--- a/src/brassdrum/outcomes/breaker.py
+++ b/src/brassdrum/outcomes/breaker.py
@@ -4,17 +4,21 @@
 
 from dataclasses import dataclass
 
+from brassdrum.charts import load_chart
+
 __all__ = ["Breaker"]
 
 _FAILURES_TO_OPEN = 5
 _FIRST_OPEN_SECONDS = 1.0
 _LONGEST_OPEN_SECONDS = 30.0
+_CHART = load_chart("breaker")
 
 
 @dataclass(slots=True)
 class Breaker:
     """Count failures in a row; open for a growing time, then let single probes through."""
 
+    state: str = _CHART.initial
     failures: int = 0
     open_until: float = 0.0
     _openings: int = 0
@@ -22,17 +26,20 @@
 
     def allows(self, now: float) -> bool:
         """Return whether a request may be sent."""
-        if self.failures < _FAILURES_TO_OPEN:
+        if self.state == _CHART.initial:
             return True
         return now >= self.open_until and now >= self._probe_until
 
     def sent(self, now: float) -> None:
-        """Note that a request is sent; while half open, others wait for its result."""
-        if self.failures >= _FAILURES_TO_OPEN:
-            self._probe_until = now + _FIRST_OPEN_SECONDS
+        """Note that a request is sent; while it probes, others wait for its result."""
+        if self.state == _CHART.initial:
+            return
+        self.state = _CHART.next(self.state, "probe")
+        self._probe_until = now + _FIRST_OPEN_SECONDS
 
     def succeeded(self) -> None:
         """Note an answer of any kind."""
+        self.state = _CHART.next(self.state, "recover")
         self.failures = 0
         self._openings = 0
         self._probe_until = 0.0
@@ -42,6 +49,7 @@
         self.failures += 1
         if self.failures < _FAILURES_TO_OPEN:
             return
+        self.state = _CHART.next(self.state, "trip")
         seconds = min(_LONGEST_OPEN_SECONDS, _FIRST_OPEN_SECONDS * 2**self._openings)
         self._openings = min(self._openings + 1, 10)
         self.open_until = now + seconds
--- a/src/brassdrum/outcomes/claims.py
+++ b/src/brassdrum/outcomes/claims.py
@@ -9,6 +9,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
 
+from brassdrum.charts import load_chart
 from brassdrum.contracts.records import NewerFormatError, UnreadableRecordError
 
 __all__ = [
@@ -77,9 +78,13 @@
         raise UnreadableRecordError(str(error.errors(include_url=False)[0]["msg"])) from error
 
 
+_CHART = load_chart("claim")
+
+
 class ClaimState(StrEnum):
     """Name the states of a claim; ``charts/claim.json`` gives their order."""
 
+    UNCLAIMED = "unclaimed"
     CLAIMED = "claimed"
     ABANDONED = "abandoned"
     DONE = "done"
@@ -103,9 +108,16 @@
     daemon: str
     deadline: float
     at: float
-    state: ClaimState = ClaimState.CLAIMED
+    state: ClaimState = ClaimState.UNCLAIMED
     outcome: OutcomeRecord | None = None
 
+    def follow(self, trigger: str) -> bool:
+        """Take the chart's edge for a trigger; return whether there is one."""
+        if not _CHART.allows(self.state, trigger):
+            return False
+        self.state = ClaimState(_CHART.next(self.state, trigger))
+        return True
+
 
 @dataclass(slots=True)
 class ClaimFold:
@@ -180,7 +192,9 @@
         self._by_id[record.id] = claim
         if self._abandoned_early.pop(record.id, None) is not None:
             # A late append of a claim whose daemon gave up: it was never dispatched.
-            claim.state = ClaimState.ABANDONED
+            claim.follow("abandon")
+        claim.follow("claim")
+        if claim.state is ClaimState.ABANDONED:
             return
         holder = self.by_key.get(key)
         if holder is None or holder.state is ClaimState.ABANDONED:
@@ -191,12 +205,9 @@
         if claim is None:
             self._abandoned_early[record.id] = time
             return
-        if claim.state is ClaimState.CLAIMED:
-            claim.state = ClaimState.ABANDONED
+        claim.follow("abandon")
 
     def _finish(self, record: OutcomeRecord) -> None:
         claim = self._by_id.get(record.id)
-        if claim is None or claim.state is not ClaimState.CLAIMED:
-            return
-        claim.state = ClaimState.DONE
-        claim.outcome = record
+        if claim is not None and claim.follow("finish"):
+            claim.outcome = record
