--- a/src/brassdrum/telemetry/traces.py
+++ b/src/brassdrum/telemetry/traces.py
@@ -6,7 +6,6 @@
 from contextlib import contextmanager
 
 from opentelemetry import trace
-from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import TracerProvider
 from opentelemetry.sdk.trace.export import BatchSpanProcessor, SpanProcessor
@@ -76,6 +75,9 @@
             sampler=ParentBased(sampler) if exported else sampler, resource=resource
         )
         if settings.otlp_endpoint is not None:
+            # Imported here: 3.5 MB that a daemon without an exporter does not need.
+            from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+
             exporter = OTLPSpanExporter(endpoint=settings.otlp_endpoint)
             self._provider.add_span_processor(BatchSpanProcessor(exporter))
         if processor is not None:
