--- a/src/brassdrum/cli/main.py
+++ b/src/brassdrum/cli/main.py
@@ -12,7 +12,7 @@
 from collections.abc import Sequence
 
 from brassdrum import __version__
-from brassdrum.cli import bench, documents, operate, serve
+from brassdrum.cli import bench, documents, history, operate, serve
 from brassdrum.errors import BrassdrumError, InvalidDocumentError, PlatformUnavailableError
 
 __all__ = ["main"]
@@ -46,6 +46,7 @@
     documents.add_commands(commands)
     operate.add_commands(commands)
     bench.add_commands(commands)
+    history.add_commands(commands)
     return parser
 
 
--- a/src/brassdrum/daemon/attempts.py
+++ b/src/brassdrum/daemon/attempts.py
@@ -14,6 +14,7 @@
     DeadlineExceededError,
     EndpointFailedError,
     NoEndpointError,
+    Ran,
 )
 from brassdrum.telemetry.observe import observe
 
@@ -38,6 +39,7 @@
         self._scope = scope
         self._repeatable = repeatable
         self._attempt = 0
+        self._may_have_run = False
 
     def run(self, work: Work, send: Callable[[Placement], T]) -> T:
         """Return what ``send`` returns at the first endpoint where it succeeds.
@@ -47,7 +49,7 @@
         self._core.retry_budget.request()
         while True:
             self._attempt += 1
-            placement = self._place(work)
+            placement = self._place_or_tell(work)
             try:
                 answer = send(placement)
             except BrassdrumError as error:
@@ -61,6 +63,20 @@
             placement.state.breaker.succeeded()
             return answer
 
+    def _place_or_tell(self, work: Work) -> Placement:
+        try:
+            return self._place(work)
+        except BrassdrumError as error:
+            self._note_ran(error)
+            raise
+
+    def _note_ran(self, error: BrassdrumError) -> None:
+        """Let an error tell of all attempts: a later one that did not run hides no earlier one."""
+        if error.ran is not Ran.NO:
+            self._may_have_run = True
+        if self._may_have_run and error.ran is Ran.NO:
+            error.ran = Ran.MAYBE
+
     def _place(self, work: Work) -> Placement:
         scope = self._scope
         with scope.trace.hop("queue", band=work.band.value):
@@ -91,6 +107,7 @@
 
     def _again(self, work: Work, placement: Placement, error: BrassdrumError) -> Work:
         scope = self._scope
+        self._note_ran(error)
         if not isinstance(error, EndpointFailedError | NoEndpointError):
             raise error
         now = self._core.clock.monotonic()
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -85,10 +85,8 @@
         )
         self._clients = PeerClients()
         self._peer_server = PeerServer(settings.peer.host, settings.peer.port)
-        self._was_ready = False
         self._state = _CHART.initial
         self._state_lock = threading.Lock()
-        self._ready_lock = threading.RLock()
         self._made_at = self._clock.monotonic()
         self._control = ControlState(self._log, self._clock, self._peer_snapshots, self._configure)
         self._claims = Claims(
@@ -167,21 +165,27 @@
         reason = self._control.not_ready()
         if reason is not None:
             return reason
-        with self._ready_lock:
-            return self._first_ready()
+        return self._first_ready() if self._state == _CHART.initial else None
 
     def _first_ready(self) -> str | None:
-        if not self._was_ready:
-            with self.gossip.lock:
-                newest = self.gossip.table.newest_revision(self._clock.monotonic())
-            if newest > self._control.revision:
-                return f"a peer holds revision {newest}; this daemon {self._control.revision}"
-            if newest < 0 and not self._hosts.read_once and self._age() < _LONELY_SECONDS:
-                return "neither the host list nor a peer has been heard yet"
-            self._was_ready = True
-            self._follow("become_ready")
+        now = self._clock.monotonic()
+        with self.gossip.lock:
+            newest = self.gossip.table.newest_revision(now)
+        if newest > self._control.revision:
+            return f"a peer holds revision {newest}; this daemon {self._control.revision}"
+        if newest < 0 and not self._hosts.read_once and self._age() < _LONELY_SECONDS:
+            return "neither the host list nor a peer has been heard yet"
+        # What is leaving has to be known before the first request, not at the next round.
+        self._mark_leaving()
+        with self._state_lock:
+            if self._state == _CHART.initial:
+                self._state = _CHART.next(self._state, "become_ready")
         return None
 
+    def _read_hosts(self) -> None:
+        self._hosts.step()
+        self._mark_leaving()
+
     def _hosts_pause(self) -> float:
         """Return a pause that grows with the fleet: any one reader tells the others by gossip."""
         base = self.settings.poll_seconds
@@ -213,7 +217,7 @@
             loops.every("appender", lambda: 0.0, shard.appender.step)
         loops.every("gossip", self.gossip.pause, self.gossip.step)
         loops.every("limits", lambda: settings.gossip_seconds, self._limits.borrow)
-        loops.every("hosts", self._hosts_pause, self._hosts.step)
+        loops.every("hosts", self._hosts_pause, self._read_hosts)
         loops.every("endpoints", lambda: settings.poll_seconds, self._endpoint_watch.step)
         loops.every("leaving", lambda: settings.poll_seconds / 2, self._mark_leaving)
         loops.every("watch", self._watch_pause, self.core.watch.step)
@@ -355,6 +359,8 @@
             for entry in newer:
                 self._take_loads(fleet, entry, now)
             fleet.peer_long_share = (fleet.long_share + sum(shares)) / (1 + len(shares))
+        if any(entry.leaving_endpoints for entry in newer):
+            self._mark_leaving()
 
     @staticmethod
     def _take_loads(fleet: Fleet, entry: DaemonEntry, now: float) -> None:
--- a/src/brassdrum/daemon/relay.py
+++ b/src/brassdrum/daemon/relay.py
@@ -145,6 +145,9 @@
 
     def add(self, stream: RelayedStream) -> None:
         """Take over a stream whose writer is attached."""
+        if self._stopping:
+            self._drop(stream)
+            return
         self._command(lambda: self._guard(stream, self._adopt))
 
     def _command(self, command: Callable[[], None]) -> None:
@@ -172,6 +175,14 @@
                     self._guard(watched.stream, self._caller_readable)
                 if mask & selectors.EVENT_WRITE:
                     self._guard(watched.stream, self._caller_writable)
+        self._drop_all()
+
+    def _drop_all(self) -> None:
+        """Close every caller's connection, as the end of the process would."""
+        self._run_commands()
+        for key in list((self._selector.get_map() or {}).values()):
+            if key.data is not None and key.data.side is _Side.CALLER:
+                self._drop(key.data.stream)
 
     def _run_commands(self) -> None:
         try:
--- a/src/brassdrum/settings.py
+++ b/src/brassdrum/settings.py
@@ -142,6 +142,7 @@
     stream_lease_seconds: Seconds = 30.0
     resume_seconds: Annotated[float, Field(ge=0)] = 20.0
     checks_fences: bool = True
+    tag_tokens: bool = False
     seed: int = 1
     threads: int = 128
     faults: EngineFaults = EngineFaults()
--- a/src/brassdrum/standins/engine.py
+++ b/src/brassdrum/standins/engine.py
@@ -23,6 +23,7 @@
     EngineStream,
     MemoryFullError,
     Reservation,
+    token_tag,
 )
 from brassdrum.wsgi import HttpServer, Request, Response, Router, json_response
 
@@ -59,6 +60,7 @@
         self.model = EngineModel(settings)
         self.started = 0
         self.draining = False
+        self.started_at: list[float] = []
         self.started_by_id: dict[str, int] = {}
         self._faults = settings.faults
         self._random = random.Random(settings.seed)
@@ -123,6 +125,7 @@
             blocks=block_hashes(text),
             created=time.monotonic(),
             reservation=request.header("X-Reservation"),
+            tag=token_tag(text) if self.settings.tag_tokens else "",
         )
         try:
             self.model.submit(stream)
@@ -130,6 +133,7 @@
             raise _RefusedError(str(error)) from error
         with self._lock:
             self.started += 1
+            self.started_at.append(time.monotonic())
             self.started_by_id[stream.id] = self.started_by_id.get(stream.id, 0) + 1
         if self._happens(self._faults.hang):
             time.sleep(3600)
--- a/src/brassdrum/standins/engine_model.py
+++ b/src/brassdrum/standins/engine_model.py
@@ -7,10 +7,12 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
+import xxhash
+
 from brassdrum.routing.blocks import BLOCK_CHARACTERS
 from brassdrum.settings import EngineStandinSettings
 
-__all__ = ["EngineModel", "EngineStream", "MemoryFullError", "Reservation"]
+__all__ = ["EngineModel", "EngineStream", "MemoryFullError", "Reservation", "token_tag"]
 
 _CHARACTERS_PER_TOKEN = 4
 _BLOCK_TOKENS = BLOCK_CHARACTERS // _CHARACTERS_PER_TOKEN
@@ -20,6 +22,11 @@
 _IDLE_SECONDS = 0.02
 
 
+def token_tag(prompt: str) -> str:
+    """Return what marks the tokens of one prompt, so that a checker knows whose they are."""
+    return f"-{xxhash.xxh3_64_hexdigest(prompt.encode())[:8]}"
+
+
 class MemoryFullError(Exception):
     """Tell that the tokens asked for do not fit."""
 
@@ -54,6 +61,7 @@
     reader: int = 0
     abandoned_at: float | None = None
     prefill_started: bool = False
+    tag: str = ""
 
     @property
     def decoding(self) -> bool:
@@ -213,7 +221,7 @@
         for stream in list(self._running):
             if not stream.decoding:
                 continue
-            stream.tokens.append(f"w{len(stream.tokens)} ")
+            stream.tokens.append(f"w{len(stream.tokens)}{stream.tag} ")
             if len(stream.tokens) >= stream.answer_tokens:
                 stream.done = True
                 self._running.remove(stream)
