--- a/src/brassdrum/admission/limits.py
+++ b/src/brassdrum/admission/limits.py
@@ -77,7 +77,8 @@
 class DemandMeter:
     """Measure what callers ask for, refused or not, with older demand fading."""
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, half_life: float = _DEMAND_HALF_LIFE) -> None:
+        self._half_life = half_life
         self._at = now
         self._requests = 0.0
         self._tokens = 0.0
@@ -85,8 +86,8 @@
     def add(self, tokens: float, now: float) -> None:
         """Count one request."""
         self._fade(now)
-        self._requests += math.log(2) / _DEMAND_HALF_LIFE
-        self._tokens += tokens * math.log(2) / _DEMAND_HALF_LIFE
+        self._requests += math.log(2) / self._half_life
+        self._tokens += tokens * math.log(2) / self._half_life
 
     def rates(self, now: float) -> tuple[float, float]:
         """Return requests and tokens per second."""
@@ -94,7 +95,7 @@
         return self._requests, self._tokens
 
     def _fade(self, now: float) -> None:
-        factor = 0.5 ** (max(0.0, now - self._at) / _DEMAND_HALF_LIFE)
+        factor = 0.5 ** (max(0.0, now - self._at) / self._half_life)
         self._at = now
         self._requests *= factor
         self._tokens *= factor
--- a/src/brassdrum/bench/decisions.py
+++ b/src/brassdrum/bench/decisions.py
@@ -93,7 +93,7 @@
         state = EndpointState(endpoint, float("-inf"))
         state.report = LoadReport(99.0, rng.randrange(30), rng.randrange(10_000), 100_000)
         states.append(state)
-    context = RoutingContext(100.0, "zone-1", rng, Policy(), long_share=0.2)
+    context = RoutingContext(100.0, "zone-1", rng, Policy(), long_load=endpoints * 0.2)
     policy = LengthAware()
     work = _work(1, "a")
     value = _microseconds(lambda: policy.choose(work, states, context), 400)
--- a/src/brassdrum/daemon/fleet.py
+++ b/src/brassdrum/daemon/fleet.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable, Iterable
 
+from brassdrum.admission.limits import DemandMeter
 from brassdrum.admission.work import LengthBand, Work, is_service, service_target
 from brassdrum.clock import Clock
 from brassdrum.contracts.documents import Configuration, Endpoint, EndpointKind
@@ -19,7 +20,7 @@
 
 __all__ = ["Fleet"]
 
-_LONG_SHARE_RATE = 0.01
+_LONG_HALF_LIFE = 10.0
 _DEFAULT_PREFILL_RATE = 20_000.0
 _SERVICE_POLICY = "least_outstanding"
 
@@ -49,8 +50,8 @@
         self.estimates_by_model: dict[str, ModelEstimate] = {}
         self._endpoints_by_peer: dict[str, set[str]] = {}
         self.prefixes = PrefixIndex()
-        self.long_share = 0.0
-        self.peer_long_share: float | None = None
+        self.peers_long_load = 0.0
+        self._long_work = DemandMeter(self._started, _LONG_HALF_LIFE)
 
     def configure(self, configuration: Configuration) -> None:
         """Take over a new configuration; endpoints that stay keep their state."""
@@ -77,19 +78,23 @@
             zone=self._zone,
             random=self._random,
             settings=self._settings,
-            long_share=self._shared_long_share(),
+            long_load=self.long_load() + self.peers_long_load,
             prefill_rate=_DEFAULT_PREFILL_RATE if estimate is None else estimate.prefill_rate,
             prefix_blocks=self.prefixes.longest(work.blocks) if work.blocks else {},
         )
         return self._policy(work.target).choose(work, candidates, context)
 
     def note_arrival(self, work: Work) -> None:
-        """Learn which share of the prefill work is long; it moves the pools' border."""
-        if work.target not in self.estimates_by_model:
+        """Learn how many engines the long prompts keep busy; it moves the pools' border."""
+        estimate = self.estimates_by_model.get(work.target)
+        if estimate is None or work.band is not LengthBand.LONG:
             return
-        seen = 1.0 if work.band is LengthBand.LONG else 0.0
-        weight = min(1.0, _LONG_SHARE_RATE * work.prompt_tokens / 4_000)
-        self.long_share += weight * (seen - self.long_share)
+        now = self._clock.monotonic()
+        self._long_work.add(estimate.prefill_seconds(work.prompt_tokens), now)
+
+    def long_load(self) -> float:
+        """Return the engines' worth of long prefill that arrives at this daemon."""
+        return self._long_work.rates(self._clock.monotonic())[1]
 
     def take_peer_load(self, daemon: str, endpoint: str, load: PeerLoad) -> None:
         """Note what another daemon has in flight at an endpoint."""
@@ -159,8 +164,3 @@
                 name = _SERVICE_POLICY
             policy = self._policies_by_target[target] = POLICIES.get(name)()
         return policy
-
-    def _shared_long_share(self) -> float:
-        if self.peer_long_share is None:
-            return self.long_share
-        return self.peer_long_share
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -338,7 +338,7 @@
         daemons = len(self._serving)
         with self._dispatcher.lock:
             fleet = self._dispatcher.fleet
-            entry.long_share = fleet.long_share
+            entry.long_load = fleet.long_load()
             del entry.loads[:]
             entry.loads.extend(_own_loads(fleet, long_only=not tells_all_loads(daemons)))
             reports = [] if polls_itself(daemons) else self._observed_reports(now)
@@ -353,12 +353,12 @@
     def _merged(self, newer: list[DaemonEntry]) -> None:
         now = self._clock.monotonic()
         with self.gossip.lock:
-            shares = [record.entry.long_share for record in self.gossip.table.live_peers(now)]
+            loads = [record.entry.long_load for record in self.gossip.table.live_peers(now)]
         with self._dispatcher.lock:
             fleet = self._dispatcher.fleet
             for entry in newer:
                 self._take_loads(fleet, entry, now)
-            fleet.peer_long_share = (fleet.long_share + sum(shares)) / (1 + len(shares))
+            fleet.peers_long_load = sum(loads)
         if any(entry.leaving_endpoints for entry in newer):
             self._mark_leaving()
 
--- a/src/brassdrum/routing/policies.py
+++ b/src/brassdrum/routing/policies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+import math
 import random
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -20,6 +21,7 @@
 _BLOCK_TOKENS = BLOCK_CHARACTERS // _CHARACTERS_PER_TOKEN
 _SCAN_UP_TO = 16
 _SAMPLES = 6
+_LONG_HEADROOM = 0.5
 _ZONE_SECONDS = 0.003
 _BACKLOG_SECONDS = 1.0
 _DECODE_SECONDS_PER_STREAM = 0.002
@@ -34,7 +36,7 @@
     zone: str
     random: random.Random
     settings: PolicySettings
-    long_share: float = 0.0
+    long_load: float = 0.0
     prefill_rate: float = 20_000.0
     prefix_blocks: Mapping[str, float] = field(default_factory=dict)
 
@@ -184,11 +186,16 @@
 
     @staticmethod
     def _border(count: int, context: RoutingContext) -> int:
-        """Return the index where the pool for long prompts begins."""
+        """Return the index where the pool for long prompts begins.
+
+        The pool holds as many engines as long prompts keep busy, with headroom that is smaller the
+        more short requests weigh: what does not fit waits, and leaves the other engines to them.
+        """
         if count < 2:
             return 0
-        share = context.long_share * (0.75 + 0.5 * context.settings.short_weight)
-        return count - min(count - 1, max(1, round(share * count)))
+        headroom = 1.0 + _LONG_HEADROOM * (1.0 - context.settings.short_weight)
+        long = math.ceil(context.long_load * headroom)
+        return count - min(count - 1, max(1, long))
 
     def _best(
         self, work: Work, pool: _Pool, context: RoutingContext, fits: Fits
