--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -78,6 +78,7 @@
 def step_may(context):
     assert context.answers[0].code == "endpoint_failed", context.answers[0]
     assert context.answers[0].error["ran"] == "maybe"
+    assert context.answers[0].headers["X-Should-Retry"] == "false"
 
 
 @then("the second caller is told the same and nothing ran twice")
--- a/src/brassdrum/bench/experiment.py
+++ b/src/brassdrum/bench/experiment.py
@@ -15,6 +15,7 @@
 from hdrh.histogram import HdrHistogram
 from pydantic import BaseModel, ConfigDict, Field
 
+from brassdrum.bench.fleet import ZONES, daemon_settings, list_hosts, wait_ready
 from brassdrum.bench.processes import Parts
 from brassdrum.bench.workload import Arrival, WorkloadPlan, make_workload, prompt_text
 from brassdrum.caller import Answer, Caller
@@ -26,16 +27,12 @@
     Model,
     Policy,
 )
-from brassdrum.http_pool import HttpPool
 from brassdrum.platform.log import HttpLog
 from brassdrum.platform.publish import Publisher
 from brassdrum.settings import (
     DaemonSettings,
     EngineStandinSettings,
-    LogSettings,
-    PlatformSettings,
     PlatformStandinSettings,
-    ResumeKey,
 )
 from brassdrum.standins.site import MODEL, sample_contract
 
@@ -44,8 +41,6 @@
 _MICROSECONDS = 1_000_000
 _LONGEST = 600 * _MICROSECONDS
 _CALLERS = 256
-_READY_SECONDS = 60.0
-_ZONES = 3
 _SHORT_TOKENS = 4_000
 _BANDS = ((0, 4_000), (4_000, 20_000), (20_000, 100_000), (100_000, 2_000_000))
 
@@ -149,16 +144,15 @@
             for number in range(experiment.engines)
         ]
         daemons = [
-            parts.start(["daemon", "--policy", policy], _daemon(platform, number))
+            parts.start(["daemon", "--policy", policy], _settings(platform, number))
             for number in range(experiment.daemons)
         ]
         urls = [daemon.wait_url() for daemon in daemons]
         engine_urls = [engine.wait_url() for engine in engines]
-        for number, url in enumerate(urls):
-            _list_host(platform, number, url)
+        list_hosts(platform, urls)
         organisations = sorted({arrival.organisation for arrival in arrivals})
         secrets = _publish(experiment, platform, engine_urls, organisations)
-        _wait_ready(urls)
+        wait_ready(urls)
         return _send(experiment, urls, secrets, arrivals, seed)
 
 
@@ -249,31 +243,12 @@
     )
 
 
-def _daemon(platform: str, number: int) -> DaemonSettings:
-    return DaemonSettings(
-        name=f"daemon-{number}",
-        zone=f"zone-{number % _ZONES}",
-        platform=PlatformSettings(url=platform),
-        threads=256,
-        queue_length=512,
-        gossip_seconds=0.25,
-        poll_seconds=0.25,
-        resume_keys=[ResumeKey(id="k1", secret="secret-of-the-benchmark")],
-        log=LogSettings(level="ERROR"),
+def _settings(platform: str, number: int) -> DaemonSettings:
+    return daemon_settings(
+        platform, number, 256, queue_length=512, gossip_seconds=0.25, poll_seconds=0.25
     )
 
 
-def _list_host(platform: str, number: int, url: str) -> None:
-    status = json.loads(Caller(url, "").send("GET", "/-/status", None).body)
-    content = {
-        "role": "daemon",
-        "state": "live",
-        "http_address": url.removeprefix("http://"),
-        "peer_address": status["daemons"][0]["peer_address"],
-    }
-    HttpPool(platform).call("PUT", f"/v1/hosts/daemon-{number}", json.dumps(content).encode())
-
-
 def _publish(
     experiment: Experiment, platform: str, engines: list[str], organisations: list[str]
 ) -> dict[str, str]:
@@ -288,7 +263,7 @@
                 name=f"engine-{number}",
                 kind=EndpointKind.ENGINE,
                 url=url,
-                zone=f"zone-{number % _ZONES}",
+                zone=f"zone-{number % ZONES}",
                 models=[MODEL],
                 kv_tokens=700_000,
                 max_streams=64,
@@ -306,15 +281,6 @@
     return secrets
 
 
-def _wait_ready(urls: list[str]) -> None:
-    limit = time.monotonic() + _READY_SECONDS
-    for url in urls:
-        while Caller(url, "").send("GET", "/-/ready", None).status != 200:
-            if time.monotonic() > limit:
-                raise TimeoutError(f"{url} did not become ready")
-            time.sleep(0.05)
-
-
 def write_results(path: Path, results: list[RunResult]) -> None:
     """Write one JSON object a line."""
     path.write_text("".join(json.dumps(asdict(result)) + "\n" for result in results))
--- a/src/brassdrum/bench/overhead.py
+++ b/src/brassdrum/bench/overhead.py
@@ -12,6 +12,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from brassdrum.bench.fleet import daemon_settings, wait_ready
 from brassdrum.bench.processes import Part, Parts
 from brassdrum.bench.source import PacedSourceSettings
 from brassdrum.caller import Caller
@@ -29,11 +30,7 @@
 from brassdrum.platform.log import HttpLog
 from brassdrum.platform.publish import Publisher
 from brassdrum.settings import (
-    DaemonSettings,
-    LogSettings,
-    PlatformSettings,
     PlatformStandinSettings,
-    ResumeKey,
 )
 
 __all__ = ["OverheadPlan", "OverheadResult", "measure_overhead"]
@@ -45,7 +42,6 @@
 _PROBE_TOKENS = 4
 _MICROSECONDS = 1_000_000
 _LONGEST = 60 * _MICROSECONDS
-_READY_SECONDS = 30.0
 _PROBE_THREADS = 32
 _LARGE_CHARACTERS = 4 * 1024 * 1024
 
@@ -88,10 +84,10 @@
             parts.start(["bench", "source"], PacedSourceSettings()).wait_url()
             for _ in range(_SOURCES)
         ]
-        daemon = parts.start(["daemon"], _daemon_settings(platform, plan))
+        daemon = parts.start(["daemon"], daemon_settings(platform, 1, plan.streams + 64))
         url = daemon.wait_url()
         secret = _publish(platform, sources)
-        _wait_ready(url, secret)
+        wait_ready([url])
         return _measure(plan, daemon, url, secret, sources)
 
 
@@ -140,17 +136,6 @@
     return 4.0 + plan.streams / 100
 
 
-def _daemon_settings(platform: str, plan: OverheadPlan) -> DaemonSettings:
-    return DaemonSettings(
-        name="daemon-1",
-        zone="zone-a",
-        platform=PlatformSettings(url=platform),
-        threads=plan.streams + 64,
-        resume_keys=[ResumeKey(id="k1", secret="secret-of-the-benchmark")],
-        log=LogSettings(level="WARNING"),
-    )
-
-
 def _publish(platform: str, sources: list[str]) -> str:
     secret, key = make_key("bench")
     contract = Contract(
@@ -189,15 +174,6 @@
     return secret
 
 
-def _wait_ready(url: str, secret: str) -> None:
-    caller = Caller(url, secret)
-    limit = time.monotonic() + _READY_SECONDS
-    while caller.send("GET", "/-/ready", None).status != 200:
-        if time.monotonic() > limit:
-            raise TimeoutError("the daemon did not become ready")
-        time.sleep(0.1)
-
-
 def _probe_all(url: str, secret: str, count: int) -> None:
     caller = Caller(url, secret)
     for _ in range(count):
--- a/src/brassdrum/bench/slopes.py
+++ b/src/brassdrum/bench/slopes.py
@@ -9,9 +9,15 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
+from brassdrum.bench.fleet import (
+    ZONES,
+    daemon_settings,
+    list_hosts,
+    status_of,
+    wait_ready,
+)
 from brassdrum.bench.processes import Part, Parts
 from brassdrum.bench.source import PacedSourceSettings
-from brassdrum.caller import Caller
 from brassdrum.contracts.documents import (
     ApiKey,
     Configuration,
@@ -26,19 +32,13 @@
 from brassdrum.platform.log import HttpLog
 from brassdrum.platform.publish import Publisher
 from brassdrum.settings import (
-    DaemonSettings,
-    LogSettings,
-    PlatformSettings,
     PlatformStandinSettings,
-    ResumeKey,
 )
 
 __all__ = ["Slope", "SlopePoint", "fit", "measure_point"]
 
 _MODEL = "m"
-_ZONES = 3
 _DAEMON_THREADS = 8
-_READY_SECONDS = 90.0
 _SETTLE_SECONDS = 4.0
 _CONTRACTS_PER_PUBLISH = 40
 
@@ -92,16 +92,17 @@
         ).wait_url()
         source = parts.start(["bench", "source"], PacedSourceSettings(threads=64)).wait_url()
         started = [
-            parts.start(["daemon"], _settings(platform, number)) for number in range(daemons)
+            parts.start(["daemon"], daemon_settings(platform, number, _DAEMON_THREADS))
+            for number in range(daemons)
         ]
         urls = [part.wait_url() for part in started]
-        _list_hosts(platform, urls)
+        list_hosts(platform, urls)
         contracts = [_contract(number) for number in range(organisations)]
         log = HttpLog(platform, 10.0)
         Publisher(log, "bench").publish([_configuration(source, endpoints)])
         for first in range(0, organisations, _CONTRACTS_PER_PUBLISH):
             Publisher(log, "bench").publish(contracts[first : first + _CONTRACTS_PER_PUBLISH])
-        _wait_ready(urls)
+        wait_ready(urls)
         time.sleep(_SETTLE_SECONDS)
         return _measure(
             started, urls, platform, seconds, contracts[0], changes, endpoints, organisations
@@ -163,7 +164,7 @@
     with ThreadPoolExecutor(8) as executor:
         waiting = list(urls)
         while waiting:
-            revisions = list(executor.map(lambda url: _status(url)["revision"], waiting))
+            revisions = list(executor.map(lambda url: status_of(url)["revision"], waiting))
             waiting = [
                 url
                 for url, revision in zip(waiting, revisions, strict=True)
@@ -182,12 +183,8 @@
     return statistics.median(rates)
 
 
-def _status(url: str) -> dict:
-    return json.loads(Caller(url, "").send("GET", "/-/status", None).body)
-
-
 def _costs(url: str) -> dict:
-    return _status(url)["control_cost"]
+    return status_of(url)["control_cost"]
 
 
 def _appends(platform: str) -> int:
@@ -195,37 +192,6 @@
     return int(json.loads(body)["appends"])
 
 
-def _wait_ready(urls: list[str]) -> None:
-    limit = time.monotonic() + _READY_SECONDS
-    for url in urls:
-        while Caller(url, "").send("GET", "/-/ready", None).status != 200:
-            if time.monotonic() > limit:
-                raise TimeoutError(f"{url} did not become ready")
-            time.sleep(0.1)
-
-
-def _list_hosts(platform: str, urls: list[str]) -> None:
-    for number, url in enumerate(urls):
-        content = {
-            "role": "daemon",
-            "state": "live",
-            "http_address": url.removeprefix("http://"),
-            "peer_address": _status(url)["daemons"][0]["peer_address"],
-        }
-        HttpPool(platform).call("PUT", f"/v1/hosts/daemon-{number}", json.dumps(content).encode())
-
-
-def _settings(platform: str, number: int) -> DaemonSettings:
-    return DaemonSettings(
-        name=f"daemon-{number}",
-        zone=f"zone-{number % _ZONES}",
-        platform=PlatformSettings(url=platform, timeout_seconds=5.0),
-        threads=_DAEMON_THREADS,
-        resume_keys=[ResumeKey(id="k1", secret="secret-of-the-benchmark")],
-        log=LogSettings(level="ERROR"),
-    )
-
-
 def _contract(number: int) -> Contract:
     _, key = make_key("bench")
     return Contract(
@@ -254,7 +220,7 @@
                 name=f"engine-{number}",
                 kind=EndpointKind.ENGINE,
                 url=source,
-                zone=f"zone-{number % _ZONES}",
+                zone=f"zone-{number % ZONES}",
                 models=[_MODEL],
                 kv_tokens=400_000,
             )
--- a/src/brassdrum/daemon/calls.py
+++ b/src/brassdrum/daemon/calls.py
@@ -10,9 +10,9 @@
 from brassdrum.daemon.claiming import claim, replay
 from brassdrum.daemon.core import Core, Scope
 from brassdrum.daemon.dispatcher import Placement
-from brassdrum.daemon.finishing import Ending
+from brassdrum.daemon.finishing import Ending, handle
 from brassdrum.endpoints.service import ServiceAnswer, ServiceCallRequest
-from brassdrum.errors import BrassdrumError, UnknownModelError
+from brassdrum.errors import UnknownModelError
 from brassdrum.outcomes.claims import OutcomeRecord
 from brassdrum.wsgi import Request, Response
 
@@ -44,16 +44,7 @@
 
     def handle(self, request: Request) -> Response:
         """Answer one call."""
-        scope = self._core.scope(request, "caller")
-        ending = Ending(self._core, scope)
-        try:
-            return self._run(scope, ending)
-        except BrassdrumError as error:
-            ending.failed(error)
-            raise
-        except BaseException:
-            ending.failed(BrassdrumError("The daemon failed to handle the call."))
-            raise
+        return handle(self._core, request, self._run)
 
     def _run(self, scope: Scope, ending: Ending) -> Response:
         body = scope.request.body()
--- a/src/brassdrum/daemon/finishing.py
+++ b/src/brassdrum/daemon/finishing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
 from brassdrum.admission.work import Work
 from brassdrum.daemon.answers import Usage
@@ -12,8 +13,9 @@
 from brassdrum.daemon.groups import GroupReservation
 from brassdrum.errors import BrassdrumError, CallerDisconnectedError
 from brassdrum.telemetry.observe import observe
+from brassdrum.wsgi import Request, Response
 
-__all__ = ["Ending"]
+__all__ = ["Ending", "handle"]
 
 _logger = logging.getLogger(__name__)
 _DECODE_WEIGHT = 4
@@ -131,3 +133,17 @@
 
 def _total(usage: Usage | None) -> int:
     return 0 if usage is None else usage.total
+
+
+def handle(core: Core, request: Request, run: Callable[[Scope, Ending], Response]) -> Response:
+    """Answer a request by a function and end it whenever that raises."""
+    scope = core.scope(request, "caller")
+    ending = Ending(core, scope)
+    try:
+        return run(scope, ending)
+    except BrassdrumError as error:
+        ending.failed(error)
+        raise
+    except BaseException:
+        ending.failed(BrassdrumError("The daemon failed to handle the request."))
+        raise
--- a/src/brassdrum/daemon/generation.py
+++ b/src/brassdrum/daemon/generation.py
@@ -12,7 +12,7 @@
 from brassdrum.daemon.core import Core, Scope
 from brassdrum.daemon.dispatcher import Placement
 from brassdrum.daemon.engine_run import EngineRun, RunTimes, StreamIdentity
-from brassdrum.daemon.finishing import Ending
+from brassdrum.daemon.finishing import Ending, handle
 from brassdrum.daemon.relay import RelayedStream, StreamEnd
 from brassdrum.daemon.streaming import DONE, SSE, StreamBody, error_chunk
 from brassdrum.endpoints.engine import EngineRequest
@@ -75,16 +75,9 @@
         return self._handle(request, chat=True)
 
     def _handle(self, request: Request, *, chat: bool) -> Response:
-        scope = self._core.scope(request, "caller")
-        ending = Ending(self._core, scope)
-        try:
-            return self._run(scope, ending, chat=chat)
-        except BrassdrumError as error:
-            ending.failed(error)
-            raise
-        except BaseException:
-            ending.failed(BrassdrumError("The daemon failed to handle the request."))
-            raise
+        return handle(
+            self._core, request, lambda scope, ending: self._run(scope, ending, chat=chat)
+        )
 
     def _run(self, scope: Scope, ending: Ending, *, chat: bool) -> Response:
         body = scope.request.body()
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -5,7 +5,6 @@
 import logging
 import threading
 import time
-from collections.abc import Callable
 
 from brassdrum.admission.lending import Census
 from brassdrum.charts import load_chart
@@ -27,27 +26,19 @@
 from brassdrum.daemon.limits import LimitBook
 from brassdrum.daemon.relay import Relay
 from brassdrum.daemon.resuming import ResumeHandler
+from brassdrum.daemon.sharing import EndpointSharing
 from brassdrum.daemon.watch import Watch
 from brassdrum.leadership.holder import DutyHolder
 from brassdrum.leadership.lease import Lease
 from brassdrum.loops import BackgroundLoops
 from brassdrum.membership.gossip import Gossip, PeerClients, PeerServer
-from brassdrum.membership.observers import ObserverMap, ReportSharing, polls_itself, tells_all_loads
-from brassdrum.membership.peer_pb2 import (
-    LEAVING,
-    READY,
-    STARTING,
-    DaemonEntry,
-    EndpointLoad,
-    EndpointReport,
-)
+from brassdrum.membership.peer_pb2 import LEAVING, READY, STARTING, DaemonEntry
 from brassdrum.membership.peers import PeerTable
 from brassdrum.outcomes.claimer import Claims
 from brassdrum.outcomes.resume import ResumeTokens
 from brassdrum.outcomes.retries import RetryBudget
 from brassdrum.platform.hosts import HttpHostList
 from brassdrum.platform.log import HttpLog
-from brassdrum.routing.state import LoadReport, PeerLoad
 from brassdrum.settings import DaemonSettings
 from brassdrum.telemetry.control_cost import ControlCost
 from brassdrum.telemetry.metrics import Metrics
@@ -109,7 +100,15 @@
                 lambda size: self._cost.add("hosts", size),
             )
         )
-        self._endpoint_watch = EndpointWatch(self._dispatcher, self._clock, self._observes)
+        self._sharing = EndpointSharing(
+            settings.name,
+            self._dispatcher,
+            self._clock,
+            self._serving,
+            self._own_leaving,
+            self._gossiped_leaving,
+        )
+        self._endpoint_watch = EndpointWatch(self._dispatcher, self._clock, self._sharing.observed)
         self.core = self._make_core()
         self._http = HttpServer(
             self._router_placeholder,
@@ -127,8 +126,6 @@
             self._merged,
             self._cost,
         )
-        self._reports = ReportSharing()
-        self._observers = ObserverMap(settings.name)
         self._router = self._make_router()
         self._duty = DutyHolder(
             _CHECKPOINT_DUTY,
@@ -176,7 +173,7 @@
         if newest < 0 and not self._hosts.read_once and self._age() < _LONELY_SECONDS:
             return "neither the host list nor a peer has been heard yet"
         # What is leaving has to be known before the first request, not at the next round.
-        self._mark_leaving()
+        self._sharing.mark_leaving()
         with self._state_lock:
             if self._state == _CHART.initial:
                 self._state = _CHART.next(self._state, "become_ready")
@@ -184,12 +181,12 @@
 
     def _read_hosts(self) -> None:
         self._hosts.step()
-        self._mark_leaving()
+        self._sharing.mark_leaving()
 
     def _hosts_pause(self) -> float:
         """Return a pause that grows with the fleet: any one reader tells the others by gossip."""
         base = self.settings.poll_seconds
-        return base * max(1.0, len(self._serving) / _HOST_READERS_PER_POLL)
+        return base * max(1.0, len(self._serving()) / _HOST_READERS_PER_POLL)
 
     def _watch_pause(self) -> float:
         return _WATCH_SECONDS if len(self.core.watch) else _IDLE_SECONDS
@@ -219,7 +216,7 @@
         loops.every("limits", lambda: settings.gossip_seconds, self._limits.borrow)
         loops.every("hosts", self._hosts_pause, self._read_hosts)
         loops.every("endpoints", lambda: settings.poll_seconds, self._endpoint_watch.step)
-        loops.every("leaving", lambda: settings.poll_seconds / 2, self._mark_leaving)
+        loops.every("leaving", lambda: settings.poll_seconds / 2, self._sharing.mark_leaving)
         loops.every("watch", self._watch_pause, self.core.watch.step)
         loops.every("groups", self.core.groups.renew_pause, self.core.groups.renew)
         loops.every("cancels", lambda: 0.0, self.core.cancels.step)
@@ -334,89 +331,29 @@
         entry.through = self._control.through
         if entry.state != LEAVING:
             entry.state = STARTING if self.not_ready() else READY
-        now = self._clock.monotonic()
-        daemons = len(self._serving)
-        with self._dispatcher.lock:
-            fleet = self._dispatcher.fleet
-            entry.long_load = fleet.long_load()
-            del entry.loads[:]
-            entry.loads.extend(_own_loads(fleet, long_only=not tells_all_loads(daemons)))
-            reports = [] if polls_itself(daemons) else self._observed_reports(now)
-            failing = fleet.failing(now)
-        del entry.reports[:]
-        entry.reports.extend(self._reports.choose(reports))
-        del entry.leaving_endpoints[:]
-        entry.leaving_endpoints.extend(sorted(self._own_leaving()))
-        del entry.failing_endpoints[:]
-        entry.failing_endpoints.extend(failing)
+        self._sharing.describe(entry)
 
     def _merged(self, newer: list[DaemonEntry]) -> None:
-        now = self._clock.monotonic()
         with self.gossip.lock:
-            loads = [record.entry.long_load for record in self.gossip.table.live_peers(now)]
-        with self._dispatcher.lock:
-            fleet = self._dispatcher.fleet
-            for entry in newer:
-                self._take_loads(fleet, entry, now)
-            fleet.peers_long_load = sum(loads)
-        if any(entry.leaving_endpoints for entry in newer):
-            self._mark_leaving()
-
-    @staticmethod
-    def _take_loads(fleet: Fleet, entry: DaemonEntry, now: float) -> None:
-        fleet.drop_peer_loads(entry.name, {load.endpoint for load in entry.loads})
-        for load in entry.loads:
-            fleet.take_peer_load(
-                entry.name,
-                load.endpoint,
-                PeerLoad(now, load.streams, load.queued_tokens, load.long_prefills),
-            )
-        for report in entry.reports:
-            _take_report(fleet, report, now)
+            live = self.gossip.table.live_peers(self._clock.monotonic())
+            long_loads = [record.entry.long_load for record in live]
+        self._sharing.take(newer, long_loads)
 
     def _own_leaving(self) -> set[str]:
         return self._hosts.leaving_endpoints() | self._endpoint_watch.draining
 
-    def _mark_leaving(self) -> None:
+    def _gossiped_leaving(self) -> set[str]:
         with self.gossip.lock:
-            gossiped = self.gossip.table.leaving_endpoints(self._clock.monotonic())
-        leaving = self._own_leaving() | gossiped
-        with self._dispatcher.lock:
-            for name, state in self._dispatcher.fleet.states_by_name.items():
-                if state.leaving and name not in leaving:
-                    state.since = self._clock.monotonic()
-                state.leaving = name in leaving
+            return self.gossip.table.leaving_endpoints(self._clock.monotonic())
 
-    @property
     def _serving(self) -> list[str]:
         with self.gossip.lock:
             return self.gossip.table.serving(self._clock.monotonic())
 
     def _census(self) -> Census:
-        live = self._serving
+        live = self._serving()
         return Census(live, sorted({*live, *self._hosts.daemon_names()}))
 
-    def _observes(self) -> Callable[[str], bool]:
-        serving = self._serving
-        return lambda endpoint: self._observers.observes(endpoint, serving)
-
-    def _observed_reports(self, now: float) -> list[EndpointReport]:
-        serving = self._serving
-        reports = []
-        for name, state in self._dispatcher.fleet.states_by_name.items():
-            if state.report is None or not self._observers.observes(name, serving):
-                continue
-            reports.append(
-                EndpointReport(
-                    endpoint=name,
-                    age_milliseconds=int(max(0.0, now - state.report.at) * 1000),
-                    streams=state.report.streams,
-                    queued_tokens=state.report.queued_tokens,
-                    kv_tokens_held=state.report.kv_tokens_held,
-                )
-            )
-        return reports
-
     def _peer_address(self, daemon: str) -> str | None:
         with self.gossip.lock:
             record = self.gossip.table.record(daemon)
@@ -448,28 +385,3 @@
         for shard in self._claims.shards:
             while shard.appender.unwritten and time.monotonic() < limit:
                 time.sleep(0.05)
-
-
-def _own_loads(fleet: Fleet, *, long_only: bool) -> list[EndpointLoad]:
-    loads = []
-    for name, state in fleet.states_by_name.items():
-        long_prefills = state.own_long_prefills()
-        if not state.own_by_id or (long_only and long_prefills == 0):
-            continue
-        loads.append(
-            EndpointLoad(
-                endpoint=name,
-                streams=len(state.own_by_id),
-                queued_tokens=state.own_queued_tokens(),
-                long_prefills=long_prefills,
-            )
-        )
-    return loads
-
-
-def _take_report(fleet: Fleet, told: EndpointReport, heard: float) -> None:
-    state = fleet.states_by_name.get(told.endpoint)
-    at = heard - told.age_milliseconds / 1000
-    if state is None or (state.report is not None and state.report.at >= at):
-        return
-    state.report = LoadReport(at, told.streams, told.queued_tokens, told.kv_tokens_held)
--- a/src/brassdrum/daemon/resuming.py
+++ b/src/brassdrum/daemon/resuming.py
@@ -6,7 +6,7 @@
 
 from brassdrum.daemon.core import Core, Scope
 from brassdrum.daemon.engine_run import EngineRun, RunTimes, StreamIdentity
-from brassdrum.daemon.finishing import Ending
+from brassdrum.daemon.finishing import Ending, handle
 from brassdrum.daemon.relay import RelayedStream, StreamEnd
 from brassdrum.daemon.streaming import SSE, StreamBody, error_chunk
 from brassdrum.endpoints.engine import EngineClient, EngineConnection
@@ -32,16 +32,7 @@
 
     def handle(self, request: Request) -> Response:
         """Return the stream from the event after ``Last-Event-ID`` on."""
-        scope = self._core.scope(request, "caller")
-        ending = Ending(self._core, scope)
-        try:
-            return self._run(scope, ending)
-        except BrassdrumError as error:
-            ending.failed(error)
-            raise
-        except BaseException:
-            ending.failed(BrassdrumError("The daemon failed to handle the request."))
-            raise
+        return handle(self._core, request, self._run)
 
     def _run(self, scope: Scope, ending: Ending) -> Response:
         token = scope.request.header("Brassdrum-Resume-Token")
--- /dev/null
+++ b/src/brassdrum/daemon/sharing.py
@@ -0,0 +1,139 @@
+"""Tell other daemons of endpoints and work, and take in what they tell."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from brassdrum.clock import Clock
+from brassdrum.daemon.dispatcher import Dispatcher
+from brassdrum.daemon.fleet import Fleet
+from brassdrum.membership.observers import (
+    ObserverMap,
+    ReportSharing,
+    polls_itself,
+    tells_all_loads,
+)
+from brassdrum.membership.peer_pb2 import DaemonEntry, EndpointLoad, EndpointReport
+from brassdrum.routing.state import LoadReport, PeerLoad
+
+__all__ = ["EndpointSharing"]
+
+
+def _own_loads(fleet: Fleet, *, long_only: bool) -> list[EndpointLoad]:
+    loads = []
+    for name, state in fleet.states_by_name.items():
+        long_prefills = state.own_long_prefills()
+        if not state.own_by_id or (long_only and long_prefills == 0):
+            continue
+        loads.append(
+            EndpointLoad(
+                endpoint=name,
+                streams=len(state.own_by_id),
+                queued_tokens=state.own_queued_tokens(),
+                long_prefills=long_prefills,
+            )
+        )
+    return loads
+
+
+def _take_report(fleet: Fleet, told: EndpointReport, heard: float) -> None:
+    state = fleet.states_by_name.get(told.endpoint)
+    at = heard - told.age_milliseconds / 1000
+    if state is None or (state.report is not None and state.report.at >= at):
+        return
+    state.report = LoadReport(at, told.streams, told.queued_tokens, told.kv_tokens_held)
+
+
+def _take_loads(fleet: Fleet, entry: DaemonEntry, now: float) -> None:
+    fleet.drop_peer_loads(entry.name, {load.endpoint for load in entry.loads})
+    for load in entry.loads:
+        fleet.take_peer_load(
+            entry.name,
+            load.endpoint,
+            PeerLoad(now, load.streams, load.queued_tokens, load.long_prefills),
+        )
+    for report in entry.reports:
+        _take_report(fleet, report, now)
+
+
+class EndpointSharing:
+    """Keep this daemon's picture of the endpoints and everybody else's in step."""
+
+    def __init__(
+        self,
+        name: str,
+        dispatcher: Dispatcher,
+        clock: Clock,
+        serving: Callable[[], list[str]],
+        own_leaving: Callable[[], set[str]],
+        gossiped_leaving: Callable[[], set[str]],
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._serving = serving
+        self._own_leaving = own_leaving
+        self._gossiped_leaving = gossiped_leaving
+        self._reports = ReportSharing()
+        self._observers = ObserverMap(name)
+
+    def describe(self, entry: DaemonEntry) -> None:
+        """Fill in what this daemon tells of endpoints in a round."""
+        now = self._clock.monotonic()
+        serving = self._serving()
+        with self._dispatcher.lock:
+            fleet = self._dispatcher.fleet
+            entry.long_load = fleet.long_load()
+            loads = _own_loads(fleet, long_only=not tells_all_loads(len(serving)))
+            reports = self._observed_reports(serving, now)
+            failing = fleet.failing(now)
+        del entry.loads[:]
+        entry.loads.extend(loads)
+        del entry.reports[:]
+        entry.reports.extend(self._reports.choose(reports))
+        del entry.leaving_endpoints[:]
+        entry.leaving_endpoints.extend(sorted(self._own_leaving()))
+        del entry.failing_endpoints[:]
+        entry.failing_endpoints.extend(failing)
+
+    def take(self, newer: list[DaemonEntry], long_loads: list[float]) -> None:
+        """Take in entries that are newer than known, and all live daemons' long load."""
+        now = self._clock.monotonic()
+        with self._dispatcher.lock:
+            fleet = self._dispatcher.fleet
+            for entry in newer:
+                _take_loads(fleet, entry, now)
+            fleet.peers_long_load = sum(long_loads)
+        if any(entry.leaving_endpoints for entry in newer):
+            self.mark_leaving()
+
+    def mark_leaving(self) -> None:
+        """Stop new work to endpoints that any source says are leaving."""
+        leaving = self._own_leaving() | self._gossiped_leaving()
+        with self._dispatcher.lock:
+            for name, state in self._dispatcher.fleet.states_by_name.items():
+                if state.leaving and name not in leaving:
+                    state.since = self._clock.monotonic()
+                state.leaving = name in leaving
+
+    def observed(self) -> Callable[[str], bool]:
+        """Return a test of whether this daemon asks an endpoint for its load."""
+        serving = self._serving()
+        return lambda endpoint: self._observers.observes(endpoint, serving)
+
+    def _observed_reports(self, serving: list[str], now: float) -> list[EndpointReport]:
+        if polls_itself(len(serving)):
+            return []
+        reports = []
+        for name, state in self._dispatcher.fleet.states_by_name.items():
+            if state.report is None or not self._observers.observes(name, serving):
+                continue
+            reports.append(
+                EndpointReport(
+                    endpoint=name,
+                    age_milliseconds=int(max(0.0, now - state.report.at) * 1000),
+                    streams=state.report.streams,
+                    queued_tokens=state.report.queued_tokens,
+                    kv_tokens_held=state.report.kv_tokens_held,
+                )
+            )
+        return reports
--- a/src/brassdrum/wsgi.py
+++ b/src/brassdrum/wsgi.py
@@ -14,7 +14,7 @@
 import waitress
 from waitress.server import BaseWSGIServer, MultiSocketServer
 
-from brassdrum.errors import BrassdrumError, InvalidRequestError
+from brassdrum.errors import BrassdrumError, InvalidRequestError, Ran
 from brassdrum.wsgi_stream import DETACH, DetachableChannel, StreamWriter
 
 __all__ = ["HttpServer", "Request", "Response", "Router", "json_response"]
@@ -97,6 +97,9 @@
 def error_response(error: BrassdrumError) -> Response:
     """Return the answer for a typed error."""
     headers = {}
+    if error.ran is not Ran.NO:
+        # The stock OpenAI client repeats 409 and 5xx by itself unless it is told not to.
+        headers["X-Should-Retry"] = "false"
     if error.retry_after is not None:
         headers["Retry-After"] = str(max(1, round(error.retry_after)))
     response = json_response(error.body(), error.status)
