Charge a group's work without pushing it through the queue

Cause: read in review: placing a giant pushed it into the bounded queue for a moment; when full, that shed another request without telling its caller. Change: the queue charges work that was placed elsewhere. Measured: giants.feature passes (3 scenarios). Conclusion: no request is shed in silence.

--- a/src/brassdrum/admission/queue.py
+++ b/src/brassdrum/admission/queue.py
@@ -123,14 +123,16 @@
             return
         self.remove(work_id)
         work = waiting.work
+        self._blame(self.account(work.organisation), waiting, max(0.0, now - work.arrived))
+        self.charge(work, now)
+
+    def charge(self, work: Work, now: float) -> None:
+        """Charge an organisation for work that goes to an endpoint, queued here or not."""
         account = self.account(work.organisation)
-        wait = max(0.0, now - work.arrived)
-        account.waited_seconds += wait
-        self._blame(account, waiting, wait)
+        account.waited_seconds += max(0.0, now - work.arrived)
         account.dispatched += 1
         account.used_cost += work.cost
-        weight = work.share * _URGENCY_WEIGHT[work.urgency]
-        account.virtual_time += work.cost / weight
+        account.virtual_time += work.cost / (work.share * _URGENCY_WEIGHT[work.urgency])
 
     def correct(self, organisation: str, work: Work, real_cost: float) -> None:
         """Replace the estimated cost of dispatched work by what it really took."""
--- a/src/brassdrum/daemon/dispatcher.py
+++ b/src/brassdrum/daemon/dispatcher.py
@@ -78,8 +78,7 @@
             state = self.fleet.states_by_name[endpoint]
             own = OwnWork(work, now, work.prompt_tokens, reserved=True)
             state.own_by_id[work.id] = own
-            self.queue.push(work)
-            self.queue.dispatch(work.id, now)
+            self.queue.charge(work, now)
             return Placement(work, state, own, False, max(0.0, now - work.arrived))
 
     def first_token(self, placement: Placement) -> None:
