--- a/src/brassdrum/wsgi.py
+++ b/src/brassdrum/wsgi.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import json
 import logging
 import re
@@ -52,9 +53,14 @@
         return None if value is None else str(value)
 
     def body(self) -> bytes:
-        """Return the whole body; waitress has read it before the application runs."""
+        """Return the whole body, once; waitress has read it before the application runs."""
         source = self._environ["wsgi.input"]
-        return source.read()  # type: ignore[attr-defined]
+        body = source.read()  # type: ignore[attr-defined]
+        if isinstance(source, io.BytesIO):
+            # Free waitress's copy: a prompt of 4 MB is held twice anyway while it is parsed.
+            source.seek(0)
+            source.truncate(0)
+        return body
 
     def json(self) -> dict:
         """Return the body as a JSON object, or raise ``InvalidRequestError``."""
