Keep back a part of each limit for daemons that come new

Cause: the real cause of the demo's NO, seen when four demos ran at once: a daemon that was idle for an organisation got a slice of 0 of 1,000 and refused with limit_exceeded, because another held all that nobody asked for until its term ended. Change: 3 in 100 of a limit and half of the unasked rest stay with the lender. Conclusion: found by running the demo under load; the limit stays never exceeded.

--- a/features/properties.feature
+++ b/features/properties.feature
@@ -9,6 +9,7 @@
     Then a bucket never gives more than its rate and one burst
     And slices lent never add up to more than the limits, whatever daemons ask and when
     And two sides of a partition together lend no more than the limits
+    And a daemon that comes new while another holds all it wants gets a slice at once
     And one daemon with all the demand gets nearly the whole limit
 
   Scenario: Claims
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -184,6 +184,17 @@
     assert concurrency <= 9, concurrency
 
 
+@then("a daemon that comes new while another holds all it wants gets a slice at once")
+def step_newcomer_slice(context):
+    census = Census(["d0", "d1"], ["d0", "d1"])
+    for demand in (BorrowerDemand(1.0, 1e3, 2), BorrowerDemand(500.0, 5e5, 500)):
+        lender = Lender(Allowance(100.0, 1e5, 1000), 2.0, -10.0)
+        for tick in range(8):
+            lender.lend("d0", demand, census, tick * 0.5)
+        slice_ = lender.lend("d1", BorrowerDemand(1.0, 1e3, 1), census, 4.0).allowance
+        assert slice_.concurrency >= 1 and slice_.requests_per_second >= 1.0, slice_
+
+
 @then("one daemon with all the demand gets nearly the whole limit")
 def step_skewed(context):
     daemons = [f"d{n}" for n in range(9)]
--- a/src/brassdrum/admission/lending.py
+++ b/src/brassdrum/admission/lending.py
@@ -14,6 +14,7 @@
 
 _HEADROOM = 1.25
 _RESERVE = 0.02
+_NEWCOMERS_PART = 0.03
 
 
 def _weight(organisation: str, daemon: str) -> int:
@@ -81,7 +82,10 @@
 
 
 def water_fill(limit: float, demands: Mapping[str, float]) -> dict[str, float]:
-    """Share a limit: small demands are met, larger ones get equal parts of what is left."""
+    """Share a limit: small demands are met, larger ones get equal parts of what is left.
+
+    Half of what nobody asks for is shared too, by demand; the other half waits for newcomers.
+    """
     shares: dict[str, float] = {}
     left = limit
     ordered = sorted(demands.items(), key=lambda item: (item[1], item[0]))
@@ -92,7 +96,7 @@
     if demands and left > 0:
         total = sum(demands.values()) + _RESERVE * len(demands)
         for name, demand in demands.items():
-            shares[name] += left * (demand + _RESERVE) / total
+            shares[name] += left / 2 * (demand + _RESERVE) / total
     return shares
 
 
@@ -182,6 +186,9 @@
     def _share(
         daemon: str, limit: float, demands: Mapping[str, float], granted: Mapping[str, float]
     ) -> float:
-        target = water_fill(limit, demands)[daemon]
+        # What is kept back serves a daemon that comes new while the others hold their slices.
+        lendable = limit - math.floor(limit * _NEWCOMERS_PART)
+        target = water_fill(lendable, demands)[daemon]
         others = sum(amount for name, amount in granted.items() if name != daemon)
-        return max(0.0, min(target, limit - others))
+        room = lendable if daemon in granted else limit
+        return max(0.0, min(target, room - others))
