Drop what nothing calls any more

Cause: read in review: the relay, the one-pass load and the appender left six functions without a caller, and an engine report's comment named a field that it does not have. Change: removed; behaviour is as before. Measured: formatter and linter clean; 61 scenarios of callers, at_most_once, properties, history, streams and limits pass. Left: experiment and slopes each build a configuration of their own shape.

--- a/src/brassdrum/admission/queue.py
+++ b/src/brassdrum/admission/queue.py
@@ -101,10 +101,6 @@
         heads.sort(key=lambda work: self._rank(work, now))
         return heads
 
-    def overdue(self, now: float) -> list[Work]:
-        """Return work that can no longer start in time."""
-        return [item.work for item in self._waiting_by_id.values() if item.work.start_by <= now]
-
     def remove(self, work_id: str) -> Work | None:
         """Take work out without charging it."""
         waiting = self._waiting_by_id.pop(work_id, None)
--- a/src/brassdrum/endpoints/engine.py
+++ b/src/brassdrum/endpoints/engine.py
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineLoad:
-    """Hold an engine's report; ``age`` is how old it was when it arrived, in seconds."""
+    """Hold an engine's report; ``at`` is when it was true, by the engine's clock."""
 
     at: float
     streams: int
--- a/src/brassdrum/http_pool.py
+++ b/src/brassdrum/http_pool.py
@@ -58,10 +58,6 @@
         """Return a response header, or None."""
         return self.response.headers.get(name)
 
-    def set_timeout(self, seconds: float) -> None:
-        """Bound each following read."""
-        self.socket.settimeout(max(0.001, seconds))
-
     def read(self) -> bytes:
         """Return the whole body and give the connection back."""
         try:
@@ -80,10 +76,6 @@
             self.drop()
             raise ExchangeFailedError(_describe(error)) from error
 
-    def finish(self) -> None:
-        """Give the connection back after the body was read to its end."""
-        self.pool.give_back(self.connection, self.response)
-
     def drop(self) -> None:
         """Close the connection, whatever is left on it."""
         self.response.close()
--- a/src/brassdrum/outcomes/appender.py
+++ b/src/brassdrum/outcomes/appender.py
@@ -4,7 +4,6 @@
 
 import threading
 from collections import deque
-from collections.abc import Callable
 from concurrent.futures import Future
 from dataclasses import dataclass, field
 
@@ -81,11 +80,6 @@
             self._lazy_since = self._clock.monotonic() if self._lazy else None
         self._append(urgent, lazy)
 
-    def flush(self, stopping: Callable[[], bool]) -> None:
-        """Append until nothing is left or the caller says stop."""
-        while self.unwritten and not stopping():
-            self.step()
-
     def _due(self) -> bool:
         if self._urgent or len(self._lazy) >= _MOST_RECORDS:
             return True
--- a/src/brassdrum/routing/state.py
+++ b/src/brassdrum/routing/state.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from brassdrum.admission.work import LengthBand, Work
@@ -124,12 +123,6 @@
             return 1.0
         return max(_SLOW_START_FLOOR, age / _SLOW_START_SECONDS)
 
-    def forget_peers(self, live: Mapping[str, object]) -> None:
-        """Drop loads of daemons that are gone."""
-        for name in list(self.peers_by_daemon):
-            if name not in live:
-                del self.peers_by_daemon[name]
-
     def _own_load(self) -> tuple[int, int, int, int]:
         queued = 0
         long_prefills = 0
--- a/src/brassdrum/telemetry/metrics.py
+++ b/src/brassdrum/telemetry/metrics.py
@@ -2,18 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-
 import prometheus_client
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
 
 __all__ = ["Metrics"]
 
-Gauge = Callable[[], Iterable[tuple[float, dict[str, str]]]]
-
 
 class Metrics:
     """Hold a daemon's instruments."""
@@ -27,7 +22,6 @@
             resource=Resource.create({"service.name": "brassdrum", "service.instance.id": daemon}),
         )
         meter = self._provider.get_meter("brassdrum")
-        self._meter = meter
         self.requests = meter.create_counter(
             "brassdrum_requests", description="Requests by organisation, target and result."
         )
@@ -52,14 +46,6 @@
             "brassdrum_observer_failures", description="Failures of metrics, traces and logs."
         )
 
-    def gauge(self, name: str, description: str, read: Gauge) -> None:
-        """Show values that are read when the page is asked for."""
-
-        def observe(options: CallbackOptions) -> Iterable[Observation]:
-            return [Observation(value, labels) for value, labels in read()]
-
-        self._meter.create_observable_gauge(name, [observe], description=description)
-
     def page(self) -> bytes:
         """Return the Prometheus page."""
         return prometheus_client.generate_latest(self._registry)
