--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 import random
 import signal
@@ -27,6 +28,7 @@
 )
 from brassdrum.gateway.peers import PeerBelief, Peers
 from brassdrum.gateway.placement import Candidate, Need, Placement, policies
+from brassdrum.gateway.reservations import Reservations
 from brassdrum.gateway.retry_budget import SharedRetryBudget
 from brassdrum.gateway.suspicion import Suspicions
 from brassdrum.gateway.upstream import EndpointPool
@@ -42,6 +44,8 @@
 # What still runs this long before the end of the grace time is broken off by this daemon itself.
 _LAST_SECONDS = 0.6
 _STOP_CHECK_SECONDS = 0.1
+# Part of the time in which unused memory must be free again for which it is held at once.
+_HOLD_SHARE = 0.8
 # A daemon without configuration or endpoints asks callers to come back after this.
 _STARTING_RETRY_SECONDS = 0.3
 
@@ -58,11 +62,20 @@
         rng: random.Random | None = None,
     ) -> None:
         self.settings = settings
+        bounds = settings.bounds
         self.dialect = dialect
         self.loop = EventLoop(clock or SystemClock())
         self.knowledge = Knowledge()
         self.table = LoadTable()
         self.pool = EndpointPool(self.loop)
+        self.reservations = Reservations(
+            self.loop,
+            self.pool,
+            dialect,
+            # A daemon that died renews nothing: its holds end before the platform calls them lost.
+            min(bounds.reservation_longest, bounds.reservation_idle * _HOLD_SHARE),
+        )
+        self._numbers = itertools.count(1)
         self._random = rng or random.Random()
         self._store = store
         self._policy = policies.get(settings.policy)
@@ -77,7 +90,7 @@
             self.loop,
             store,
             self.knowledge,
-            settings.bounds,
+            bounds,
             settings.peer_port,
             self._endpoints_changed,
             self._configured,
@@ -197,6 +210,10 @@
         engine = None if service is None else service.engine
         return self._policy(need, candidates, engine, self._random)
 
+    def next_number(self) -> int:
+        """Return a number that no other attempt of this daemon has."""
+        return next(self._numbers)
+
     def may_repeat(self, service: str) -> bool:
         """Take one repeated send from the shared budget, or return False."""
         assert self._peers is not None
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -16,14 +16,17 @@
     DeclaredRequest,
     Dialect,
     Headers,
+    HelperName,
     Organisation,
     Reply,
     ReplyKind,
+    Reservation,
     Route,
     RouteKind,
     Sending,
 )
-from brassdrum.gateway.placement import Need, Placement
+from brassdrum.gateway.placement import Helper, Need, Placement
+from brassdrum.gateway.reservations import Hold, Reservations
 from brassdrum.gateway.upstream import Break, EndpointCall, EndpointPool, OutgoingRequest
 
 __all__ = ["Exchange", "ExchangeHost", "Outcome"]
@@ -46,6 +49,8 @@
 # A refusal names at most this part of the time left, or the caller would not wait for it.
 _RETRY_AFTER_SHARE = 0.3
 _LARGEST_PLAIN_ANSWER = 64 << 20
+# A caller takes these statuses as a promise that the request has not run and never will.
+_NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 class Outcome(Enum):
@@ -66,10 +71,14 @@
     dialect: Dialect
     pool: EndpointPool
     table: LoadTable
+    reservations: Reservations
 
     def place(self, exchange: Exchange, need: Need) -> Placement | None:
         """Return where to send a request now."""
 
+    def next_number(self) -> int:
+        """Return a number that no other attempt of this daemon has."""
+
     def may_repeat(self, service: str) -> bool:
         """Take one repeated send from the shared budget, or return False."""
 
@@ -175,10 +184,13 @@
         if reply.kind is ReplyKind.FOREIGN:
             self._attempt_lost(attempt, "an answer to another request", certain=False)
             return
-        if reply.kind is ReplyKind.WRONG_ENDPOINT and reply.culprit is None:
+        culprit = attempt.endpoint
+        if reply.culprit is not None:
+            culprit = self._host.knowledge.find(reply.culprit) or culprit
+        if reply.kind is ReplyKind.WRONG_ENDPOINT and culprit == attempt.endpoint:
             self._host.address_reused(attempt.endpoint)
-        elif reply.culprit is not None:
-            self._host.endpoint_failed(reply.culprit, certain=True, detail="named by another")
+        elif culprit != attempt.endpoint:
+            self._host.endpoint_failed(culprit, certain=True, detail="named by another endpoint")
         self._retry_unrun(attempt, f"the endpoint answered {reply.status}, not run")
 
     def attempt_data(self, attempt: Attempt, content: bytes) -> None:
@@ -249,14 +261,22 @@
             send=self.sends,
         )
         self._attempt = Attempt(self._host, self, placement)
-        self._attempt.start(self._outgoing(placement), fresh=not self.route.repeatable)
-        self._watch_silence(placement)
+        self._attempt.start()
+
+    def memory_refused(self, attempt: Attempt) -> None:
+        """Choose other engines for a prompt that is stored in parts; nothing was sent yet."""
+        attempt.finish()
+        self.sends -= 1
+        self._unsent += 1
+        self.tried.discard(attempt.endpoint)
+        self._retry_unrun(attempt, "an endpoint has no memory for its part")
 
-    def _outgoing(self, placement: Placement) -> OutgoingRequest:
+    def outgoing(self, attempt: Attempt, placement: Placement) -> OutgoingRequest:
+        """Return the request as an endpoint receives it."""
         organisation = None if self.organisation is None else self.organisation.name
         sending = Sending(
             endpoint=placement.entry,
-            helpers=tuple(entry.address for entry in placement.helpers),
+            helpers=tuple(_helper_name(attempt, each) for each in placement.helpers),
             organisation=organisation,
             priority=self.priority,
             time_left=max(0.001, self.time_left),
@@ -280,7 +300,7 @@
             self._connection.begin(reply.status, reply.headers)
         self._connection.data(events)
         if not self._done:
-            self._watch_silence(None)
+            self.watch_silence(None)
 
     def _endpoint_refused(self, attempt: Attempt, reply: Reply) -> None:
         """Handle an endpoint's own failure: the request ran there."""
@@ -294,6 +314,10 @@
         if self._began:
             self._fail(f"the endpoint answered {reply.status} to a resumed stream")
             return
+        if reply.status in _NOT_RUN_STATUSES and not self.route.repeatable:
+            # The endpoint did not say that it did not run the request, so neither may this daemon.
+            self._fail(f"the endpoint answered {reply.status} and may have run the request")
+            return
         self._connection.answer(reply.status, reply.headers, bytes(attempt.body))
         self._end(Outcome.FAILED, reply.status, "the endpoint's own failure")
 
@@ -327,7 +351,8 @@
         self._reader = EventReader(self._reader.last_id)
         self._send()
 
-    def _watch_silence(self, placement: Placement | None) -> None:
+    def watch_silence(self, placement: Placement | None) -> None:
+        """Give an endpoint up when it is silent for longer than its work explains."""
         if self._silence is not None:
             self._silence.cancel()
             self._silence = None
@@ -407,7 +432,10 @@
         self._host = host
         self._exchange = exchange
         self._placement = placement
-        self._key = f"{exchange.request.id}.{exchange.sends}.{id(self)}"
+        # Not the number of sends: one that was refused memory is not counted there.
+        self._number = host.next_number()
+        self._key = f"{exchange.request.id}.{self._number}"
+        self._hold: Hold | None = None
         self._call: EndpointCall | None = None
         self._writing = False
         self._finished = False
@@ -417,12 +445,38 @@
         """Return whether a byte of the request left this daemon."""
         return self._call is not None and self._call.sent
 
-    def start(self, request: OutgoingRequest, *, fresh: bool) -> None:
-        """Send the request."""
+    def ticket(self, endpoint: str) -> str:
+        """Return the name of the memory that an endpoint holds for this attempt."""
+        return f"{self._exchange.request.id}-{self._number}-{endpoint}"
+
+    def start(self) -> None:
+        """Send the request, after the memory of its parts is held."""
         self._host.table.start(self._key, self._placement.shares)
         self._host.load_changed()
+        reservations = tuple(
+            Reservation(each.entry.address, self.ticket(each.entry.id), each.stored)
+            for each in self._placement.helpers
+            if each.stored
+        )
+        if reservations:
+            self._hold = self._host.reservations.hold(reservations, self._held)
+            return
+        self._send()
+
+    def _held(self, granted: bool) -> None:
+        if self._finished:
+            return
+        if granted:
+            self._send()
+        else:
+            self._exchange.memory_refused(self)
+
+    def _send(self) -> None:
         address = self._placement.entry.address
+        request = self._exchange.outgoing(self, self._placement)
+        fresh = not self._exchange.route.repeatable
         self._call = self._host.pool.call(address, self, request, fresh=fresh)
+        self._exchange.watch_silence(self._placement)
 
     def writes(self) -> None:
         """Note that the first event came: the prompt is read."""
@@ -443,6 +497,8 @@
         if self._finished:
             return
         self._finished = True
+        if self._hold is not None:
+            self._hold.release()
         self._host.table.end(self._key)
         self._host.load_changed()
 
@@ -465,3 +521,8 @@
         """Learn that the connection broke."""
         if not self._finished:
             self._exchange.attempt_broken(self, how, detail)
+
+
+def _helper_name(attempt: Attempt, helper: Helper) -> HelperName:
+    ticket = attempt.ticket(helper.entry.id) if helper.stored else None
+    return HelperName(helper.entry.address, ticket)
--- a/src/brassdrum/gateway/knowledge.py
+++ b/src/brassdrum/gateway/knowledge.py
@@ -82,6 +82,15 @@
         """Return the endpoints that take new work."""
         return self._entries_by_service.get(service, [])
 
+    def find(self, name: str) -> str | None:
+        """Return the id of the endpoint with an id or address."""
+        if name in self.endpoints_by_id:
+            return name
+        for entry in self.endpoints_by_id.values():
+            if entry.address == name:
+                return entry.id
+        return None
+
     def store_failed(self, now: float) -> None:
         """Note that the store did not answer; missing entries are not gone entries until later."""
         if self.read_at is None or now - self.read_at > _AWAY_SECONDS:
--- a/src/brassdrum/gateway/load.py
+++ b/src/brassdrum/gateway/load.py
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Share:
-    """Hold what one request takes at one endpoint; a helper only reads a part."""
+    """Hold what one request takes at one endpoint; a helper reads a part and may store one."""
 
     endpoint: str
     reading_ms: float
@@ -73,7 +73,7 @@
         """Return the share as load, before or after the prompt was read."""
         read = self.reading_ms if reading else 0.0
         if self.helper:
-            return EndpointLoad(reading_ms=read, helping=1)
+            return EndpointLoad(reading_ms=read, memory=self.memory, helping=int(reading))
         writers = {} if self.pause_ms is None else {self.pause_ms: 1}
         return EndpointLoad(read, self.memory, 1, 0, writers)
 
@@ -85,6 +85,7 @@
         self._total_by_endpoint: dict[str, EndpointLoad] = defaultdict(EndpointLoad)
         self._own_by_endpoint: dict[str, EndpointLoad] = defaultdict(EndpointLoad)
         self._shares_by_request: dict[str, tuple[Share, ...]] = {}
+        self._writing: set[str] = set()
         self._rows_by_peer: dict[str, dict[str, EndpointLoad]] = {}
         self._heard_by_peer: dict[str, float] = {}
         self.changed: set[str] = set()
@@ -102,20 +103,18 @@
     def prompt_read(self, request: str) -> None:
         """Note that a request writes now: its prompt is read and its helpers are free."""
         shares = self._shares_by_request.get(request, ())
-        kept = []
         for share in shares:
             self._change(share.endpoint, share.load(reading=True), -1)
-            if share.helper:
-                continue
             self._change(share.endpoint, share.load(reading=False), 1)
-            kept.append(Share(share.endpoint, 0.0, share.memory, share.pause_ms))
         if shares:
-            self._shares_by_request[request] = tuple(kept)
+            self._writing.add(request)
 
     def end(self, request: str) -> None:
         """Note that an own request ended."""
+        reading = request not in self._writing
+        self._writing.discard(request)
         for share in self._shares_by_request.pop(request, ()):
-            self._change(share.endpoint, share.load(reading=True), -1)
+            self._change(share.endpoint, share.load(reading=reading), -1)
 
     def own_rows(self, endpoints: Iterable[str] | None = None) -> list[LoadRow]:
         """Return own work, at all endpoints or at some."""
--- a/src/brassdrum/gateway/model.py
+++ b/src/brassdrum/gateway/model.py
@@ -18,6 +18,7 @@
     "FleetConfiguration",
     "GatewaySettings",
     "Headers",
+    "HelperName",
     "Organisation",
     "Reply",
     "ReplyKind",
@@ -183,18 +184,25 @@
 class Reservation:
     """Name memory that an endpoint holds for one request."""
 
-    endpoint: str
     address: str
     ticket: str
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class HelperName:
+    """Name an endpoint that reads a part of a prompt, and the memory that it holds for it."""
+
+    address: str
+    ticket: str | None
+
+
 @dataclass(frozen=True, slots=True)
 class Sending:
     """Hold what one attempt tells its endpoint; ``time_left`` in seconds."""
 
     endpoint: EndpointEntry
-    helpers: tuple[str, ...]
+    helpers: tuple[HelperName, ...]
     organisation: str | None
     priority: int
     time_left: float
@@ -278,6 +286,7 @@
     retry_slack: float = 100.0
     endpoint_stall: float = 1.5
     reservation_longest: float = 20.0
+    reservation_idle: float = 4.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/brassdrum/gateway/reservations.py
@@ -0,0 +1,166 @@
+"""Hold memory at several endpoints for one prompt: all or none, renewed, always given back."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from brassdrum.gateway.loop import EventLoop, Timer
+from brassdrum.gateway.model import Dialect, Headers, Reservation
+from brassdrum.gateway.upstream import Break, EndpointCall, EndpointPool, OutgoingRequest
+
+__all__ = ["Hold", "Reservations"]
+
+_logger = logging.getLogger(__name__)
+# An order takes a few ms; one without an answer may be carried out seconds later.
+_ORDER_SECONDS = 0.3
+# A hold is renewed three times in its span, so that one lost renewal does no harm.
+_RENEWALS_PER_HOLD = 3.0
+# A release is repeated this often; after that the hold's own end gives the memory back.
+_RELEASE_ATTEMPTS = 3
+
+
+class Order:
+    """Send one order and tell whether the endpoint granted it."""
+
+    def __init__(self, loop: EventLoop, pool: EndpointPool, done: Callable[[bool], None]) -> None:
+        self._pool = pool
+        self._done: Callable[[bool], None] | None = done
+        self._status = 0
+        self._call: EndpointCall | None = None
+        self._timer = loop.call_later(_ORDER_SECONDS, self._late)
+
+    def send(self, address: str, path: str, body: bytes) -> None:
+        """Send the order."""
+        headers = [
+            (b"Host", address.encode()),
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", b"%d" % len(body)),
+        ]
+        request = OutgoingRequest(b"POST", path.encode(), headers, body)
+        self._call = self._pool.call(address, self, request)
+
+    def began(self, status: int, _headers: Headers) -> None:
+        """Take the start of the answer."""
+        self._status = status
+
+    def data(self, _content: bytes) -> None:
+        """Leave the body: the status says all."""
+
+    def answered(self) -> None:
+        """Take a whole answer."""
+        self._finish(self._status == 200)
+
+    def broken(self, how: Break, detail: str) -> None:
+        """Take a broken connection as a refusal."""
+        _logger.info("order not answered", extra={"how": how.name, "detail": detail})
+        self._finish(False)
+
+    def _late(self) -> None:
+        if self._call is not None:
+            self._call.cancel()
+        self._finish(False)
+
+    def _finish(self, granted: bool) -> None:
+        self._timer.cancel()
+        done, self._done = self._done, None
+        if done is not None:
+            done(granted)
+
+
+class Hold:
+    """Keep the memory of one prompt until it is released."""
+
+    def __init__(
+        self,
+        manager: Reservations,
+        reservations: tuple[Reservation, ...],
+        done: Callable[[bool], None],
+    ) -> None:
+        self.reservations = reservations
+        self._manager = manager
+        self._done: Callable[[bool], None] | None = done
+        self._waiting = len(reservations)
+        self._refused = False
+        self._released = False
+        self._timer: Timer | None = None
+
+    def acquire(self) -> None:
+        """Ask all endpoints at once; none of them waits, so holders cannot block each other."""
+        for reservation in self.reservations:
+            self._manager.reserve(reservation, self._answered)
+        self._plan_renewal()
+
+    def release(self) -> None:
+        """Give all memory back."""
+        if self._released:
+            return
+        self._released = True
+        self._done = None
+        if self._timer is not None:
+            self._timer.cancel()
+        for reservation in self.reservations:
+            self._manager.give_back(reservation, _RELEASE_ATTEMPTS)
+
+    def _answered(self, granted: bool) -> None:
+        self._waiting -= 1
+        self._refused = self._refused or not granted
+        if self._waiting or self._done is None:
+            return
+        done, refused = self._done, self._refused
+        if refused:
+            self.release()
+        done(not refused)
+
+    def _plan_renewal(self) -> None:
+        seconds = self._manager.hold_seconds / _RENEWALS_PER_HOLD
+        self._timer = self._manager.loop.call_later(seconds, self._renew)
+
+    def _renew(self) -> None:
+        for reservation in self.reservations:
+            self._manager.reserve(reservation, _ignore)
+        self._plan_renewal()
+
+
+class Reservations:
+    """Send the orders of all holds of this daemon."""
+
+    def __init__(
+        self, loop: EventLoop, pool: EndpointPool, dialect: Dialect, hold_seconds: float
+    ) -> None:
+        self.loop = loop
+        self.hold_seconds = hold_seconds
+        self.orders = 0
+        self._pool = pool
+        self._dialect = dialect
+
+    def hold(self, reservations: tuple[Reservation, ...], done: Callable[[bool], None]) -> Hold:
+        """Ask for memory at several endpoints; tell whether all of them granted it."""
+        hold = Hold(self, reservations, done)
+        hold.acquire()
+        return hold
+
+    def reserve(self, reservation: Reservation, done: Callable[[bool], None]) -> None:
+        """Ask one endpoint to hold memory, or to hold it longer."""
+        body = self._dialect.reserve(
+            reservation.ticket, reservation.tokens, self.hold_seconds, wait=False
+        )
+        self._order(reservation, body, done)
+
+    def give_back(self, reservation: Reservation, attempts: int) -> None:
+        """Tell one endpoint that the memory is free, again if it does not answer."""
+
+        def repeat(granted: bool) -> None:
+            if not granted and attempts > 1:
+                self.give_back(reservation, attempts - 1)
+
+        self._order(reservation, self._dialect.release(reservation.ticket), repeat)
+
+    def _order(self, reservation: Reservation, body: bytes, done: Callable[[bool], None]) -> None:
+        self.orders += 1
+        order = Order(self.loop, self._pool, done)
+        order.send(reservation.address, self._dialect.order_path, body)
+
+
+def _ignore(_granted: bool) -> None:
+    """Leave a refused renewal: the endpoint cuts the request, which is then sent elsewhere."""
--- a/src/brassdrum/platform/dialect.py
+++ b/src/brassdrum/platform/dialect.py
@@ -8,6 +8,7 @@
 from brassdrum.gateway.model import (
     DeclaredRequest,
     Headers,
+    HelperName,
     Reply,
     ReplyKind,
     RequestHead,
@@ -92,7 +93,8 @@
         if sending.resume_after is not None:
             headers.append((b"Last-Event-Id", b"%d" % sending.resume_after))
         if sending.helpers:
-            headers.append((b"X-Helpers", ",".join(sending.helpers).encode("latin-1")))
+            names = [_helper(each) for each in sending.helpers]
+            headers.append((b"X-Helpers", ",".join(names).encode("latin-1")))
         return headers
 
     def read_reply(self, request: DeclaredRequest, status: int, headers: Headers) -> Reply:
@@ -132,6 +134,10 @@
         return ReplyKind.SUCCESS if _SEAL in value_by_name else ReplyKind.FOREIGN
 
 
+def _helper(helper: HelperName) -> str:
+    return helper.address if helper.ticket is None else f"{helper.address}/{helper.ticket}"
+
+
 def _end_to_end(headers: Headers, dropped: set[bytes]) -> Headers:
     """Return the headers that concern more than one connection."""
     named = set()
--- a/src/brassdrum/platform/settings.py
+++ b/src/brassdrum/platform/settings.py
@@ -30,6 +30,8 @@
     budget_slack: float = 100.0
     stall_ms: float = 1500.0
     hold_max_ms: float = 20000.0
+    # Held memory must be free this long after its last request.
+    free_ms: float = 4000.0
 
 
 class _Platform(BaseModel):
@@ -86,6 +88,7 @@
             retry_slack=bounds.budget_slack,
             endpoint_stall=bounds.stall_ms / 1000,
             reservation_longest=bounds.hold_max_ms / 1000,
+            reservation_idle=bounds.free_ms / 1000,
         ),
     )
     return PlatformSettings(gateway=gateway, store=content.platform.address)
