Wait while a long prompt would harm streams; weigh harm and lateness in tokens

Cause: a long prompt that fitted no free engines was sent at once and made other streams pause too long, and its predicted lateness was a step at the objective. Change: the group of engines is chosen by the tokens put at risk (others' streams and its own lateness, which grows gradually); while it would harm others and still has time it waits in steps of 20 ms; parts that were read count no more.

--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -196,6 +196,7 @@
         assert configuration is not None
         service = configuration.services_by_name.get(exchange.service)
         now = self.loop.now()
+        self.table.refresh(now)
         usable = self.knowledge.usable(exchange.service)
         fresh = [entry for entry in usable if entry.id not in exchange.tried]
         candidates = [
@@ -214,6 +215,10 @@
         """Return a number that no other attempt of this daemon has."""
         return next(self._numbers)
 
+    def jitter(self, seconds: float) -> float:
+        """Return a time near to one, so that daemons do not act in step."""
+        return seconds * self._random.uniform(0.6, 1.4)
+
     def may_repeat(self, service: str) -> bool:
         """Take one repeated send from the shared budget, or return False."""
         assert self._peers is not None
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -36,9 +36,10 @@
 _DEADLINE_GRACE_SECONDS = 0.05
 # Sends that reached no endpoint cost no budget, but an outage must not spin.
 _MOST_UNSENT = 4
-# A stream is given up at an endpoint when its first event is this late against the prediction.
+# A stream is given up at an endpoint when its first event is later than its objective, this
+# slack and this many times the prediction; sending it again reads the whole prompt again.
 _FIRST_EVENT_FACTOR = 2.0
-_FIRST_EVENT_SLACK_SECONDS = 0.8
+_FIRST_EVENT_SLACK_SECONDS = 0.4
 # ... or when it pauses this much longer than its route allows.
 _PAUSE_FACTOR = 1.6
 _PAUSE_SLACK_SECONDS = 0.35
@@ -48,6 +49,10 @@
 _RETRY_AFTER_SECONDS = 0.15
 # A refusal names at most this part of the time left, or the caller would not wait for it.
 _RETRY_AFTER_SHARE = 0.3
+# A request that would harm streams now is looked at again after this: a pass takes about 45 ms.
+_REVIEW_SECONDS = 0.02
+# ... while its first event is predicted within this part of its objective.
+_WAIT_SHARE = 0.8
 _LARGEST_PLAIN_ANSWER = 64 << 20
 # A caller takes these statuses as a promise that the request has not run and never will.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -79,6 +84,9 @@
     def next_number(self) -> int:
         """Return a number that no other attempt of this daemon has."""
 
+    def jitter(self, seconds: float) -> float:
+        """Return a time near to one, so that daemons do not act in step."""
+
     def may_repeat(self, service: str) -> bool:
         """Take one repeated send from the shared budget, or return False."""
 
@@ -134,6 +142,7 @@
         self._reader = EventReader(request.resume_after)
         self._last_event_at = self.arrived
         self._silence: Timer | None = None
+        self._review: Timer | None = None
         self._deadline_timer = host.loop.call_at(
             self._deadline + _DEADLINE_GRACE_SECONDS, self._time_is_up
         )
@@ -249,13 +258,18 @@
         if placement is None:
             self._fail("no endpoint takes the request")
             return
+        if self._better_later(placement):
+            self._review = self._host.loop.call_later(
+                self._host.jitter(_REVIEW_SECONDS), self._send
+            )
+            return
         self.sends += 1
         self.tried.add(placement.entry.id)
         self._host.decided(
             self,
             "placed",
             endpoint=placement.entry.id,
-            helpers=len(placement.helpers),
+            helpers=[each.entry.id for each in placement.helpers],
             predicted_ms=round(placement.first_event_ms),
             reason=placement.reason,
             send=self.sends,
@@ -263,6 +277,14 @@
         self._attempt = Attempt(self._host, self, placement)
         self._attempt.start()
 
+    def _better_later(self, placement: Placement) -> bool:
+        """Return whether waiting spares other streams and still meets the objective."""
+        if not placement.harm:
+            return False
+        waited = self._host.loop.now() - self.arrived
+        first = waited + placement.first_event_ms / 1000
+        return first < self.route.objective * _WAIT_SHARE
+
     def memory_refused(self, attempt: Attempt) -> None:
         """Choose other engines for a prompt that is stored in parts; nothing was sent yet."""
         attempt.finish()
@@ -364,9 +386,8 @@
             seconds = self.route.longest_pause * _PAUSE_FACTOR + _PAUSE_SLACK_SECONDS
         else:
             predicted = placement.first_event_ms / 1000
-            seconds = max(
-                self.route.objective, _FIRST_EVENT_SLACK_SECONDS + _FIRST_EVENT_FACTOR * predicted
-            )
+            seconds = self.route.objective + _FIRST_EVENT_SLACK_SECONDS
+            seconds += _FIRST_EVENT_FACTOR * predicted
         self._silence = self._host.loop.call_later(seconds, self._silent)
 
     def _silent(self) -> None:
@@ -419,6 +440,8 @@
         self._deadline_timer.cancel()
         if self._silence is not None:
             self._silence.cancel()
+        if self._review is not None:
+            self._review.cancel()
         self._host.ended(self, outcome, status, detail)
 
 
@@ -451,7 +474,12 @@
 
     def start(self) -> None:
         """Send the request, after the memory of its parts is held."""
-        self._host.table.start(self._key, self._placement.shares)
+        self._host.table.start(
+            self._key,
+            self._placement.shares,
+            self._host.loop.now(),
+            self._placement.first_event_ms,
+        )
         self._host.load_changed()
         reservations = tuple(
             Reservation(each.entry.address, self.ticket(each.entry.id), each.stored)
--- a/src/brassdrum/gateway/load.py
+++ b/src/brassdrum/gateway/load.py
@@ -4,12 +4,16 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 __all__ = ["EndpointLoad", "LoadRow", "LoadTable", "Share"]
 
 # A daemon that was not heard for this long is taken as dead; heartbeats come twice a second.
 _SILENCE_SECONDS = 1.8
+# Parts take up to this much longer than predicted: passes that are under way end first.
+_PREDICTION_FACTOR = 1.3
+# Each time that a part is looked at after its predicted end, this much of it still counts.
+_UNSURE_SHARE = 0.9
 
 
 @dataclass(slots=True)
@@ -85,7 +89,7 @@
         self._total_by_endpoint: dict[str, EndpointLoad] = defaultdict(EndpointLoad)
         self._own_by_endpoint: dict[str, EndpointLoad] = defaultdict(EndpointLoad)
         self._shares_by_request: dict[str, tuple[Share, ...]] = {}
-        self._writing: set[str] = set()
+        self._predicted_by_request: dict[str, float] = {}
         self._rows_by_peer: dict[str, dict[str, EndpointLoad]] = {}
         self._heard_by_peer: dict[str, float] = {}
         self.changed: set[str] = set()
@@ -94,25 +98,41 @@
         """Return the work of all daemons at an endpoint."""
         return self._total_by_endpoint[endpoint]
 
-    def start(self, request: str, shares: Iterable[Share]) -> None:
-        """Note an own request that is sent."""
+    def start(self, request: str, shares: Iterable[Share], now: float, first_ms: float) -> None:
+        """Note an own request that is sent, with the predicted time to its first event."""
         self._shares_by_request[request] = tuple(shares)
+        self._predicted_by_request[request] = now + first_ms / 1000 * _PREDICTION_FACTOR
         for share in self._shares_by_request[request]:
             self._change(share.endpoint, share.load(reading=True), 1)
 
+    def refresh(self, now: float) -> None:
+        """Take off what own requests have read by now, as far as predicted.
+
+        An engine reads a part last before the first event. Without this a part of 3 s counts in
+        full until its end, and others avoid engines that are nearly free.
+        """
+        for request, predicted in self._predicted_by_request.items():
+            left_ms = (predicted - now) * 1000
+            shares = []
+            for share in self._shares_by_request[request]:
+                reading = max(share.reading_ms * _UNSURE_SHARE, min(share.reading_ms, left_ms))
+                read = EndpointLoad(reading_ms=share.reading_ms - reading)
+                self._total_by_endpoint[share.endpoint].add(read, -1)
+                self._own_by_endpoint[share.endpoint].add(read, -1)
+                shares.append(replace(share, reading_ms=reading))
+            self._shares_by_request[request] = tuple(shares)
+
     def prompt_read(self, request: str) -> None:
         """Note that a request writes now: its prompt is read and its helpers are free."""
         shares = self._shares_by_request.get(request, ())
         for share in shares:
             self._change(share.endpoint, share.load(reading=True), -1)
             self._change(share.endpoint, share.load(reading=False), 1)
-        if shares:
-            self._writing.add(request)
+        self._predicted_by_request.pop(request, None)
 
     def end(self, request: str) -> None:
         """Note that an own request ended."""
-        reading = request not in self._writing
-        self._writing.discard(request)
+        reading = self._predicted_by_request.pop(request, None) is not None
         for share in self._shares_by_request.pop(request, ()):
             self._change(share.endpoint, share.load(reading=reading), -1)
 
--- a/src/brassdrum/gateway/peers.py
+++ b/src/brassdrum/gateway/peers.py
@@ -208,6 +208,7 @@
     def _beat(self) -> None:
         now = self._loop.now()
         self._table.expire(now)
+        self._table.refresh(now)
         for host, peer in list(self._peer_by_host.items()):
             if now - peer.heard > _FORGET_SECONDS:
                 del self._peer_by_host[host]
--- a/src/brassdrum/gateway/placement.py
+++ b/src/brassdrum/gateway/placement.py
@@ -22,8 +22,13 @@
 _MOST_HELPERS = 16
 # Streams of light prompts are packed up to this share of an engine's slots; 6 of 8 in trials.
 _PACKED_SHARE = 0.75
-# The part of the objective in which the reading of a prompt should be over.
-_TIMELY_SHARE = 0.6
+# An answer after its objective earns about a quarter: the share of its worth that is lost.
+_LATE_SHARE = 0.75
+# A first event predicted before this share of the objective comes in time, after the other late.
+_SURELY_TIMELY = 0.7
+_SURELY_LATE = 1.1
+# How much reading ahead weighs like one stream, in ms, when the engine that writes is chosen.
+_WRITER_MS = 100.0
 # The part of an allowed pause that predicted work may fill; the rest covers what is unseen.
 _PAUSE_SHARE = 0.8
 # The part of an engine's memory that predicted use may fill; answers outgrow their estimates.
@@ -70,24 +75,35 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """Hold the chosen endpoint, its helpers and the predicted time to the first event."""
+    """Hold the chosen endpoint, its helpers and what is predicted of it.
+
+    ``first_event_ms`` is the time to the first event; ``harm`` counts the tokens of the streams
+    that will pause too long or come late because of this request, 0 where there are none.
+    """
 
     entry: EndpointEntry
     helpers: tuple[Helper, ...]
     shares: tuple[Share, ...]
     first_event_ms: float
     reason: str
+    harm: float = 0.0
 
 
 Policy = Callable[[Need, Sequence[Candidate], EngineModel | None, random.Random], Placement | None]
 policies: Registry[Policy] = Registry("placement policy")
 
 
-def _alone(need: Need, chosen: Candidate, engine: EngineModel | None, reason: str) -> Placement:
+def _alone(
+    need: Need,
+    chosen: Candidate,
+    engine: EngineModel | None,
+    reason: str,
+    harm: float = 0.0,
+) -> Placement:
     cost = 0.0 if engine is None else prefill_ms(engine, need.prompt_tokens)
     wait = chosen.load.reading_ms + (_base_ms(engine, chosen.load) if engine is not None else 0.0)
     share = Share(chosen.entry.id, cost, need.tokens, need.pause_ms)
-    return Placement(chosen.entry, (), (share,), wait + cost, reason)
+    return Placement(chosen.entry, (), (share,), wait + cost, reason, harm)
 
 
 def _base_ms(engine: EngineModel, load: EndpointLoad) -> float:
@@ -149,17 +165,20 @@
     cost = prefill_ms(engine, need.prompt_tokens)
     cap = max(1, math.floor(engine.slots * _PACKED_SHARE))
 
-    def harm(each: Candidate) -> tuple[bool, bool, bool, float, float]:
+    def rank(each: Candidate) -> tuple[bool, bool, bool, float, float]:
         load = each.load
         full = load.writers >= engine.slots or not _fits(need, each, engine)
         pause = _base_ms(engine, load) + load.reading_ms + cost
         allowed = min(load.tightest_pause() or need.pause_ms, need.pause_ms) * _PAUSE_SHARE
         packed = load.writers < cap and load.reading_ms <= _PACKED_READING_MS
         # Fill engines that light streams share already, so that the others stay free for parts.
-        rank = -float(_light_writers(load, need.pause_ms)) if packed else load.reading_ms
-        return full, pause > allowed, not packed, rank, rng.random()
+        crowd = -float(_light_writers(load, need.pause_ms)) if packed else load.reading_ms
+        return full, pause > allowed, not packed, crowd, rng.random()
 
-    return _alone(need, min(candidates, key=harm), engine, "packed")
+    chosen = min(candidates, key=rank)
+    full, pauses, *_ = rank(chosen)
+    harm = float(need.tokens) if full or pauses else 0.0
+    return _alone(need, chosen, engine, "packed", harm)
 
 
 def _light_writers(load: EndpointLoad, pause_ms: int) -> int:
@@ -177,22 +196,88 @@
 def _place_heavy(
     need: Need, candidates: list[Candidate], engine: EngineModel, rng: random.Random
 ) -> Placement | None:
-    cost = prefill_ms(engine, need.prompt_tokens)
     order_by_id = {each.entry.id: rng.random() for each in candidates}
     heads = [each for each in candidates if _fits(need, each, engine)]
     if not heads:
         return _place_apart(need, candidates, engine, order_by_id)
+    fewest = max(1, math.ceil(prefill_ms(engine, need.prompt_tokens) / _PART_MS))
+    best: _Group | None = None
+    for count in range(1, min(_MOST_HELPERS + 1, len(candidates)) + 1):
+        group = _group(need, heads, candidates, count, engine, order_by_id)
+        distance = abs(count - fewest)
+        if best is None or (group.loss, distance) < (best.loss, abs(best.count - fewest)):
+            best = group
+    assert best is not None
+    return _together(need, best, {}, engine)
 
-    def spared(each: Candidate) -> tuple[bool, int, float, float]:
-        load = each.load
-        full = load.writers + 1 > engine.slots
-        light = _tighter_writers(load, need)
-        return full, light, load.reading_ms + 100.0 * load.writers, order_by_id[each.entry.id]
 
-    head = min(heads, key=spared)
-    others = [each for each in candidates if each is not head]
-    helpers = _choose_helpers(cost, head, others, engine, need, order_by_id)
-    return _together(need, head, helpers, {}, engine)
+@dataclass(frozen=True, slots=True)
+class _Group:
+    """Hold engines that read one prompt together, and the tokens that this puts at risk.
+
+    ``harm`` counts other streams, ``late`` the request itself.
+    """
+
+    head: Candidate
+    helpers: list[Candidate]
+    harm: float
+    late: float
+
+    @property
+    def count(self) -> int:
+        return len(self.helpers) + 1
+
+    @property
+    def loss(self) -> float:
+        return self.harm + self.late
+
+
+def _group(
+    need: Need,
+    heads: list[Candidate],
+    candidates: list[Candidate],
+    count: int,
+    engine: EngineModel,
+    order_by_id: dict[str, float],
+) -> _Group:
+    """Return the engines that are harmed least by one of a number of even parts.
+
+    What a stream is worth is not declared, but its memory is known and grows with its worth.
+    """
+    assert need.pause_ms is not None
+    part = prefill_ms(engine, need.prompt_tokens) / count
+
+    def harm(each: Candidate) -> float:
+        if _room_ms(each, engine, need.pause_ms) >= part and each.load.helping < engine.slots:
+            return 0.0
+        return float(each.load.memory) + 1.0
+
+    def rank(each: Candidate) -> tuple[float, float, float]:
+        return harm(each), each.load.reading_ms, order_by_id[each.entry.id]
+
+    def head_rank(each: Candidate) -> tuple[bool, float, int, float, float]:
+        full = each.load.writers >= engine.slots
+        light = _tighter_writers(each.load, need)
+        crowd = each.load.reading_ms + _WRITER_MS * each.load.writers
+        return full, harm(each), light, crowd, order_by_id[each.entry.id]
+
+    head = min(heads, key=head_rank)
+    others = sorted((each for each in candidates if each is not head), key=rank)
+    helpers = others[: count - 1]
+    members = [head, *helpers]
+    late = _lateness(need, _first_event_ms(engine, members, part))
+    return _Group(head, helpers, sum(harm(each) for each in members), late)
+
+
+def _lateness(need: Need, first_event_ms: float) -> float:
+    """Return the tokens lost to a late first event; predictions err, so it grows gradually."""
+    share = first_event_ms / need.objective_ms
+    chance = (share - _SURELY_TIMELY) / (_SURELY_LATE - _SURELY_TIMELY)
+    return need.tokens * _LATE_SHARE * min(1.0, max(0.0, chance))
+
+
+def _first_event_ms(engine: EngineModel, members: list[Candidate], part: float) -> float:
+    return part + max(_base_ms(engine, each.load) + each.load.reading_ms for each in members)
 
 
 def _tighter_writers(load: EndpointLoad, need: Need) -> int:
@@ -201,57 +286,19 @@
 
 
 def _together(
-    need: Need,
-    head: Candidate,
-    helpers: list[Candidate],
-    stored_by_id: dict[str, int],
-    engine: EngineModel,
+    need: Need, group: _Group, stored_by_id: dict[str, int], engine: EngineModel
 ) -> Placement:
-    part = prefill_ms(engine, need.prompt_tokens) / (len(helpers) + 1)
+    part = prefill_ms(engine, need.prompt_tokens) / group.count
     own = need.tokens - sum(stored_by_id.values())
-    shares = [Share(head.entry.id, part, own, need.pause_ms)]
-    for each in helpers:
+    shares = [Share(group.head.entry.id, part, own, need.pause_ms)]
+    helpers = []
+    for each in group.helpers:
         stored = stored_by_id.get(each.entry.id, 0)
         shares.append(Share(each.entry.id, part, stored, helper=True))
-    wait = max(_base_ms(engine, each.load) + each.load.reading_ms for each in [head, *helpers])
-    entries = tuple(Helper(each.entry, stored_by_id.get(each.entry.id, 0)) for each in helpers)
-    reason = f"{len(helpers) + 1} parts of {part:.0f} ms, {len(stored_by_id)} stored apart"
-    return Placement(head.entry, entries, tuple(shares), wait + part, reason)
-
-
-def _choose_helpers(
-    cost: float,
-    head: Candidate,
-    others: list[Candidate],
-    engine: EngineModel,
-    need: Need,
-    order_by_id: dict[str, float],
-) -> list[Candidate]:
-    """Return engines that read their parts without making a stream there pause too long.
-
-    The wanted number of parts comes first, then more and smaller ones, then fewer on engines
-    that are idle. Where no number fits, the engines with the fewest streams in the way are taken.
-    """
-    assert need.pause_ms is not None
-    free = [each for each in others if each.load.helping < engine.slots]
-    room_by_id = {each.entry.id: _room_ms(each, engine, need.pause_ms) for each in free}
-    room_by_id[head.entry.id] = _room_ms(head, engine, need.pause_ms)
-    most = min(_MOST_HELPERS, len(free))
-    wanted = min(most, max(1, math.ceil(cost / _PART_MS) - 1))
-    for count in [*range(wanted, most + 1), *range(wanted - 1, -1, -1)]:
-        part = cost / (count + 1)
-        if part > need.objective_ms:
-            break
-        if room_by_id[head.entry.id] < part:
-            continue
-        fitting = [each for each in free if room_by_id[each.entry.id] >= part]
-        if len(fitting) >= count:
-            fitting.sort(key=lambda each: (each.load.reading_ms, order_by_id[each.entry.id]))
-            return fitting[:count]
-    free.sort(key=lambda each: (_tighter_writers(each.load, need), -room_by_id[each.entry.id]))
-    untouched = sum(1 for each in free if not _tighter_writers(each.load, need))
-    timely = math.ceil(cost / (need.objective_ms * _TIMELY_SHARE)) - 1
-    return free[: min(most, max(untouched, timely))]
+        helpers.append(Helper(each.entry, stored))
+    first = _first_event_ms(engine, [group.head, *group.helpers], part)
+    reason = f"{group.count} parts of {part:.0f} ms, {len(stored_by_id)} stored apart"
+    return Placement(group.head.entry, tuple(helpers), tuple(shares), first, reason, group.harm)
 
 
 def _place_apart(
@@ -268,8 +315,8 @@
         candidates,
         key=lambda each: (
             each.load.writers >= engine.slots,
-            _tighter_writers(each.load, need),
-            -free_by_id[each.entry.id],
+            each.load.memory,
+            each.load.reading_ms,
             order_by_id[each.entry.id],
         ),
     )
@@ -279,11 +326,28 @@
         roomy = [each for each in by_calm if free_by_id[each.entry.id] >= part]
         if len(roomy) < count:
             continue
-        head, holders = roomy[0], roomy[1:count]
-        stored = {each.entry.id: part for each in holders}
-        held = {head.entry.id, *stored}
-        readers = [each for each in by_calm if each.entry.id not in held]
-        calm = [each for each in readers if not _tighter_writers(each.load, need)]
-        helpers = [*holders, *calm[: max(0, _MOST_HELPERS - len(holders))]]
-        return _together(need, head, helpers, stored, engine)
+        stored = {each.entry.id: part for each in roomy[1:count]}
+        return _together(need, _read_by_more(need, roomy[:count], by_calm, engine), stored, engine)
     return None
+
+
+def _read_by_more(
+    need: Need, holders: list[Candidate], by_calm: list[Candidate], engine: EngineModel
+) -> _Group:
+    """Return the holders of a prompt with as many more readers as do least harm."""
+    assert need.pause_ms is not None
+    held = {each.entry.id for each in holders}
+    readers = [each for each in by_calm if each.entry.id not in held]
+    cost = prefill_ms(engine, need.prompt_tokens)
+    best: _Group | None = None
+    for count in range(len(holders), min(len(by_calm), _MOST_HELPERS + 1) + 1):
+        members = [*holders, *readers[: count - len(holders)]]
+        part = cost / count
+        harm = sum(
+            each.load.memory for each in members if _room_ms(each, engine, need.pause_ms) < part
+        )
+        late = _lateness(need, _first_event_ms(engine, members, part))
+        if best is None or harm + late <= best.loss:
+            best = _Group(members[0], members[1:], harm, late)
+    assert best is not None
+    return best
