--- a/src/brassdrum/gateway/callers.py
+++ b/src/brassdrum/gateway/callers.py
@@ -211,6 +211,10 @@
         if isinstance(event, h11.Request):
             self._begin_reading()
             self._head = RequestHead(event.method, event.target, event.headers.raw_items())
+            if self._head.size > self._limits.header_bytes:
+                # The codec bounds only what comes in pieces, not a head that comes at once.
+                self._fail(431)
+                return
             if self._codec.they_are_waiting_for_100_continue:
                 self._send(h11.InformationalResponse(status_code=100, headers=[]))
         elif isinstance(event, h11.Data):
--- a/src/brassdrum/gateway/model.py
+++ b/src/brassdrum/gateway/model.py
@@ -163,6 +163,12 @@
     target: bytes
     headers: Headers
 
+    @property
+    def size(self) -> int:
+        """Return the bytes of the request line and the headers, without separators."""
+        named = sum(len(name) + len(value) for name, value in self.headers)
+        return len(self.method) + len(self.target) + named
+
 
 @dataclass(frozen=True, slots=True)
 class DeclaredRequest:
--- a/src/brassdrum/gateway/placement.py
+++ b/src/brassdrum/gateway/placement.py
@@ -365,7 +365,9 @@
         ),
     )
     fewest = math.ceil(need.tokens / (engine.memory * _STORED_SHARE))
-    for count in range(fewest, min(len(by_calm), _MOST_HELPERS + 1) + 1):
+    most = min(len(by_calm), _MOST_HELPERS + 1)
+    # Small parts first; larger ones where there are too few engines with memory for these.
+    for count in [*range(fewest, most + 1), *range(min(fewest - 1, most), 1, -1)]:
         part = math.ceil(need.tokens / count)
         roomy = [each for each in by_calm if free_by_id[each.entry.id] >= part]
         if len(roomy) < count:
