Log each decision within bounds, and serve metrics

Cause: on-call engineers have only logs and metrics; the gateway's lines were free text, written by the thread that serves requests, without a bound. Change: one typed table of events with meaning and remedy; lines are queued within a budget a topic and second and written by a thread of its own; a failed or late request is explained by one line with its decisions; OpenTelemetry metrics on 9464.

--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -7,17 +7,19 @@
 import random
 import signal
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
 
 from brassdrum.charts import load_chart
 from brassdrum.clock import Clock, SystemClock
-from brassdrum.errors import InvalidRequestError
+from brassdrum.errors import InvalidDocumentError, InvalidRequestError
 from brassdrum.gateway.callers import CallerConnection, CallerHandler, Listener
 from brassdrum.gateway.exchange import Exchange, Outcome
 from brassdrum.gateway.follower import KNOWLEDGE_PATH, Follower
 from brassdrum.gateway.knowledge import EndpointChange, Knowledge
 from brassdrum.gateway.load import LoadTable
 from brassdrum.gateway.loop import EventLoop
+from brassdrum.gateway.measures import GatewayMetrics, MetricsSources
 from brassdrum.gateway.model import (
     CallerLimits,
     ControlStore,
@@ -33,11 +35,14 @@
 from brassdrum.gateway.retry_budget import SharedRetryBudget
 from brassdrum.gateway.suspicion import Suspicions
 from brassdrum.gateway.upstream import EndpointPool
+from brassdrum.telemetry import log_events
+from brassdrum.telemetry.log_events import LogEvent
 
 __all__ = ["GatewayDaemon"]
 
 _logger = logging.getLogger(__name__)
 _CHART = load_chart("daemon")
+METRICS_PATH = "/metrics"
 # The balancer asks each second and acts on the second miss; it may still send for this long.
 _NOTICE_SECONDS = 3.2
 # Idle connections are closed from here on, so that callers move to other daemons in time.
@@ -73,6 +78,7 @@
         self.knowledge = Knowledge()
         self.table = LoadTable()
         self.pool = EndpointPool(self.loop)
+        self.metrics = GatewayMetrics(settings.name)
         self.reservations = Reservations(
             self.loop,
             self.pool,
@@ -109,6 +115,8 @@
         self._listen(settings.caller_port, self._accept_caller)
         self._listen(settings.ready_port, self._accept_probe)
         self._listen(settings.peer_port, self._accept_peer)
+        if settings.metrics_port is not None:
+            self._listen(settings.metrics_port, self._accept_collector)
         self._peers = Peers(
             self.loop,
             settings.name,
@@ -123,10 +131,15 @@
         for host in settings.seeds:
             self._peers.introduce(host)
         self._follower.start(self._peers, self._announce)
-        _logger.warning("daemon started", extra={"host": settings.host, "zone": settings.zone})
+        self.metrics.watch(
+            MetricsSources(self.knowledge, self._follower, self._peers, self.pool, self._store)
+        )
+        log_events.STARTED.write(
+            _logger, host=settings.host, zone=settings.zone, settings=settings.source
+        )
         self.loop.run()
         self._follower.close()
-        _logger.warning("daemon stopped", extra={"left": len(self._exchanges)})
+        log_events.STOPPED.write(_logger, left=len(self._exchanges))
 
     def stop_on(self, *signals: signal.Signals) -> None:
         """Begin the planned stop when the process gets one of the signals."""
@@ -145,7 +158,9 @@
         self._state = _CHART.next(self._state, "leave")
         self._leave_at = now
         self._stop_at = now + self.settings.bounds.grace - _LAST_SECONDS
-        _logger.warning("daemon leaving", extra={"active": len(self._exchanges)})
+        log_events.LEAVING.write(
+            _logger, active=len(self._exchanges), grace=self.settings.bounds.grace
+        )
         assert self._peers is not None
         self._peers.leaving = True
         self._peers.announce()
@@ -240,6 +255,15 @@
         assert self._peers is not None
         return self._budget(service).spend(self.loop.now(), self._peers.live)
 
+    def budget_left(self, service: str) -> float:
+        """Return how many repeats this daemon may still send."""
+        assert self._peers is not None
+        return self._budget(service).left(self.loop.now(), self._peers.live)
+
+    def list_age(self) -> float | None:
+        """Return the seconds since the list of endpoints was read."""
+        return self._follower.age()
+
     def load_changed(self) -> None:
         """Tell peers soon."""
         assert self._peers is not None
@@ -248,7 +272,9 @@
     def endpoint_failed(self, endpoint: str, *, certain: bool, detail: str) -> None:
         """Avoid an endpoint that fails; tell peers of what is certain."""
         if self._suspicions.failed(endpoint, self.loop.now(), certain=certain):
-            _logger.info("endpoint suspect", extra={"endpoint": endpoint, "detail": detail})
+            log_events.ENDPOINT_SUSPECT.write(
+                _logger, endpoint=endpoint, detail=detail, certain=certain
+            )
 
     def endpoint_served(self, endpoint: str) -> None:
         """Note a whole answer."""
@@ -260,33 +286,35 @@
         self.knowledge.address_reused(endpoint)
         if entry is not None:
             self.pool.forget(entry.address)
-        _logger.info("endpoint gone", extra={"endpoint": endpoint, "detail": "address reused"})
+            self._log_endpoint(EndpointChange(endpoint, entry.service, "gone"), "address reused")
 
-    def decided(self, exchange: Exchange, decision: str, **inputs: object) -> None:
+    def decided(self, event: LogEvent, **values: object) -> None:
         """Log a decision that touches a request."""
-        _logger.info(decision, extra={"request": exchange.request.id, **inputs})
+        event.write(_logger, **values)
 
     def ended(self, exchange: Exchange, outcome: Outcome, status: int, detail: str) -> None:
-        """Log the end of a request."""
+        """Log and count the end of a request."""
         self._exchanges.discard(exchange)
-        now = self.loop.now()
-        first = exchange.first_event_at
-        _logger.info(
-            "ended",
-            extra={
-                "request": exchange.request.id,
-                "route": exchange.route.name,
-                "outcome": outcome.name.lower(),
-                "status": status,
-                "detail": detail,
-                "ms": round((now - exchange.arrived) * 1000),
-                "first_ms": None if first is None else round((first - exchange.arrived) * 1000),
-                "pause_ms": round(exchange.longest_pause * 1000),
-                "prompt": exchange.request.prompt_tokens,
-                "sends": exchange.sends,
-                "version": self.knowledge.version,
-            },
-        )
+        report = exchange.report(self.loop.now())
+        self.metrics.ended(exchange, outcome, report)
+        values = {
+            "request": exchange.request.id,
+            "route": exchange.route.name,
+            "status": status,
+            "ms": report.ms,
+            "first_ms": report.first_ms,
+            "prompt": exchange.request.prompt_tokens,
+            "sends": exchange.sends,
+            "version": self.knowledge.version,
+        }
+        if outcome is not Outcome.SERVED:
+            log_events.FAILED.write(
+                _logger, outcome=outcome.name.lower(), detail=detail, story=exchange.story, **values
+            )
+        elif report.late:
+            log_events.LATE.write(_logger, pause_ms=report.pause_ms, story=exchange.story, **values)
+        else:
+            log_events.SERVED.write(_logger, pause_ms=report.pause_ms, **values)
 
     # Inner wiring.
 
@@ -300,7 +328,12 @@
         CallerConnection(self.loop, sock, ReadinessResponder(self.ready), _ignore)
 
     def _accept_peer(self, sock: socket.socket) -> None:
-        CallerConnection(self.loop, sock, KnowledgeResponder(self._follower), _ignore)
+        pages = {KNOWLEDGE_PATH: Page(b"application/octet-stream", self._follower.snapshot)}
+        CallerConnection(self.loop, sock, PageResponder(pages), _ignore)
+
+    def _accept_collector(self, sock: socket.socket) -> None:
+        pages = {METRICS_PATH: Page(b"text/plain; version=0.0.4", self.metrics.page)}
+        CallerConnection(self.loop, sock, PageResponder(pages), _ignore)
 
     def ready(self) -> bool:
         """Return whether the balancer shall send new connections."""
@@ -322,30 +355,52 @@
             self._suspicions.heard(endpoint, now)
         for endpoint in belief.leaving:
             if self.knowledge.leaves(endpoint, now):
-                _logger.info("endpoint draining", extra={"endpoint": endpoint, "host": host})
+                entry = self.knowledge.endpoints_by_id[endpoint]
+                self._log_endpoint(EndpointChange(endpoint, entry.service, "draining"), host)
         self._follower.heard(host, belief)
 
     def _announce(self) -> list[str]:
         self._store.announce(self.settings.name, self.settings.host)
         return self._store.daemons()
 
-    def _configured(self) -> None:
-        _logger.info("configuration in force", extra={"version": self.knowledge.version})
+    def _configured(self, earlier: int, source: str) -> None:
+        configuration = self.knowledge.configuration
+        assert configuration is not None
+        log_events.CONFIGURED.write(
+            _logger,
+            version=configuration.version,
+            earlier=earlier,
+            routes=len(configuration.routes),
+            organisations=len(configuration.organisations),
+            source=source,
+        )
         self._become_ready()
 
-    def _endpoints_changed(self, changes: list[EndpointChange]) -> None:
+    def _log_endpoint(self, change: EndpointChange, source: str) -> None:
+        age = self._follower.age()
+        log_events.ENDPOINT_CHANGED.write(
+            _logger,
+            endpoint=change.endpoint,
+            service=change.service,
+            change=change.change,
+            source=source,
+            age=None if age is None else round(age, 3),
+        )
+
+    def _endpoints_changed(self, changes: list[EndpointChange], source: str) -> None:
         for change in changes:
-            _logger.info(
-                f"endpoint {change.change}",
-                extra={"endpoint": change.endpoint, "service": change.service},
-            )
+            self._log_endpoint(change, source)
         self._suspicions.keep(set(self.knowledge.endpoints_by_id))
         self._become_ready()
 
     def _become_ready(self) -> None:
         if self._state == _CHART.initial and self.ready():
             self._state = _CHART.next(self._state, "become_ready")
-            _logger.warning("daemon ready", extra={"version": self.knowledge.version})
+            log_events.READY.write(
+                _logger,
+                version=self.knowledge.version,
+                endpoints=len(self.knowledge.endpoints_by_id),
+            )
 
     def _budget(self, service: str) -> SharedRetryBudget:
         if service not in self._budget_by_service:
@@ -367,23 +422,27 @@
         if retry_after is not None:
             headers.append((b"Retry-After", b"%.2f" % retry_after))
         connection.answer(status, headers, b"")
-        _logger.info(
-            "refused",
-            extra={
-                "request": request,
-                "status": status,
-                "detail": detail,
-                "version": self.knowledge.version,
-            },
+        self.metrics.refused(status)
+        log_events.REFUSED.write(
+            _logger,
+            request=request,
+            status=status,
+            detail=detail,
+            version=self.knowledge.version,
         )
 
     def _reload(self, reload: Callable[[], GatewaySettings]) -> None:
         try:
             fresh = reload()
-        except (OSError, ValueError) as error:
-            _logger.error("settings kept", extra={"error": str(error)})
+        except InvalidDocumentError as error:
+            log_events.SETTINGS_KEPT.write(_logger, error=f"{error.message} {error.advice}")
             return
-        _logger.warning("settings read again", extra={"zone": fresh.zone})
+        changed = fresh != self.settings
+        # Addresses are bound and peers know this daemon by them; they change with a restart.
+        self.settings = replace(self.settings, bounds=fresh.bounds, policy=fresh.policy)
+        self._policy = policies.get(fresh.policy)
+        self._follower.bound(fresh.bounds)
+        log_events.SETTINGS_READ.write(_logger, zone=fresh.zone, changed=changed)
 
     def _close_idle(self) -> None:
         for connection in list(self._connections):
@@ -436,22 +495,30 @@
         return None
 
 
-class KnowledgeResponder(ReadinessResponder):
-    """Hand what this daemon knows to a peer."""
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Hold a page's content type and what makes it."""
+
+    content_type: bytes
+    make: Callable[[], bytes]
+
+
+class PageResponder(ReadinessResponder):
+    """Serve pages by path to peers and operators."""
 
-    def __init__(self, follower: Follower) -> None:
+    def __init__(self, pages_by_path: Mapping[str, Page]) -> None:
         super().__init__(lambda: True)
-        self._follower = follower
+        self._pages_by_path = pages_by_path
 
     def handle(
         self, connection: CallerConnection, head: RequestHead, body: bytes
     ) -> CallerHandler | None:
-        """Answer a peer's question."""
-        if head.target != KNOWLEDGE_PATH.encode():
+        """Answer with the page, or 404."""
+        page = self._pages_by_path.get(head.target.decode("latin-1"))
+        if page is None:
             connection.answer(404, [], b"")
             return None
-        content = [(b"Content-Type", b"application/octet-stream")]
-        connection.answer(200, content, self._follower.snapshot())
+        connection.answer(200, [(b"Content-Type", page.content_type)], page.make())
         return None
 
 
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from dataclasses import dataclass
 from enum import Enum, auto
 from typing import Protocol
 
@@ -28,8 +29,10 @@
 from brassdrum.gateway.placement import Helper, Need, Placement
 from brassdrum.gateway.reservations import Hold, Reservations
 from brassdrum.gateway.upstream import Break, EndpointCall, EndpointPool, OutgoingRequest
+from brassdrum.telemetry import log_events
+from brassdrum.telemetry.log_events import LogEvent
 
-__all__ = ["Exchange", "ExchangeHost", "Outcome"]
+__all__ = ["Exchange", "ExchangeHost", "Outcome", "Report"]
 
 _logger = logging.getLogger(__name__)
 # Endpoints stop at the time they were given and say so; their own answer is worth this wait.
@@ -58,6 +61,8 @@
 _WAIT_SHARE = 0.8
 # ... or within this many objectives, once it is late: callers wait for four.
 _LATE_WAIT_SHARE = 2.0
+# Decisions kept for the line that explains a failure; a request has at most six sends.
+_LONGEST_STORY = 10
 _LARGEST_PLAIN_ANSWER = 64 << 20
 # A caller takes these statuses as a promise that the request has not run and never will.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -73,6 +78,16 @@
     CALLER_LEFT = auto()
 
 
+@dataclass(frozen=True, slots=True)
+class Report:
+    """Hold how long a request took, in ms, and whether that is over its route's objective."""
+
+    ms: int
+    first_ms: int | None
+    pause_ms: int
+    late: bool
+
+
 class ExchangeHost(Protocol):
     """Give an exchange what it shares with all others of this daemon."""
 
@@ -110,9 +125,15 @@
     def address_reused(self, endpoint: str) -> None:
         """Learn that another endpoint answers at an endpoint's address."""
 
-    def decided(self, exchange: Exchange, decision: str, **inputs: object) -> None:
+    def decided(self, event: LogEvent, **values: object) -> None:
         """Log a decision that touches a request."""
 
+    def list_age(self) -> float | None:
+        """Return the seconds since the list of endpoints was read."""
+
+    def budget_left(self, service: str) -> float:
+        """Return how many repeats this daemon may still send."""
+
     def ended(self, exchange: Exchange, outcome: Outcome, status: int, detail: str) -> None:
         """Learn that a request got its final answer."""
 
@@ -138,6 +159,7 @@
         self.sends = 0
         self.first_event_at: float | None = None
         self.longest_pause = 0.0
+        self.story: list[dict[str, object]] = []
         self._host = host
         self._connection = connection
         self._body = body
@@ -268,23 +290,57 @@
             self._fail("no endpoint takes the request")
             return
         if self._better_later(placement):
+            if self._review is None:
+                self._decided(
+                    log_events.WAITING,
+                    harm=round(placement.harm),
+                    late=round(placement.late),
+                    predicted_ms=round(placement.first_event_ms),
+                )
             self._review = self._host.loop.call_later(
                 self._host.jitter(_REVIEW_SECONDS), self._send
             )
             return
         self.sends += 1
         self.tried.add(placement.entry.id)
-        self._host.decided(
-            self,
-            "placed",
+        self._note_placed(placement)
+        self._attempt = Attempt(self._host, self, placement)
+        self._attempt.start()
+
+    def _note_placed(self, placement: Placement) -> None:
+        age = self._host.list_age()
+        self._decided(
+            log_events.PLACED,
             endpoint=placement.entry.id,
             helpers=[each.entry.id for each in placement.helpers],
             predicted_ms=round(placement.first_event_ms),
+            waited_ms=round((self._host.loop.now() - self.arrived) * 1000),
+            harm=round(placement.harm),
+            late=round(placement.late),
             reason=placement.reason,
             send=self.sends,
+            version=self._host.knowledge.version,
+            list_age=None if age is None else round(age, 3),
         )
-        self._attempt = Attempt(self._host, self, placement)
-        self._attempt.start()
+
+    def _decided(self, event: LogEvent, **values: object) -> None:
+        """Log a decision, and keep it for the line that explains a failure."""
+        self._host.decided(event, request=self.request.id, **values)
+        if len(self.story) < _LONGEST_STORY:
+            at = round((self._host.loop.now() - self.arrived) * 1000)
+            self.story.append({"at_ms": at, "event": event.name, **values})
+
+    def report(self, now: float) -> Report:
+        """Return how long the request took."""
+        first = self.first_event_at
+        first_ms = None if first is None else round((first - self.arrived) * 1000)
+        took = round((now - self.arrived) * 1000)
+        pause_ms = round(self.longest_pause * 1000)
+        allowed = self.route.objective * 1000
+        late = (took if first_ms is None else first_ms) > allowed
+        if self.route.longest_pause:
+            late = late or pause_ms > self.route.longest_pause * 1000
+        return Report(took, first_ms, pause_ms, late)
 
     def _better_later(self, placement: Placement) -> bool:
         """Return whether waiting spares other streams and still meets the objective."""
@@ -381,8 +437,14 @@
         return self._host.may_repeat(self.service)
 
     def _again(self, detail: str) -> None:
-        self._host.decided(
-            self, "sent again", reason=detail, sends=self.sends, after_event=self._reader.last_id
+        assert self._attempt is not None
+        self._decided(
+            log_events.SENT_AGAIN,
+            endpoint=self._attempt.endpoint,
+            reason=detail,
+            sends=self.sends,
+            after_event=self._reader.last_id,
+            budget=round(self._host.budget_left(self.service), 1),
         )
         self._reader = EventReader(self._reader.last_id)
         self._send()
--- a/src/brassdrum/gateway/follower.py
+++ b/src/brassdrum/gateway/follower.py
@@ -17,6 +17,7 @@
 from brassdrum.gateway.model import Bounds, ControlStore, EndpointEntry, SharedRecord
 from brassdrum.gateway.peers import PeerBelief, Peers
 from brassdrum.http_pool import ConnectFailedError, ExchangeFailedError, HttpPool
+from brassdrum.telemetry import log_events
 
 __all__ = ["KNOWLEDGE_PATH", "Follower", "Snapshot"]
 
@@ -83,15 +84,16 @@
         knowledge: Knowledge,
         bounds: Bounds,
         peer_port: int,
-        on_changes: Callable[[list[EndpointChange]], None],
-        on_configured: Callable[[], None],
+        on_changes: Callable[[list[EndpointChange], str], None],
+        on_configured: Callable[[int, str], None],
     ) -> None:
         self.calls = 0
         self._loop = loop
         self._store = store
         self._knowledge = knowledge
         self._peer_port = peer_port
-        self._bound = min(bounds.drain, bounds.configuration)
+        self._bound = 0.0
+        self.bound(bounds)
         self._on_changes = on_changes
         self._on_configured = on_configured
         self._peers: Peers | None = None
@@ -106,6 +108,10 @@
         self._packed: bytes | None = None
         self._packed_mark = (-1, "")
 
+    def bound(self, bounds: Bounds) -> None:
+        """Take the times within which changes must be known."""
+        self._bound = min(bounds.drain, bounds.configuration)
+
     def start(self, peers: Peers, announce: Callable[[], list[str]]) -> None:
         """Begin to follow; ``announce`` blocks and returns the hosts of other daemons."""
         self._peers = peers
@@ -186,7 +192,7 @@
             self._note_store(False, error.message)
             return
         self._note_store(True, "")
-        self._apply(snapshot, lambda entries: self._knowledge.read(entries, sent))
+        self._apply(snapshot, "store", lambda entries: self._knowledge.read(entries, sent))
         assert self._peers is not None
         self._peers.announce()
 
@@ -205,32 +211,33 @@
         try:
             snapshot = future.result()
         except (ConnectFailedError, ExchangeFailedError, ValueError) as error:
-            _logger.info("peer not read", extra={"host": host, "error": str(error)})
+            log_events.PEER_NOT_READ.write(_logger, host=host, error=str(error))
             return
-        self._apply(snapshot, lambda entries: self._knowledge.adopt(entries, read_at))
+        self._apply(snapshot, host, lambda entries: self._knowledge.adopt(entries, read_at))
 
     def _apply(
         self,
         snapshot: Snapshot,
+        source: str,
         take: Callable[[list[EndpointEntry]], list[EndpointChange]],
     ) -> None:
-        self._configure(snapshot.configuration)
+        self._configure(snapshot.configuration, source)
         entries = []
         for record in snapshot.endpoints:
             try:
                 entries.append(self._store.decode_endpoint(record))
             except InvalidDocumentError as error:
-                _logger.warning("endpoint entry left out", extra={"error": error.message})
+                log_events.ENTRY_REFUSED.write(_logger, error=error.message)
                 continue
             self._records_by_id[record.key] = record
         changes = take(entries)
         if changes:
-            self._on_changes(changes)
+            self._on_changes(changes, source)
         known = self._knowledge.endpoints_by_id
         for name in [name for name in self._records_by_id if name not in known]:
             del self._records_by_id[name]
 
-    def _configure(self, record: SharedRecord | None) -> None:
+    def _configure(self, record: SharedRecord | None, source: str) -> None:
         if record is None:
             return
         if self._configuration is not None and record.value == self._configuration.value:
@@ -238,17 +245,24 @@
         try:
             configuration = self._store.decode_configuration(record)
         except InvalidDocumentError as error:
-            _logger.error("configuration not understood", extra={"error": error.message})
+            self._configuration = record
+            log_events.CONFIGURATION_REFUSED.write(_logger, error=error.message)
             return
+        earlier = self._knowledge.version
         if self._knowledge.configure(configuration):
             self._configuration = record
-            self._on_configured()
+            self._on_configured(earlier, source)
 
     def _note_store(self, answers: bool, detail: str) -> None:
         if answers == self._store_answers:
             return
         self._store_answers = answers
-        _logger.warning("store answers" if answers else "store lost", extra={"detail": detail})
+        age = self.age()
+        rounded = None if age is None else round(age, 3)
+        if answers:
+            log_events.STORE_BACK.write(_logger, age=rounded)
+        else:
+            log_events.STORE_LOST.write(_logger, detail=detail, age=rounded)
 
     def _introduce(self, future: Future[list[str]]) -> None:
         assert self._peers is not None
--- a/src/brassdrum/gateway/model.py
+++ b/src/brassdrum/gateway/model.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum, auto
 from typing import Protocol
 
@@ -261,6 +261,8 @@
 class ControlStore(Protocol):
     """Read and write the platform's store; calls block and raise ``PlatformUnavailableError``."""
 
+    calls: int
+
     def configuration(self) -> SharedRecord | None:
         """Return the newest configuration as it was written, or None before the first."""
 
@@ -309,5 +311,4 @@
     bounds: Bounds
     metrics_port: int | None = None
     policy: str = "least_harm"
-    log_lines_per_second: int = 200
-    extra: Mapping[str, str] = field(default_factory=dict)
+    source: str = ""
--- a/src/brassdrum/gateway/peers.py
+++ b/src/brassdrum/gateway/peers.py
@@ -13,6 +13,7 @@
 
 from brassdrum.gateway.load import EndpointLoad, LoadRow, LoadTable
 from brassdrum.gateway.loop import EventLoop
+from brassdrum.telemetry import log_events
 
 __all__ = ["PeerBelief", "PeerMessage", "Peers", "decode_message", "encode_message"]
 
@@ -265,7 +266,9 @@
             if now - peer.heard > _FORGET_HEARTBEATS * heartbeat:
                 del self._peer_by_host[host]
                 self._table.forget(peer.name)
-                _logger.info("peer lost", extra={"peer": peer.name, "silent": now - peer.heard})
+                log_events.PEER_LOST.write(
+                    _logger, peer=peer.name, host=host, silent=round(now - peer.heard, 3)
+                )
                 self._introductions_by_host[host] = _Introduction(now + _INTRODUCE_SECONDS)
         recent = {
             name
@@ -345,7 +348,7 @@
             peer = _Peer(message.name, message.zone, now, message.incarnation)
             self._peer_by_host[host] = peer
             self._introductions_by_host.pop(host, None)
-            _logger.info("peer found", extra={"peer": message.name, "host": host})
+            log_events.PEER_FOUND.write(_logger, peer=message.name, host=host)
             self._send_to(host, self._table.own_rows(), with_hosts=True)
         peer.heard = now
         peer.leaving = message.leaving
--- a/src/brassdrum/platform/serve.py
+++ b/src/brassdrum/platform/serve.py
@@ -3,23 +3,33 @@
 from __future__ import annotations
 
 import signal
+import sys
 
+from brassdrum.clock import SystemClock
 from brassdrum.gateway.daemon import GatewayDaemon
 from brassdrum.platform.dialect import PlatformDialect
 from brassdrum.platform.settings import read_settings, settings_path
 from brassdrum.platform.store import PlatformStore
-from brassdrum.telemetry.logs import configure_logging
+from brassdrum.telemetry.bounded_logs import configure_bounded_logging
 
 __all__ = ["serve"]
 
+# Lines a second; at 300 bytes a line this stays under 64 KB/s.
+_LINES_PER_SECOND = 200
+
 
 def serve(level: str) -> int:
     """Serve until the platform stops the process."""
     path = settings_path()
     settings = read_settings(path)
-    configure_logging(level, settings.gateway.name)
+    clock = SystemClock()
+    handler = configure_bounded_logging(
+        level, settings.gateway.name, sys.stdout, clock, _LINES_PER_SECOND
+    )
     daemon = GatewayDaemon(settings.gateway, PlatformStore(settings.store), PlatformDialect())
     daemon.stop_on(signal.SIGTERM, signal.SIGINT)
     daemon.reload_on(signal.SIGHUP, lambda: read_settings(path).gateway)
+    daemon.metrics.count_dropped_lines(handler.dropped)
     daemon.run()
+    handler.close()
     return 0
--- a/src/brassdrum/platform/settings.py
+++ b/src/brassdrum/platform/settings.py
@@ -12,6 +12,8 @@
 
 __all__ = ["PlatformSettings", "read_settings", "settings_path"]
 
+# Collectors ask here, as deploy/system.toml says; it is the usual port of such pages.
+_METRICS_PORT = 9464
 _PATH_VARIABLE = "BRASSDRUM_BOOT"
 
 
@@ -90,6 +92,8 @@
             reservation_longest=bounds.hold_max_ms / 1000,
             reservation_idle=bounds.free_ms / 1000,
         ),
+        metrics_port=_METRICS_PORT,
+        source=str(path),
     )
     return PlatformSettings(gateway=gateway, store=content.platform.address)
 
--- /dev/null
+++ b/src/brassdrum/telemetry/log_events.py
@@ -0,0 +1,207 @@
+"""The table of all log events of a gateway: what each line says, how it is bounded, what to do."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import StrEnum
+
+__all__ = ["LOG_EVENTS", "LogEvent", "Topic", "markdown_table"]
+
+
+class Topic(StrEnum):
+    """Group events that share one budget of lines a second; the first are kept longest."""
+
+    LIFE = "life"
+    FAILURE = "failure"
+    BELIEF = "belief"
+    REQUEST = "request"
+
+
+@dataclass(frozen=True, slots=True)
+class LogEvent:
+    """Describe one kind of line; ``write`` takes exactly its fields."""
+
+    name: str
+    topic: Topic
+    fields: tuple[str, ...]
+    meaning: str
+    remedy: str
+
+    def write(self, logger: logging.Logger, **values: object) -> None:
+        """Write a line, or raise ``TypeError`` when its fields are not those of the table."""
+        if set(values) != set(self.fields):
+            raise TypeError(f"event {self.name!r} takes the fields {self.fields}")
+        logger.log(_LEVEL_BY_TOPIC[self.topic], self.name, extra={"topic": self.topic, **values})
+
+
+class LogEventTable:
+    """Keep the events by name."""
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, LogEvent] = {}
+
+    def __iter__(self) -> Iterator[LogEvent]:
+        return iter(self._by_name.values())
+
+    def add(
+        self, name: str, topic: Topic, fields: str, meaning: str, remedy: str = "None."
+    ) -> LogEvent:
+        """File an event; ``fields`` are parted by blanks."""
+        event = LogEvent(name, topic, tuple(fields.split()), meaning, remedy)
+        self._by_name[name] = event
+        return event
+
+
+_LEVEL_BY_TOPIC = {
+    Topic.LIFE: logging.WARNING,
+    Topic.FAILURE: logging.WARNING,
+    Topic.BELIEF: logging.INFO,
+    Topic.REQUEST: logging.INFO,
+}
+LOG_EVENTS = LogEventTable()
+
+STARTED = LOG_EVENTS.add(
+    "daemon started", Topic.LIFE, "host zone settings", "The process serves its addresses."
+)
+READY = LOG_EVENTS.add(
+    "daemon ready",
+    Topic.LIFE,
+    "version endpoints",
+    "A configuration and endpoints are known; the balancer may send.",
+)
+LEAVING = LOG_EVENTS.add(
+    "daemon leaving",
+    Topic.LIFE,
+    "active grace",
+    "A planned stop began; `active` requests are finished within `grace` seconds.",
+)
+STOPPED = LOG_EVENTS.add("daemon stopped", Topic.LIFE, "left", "The process ends.")
+SETTINGS_READ = LOG_EVENTS.add(
+    "settings read", Topic.LIFE, "zone changed", "The settings file was read again."
+)
+SETTINGS_KEPT = LOG_EVENTS.add(
+    "settings kept",
+    Topic.LIFE,
+    "error",
+    "The settings file is not usable; the old settings stay in force.",
+    "Correct the file as `error` says and send SIGHUP.",
+)
+STORE_LOST = LOG_EVENTS.add(
+    "store lost",
+    Topic.LIFE,
+    "detail age",
+    "The store does not answer this daemon; what it knows is `age` seconds old.",
+    "Look whether other daemons lost it too; peers hand their knowledge on meanwhile.",
+)
+STORE_BACK = LOG_EVENTS.add("store back", Topic.LIFE, "age", "The store answers again.")
+LINES_LEFT_OUT = LOG_EVENTS.add(
+    "lines left out",
+    Topic.LIFE,
+    "counts",
+    "Lines of a topic were over its budget in the last second.",
+    "Read the counters; failed requests are explained by their own line.",
+)
+CONFIGURED = LOG_EVENTS.add(
+    "configuration in force",
+    Topic.BELIEF,
+    "version earlier routes organisations source",
+    "A newer configuration was accepted; `source` is the store or a peer.",
+)
+CONFIGURATION_REFUSED = LOG_EVENTS.add(
+    "configuration refused",
+    Topic.LIFE,
+    "error",
+    "The newest configuration cannot be decoded; the old one stays in force.",
+    "Publish a configuration that this release understands, or upgrade.",
+)
+ENTRY_REFUSED = LOG_EVENTS.add(
+    "endpoint entry refused",
+    Topic.BELIEF,
+    "error",
+    "An entry of the list of endpoints cannot be decoded; the endpoint is not used.",
+    "Correct what the endpoint writes of itself.",
+)
+ENDPOINT_CHANGED = LOG_EVENTS.add(
+    "endpoint changed",
+    Topic.BELIEF,
+    "endpoint service change source age",
+    "An endpoint joined, drains, is gone or is back.",
+)
+ENDPOINT_SUSPECT = LOG_EVENTS.add(
+    "endpoint suspect",
+    Topic.BELIEF,
+    "endpoint detail certain",
+    "An endpoint failed requests and is avoided for a while.",
+    "Look at the endpoint when many daemons suspect it.",
+)
+PEER_FOUND = LOG_EVENTS.add(
+    "peer found", Topic.BELIEF, "peer host", "Another daemon was heard for the first time."
+)
+PEER_LOST = LOG_EVENTS.add(
+    "peer lost",
+    Topic.BELIEF,
+    "peer host silent",
+    "A daemon was silent for too long; its work counts no more.",
+)
+PEER_NOT_READ = LOG_EVENTS.add(
+    "peer not read",
+    Topic.BELIEF,
+    "host error",
+    "A peer knows something newer and did not hand it over; another one is asked.",
+)
+PLACED = LOG_EVENTS.add(
+    "placed",
+    Topic.REQUEST,
+    "request endpoint helpers predicted_ms waited_ms harm late reason send version list_age",
+    "An endpoint was chosen; `helpers` read parts of the prompt.",
+)
+WAITING = LOG_EVENTS.add(
+    "waiting",
+    Topic.REQUEST,
+    "request harm late predicted_ms",
+    "The request waits, since now it would be late or make others late.",
+)
+SENT_AGAIN = LOG_EVENTS.add(
+    "sent again",
+    Topic.REQUEST,
+    "request endpoint reason sends after_event budget",
+    "The attempt failed and the request may be repeated.",
+)
+REFUSED = LOG_EVENTS.add(
+    "refused",
+    Topic.FAILURE,
+    "request status detail version",
+    "The request was turned away before any endpoint was chosen.",
+    "401: publish the key. 404: publish the route. 503: see `detail`.",
+)
+SERVED = LOG_EVENTS.add(
+    "served",
+    Topic.REQUEST,
+    "request route status ms first_ms pause_ms prompt sends version",
+    "The answer is whole.",
+)
+LATE = LOG_EVENTS.add(
+    "served late",
+    Topic.FAILURE,
+    "request route status ms first_ms pause_ms prompt sends version story",
+    "The answer is whole, but its first event or a pause took longer than the route's objective.",
+    "Read `story`: a high `predicted_ms` is load, a long wait after a low one is the endpoint.",
+)
+FAILED = LOG_EVENTS.add(
+    "not served",
+    Topic.FAILURE,
+    "request route outcome status detail ms first_ms prompt sends version story",
+    "The request got no whole answer; `story` lists the decisions that led there.",
+    "Read `detail` first, then `story` from its end.",
+)
+
+
+def markdown_table() -> str:
+    """Return the table of events for the operators' page."""
+    rows = ["| event | fields | meaning | remedy |", "|---|---|---|---|"]
+    for event in LOG_EVENTS:
+        fields = ", ".join(f"`{name}`" for name in event.fields)
+        rows.append(f"| {event.name} | {fields} | {event.meaning} | {event.remedy} |")
+    return "\n".join(rows)
