Explain a lost request from its id: trace and why, and the operators' page of events

Change: 'brassdrum trace' joins the lines of all daemons into one story and names the step that cost most; 'brassdrum why' groups losses by cause. Tested: a full pipe, a flood, a gone reader, broken settings, no key or body in a line.

--- /dev/null
+++ b/features/explaining.feature
@@ -0,0 +1,52 @@
+Feature: Logs and metrics explain a failure afterwards and never stop the work
+
+  Scenario: A full pipe does not stop the work
+    Given a log whose reader has stopped
+    When 10000 lines are logged
+    Then the caller was never stopped
+    And the lines that did not fit are counted
+
+  Scenario: A flood of served requests leaves the lines of failed ones
+    Given a log with 40 lines a second
+    When 1000 served and 10 failed requests are logged in one second
+    Then all 10 failed ones are explained
+    And in the next second a line counts what was left out
+
+  Scenario: A line has exactly the fields of the table
+    Then an event with a missing or unknown field is refused
+    And the operators' page lists every event of the table
+
+  Scenario: A failed request is explained from its id
+    Given a gateway before two endpoints
+    And its log is kept
+    And all requests meet "lost"
+    When a caller sends a "hold"
+    Then the answer is 502 and ""
+    And its story names the endpoint and the cause
+
+  Scenario: Requests lost in the same way are counted together
+    Given a gateway before two endpoints
+    And its log is kept
+    And all requests meet "lost"
+    When a caller sends a "hold" 3 times
+    Then one cause counts 3 requests and names examples
+
+  Scenario: No key and no body reaches a log line
+    Given a gateway before two endpoints
+    And its log is kept
+    And all requests meet "lost"
+    When a caller sends a "hold"
+    Then the log names neither the key nor the body
+
+  Scenario: Metrics count what happened and show what is believed
+    Given a gateway before two endpoints
+    When a caller sends a "check" 3 times
+    Then the metrics page counts 3 served requests and 2 endpoints
+
+  Scenario: Settings are read again on a signal, and broken ones are refused
+    Given a gateway before two endpoints
+    And its log is kept
+    When the settings are read again and are broken
+    Then the old settings stay and the log says why
+    When the settings are read again with a longer grace time
+    Then the new grace time is in force
--- a/src/brassdrum/telemetry/bounded_logs.py
+++ b/src/brassdrum/telemetry/bounded_logs.py
@@ -111,9 +111,8 @@
         while True:
             self._wake.wait()
             self._wake.clear()
-            while self._lines:
-                self._stream.write(self._lines.popleft() + "\n")
-            self._stream.flush()
+            if not self._write_waiting():
+                return
             if self._closed:
                 return
 
@@ -127,3 +126,14 @@
     root.handlers[:] = [handler]
     root.setLevel(level)
     return handler
+
+    def _write_waiting(self) -> bool:
+        """Write what waits; return False when nobody can read it any more."""
+        try:
+            while self._lines:
+                self._stream.write(self._lines.popleft() + "\n")
+            self._stream.flush()
+        except (OSError, ValueError):
+            # The reader is gone, and with it every place to report that to; lines are counted.
+            return False
+        return True
