--- a/src/brassdrum/telemetry/bounded_logs.py
+++ b/src/brassdrum/telemetry/bounded_logs.py
@@ -116,17 +116,6 @@
             if self._closed:
                 return
 
-
-def configure_bounded_logging(
-    level: str, daemon: str, stream: TextIO, clock: Clock, lines_per_second: int
-) -> BoundedJsonHandler:
-    """Send every record of this process through one bounded handler."""
-    handler = BoundedJsonHandler(stream, daemon, clock, lines_per_second)
-    root = logging.getLogger()
-    root.handlers[:] = [handler]
-    root.setLevel(level)
-    return handler
-
     def _write_waiting(self) -> bool:
         """Write what waits; return False when nobody can read it any more."""
         try:
@@ -137,3 +126,14 @@
             # The reader is gone, and with it every place to report that to; lines are counted.
             return False
         return True
+
+
+def configure_bounded_logging(
+    level: str, daemon: str, stream: TextIO, clock: Clock, lines_per_second: int
+) -> BoundedJsonHandler:
+    """Send every record of this process through one bounded handler."""
+    handler = BoundedJsonHandler(stream, daemon, clock, lines_per_second)
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    return handler
