Soak the real programs under random faults; serve callers also without a metrics port

Daemons run as processes; faults come from outside: signals, restarts, a loopback proxy, a store and replicas that misbehave; checks judge what callers and replicas saw. Planted double runs and spoilt bodies are found. Found by running four soaks side by side and mended: a daemon whose metrics port was taken ended at its start.

--- a/features/explaining.feature
+++ b/features/explaining.feature
@@ -50,3 +50,8 @@
     Then the old settings stay and the log says why
     When the settings are read again with a longer grace time
     Then the new grace time is in force
+
+  Scenario: A metrics port that is taken does not keep a daemon from serving
+    Given a gateway whose metrics port is taken
+    When a caller sends a "check"
+    Then the answer is 200 and "whole"
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -393,7 +393,7 @@
 class RunningGateway:
     """Run a daemon in a thread."""
 
-    def __init__(self, store, number, peer_port, bounds=QUICK, seeds=()):
+    def __init__(self, store, number, peer_port, bounds=QUICK, seeds=(), metrics_port=None):
         self.host = f"127.0.0.{number}"
         self.port = free_port()
         self.ready_port = free_port()
@@ -406,6 +406,7 @@
             peer_port=peer_port,
             seeds=seeds,
             bounds=bounds,
+            metrics_port=metrics_port,
         )
         self.daemon = GatewayDaemon(settings, store, PlatformDialect(), rng=random.Random(number))
         self._thread = threading.Thread(target=self.daemon.run, daemon=True)
--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,37 @@
+Feature: A soak of the real programs under random faults keeps every promise
+
+  Scenario: The plan of a seed is the same each time and knows how to do all it names
+    Then the plan of seed 7 is the same twice and another one for seed 8
+    And every kind of fault has an action
+
+  Scenario: A short seeded run keeps the promises
+    When the soak runs seed 11 for 4 seconds
+    Then callers were served and no promise was broken
+
+  Scenario Outline: A planted fault is found
+    When the soak runs seed 3 for 2 seconds with "<fault>" planted
+    Then "<promise>" is called broken
+
+    Examples:
+      | fault  | promise               |
+      | repeat | at most once          |
+      | spoil  | whole and own answers |
+
+  Scenario Outline: Each check finds what it exists for
+    Given a history in which <what>
+    Then "<promise>" is called broken
+
+    Examples:
+      | what                                     | promise                         |
+      | a call ran twice                         | at most once                    |
+      | a refused request ran                    | not run means not run           |
+      | an answer belongs to another request     | whole and own answers           |
+      | nobody asked for a run                   | only what was asked             |
+      | a run names another organisation         | only what was asked             |
+      | an endpoint ran a request long after     | no work for a leaving endpoint  |
+      | a taken key is served long after         | accepted changes are in force   |
+      | memory stays held                        | memory is given back            |
+      | a caller still waits                     | every request ends              |
+
+  Scenario: The proxy harms connections as it is told
+    Then a proxy passes, resets, silences and holds back answers
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -29,7 +29,7 @@
 ALL_EVENTS = b"".join(event(number) for number in range(1, EVENTS + 1))
 
 
-def start(context, daemons, endpoints, engine=None, bounds=QUICK, empty=False):
+def start(context, daemons, endpoints, engine=None, bounds=QUICK, empty=False, metrics=None):
     context.store = FakeStore()
     context.endpoints = [Endpoint(f"endpoint-{number}") for number in range(1, endpoints + 1)]
     for endpoint in context.endpoints:
@@ -41,7 +41,7 @@
     port = free_port()
     context.stores = [Refusing(context.store) for _ in range(daemons)]
     context.gateways = [
-        RunningGateway(store, number + 2, port, bounds)
+        RunningGateway(store, number + 2, port, bounds, metrics_port=metrics)
         for number, store in enumerate(context.stores)
     ]
     for gateway in context.gateways:
@@ -104,6 +104,13 @@
     start(context, 1, engines, ENGINE)
 
 
+@given("a gateway whose metrics port is taken")
+def step_metrics_taken(context):
+    taken = socket.create_server(("127.0.0.2", 0))
+    context.stack.push(taken.close)
+    start(context, 1, 2, metrics=taken.getsockname()[1])
+
+
 @given("a gateway whose store holds nothing")
 def step_empty(context):
     start(context, 1, 0, empty=True)
--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,142 @@
+"""Steps on the soak, its checks and its proxy."""
+
+import socket
+import tempfile
+import threading
+from pathlib import Path
+
+from behave import given, then, when
+
+from brassdrum.platform.standin import Run, whole_answer
+from brassdrum.soak.checks import History, Result, judge
+from brassdrum.soak.plan import FAULT_KINDS, draw_plan
+from brassdrum.soak.proxy import Proxy
+from brassdrum.soak.run import ACTIONS, Soak, SoakSize
+
+SMALL = {"daemons": 2, "replicas": 3, "callers": 4}
+
+
+def run_soak(context, seed, seconds, plant=""):
+    with tempfile.TemporaryDirectory() as folder:
+        soak = Soak(seed, SoakSize(**SMALL, seconds=seconds), Path(folder), plant)
+        context.report = soak.run()
+    context.found = context.report.violations
+
+
+@then("the plan of seed {seed:d} is the same twice and another one for seed {other:d}")
+def step_plan(context, seed, other):
+    assert draw_plan(seed, 20) == draw_plan(seed, 20)
+    assert draw_plan(seed, 20) != draw_plan(other, 20)
+
+
+@then("every kind of fault has an action")
+def step_actions(context):
+    assert list(FAULT_KINDS) == list(ACTIONS)
+
+
+@when("the soak runs seed {seed:d} for {seconds:d} seconds")
+def step_run(context, seed, seconds):
+    run_soak(context, seed, float(seconds))
+
+
+@when('the soak runs seed {seed:d} for {seconds:d} seconds with "{plant}" planted')
+def step_run_planted(context, seed, seconds, plant):
+    run_soak(context, seed, float(seconds), plant)
+
+
+@then("callers were served and no promise was broken")
+def step_kept(context):
+    assert context.report.served > 0
+    assert context.found == [], context.found
+
+
+@then('"{promise}" is called broken')
+def step_broken(context, promise):
+    assert promise in {violation.promise for violation in context.found}, context.found
+
+
+def result(kind="hold", status=200, body=None, key="key-1", sent_at=0.0):
+    body = whole_answer(kind, "a") if body is None else body
+    return Result("a", kind, "daemon-1", key, sent_at, sent_at + 0.1, status, True, body)
+
+
+def run(at=0.0, organisation="org-1", request="a"):
+    return Run(request, "replica-1", organisation, at, False)
+
+
+HISTORIES = {
+    "a call ran twice": History([result()], [run(), run()]),
+    "a refused request ran": History([result(status=503)], [run()]),
+    "an answer belongs to another request": History([result(body=b"done b")], [run()]),
+    "nobody asked for a run": History([result()], [run(), run(request="b")]),
+    "a run names another organisation": History([result()], [run(organisation="org-2")]),
+    "an endpoint ran a request long after": History(
+        [result()], [run(at=9.0)], left_at_by_replica={"replica-1": 1.0}
+    ),
+    "a taken key is served long after": History(
+        [result(sent_at=9.0)], [run(at=9.0)], revoked_at_by_key={"key-1": 1.0}
+    ),
+    "memory stays held": History([result()], [run()], held_at_end=5),
+    "a caller still waits": History([result()], [run()], unfinished=1),
+}
+
+
+@given("a history in which {what}")
+def step_history(context, what):
+    history = HISTORIES[what]
+    history.organisation_by_key = {"key-1": "org-1"}
+    context.found = judge(history)
+    clean = History([result()], [run()], organisation_by_key={"key-1": "org-1"})
+    assert judge(clean) == []
+
+
+@then("a proxy passes, resets, silences and holds back answers")
+def step_proxy(context):
+    server = socket.create_server(("127.0.0.1", 0))
+    context.stack.push(server.close)
+    received = []
+    threading.Thread(target=echo, args=(server, received), daemon=True).start()
+    proxy = Proxy(f"127.0.0.1:{server.getsockname()[1]}")
+    context.stack.push(proxy.close)
+    assert exchange(proxy, b"one") == b"one"
+    proxy.set_mode("one_way")
+    assert exchange(proxy, b"two") is None
+    assert b"two" in received
+    proxy.set_mode("silent")
+    assert exchange(proxy, b"three") is None
+    assert b"three" not in received
+    proxy.set_mode("reset")
+    assert exchange(proxy, b"four") == b""
+    proxy.set_mode("pass")
+    assert exchange(proxy, b"five") == b"five"
+
+
+def echo(server, received):
+    while True:
+        try:
+            connection, _ = server.accept()
+        except OSError:
+            return
+        threading.Thread(target=echo_one, args=(connection, received), daemon=True).start()
+
+
+def echo_one(connection, received):
+    try:
+        while data := connection.recv(100):
+            received.append(data)
+            connection.sendall(data)
+    except OSError:
+        return
+
+
+def exchange(proxy, data):
+    """Return the answer; None when none comes, nothing when the connection was reset."""
+    host, port = proxy.address.split(":")
+    try:
+        with socket.create_connection((host, int(port)), timeout=0.5) as connection:
+            connection.sendall(data)
+            return connection.recv(100)
+    except TimeoutError:
+        return None
+    except OSError:
+        return b""
--- a/src/brassdrum/cli/main.py
+++ b/src/brassdrum/cli/main.py
@@ -29,8 +29,8 @@
 Begin with 'brassdrum demo'.
 """
 # The gateway is loaded alone: the other commands bring libraries that would cost it 30 MB.
-_MODULES = ("serve", "documents", "operate", "bench", "history", "gateway", "trace")
-_LONE_MODULE_BY_COMMAND = {"gateway": "gateway", "trace": "trace", "why": "trace"}
+_MODULES = ("serve", "documents", "operate", "bench", "history", "gateway", "trace", "soak")
+_LONE_MODULE_BY_COMMAND = {"gateway": "gateway", "trace": "trace", "why": "trace", "soak": "soak"}
 _FAILED = 1
 _INVALID = 3
 _UNREACHABLE = 4
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -116,7 +116,7 @@
         self._listen(settings.ready_port, self._accept_probe)
         self._listen(settings.peer_port, self._accept_peer)
         if settings.metrics_port is not None:
-            self._listen(settings.metrics_port, self._accept_collector)
+            self._listen_for_collectors(settings.metrics_port)
         self._peers = Peers(
             self.loop,
             settings.name,
@@ -321,6 +321,13 @@
     def _listen(self, port: int, accept: Callable[[socket.socket], None]) -> None:
         self._listeners.append(Listener(self.loop, self.settings.host, port, accept))
 
+    def _listen_for_collectors(self, port: int) -> None:
+        """Serve metrics where the port is free; callers are served in any case."""
+        try:
+            self._listen(port, self._accept_collector)
+        except OSError as error:
+            log_events.METRICS_UNAVAILABLE.write(_logger, port=port, error=str(error))
+
     def _accept_caller(self, sock: socket.socket) -> None:
         self._connections.add(CallerConnection(self.loop, sock, self, self._connections.discard))
 
--- /dev/null
+++ b/src/brassdrum/platform/standin.py
@@ -0,0 +1,380 @@
+"""Stand-ins of the platform for the soak: its store and its replicas, with faults on command."""
+
+from __future__ import annotations
+
+import base64
+import json
+import socket
+import threading
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
+
+__all__ = ["Replica", "ReplicaFaults", "Run", "Store", "boot_file", "caller_headers"]
+
+_CONFIGURATION_TOPIC = "keyed.op"
+_ENDPOINT_TOPIC = "keyed.servers"
+_SILENCE_SECONDS = 5.0
+EVENTS = 6
+_EVENT_SECONDS = 0.02
+_KINDS = {"hold": "non_idempotent", "check": "idempotent", "text": "streaming"}
+_HOST = "soak.example"
+_SERVICE = "pool"
+_KV_TOKENS = 100_000
+
+
+def caller_headers(request: str, key: str, patience: float, tokens: int) -> dict[str, str]:
+    """Return the headers that a caller of the platform sends; patience in seconds."""
+    headers = {
+        "Host": _HOST,
+        "X-Attempt-Id": request,
+        "X-Key": key,
+        "X-Deadline-Remaining": str(int(patience * 1000)),
+    }
+    if tokens:
+        headers["X-Token-Usage"] = f"{tokens},100"
+    return headers
+
+
+def boot_file(path: Path, name: str, host: str, ports: tuple[int, int, int], store: str) -> None:
+    """Write the settings file of one daemon; ports are the callers', readiness and peers'."""
+    content = {
+        "node_name": name,
+        "ip": host,
+        "zone": "zone-a",
+        "listen_addrs": {"front": f"{host}:{ports[0]}", "ready": f"{host}:{ports[1]}"},
+        "port_range": [ports[2], ports[2] + 9],
+        "seeds": [],
+        "bounds": {"drain_ms": 2000, "config_apply_ms": 2000, "grace_s": 4},
+        "platform": {"address": store},
+    }
+    path.write_text(json.dumps(content))
+
+
+class Store:
+    """Keep the newest record of each key, and fail on command."""
+
+    def __init__(self) -> None:
+        self.fault = ""
+        self._lock = threading.Lock()
+        self._records_by_topic: dict[str, dict[str, bytes]] = {}
+        self._version = 0
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), _handler_for(self))
+        self._server.daemon_threads = True
+        self.address = f"127.0.0.1:{self._server.server_port}"
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def configure(self, keys_by_organisation: Mapping[str, list[str]]) -> int:
+        """Write the next version of the configuration; return its number."""
+        self._version += 3
+        routes = [
+            {
+                "name": name,
+                "host": _HOST,
+                "path_prefix": f"/{name}/",
+                "kind": kind,
+                "timeout_ms": 8000,
+                "goal_ms": 1000,
+                "priority": 1,
+                "service": _SERVICE,
+                "max_attempts": 1 if name == "hold" else 2,
+                "resumable": name == "text",
+                "gap_aim_ms": 250 if name == "text" else 0,
+            }
+            for name, kind in _KINDS.items()
+        ]
+        runtime = {
+            "slots": 8,
+            "kv_tokens": _KV_TOKENS,
+            "step_ms": 1.0,
+            "read_per_s": 500_000.0,
+            "stride": 10,
+        }
+        content = {
+            "version": self._version,
+            "routes": routes,
+            "services": [{"name": _SERVICE, "max_conns": 500, "runtime": runtime}],
+            "tenants": [
+                {"name": name, "api_keys": keys} for name, keys in keys_by_organisation.items()
+            ],
+        }
+        self._put(_CONFIGURATION_TOPIC, "config", json.dumps(content).encode())
+        return self._version
+
+    def list_replica(self, replica: Replica, *, draining: bool) -> None:
+        """Write a replica's entry."""
+        content = {
+            "service": _SERVICE,
+            "address": replica.address,
+            "zone": "zone-a",
+            "slots": 8,
+            "state": "draining" if draining else "ready",
+        }
+        self._put(_ENDPOINT_TOPIC, replica.name, json.dumps(content).encode())
+
+    def remove_replica(self, name: str) -> None:
+        """Drop a replica's entry."""
+        with self._lock:
+            self._records_by_topic.get(_ENDPOINT_TOPIC, {}).pop(name, None)
+
+    def newest(self, topic: str) -> bytes:
+        """Return the newest records of a topic in one page."""
+        with self._lock:
+            records = dict(self._records_by_topic.get(topic, {}))
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": number}
+            for number, (key, value) in enumerate(records.items())
+        ]
+        return json.dumps({"items": items, "has_more": False, "end_offset": len(items)}).encode()
+
+    def append(self, topic: str, record: bytes) -> bytes:
+        """Take one keyed record."""
+        content = record[4:]
+        length = content[0]
+        self._put(topic, content[1 : 1 + length].decode(), content[1 + length :])
+        return b'{"offset":0,"end_offset":1}'
+
+    def _put(self, topic: str, key: str, value: bytes) -> None:
+        with self._lock:
+            self._records_by_topic.setdefault(topic, {})[key] = value
+
+
+def _handler_for(store: Store) -> type[BaseHTTPRequestHandler]:
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def do_GET(self) -> None:
+            """Answer a read."""
+            self._answer(lambda topic: store.newest(topic))
+
+        def do_POST(self) -> None:
+            """Answer an append."""
+            record = self.rfile.read(int(self.headers["Content-Length"]))
+            self._answer(lambda topic: store.append(topic, record))
+
+        def _answer(self, act: Callable[[str], bytes]) -> None:
+            fault = store.fault
+            if fault == "silent":
+                time.sleep(_SILENCE_SECONDS)
+                self.close_connection = True
+                return
+            if fault == "slow":
+                time.sleep(0.25)
+            topic = parse_qs(urlsplit(self.path).query)["topic"][0]
+            body, status = (b"", 503) if fault == "busy" else (act(topic), 200)
+            if fault == "lost":
+                self.close_connection = True
+                return
+            self.send_response(status)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+        def log_message(self, *_arguments: object) -> None:
+            """Write nothing."""
+
+    return Handler
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """Hold one run of a request at a replica; ``at`` is monotonic."""
+
+    request: str
+    replica: str
+    organisation: str
+    at: float
+    resumed: bool
+
+
+@dataclass(slots=True)
+class ReplicaFaults:
+    """Hold what a replica does wrong, each as a share of its requests."""
+
+    fail: float = 0.0
+    lose: float = 0.0
+    cut: float = 0.0
+    refuse: float = 0.0
+    spoil: float = 0.0
+    repeat: float = 0.0
+
+
+@dataclass(slots=True)
+class _Hold:
+    tokens: int
+    until: float
+
+
+@dataclass(slots=True)
+class _Request:
+    path: str
+    header_by_name: dict[str, str]
+    body: bytes = field(default=b"")
+
+
+class Replica:
+    """Serve requests and record each run."""
+
+    def __init__(
+        self, name: str, runs: list[Run], chance: Callable[[], float], address: str | None = None
+    ) -> None:
+        self.name = name
+        self.faults = ReplicaFaults()
+        self._runs = runs
+        self._chance = chance
+        self._holds_by_ticket: dict[str, _Hold] = {}
+        self._lock = threading.Lock()
+        self._closed = False
+        self._server = socket.create_server(("127.0.0.1", 0))
+        self.own_address = f"127.0.0.1:{self._server.getsockname()[1]}"
+        # Daemons reach a replica through a proxy, which has another address.
+        self.address = address or self.own_address
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def held(self) -> int:
+        """Return the tokens that are set aside now."""
+        now = time.monotonic()
+        with self._lock:
+            return sum(hold.tokens for hold in self._holds_by_ticket.values() if hold.until > now)
+
+    def close(self) -> None:
+        """Crash: serve no more."""
+        self._closed = True
+        self._server.close()
+
+    def _accept(self) -> None:
+        while not self._closed:
+            try:
+                connection, _ = self._server.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        stream = connection.makefile("rb")
+        try:
+            while not self._closed:
+                request = _read(stream)
+                if request is None or not self._handle(connection, request):
+                    return
+        except (OSError, ValueError):
+            return
+        finally:
+            connection.close()
+
+    def _handle(self, connection: socket.socket, request: _Request) -> bool:
+        headers = request.header_by_name
+        if request.path == "/order":
+            self._answer(connection, request, self._order(json.loads(request.body)), b"{}", "")
+            return True
+        if headers.get("x-expect-replica") != self.name:
+            self._answer(connection, request, 421, b"", "X-Replica-Id: other\r\n")
+            return True
+        if self._chance() < self.faults.refuse:
+            self._answer(connection, request, 503, b"", "X-Not-Executed: 1\r\n")
+            return True
+        for _ in range(2 if self._chance() < self.faults.repeat else 1):
+            self._note(request)
+        return self._run(connection, request)
+
+    def _note(self, request: _Request) -> None:
+        headers = request.header_by_name
+        run = Run(
+            headers["x-attempt-id"],
+            self.name,
+            headers.get("x-tenant", ""),
+            time.monotonic(),
+            "last-event-id" in headers,
+        )
+        with self._lock:
+            self._runs.append(run)
+
+    def _run(self, connection: socket.socket, request: _Request) -> bool:
+        if self._chance() < self.faults.lose:
+            return False
+        seal = "X-Replica-Seal: s1\r\n"
+        if self._chance() < self.faults.fail:
+            self._answer(connection, request, 500, b"failed", seal)
+            return True
+        if request.path.startswith("/text/"):
+            return self._stream(connection, request)
+        body = _expected(request.header_by_name["x-attempt-id"], self._chance() < self.faults.spoil)
+        self._answer(connection, request, 200, body, seal)
+        return True
+
+    def _stream(self, connection: socket.socket, request: _Request) -> bool:
+        headers = request.header_by_name
+        start = f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {headers['x-attempt-id']}\r\n"
+        start += "X-Replica-Seal: s1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        connection.sendall(start.encode())
+        cut = self._chance() < self.faults.cut
+        for number in range(int(headers.get("last-event-id", "0")) + 1, EVENTS + 1):
+            time.sleep(_EVENT_SECONDS)
+            if cut and number == EVENTS // 2:
+                return False
+            data = event(headers["x-attempt-id"], number)
+            connection.sendall(b"%x\r\n%b\r\n" % (len(data), data))
+        connection.sendall(b"0\r\n\r\n")
+        return True
+
+    def _order(self, order: Mapping[str, object]) -> int:
+        now = time.monotonic()
+        ticket = str(order["id"])
+        with self._lock:
+            if order["op"] == "release":
+                self._holds_by_ticket.pop(ticket, None)
+                return 200
+            tokens = int(str(order["token_count"]))
+            others = sum(
+                hold.tokens
+                for name, hold in self._holds_by_ticket.items()
+                if name != ticket and hold.until > now
+            )
+            if others + tokens > _KV_TOKENS:
+                return 409
+            until = now + int(str(order["hold_ms"])) / 1000
+            self._holds_by_ticket[ticket] = _Hold(tokens, until)
+            return 200
+
+    def _answer(
+        self, connection: socket.socket, request: _Request, status: int, body: bytes, extra: str
+    ) -> None:
+        echoed = request.header_by_name.get("x-attempt-id", "")
+        head = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {echoed}\r\n{extra}"
+        connection.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+
+
+def event(request: str, number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: {request} {number}\n\n".encode()
+
+
+def whole_answer(kind: str, request: str) -> bytes:
+    """Return what a caller must receive."""
+    if kind == "text":
+        return b"".join(event(request, number) for number in range(1, EVENTS + 1))
+    return _expected(request, spoilt=False)
+
+
+def _expected(request: str, spoilt: bool) -> bytes:
+    return b"spoilt" if spoilt else f"done {request}".encode()
+
+
+def _read(stream: object) -> _Request | None:
+    line = stream.readline().split()  # type: ignore[attr-defined]
+    if len(line) < 2:
+        return None
+    headers = {}
+    while text := stream.readline().strip():  # type: ignore[attr-defined]
+        name, _, value = text.partition(b":")
+        headers[name.strip().lower().decode()] = value.strip().decode()
+    body = stream.read(int(headers.get("content-length", "0")))  # type: ignore[attr-defined]
+    return _Request(line[1].decode(), headers, body)
--- /dev/null
+++ b/src/brassdrum/soak/checks.py
@@ -0,0 +1,160 @@
+"""Judge a soak by what callers and replicas saw; each promise is one registered check."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from brassdrum.platform.standin import Run, whole_answer
+from brassdrum.registry import Registry
+
+__all__ = ["CHECKS", "History", "Result", "Violation", "judge"]
+
+_PROMISED_NOT_RUN = (408, 421, 429, 503)
+# A change is in force within 2 s; the rest covers what is under way and a busy machine.
+_IN_FORCE_SECONDS = 4.5
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """Hold one request as its caller saw it; status 0 when the connection ended first."""
+
+    request: str
+    kind: str
+    daemon: str
+    key: str
+    sent_at: float
+    ended_at: float
+    status: int
+    whole: bool
+    body: bytes
+
+
+@dataclass(slots=True)
+class History:
+    """Hold all that a soak saw."""
+
+    results: list[Result] = field(default_factory=list)
+    runs: list[Run] = field(default_factory=list)
+    organisation_by_key: dict[str, str] = field(default_factory=dict)
+    revoked_at_by_key: dict[str, float] = field(default_factory=dict)
+    left_at_by_replica: dict[str, float] = field(default_factory=dict)
+    disturbed_by_daemon: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    held_at_end: int = 0
+    unfinished: int = 0
+
+    def calm(self, daemon: str, since: float, until: float) -> bool:
+        """Return whether no fault touched a daemon, or the store for all, in a span."""
+        spans = self.disturbed_by_daemon.get(daemon, []) + self.disturbed_by_daemon.get("all", [])
+        return not any(start <= until and since <= end for start, end in spans)
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """Name a broken promise and the request that shows it."""
+
+    promise: str
+    request: str
+    detail: str
+
+
+Check = Callable[[History], Iterator[Violation]]
+CHECKS: Registry[Check] = Registry("soak check")
+
+
+def judge(history: History) -> list[Violation]:
+    """Return all broken promises."""
+    found = []
+    for name in CHECKS:
+        found.extend(CHECKS.get(name)(history))
+    return found
+
+
+def _runs_by_request(history: History) -> dict[str, list[Run]]:
+    runs: dict[str, list[Run]] = defaultdict(list)
+    for run in history.runs:
+        runs[run.request].append(run)
+    return runs
+
+
+@CHECKS.register("at most once")
+def at_most_once(history: History) -> Iterator[Violation]:
+    """Find calls that may run once and ran twice."""
+    runs = _runs_by_request(history)
+    for result in history.results:
+        count = len(runs[result.request])
+        if result.kind == "hold" and count > 1:
+            yield Violation("at most once", result.request, f"ran {count} times")
+
+
+@CHECKS.register("not run means not run")
+def not_run(history: History) -> Iterator[Violation]:
+    """Find requests that were refused as not run and ran."""
+    runs = _runs_by_request(history)
+    for result in history.results:
+        if result.status in _PROMISED_NOT_RUN and runs[result.request]:
+            yield Violation("not run means not run", result.request, f"status {result.status}")
+
+
+@CHECKS.register("whole and own answers")
+def whole_answers(history: History) -> Iterator[Violation]:
+    """Find successes with a body that is not the request's whole answer."""
+    for result in history.results:
+        if result.status != 200 or not result.whole:
+            continue
+        if result.body != whole_answer(result.kind, result.request):
+            yield Violation("whole and own answers", result.request, repr(result.body[:80]))
+
+
+@CHECKS.register("only what was asked")
+def only_asked(history: History) -> Iterator[Violation]:
+    """Find runs that no caller asked for, or for the wrong organisation."""
+    key_by_request = {result.request: result.key for result in history.results}
+    for run in history.runs:
+        key = key_by_request.get(run.request)
+        if key is None:
+            yield Violation("only what was asked", run.request, "no caller sent it")
+            continue
+        if history.organisation_by_key.get(key) != run.organisation:
+            yield Violation("only what was asked", run.request, f"as {run.organisation}")
+
+
+@CHECKS.register("no work for a leaving endpoint")
+def leaving(history: History) -> Iterator[Violation]:
+    """Find runs at endpoints that had left for longer than the bound."""
+    daemon_by_request = {result.request: result.daemon for result in history.results}
+    for run in history.runs:
+        left_at = history.left_at_by_replica.get(run.replica)
+        if left_at is None or run.at <= left_at + _IN_FORCE_SECONDS:
+            continue
+        if history.calm(daemon_by_request.get(run.request, ""), left_at, run.at):
+            yield Violation("no work for a leaving endpoint", run.request, run.replica)
+
+
+@CHECKS.register("accepted changes are in force")
+def in_force(history: History) -> Iterator[Violation]:
+    """Find requests served with a key that was taken away longer ago than the bound."""
+    for result in history.results:
+        revoked_at = history.revoked_at_by_key.get(result.key)
+        if revoked_at is None or result.status != 200:
+            continue
+        if result.sent_at <= revoked_at + _IN_FORCE_SECONDS:
+            continue
+        if history.calm(result.daemon, revoked_at, result.sent_at):
+            late = result.sent_at - revoked_at
+            yield Violation("accepted changes are in force", result.request, f"{late:.1f} s late")
+
+
+@CHECKS.register("memory is given back")
+def memory(history: History) -> Iterator[Violation]:
+    """Find memory that stays held after all requests ended."""
+    if history.held_at_end:
+        yield Violation("memory is given back", "", f"{history.held_at_end} tokens held")
+
+
+@CHECKS.register("every request ends")
+def ends(history: History) -> Iterator[Violation]:
+    """Find callers that still wait at the end."""
+    if history.unfinished:
+        yield Violation("every request ends", "", f"{history.unfinished} callers still wait")
--- /dev/null
+++ b/src/brassdrum/soak/plan.py
@@ -0,0 +1,61 @@
+"""Draw from a seed which faults strike when; the same seed gives the same plan."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from brassdrum.registry import Registry
+
+__all__ = ["FAULT_KINDS", "PlannedFault", "draw_plan"]
+
+# Faults come in series and overlap: about this many in a second.
+_FAULTS_PER_SECOND = 1.6
+_QUIET_START_SECONDS = 1.0
+_SHORTEST_SECONDS = 0.3
+_LONGEST_SECONDS = 2.5
+
+FAULT_KINDS: Registry[str] = Registry("soak fault")
+for _name, _meaning in {
+    "terminate": "a daemon gets SIGTERM and is started again when it has ended",
+    "kill": "a daemon gets SIGKILL and is started again",
+    "pause": "a daemon gets SIGSTOP and, after the span, SIGCONT",
+    "reload": "a daemon gets SIGHUP",
+    "store": "the store is busy, silent, slow or loses answers",
+    "cut_store": "one daemon's way to the store is cut, silenced, delayed or reset",
+    "link": "the way to one replica is delayed, reset, cut one way or silenced",
+    "misbehave": "a replica fails, loses, cuts or refuses a share of its requests",
+    "crash": "a replica crashes for good and another one comes",
+    "drain": "a replica reports that it leaves and another one comes",
+    "revoke": "a key is taken away and another one is given",
+}.items():
+    FAULT_KINDS.register(_name)(_meaning)
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedFault:
+    """Hold one fault; ``at`` and ``seconds`` from the start, ``choice`` picks its target."""
+
+    at: float
+    kind: str
+    seconds: float
+    choice: int
+    variant: int
+
+
+def draw_plan(seed: int, seconds: float) -> list[PlannedFault]:
+    """Return the faults of a run in time order."""
+    rng = random.Random(seed)
+    kinds = list(FAULT_KINDS)
+    count = max(1, round((seconds - _QUIET_START_SECONDS) * _FAULTS_PER_SECOND))
+    faults = [
+        PlannedFault(
+            at=rng.uniform(_QUIET_START_SECONDS, seconds),
+            kind=rng.choice(kinds),
+            seconds=rng.uniform(_SHORTEST_SECONDS, _LONGEST_SECONDS),
+            choice=rng.randrange(1000),
+            variant=rng.randrange(1000),
+        )
+        for _ in range(count)
+    ]
+    return sorted(faults, key=lambda fault: fault.at)
--- /dev/null
+++ b/src/brassdrum/soak/run.py
@@ -0,0 +1,427 @@
+"""Run daemons as processes, callers and faults, and judge what was seen."""
+
+from __future__ import annotations
+
+import http.client
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from brassdrum.platform.standin import Replica, Store, boot_file, caller_headers
+from brassdrum.registry import Registry
+from brassdrum.soak.checks import History, Result, Violation, judge
+from brassdrum.soak.plan import PlannedFault, draw_plan
+from brassdrum.soak.proxy import Proxy
+
+__all__ = ["Soak", "SoakReport", "SoakSize"]
+
+_PATIENCE_SECONDS = 6.0
+_CALLER_TIMEOUT_SECONDS = 25.0
+_READY_SECONDS = 30.0
+_RESTART_SECONDS = 0.2
+# Held memory ends by itself after 3.2 s; then nothing may be left.
+_SETTLE_SECONDS = 5.0
+# A daemon that was disturbed needs this long to know the newest state again.
+_TOUCH_SECONDS = 3.5
+_GIANT_TOKENS = 150_000
+_GIANT_SHARE = 0.04
+_KINDS = ("text", "hold", "check")
+_LINK_MODES = ("delay", "reset", "one_way", "silent")
+_STORE_FAULTS = ("busy", "silent", "slow", "lost")
+
+
+@dataclass(frozen=True, slots=True)
+class SoakSize:
+    """Hold how large and long a soak is."""
+
+    daemons: int = 3
+    replicas: int = 4
+    callers: int = 8
+    seconds: float = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class SoakReport:
+    """Hold what a soak found."""
+
+    seed: int
+    requests: int
+    served: int
+    faults: list[str]
+    violations: list[Violation]
+
+
+class _DaemonProcess:
+    """Start, signal and restart one daemon; ends only the process that it started itself."""
+
+    def __init__(self, name: str, host: str, boot: Path, log: Path, ports: tuple[int, int]) -> None:
+        self.name = name
+        self.host = host
+        self.port, self.ready_port = ports
+        self.wanted = True
+        self._boot = boot
+        self._log = log
+        self._process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start the process unless it runs."""
+        if self._process is not None and self._process.poll() is None:
+            return
+        environment = {**os.environ, "BRASSDRUM_BOOT": str(self._boot)}
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "brassdrum", "gateway"], env=environment, stdout=log
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process that this object started."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def ended(self) -> bool:
+        """Return whether the process has ended."""
+        return self._process is None or self._process.poll() is not None
+
+    def close(self) -> None:
+        """End the process."""
+        self.wanted = False
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait()
+
+    def ready(self) -> bool:
+        """Return whether the daemon calls itself ready."""
+        connection = http.client.HTTPConnection(self.host, self.ready_port, timeout=1)
+        try:
+            connection.request("GET", "/readiness")
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
+
+@dataclass(slots=True)
+class _Keys:
+    """Hold the keys in force and give out new ones."""
+
+    by_organisation: dict[str, list[str]] = field(default_factory=dict)
+    count: int = 0
+
+    def issue(self, organisation: str) -> str:
+        """Return a new key of an organisation."""
+        self.count += 1
+        key = f"key-{organisation}-{self.count}"
+        self.by_organisation.setdefault(organisation, []).append(key)
+        return key
+
+
+FaultAction = Callable[["Soak", PlannedFault], None]
+ACTIONS: Registry[FaultAction] = Registry("soak fault action")
+
+
+class Soak:
+    """Run one seed."""
+
+    def __init__(self, seed: int, size: SoakSize, folder: Path, plant: str = "") -> None:
+        self.seed = seed
+        self.size = size
+        self.history = History()
+        self.random = random.Random(seed)
+        self.store = Store()
+        self.keys = _Keys()
+        self._folder = folder
+        self._plant = plant
+        self._stop = threading.Event()
+        self._lock = threading.Lock()
+        self._replica_count = 0
+        self.replicas: list[Replica] = []
+        self.links: dict[str, Proxy] = {}
+        self.store_links: list[Proxy] = []
+        self.daemons: list[_DaemonProcess] = []
+
+    def run(self) -> SoakReport:
+        """Play the plan of the seed and judge."""
+        plan = draw_plan(self.seed, self.size.seconds)
+        try:
+            self._set_up()
+            callers = [
+                threading.Thread(target=self._call_on, args=(number,), daemon=True)
+                for number in range(self.size.callers)
+            ]
+            keeper = threading.Thread(target=self._keep_running, daemon=True)
+            for thread in (*callers, keeper):
+                thread.start()
+            self._play(plan)
+            self._stop.set()
+            for thread in callers:
+                thread.join(_CALLER_TIMEOUT_SECONDS + 5)
+            self.history.unfinished = sum(thread.is_alive() for thread in callers)
+            time.sleep(_SETTLE_SECONDS)
+            self.history.held_at_end = sum(replica.held() for replica in self.replicas)
+        finally:
+            self._tear_down()
+        results = self.history.results
+        return SoakReport(
+            self.seed,
+            len(results),
+            sum(result.status == 200 and result.whole for result in results),
+            [f"{fault.at:.2f} {fault.kind}" for fault in plan],
+            judge(self.history),
+        )
+
+    def disturb(self, daemon: str, seconds: float) -> None:
+        """Note that a daemon cannot be held to times for a span and what follows it."""
+        now = time.monotonic()
+        span = (now, now + seconds + _TOUCH_SECONDS)
+        self.history.disturbed_by_daemon.setdefault(daemon, []).append(span)
+
+    def after(self, seconds: float, action: Callable[[], None]) -> None:
+        """Act later, unless the soak is over by then."""
+        timer = threading.Timer(seconds, action)
+        timer.daemon = True
+        timer.start()
+
+    def add_replica(self) -> Replica:
+        """Start a replica behind a link of its own and list it."""
+        self._replica_count += 1
+        name = f"replica-{self.seed}-{self._replica_count}"
+        replica = Replica(name, self.history.runs, self.random.random)
+        link = Proxy(replica.own_address)
+        replica.address = link.address
+        if self._plant == "repeat":
+            replica.faults.repeat = 0.3
+        if self._plant == "spoil":
+            replica.faults.spoil = 0.3
+        self.links[name] = link
+        self.replicas.append(replica)
+        self.store.list_replica(replica, draining=False)
+        return replica
+
+    def configure(self) -> None:
+        """Write the keys that are in force now."""
+        self.store.configure(self.keys.by_organisation)
+
+    def pick_replica(self, fault: PlannedFault) -> Replica:
+        """Return the replica that a fault strikes."""
+        return self.replicas[fault.choice % len(self.replicas)]
+
+    def pick_daemon(self, fault: PlannedFault) -> _DaemonProcess:
+        """Return the daemon that a fault strikes."""
+        return self.daemons[fault.choice % len(self.daemons)]
+
+    def _set_up(self) -> None:
+        for organisation in ("org-1", "org-2"):
+            for _ in range(3):
+                self._issue(organisation)
+        self.configure()
+        for _ in range(self.size.replicas):
+            self.add_replica()
+        peer_port = _free_port()
+        for number in range(1, self.size.daemons + 1):
+            self.daemons.append(self._make_daemon(number, peer_port))
+        for daemon in self.daemons:
+            daemon.start()
+        limit = time.monotonic() + _READY_SECONDS
+        while not all(daemon.ready() for daemon in self.daemons):
+            if time.monotonic() > limit:
+                raise TimeoutError("The daemons did not become ready; read their logs.")
+            time.sleep(0.05)
+
+    def _make_daemon(self, number: int, peer_port: int) -> _DaemonProcess:
+        name = f"daemon-{number}"
+        # Soaks of other seeds may run beside this one on hosts of their own.
+        host = f"127.{self.seed // 250 % 250 + 1}.{self.seed % 250}.{number}"
+        link = Proxy(self.store.address)
+        self.store_links.append(link)
+        boot = self._folder / f"{name}.json"
+        ports = (_free_port(), _free_port())
+        daemon = _DaemonProcess(name, host, boot, self._folder / f"{name}.log", ports)
+        boot_file(boot, name, daemon.host, (*ports, peer_port), link.address)
+        return daemon
+
+    def _issue(self, organisation: str) -> None:
+        self.history.organisation_by_key[self.keys.issue(organisation)] = organisation
+
+    def _tear_down(self) -> None:
+        self._stop.set()
+        for daemon in self.daemons:
+            daemon.close()
+        for link in (*self.links.values(), *self.store_links):
+            link.close()
+        for replica in self.replicas:
+            replica.close()
+        self.store.close()
+
+    def _play(self, plan: list[PlannedFault]) -> None:
+        started = time.monotonic()
+        for fault in plan:
+            time.sleep(max(0.0, started + fault.at - time.monotonic()))
+            ACTIONS.get(fault.kind)(self, fault)
+        time.sleep(max(0.0, started + self.size.seconds - time.monotonic()))
+
+    def _keep_running(self) -> None:
+        while not self._stop.is_set():
+            for daemon in self.daemons:
+                if daemon.wanted and daemon.ended():
+                    time.sleep(_RESTART_SECONDS)
+                    self.disturb(daemon.name, 0.0)
+                    daemon.start()
+            time.sleep(0.05)
+
+    def _call_on(self, number: int) -> None:
+        rng = random.Random(self.seed * 1000 + number)
+        count = 0
+        while not self._stop.is_set():
+            daemon = rng.choice(self.daemons)
+            connection = http.client.HTTPConnection(
+                daemon.host, daemon.port, timeout=_CALLER_TIMEOUT_SECONDS
+            )
+            # A connection stays in use until it breaks or the daemon closes it.
+            usable = True
+            while usable and not self._stop.is_set():
+                count += 1
+                usable = self._call(connection, daemon, rng, f"r{self.seed}-{number}-{count}")
+                time.sleep(rng.uniform(0.0, 0.02))
+            connection.close()
+
+    def _call(
+        self,
+        connection: http.client.HTTPConnection,
+        daemon: _DaemonProcess,
+        rng: random.Random,
+        request: str,
+    ) -> bool:
+        kind = rng.choice(_KINDS)
+        key = rng.choice(list(self.history.organisation_by_key))
+        giant = kind == "text" and rng.random() < _GIANT_SHARE
+        tokens = _GIANT_TOKENS if giant else 1000 if kind == "text" else 0
+        headers = caller_headers(request, key, _PATIENCE_SECONDS, tokens)
+        sent_at = time.monotonic()
+        status, whole, body, usable = 0, False, b"", False
+        try:
+            method = "GET" if kind == "check" else "POST"
+            connection.request(method, f"/{kind}/x", headers=headers)
+            response = connection.getresponse()
+            status = response.status
+            body = response.read()
+            whole, usable = True, not response.will_close
+        except (OSError, http.client.HTTPException):
+            usable = False
+        ended_at = time.monotonic()
+        result = Result(request, kind, daemon.name, key, sent_at, ended_at, status, whole, body)
+        with self._lock:
+            self.history.results.append(result)
+        return usable
+
+
+@ACTIONS.register("terminate")
+def terminate(soak: Soak, fault: PlannedFault) -> None:
+    """Ask a daemon to stop; it is started again when it has ended."""
+    daemon = soak.pick_daemon(fault)
+    soak.disturb(daemon.name, 4.0)
+    daemon.send(signal.SIGTERM)
+
+
+@ACTIONS.register("kill")
+def kill(soak: Soak, fault: PlannedFault) -> None:
+    """Kill a daemon."""
+    daemon = soak.pick_daemon(fault)
+    soak.disturb(daemon.name, 1.0)
+    daemon.send(signal.SIGKILL)
+
+
+@ACTIONS.register("pause")
+def pause(soak: Soak, fault: PlannedFault) -> None:
+    """Freeze a daemon for a while."""
+    daemon = soak.pick_daemon(fault)
+    soak.disturb(daemon.name, fault.seconds)
+    daemon.send(signal.SIGSTOP)
+    soak.after(fault.seconds, lambda: daemon.send(signal.SIGCONT))
+
+
+@ACTIONS.register("reload")
+def reload(soak: Soak, fault: PlannedFault) -> None:
+    """Let a daemon read its settings again."""
+    soak.pick_daemon(fault).send(signal.SIGHUP)
+
+
+@ACTIONS.register("store")
+def store_fault(soak: Soak, fault: PlannedFault) -> None:
+    """Let the store fail for all."""
+    soak.disturb("all", fault.seconds)
+    soak.store.fault = _STORE_FAULTS[fault.variant % len(_STORE_FAULTS)]
+    soak.after(fault.seconds, lambda: setattr(soak.store, "fault", ""))
+
+
+@ACTIONS.register("cut_store")
+def cut_store(soak: Soak, fault: PlannedFault) -> None:
+    """Harm one daemon's way to the store; peers keep it informed."""
+    link = soak.store_links[fault.choice % len(soak.store_links)]
+    link.set_mode(_LINK_MODES[fault.variant % len(_LINK_MODES)])
+    soak.after(fault.seconds, lambda: link.set_mode("pass"))
+
+
+@ACTIONS.register("link")
+def harm_link(soak: Soak, fault: PlannedFault) -> None:
+    """Harm the way to a replica."""
+    link = soak.links[soak.pick_replica(fault).name]
+    link.set_mode(_LINK_MODES[fault.variant % len(_LINK_MODES)])
+    soak.after(fault.seconds, lambda: link.set_mode("pass"))
+
+
+@ACTIONS.register("misbehave")
+def misbehave(soak: Soak, fault: PlannedFault) -> None:
+    """Let a replica fail a share of its requests."""
+    faults = soak.pick_replica(fault).faults
+    name = ("fail", "lose", "cut", "refuse")[fault.variant % 4]
+    setattr(faults, name, 0.4)
+    soak.after(fault.seconds, lambda: setattr(faults, name, 0.0))
+
+
+@ACTIONS.register("crash")
+def crash(soak: Soak, fault: PlannedFault) -> None:
+    """Let a replica crash for good; its entry lapses and another one comes."""
+    replica = soak.pick_replica(fault)
+    soak.add_replica()
+    soak.replicas.remove(replica)
+    replica.close()
+    soak.links[replica.name].close()
+    soak.after(1.0, lambda: soak.store.remove_replica(replica.name))
+
+
+@ACTIONS.register("drain")
+def drain(soak: Soak, fault: PlannedFault) -> None:
+    """Let a replica leave; it serves for a while longer."""
+    replica = soak.pick_replica(fault)
+    soak.add_replica()
+    soak.replicas.remove(replica)
+    soak.store.list_replica(replica, draining=True)
+    soak.history.left_at_by_replica[replica.name] = time.monotonic()
+    soak.after(3.0, lambda: soak.store.remove_replica(replica.name))
+
+
+@ACTIONS.register("revoke")
+def revoke(soak: Soak, fault: PlannedFault) -> None:
+    """Take a key away and give another one."""
+    organisation = ("org-1", "org-2")[fault.choice % 2]
+    key = soak.keys.by_organisation[organisation].pop(0)
+    soak.history.organisation_by_key[soak.keys.issue(organisation)] = organisation
+    soak.configure()
+    soak.history.revoked_at_by_key[key] = time.monotonic()
+
+
+def _free_port() -> int:
+    """Return a port that was free a moment ago on the loopback addresses."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -88,6 +88,13 @@
     "The settings file is not usable; the old settings stay in force.",
     "Correct the file as `error` says and send SIGHUP.",
 )
+METRICS_UNAVAILABLE = LOG_EVENTS.add(
+    "metrics unavailable",
+    Topic.LIFE,
+    "port error",
+    "The port for collectors cannot be bound; requests are served all the same.",
+    "Free the port and restart the daemon.",
+)
 STORE_LOST = LOG_EVENTS.add(
     "store lost",
     Topic.LIFE,
