--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -30,6 +30,20 @@
     When a prompt of 300000 tokens is placed after 2500 ms
     Then it is called late
 
+  Scenario Outline: A request waits where that costs less than going on
+    Given a placement that puts <harm> tokens of others and <late> of its own at risk
+    Then a prompt of 100000 tokens that waited <waited> ms <decision>
+
+    Examples:
+      | harm   | late  | waited | decision |
+      | 0      | 0     | 0      | goes on  |
+      | 10     | 0     | 0      | waits    |
+      | 10     | 0     | 2300   | goes on  |
+      | 90000  | 0     | 2300   | goes on  |
+      | 90000  | 0     | 6500   | goes on  |
+      | 10     | 75000 | 2900   | waits    |
+      | 0      | 75000 | 2900   | goes on  |
+
   Scenario: A prompt over one engine's memory is stored on several
     Given 6 idle engines
     When a prompt of 600000 tokens is placed
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -23,7 +23,7 @@
     RouteTarget,
 )
 from brassdrum.gateway.peers import PeerBelief, PeerMessage, decode_message, encode_message
-from brassdrum.gateway.placement import Candidate, Need, policies
+from brassdrum.gateway.placement import Candidate, Need, Placement, better_later, policies
 from brassdrum.gateway.retry_budget import SharedRetryBudget
 from brassdrum.gateway.suspicion import Suspicions
 from brassdrum.platform.documents import decode_configuration, decode_endpoint
@@ -140,6 +140,17 @@
     assert context.placement.late > 0
 
 
+@given("a placement that puts {harm:d} tokens of others and {late:d} of its own at risk")
+def step_at_risk(context, harm, late):
+    context.placement = Placement(entry(1), (), (), 500.0, "", float(harm), float(late), 400.0)
+
+
+@then("a prompt of {tokens:d} tokens that waited {waited:d} ms {decision}")
+def step_decision(context, tokens, waited, decision):
+    waits = better_later(Need(tokens, 0, 3000.0, 1000, float(waited)), context.placement)
+    assert waits == (decision == "waits")
+
+
 @then("every engine stores less than its memory")
 def step_memory(context):
     assert all(share.memory < ENGINE.memory for share in context.placement.shares)
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -26,7 +26,7 @@
     RouteKind,
     Sending,
 )
-from brassdrum.gateway.placement import Helper, Need, Placement
+from brassdrum.gateway.placement import Helper, Need, Placement, better_later
 from brassdrum.gateway.reservations import Hold, Reservations
 from brassdrum.gateway.upstream import Break, EndpointCall, EndpointPool, OutgoingRequest
 from brassdrum.telemetry import log_events
@@ -45,9 +45,10 @@
 _FIRST_EVENT_SLACK_SECONDS = 0.7
 # Silence of an engine with this much to read says nothing about its health.
 _EXPLAINED_READING_MS = 300.0
-# ... or when it pauses this much longer than its route allows.
+# ... or when it pauses this much longer than its route allows: late it is then in any case, and
+# callers wait for 2 s at least.
 _PAUSE_FACTOR = 1.6
-_PAUSE_SLACK_SECONDS = 0.35
+_PAUSE_SLACK_SECONDS = 0.8
 # A repeatable call that is silent for its objective is tried elsewhere if this much time is left.
 _REPEAT_LEAST_SECONDS = 0.05
 # When to come back after a refusal: about the time in which an endpoint frees a place.
@@ -57,10 +58,6 @@
 # A request that would come late now, or make others late, is looked at again after this: a pass
 # takes about 45 ms.
 _REVIEW_SECONDS = 0.02
-# ... while its first event could come within this part of its objective on idle engines.
-_WAIT_SHARE = 0.8
-# ... or within this many objectives, once it is late: callers wait for four.
-_LATE_WAIT_SHARE = 2.0
 # Decisions kept for the line that explains a failure; a request has at most six sends.
 _LONGEST_STORY = 10
 _LARGEST_PLAIN_ANSWER = 64 << 20
@@ -285,11 +282,12 @@
         self._attempt_lost(attempt, detail, certain=False)
 
     def _send(self) -> None:
-        placement = self._host.place(self, self.need())
+        need = self.need()
+        placement = self._host.place(self, need)
         if placement is None:
             self._fail("no endpoint takes the request")
             return
-        if self._better_later(placement):
+        if not self._host.closing() and better_later(need, placement):
             if self._review is None:
                 self._decided(
                     log_events.WAITING,
@@ -342,19 +340,6 @@
             late = late or pause_ms > self.route.longest_pause * 1000
         return Report(took, first_ms, pause_ms, late)
 
-    def _better_later(self, placement: Placement) -> bool:
-        """Return whether waiting spares other streams and still meets the objective."""
-        if self._host.closing():
-            return False
-        waited = self._host.loop.now() - self.arrived
-        best = waited + placement.best_ms / 1000
-        if best < self.route.objective * _WAIT_SHARE:
-            return placement.harm > 0 or placement.late > 0
-        if waited + placement.first_event_ms / 1000 < self.route.objective:
-            return False
-        # It comes late in any case, so it leaves those alone that can still come in time.
-        return placement.harm > 0 and best < self.route.objective * _LATE_WAIT_SHARE
-
     def memory_refused(self, attempt: Attempt) -> None:
         """Choose other engines for a prompt that is stored in parts; nothing was sent yet."""
         attempt.finish()
--- a/src/brassdrum/gateway/placement.py
+++ b/src/brassdrum/gateway/placement.py
@@ -12,7 +12,7 @@
 from brassdrum.gateway.model import EndpointEntry, EngineModel
 from brassdrum.registry import Registry
 
-__all__ = ["Candidate", "Helper", "Need", "Placement", "Policy", "policies"]
+__all__ = ["Candidate", "Helper", "Need", "Placement", "Policy", "better_later", "policies"]
 
 # A prompt is split until no part lasts longer: halving it further won 1% in trials, 120 ms lost 1%.
 _PART_MS = 60.0
@@ -39,6 +39,10 @@
 _BLOCKED_TOKENS_PER_SECOND = 25_000
 # Waiting hopes for half of the most engines to be free, not for all of them.
 _HOPED_FACTOR = 2.0
+# A request waits while its first event could come within this part of its objective if half of the
+# engines were free, and once it is late, within this many objectives: callers wait for four.
+_WAIT_SHARE = 0.8
+_LATE_WAIT_SHARE = 2.0
 # How much reading ahead weighs like one stream, in ms, when the engine that writes is chosen.
 _WRITER_MS = 100.0
 # The part of an allowed pause that predicted work may fill; the rest covers what is unseen.
@@ -105,6 +109,20 @@
     best_ms: float = 0.0
 
 
+def better_later(need: Need, placement: Placement) -> bool:
+    """Return whether a request should wait for other engines instead of taking this placement."""
+    if not placement.harm and not placement.late:
+        return False
+    best = (need.waited_ms + placement.best_ms) / need.objective_ms
+    if best < _WAIT_SHARE:
+        return True
+    if best >= _LATE_WAIT_SHARE:
+        return False
+    timely = need.waited_ms + placement.first_event_ms < need.objective_ms
+    # One that comes late in any case leaves those alone that can still come in time.
+    return placement.harm > 0 and not timely
+
+
 Policy = Callable[[Need, Sequence[Candidate], EngineModel | None, random.Random], Placement | None]
 policies: Registry[Policy] = Registry("placement policy")
 
