Take during a planned stop only what the grace time lets finish

Change: once callers could know of the stop, a request is taken only if its declared longest answer fits twice over; else it is refused at once as not run.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -66,6 +66,18 @@
       | least_outstanding |
       | least_harm        |
 
+  Scenario Outline: A stopping daemon takes only what it can finish, once callers could know
+    Given a planned stop with 8 seconds of grace
+    Then a stream of <tokens> tokens that comes after <seconds> seconds is <fate>
+
+    Examples:
+      | tokens | seconds | fate    |
+      | 3264   | 0.5     | taken   |
+      | 3264   | 2.7     | taken   |
+      | 3264   | 3.2     | refused |
+      | 400    | 3.2     | taken   |
+      | 400    | 6.5     | refused |
+
   Scenario: Repeats stay within the ratio and this daemon's part of the slack
     Given a retry budget of ratio 0.2 and slack 30 over 10 seconds
     When 100 requests and as many repeats as allowed are counted among 3 daemons
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -16,6 +16,7 @@
 from brassdrum.gateway.knowledge import Knowledge
 from brassdrum.gateway.load import EndpointLoad, LoadRow, LoadTable, Share
 from brassdrum.gateway.model import (
+    DeclaredRequest,
     EndpointEntry,
     EngineModel,
     FleetConfiguration,
@@ -25,6 +26,7 @@
 from brassdrum.gateway.peers import PeerBelief, PeerMessage, decode_message, encode_message
 from brassdrum.gateway.placement import Candidate, Need, Placement, better_later, policies
 from brassdrum.gateway.retry_budget import SharedRetryBudget
+from brassdrum.gateway.stopping import PlannedStop, longest_seconds
 from brassdrum.gateway.suspicion import Suspicions
 from brassdrum.platform.documents import decode_configuration, decode_endpoint
 from brassdrum.platform.settings import read_settings
@@ -177,6 +179,19 @@
     assert place(context, SHORT, policy) is None
 
 
+@given("a planned stop with {grace:d} seconds of grace")
+def step_stop(context, grace):
+    context.stop = PlannedStop(100.0, float(grace))
+
+
+@then("a stream of {tokens:d} tokens that comes after {seconds:g} seconds is {fate}")
+def step_fate(context, tokens, seconds, fate):
+    request = DeclaredRequest("a", b"POST", b"/", HOST, [], 10.0, None, 5000, tokens)
+    streams = route("text", RouteKind.STREAM, objective=0.3)
+    longest = longest_seconds(streams, request, ENGINE)
+    assert context.stop.takes(100.0 + seconds, longest) == (fate == "taken"), longest
+
+
 @given("a retry budget of ratio {ratio:g} and slack {slack:g} over {window:g} seconds")
 def step_budget(context, ratio, slack, window):
     context.budget = SharedRetryBudget(ratio, slack, window)
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -23,7 +23,9 @@
 from brassdrum.gateway.model import (
     CallerLimits,
     ControlStore,
+    DeclaredRequest,
     Dialect,
+    EngineModel,
     GatewaySettings,
     Headers,
     RequestHead,
@@ -33,6 +35,7 @@
 from brassdrum.gateway.placement import Candidate, Need, Placement, policies
 from brassdrum.gateway.reservations import Reservations
 from brassdrum.gateway.retry_budget import SharedRetryBudget
+from brassdrum.gateway.stopping import PlannedStop, longest_seconds
 from brassdrum.gateway.suspicion import Suspicions
 from brassdrum.gateway.upstream import EndpointPool
 from brassdrum.telemetry import log_events
@@ -43,19 +46,13 @@
 _logger = logging.getLogger(__name__)
 _CHART = load_chart("daemon")
 METRICS_PATH = "/metrics"
-# The balancer asks each second and acts on the second miss; it may still send for this long.
-_NOTICE_SECONDS = 3.2
 # Idle connections are closed from here on, so that callers move to other daemons in time.
 _IDLE_CLOSE_SECONDS = 1.5
-# What still runs this long before the end of the grace time is broken off by this daemon itself.
-_LAST_SECONDS = 0.6
 _STOP_CHECK_SECONDS = 0.1
 # Part of the time in which unused memory must be free again for which it is held at once.
 _HOLD_SHARE = 0.8
-# A request that comes when the planned stop is near is sent to another daemon at once. A stream
-# lasts about this long after its first event.
+# A request that comes when the planned stop is near is sent to another daemon at once.
 _LEAVING_RETRY_SECONDS = 0.01
-_USUAL_STREAM_SECONDS = 1.8
 # A daemon without configuration or endpoints asks callers to come back after this.
 _STARTING_RETRY_SECONDS = 0.3
 
@@ -95,8 +92,7 @@
         self._connections: set[CallerConnection] = set()
         self._exchanges: set[Exchange] = set()
         self._state = _CHART.initial
-        self._stop_at: float | None = None
-        self._leave_at: float | None = None
+        self._stop: PlannedStop | None = None
         self._follower = Follower(
             self.loop,
             store,
@@ -154,10 +150,8 @@
         """Stop gracefully: not ready at once, then finish what callers still send."""
         if self._state in ("leaving", "draining", "stopped"):
             return
-        now = self.loop.now()
         self._state = _CHART.next(self._state, "leave")
-        self._leave_at = now
-        self._stop_at = now + self.settings.bounds.grace - _LAST_SECONDS
+        self._stop = PlannedStop(self.loop.now(), self.settings.bounds.grace)
         log_events.LEAVING.write(
             _logger, active=len(self._exchanges), grace=self.settings.bounds.grace
         )
@@ -202,30 +196,34 @@
             self._refuse(connection, 401, "unknown key", request=request.id)
             return None
         owner = organisation if keyed else None
-        if self._too_late_for(route):
+        service = self.knowledge.target(route, self._random)
+        if self._would_cut(request, route, service):
             self._refuse(connection, 503, "about to stop", _LEAVING_RETRY_SECONDS, request.id)
             return None
         exchange = Exchange(self, connection, request, body, route, owner)
-        exchange.service = self.knowledge.target(route, self._random)
+        exchange.service = service
         self._exchanges.add(exchange)
         self._budget(exchange.service).request(self.loop.now())
         exchange.start()
         return exchange
 
-    def _too_late_for(self, route: Route) -> bool:
+    def _would_cut(self, request: DeclaredRequest, route: Route, service: str) -> bool:
         """Return whether a planned stop would cut a request that is taken now."""
-        if self._stop_at is None:
+        if self._stop is None:
             return False
-        usual = route.objective + (_USUAL_STREAM_SECONDS if route.streams else 0.0)
-        return self.loop.now() + usual > self._stop_at
+        longest = longest_seconds(route, request, self._engine(service))
+        return not self._stop.takes(self.loop.now(), longest)
+
+    def _engine(self, service: str) -> EngineModel | None:
+        configuration = self.knowledge.configuration
+        assert configuration is not None
+        found = configuration.services_by_name.get(service)
+        return None if found is None else found.engine
 
     # What exchanges ask.
 
     def place(self, exchange: Exchange, need: Need) -> Placement | None:
         """Return where to send a request now."""
-        configuration = self.knowledge.configuration
-        assert configuration is not None
-        service = configuration.services_by_name.get(exchange.service)
         now = self.loop.now()
         self.table.refresh(now)
         usable = self.knowledge.usable(exchange.service)
@@ -239,8 +237,7 @@
             )
             for entry in fresh
         ]
-        engine = None if service is None else service.engine
-        return self._policy(need, candidates, engine, self._random)
+        return self._policy(need, candidates, self._engine(exchange.service), self._random)
 
     def next_number(self) -> int:
         """Return a number that no other attempt of this daemon has."""
@@ -457,14 +454,14 @@
 
     def _check_stop(self) -> None:
         now = self.loop.now()
-        assert self._stop_at is not None and self._leave_at is not None
-        noticed = now - self._leave_at >= _NOTICE_SECONDS
+        assert self._stop is not None
+        noticed = self._stop.noticed(now)
         if noticed:
             self._close_idle()
         if noticed and not self._exchanges and not any(each.busy for each in self._connections):
             self._finish()
             return
-        if now >= self._stop_at:
+        if now >= self._stop.ends_at:
             for exchange in list(self._exchanges):
                 exchange.break_off("the grace time of the planned stop is over")
             self._finish()
