--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -8,27 +8,23 @@
 from enum import Enum, auto
 from typing import Protocol
 
+from brassdrum.gateway.attempt import Attempt, AttemptHost, helper_name
 from brassdrum.gateway.callers import CallerConnection
 from brassdrum.gateway.events import EventOrderError, EventReader
 from brassdrum.gateway.knowledge import Knowledge
-from brassdrum.gateway.load import LoadTable
-from brassdrum.gateway.loop import EventLoop, Timer
+from brassdrum.gateway.loop import Timer
 from brassdrum.gateway.model import (
     DeclaredRequest,
-    Dialect,
     Headers,
-    HelperName,
     Organisation,
     Reply,
     ReplyKind,
-    Reservation,
     Route,
     RouteKind,
     Sending,
 )
-from brassdrum.gateway.placement import Helper, Need, Placement, better_later, worth_serving
-from brassdrum.gateway.reservations import Hold, Reservations
-from brassdrum.gateway.upstream import Break, EndpointCall, EndpointPool, OutgoingRequest
+from brassdrum.gateway.placement import Need, Placement, better_later, worth_serving
+from brassdrum.gateway.upstream import Break, OutgoingRequest
 from brassdrum.telemetry import log_events
 from brassdrum.telemetry.log_events import LogEvent
 
@@ -87,15 +83,10 @@
     late: bool
 
 
-class ExchangeHost(Protocol):
+class ExchangeHost(AttemptHost, Protocol):
     """Give an exchange what it shares with all others of this daemon."""
 
-    loop: EventLoop
     knowledge: Knowledge
-    dialect: Dialect
-    pool: EndpointPool
-    table: LoadTable
-    reservations: Reservations
 
     def place(self, exchange: Exchange, need: Need) -> Placement | None:
         """Return where to send a request now."""
@@ -103,18 +94,12 @@
     def closing(self) -> bool:
         """Return whether this daemon is about to stop."""
 
-    def next_number(self) -> int:
-        """Return a number that no other attempt of this daemon has."""
-
     def jitter(self, seconds: float) -> float:
         """Return a time near to one, so that daemons do not act in step."""
 
     def may_repeat(self, service: str) -> bool:
         """Take one repeated send from the shared budget, or return False."""
 
-    def load_changed(self) -> None:
-        """Learn that own work in flight changed."""
-
     def endpoint_failed(self, endpoint: str, *, certain: bool, detail: str) -> None:
         """Learn that an endpoint failed a request."""
 
@@ -358,7 +343,7 @@
         organisation = None if self.organisation is None else self.organisation.name
         sending = Sending(
             endpoint=placement.entry,
-            helpers=tuple(_helper_name(attempt, each) for each in placement.helpers),
+            helpers=tuple(helper_name(attempt, each) for each in placement.helpers),
             organisation=organisation,
             priority=self.priority,
             time_left=max(0.001, self.time_left),
@@ -510,114 +495,3 @@
         if self._review is not None:
             self._review.cancel()
         self._host.ended(self, outcome, status, detail)
-
-
-class Attempt:
-    """Hold one send of a request; hears its call and keeps the load table true."""
-
-    def __init__(self, host: ExchangeHost, exchange: Exchange, placement: Placement) -> None:
-        self.endpoint = placement.entry.id
-        self.reply: Reply | None = None
-        self.body = bytearray()
-        self._host = host
-        self._exchange = exchange
-        self._placement = placement
-        # Not the number of sends: one that was refused memory is not counted there.
-        self._number = host.next_number()
-        self._key = f"{exchange.request.id}.{self._number}"
-        self._hold: Hold | None = None
-        self._call: EndpointCall | None = None
-        self._writing = False
-        self._finished = False
-
-    @property
-    def unproven(self) -> bool:
-        """Return whether the request was sent and nothing has proved that it did not run."""
-        return not self._finished and self._call is not None and self._call.sent
-
-    def ticket(self, endpoint: str) -> str:
-        """Return the name of the memory that an endpoint holds for this attempt."""
-        return f"{self._exchange.request.id}-{self._number}-{endpoint}"
-
-    def start(self) -> None:
-        """Send the request, after the memory of its parts is held."""
-        self._host.table.start(
-            self._key,
-            self._placement.shares,
-            self._host.loop.now(),
-            self._placement.first_event_ms,
-        )
-        self._host.load_changed()
-        reservations = tuple(
-            Reservation(each.entry.address, self.ticket(each.entry.id), each.stored)
-            for each in self._placement.helpers
-            if each.stored
-        )
-        if reservations:
-            self._hold = self._host.reservations.hold(reservations, self._held)
-            return
-        self._send()
-
-    def _held(self, granted: bool) -> None:
-        if self._finished:
-            return
-        if granted:
-            self._send()
-        else:
-            self._exchange.memory_refused(self)
-
-    def _send(self) -> None:
-        address = self._placement.entry.address
-        request = self._exchange.outgoing(self, self._placement)
-        fresh = not self._exchange.route.repeatable
-        self._call = self._host.pool.call(address, self, request, fresh=fresh)
-        self._exchange.watch_silence(self._placement)
-
-    def writes(self) -> None:
-        """Note that the first event came: the prompt is read."""
-        if self._writing or self._finished:
-            return
-        self._writing = True
-        self._host.table.prompt_read(self._key)
-        self._host.load_changed()
-
-    def cancel(self) -> None:
-        """Stop the endpoint's work."""
-        if self._call is not None and not self._finished:
-            self._call.cancel()
-        self.finish()
-
-    def finish(self) -> None:
-        """Give back what the attempt took of the shared picture."""
-        if self._finished:
-            return
-        self._finished = True
-        if self._hold is not None:
-            self._hold.release()
-        self._host.table.end(self._key)
-        self._host.load_changed()
-
-    def began(self, status: int, headers: Headers) -> None:
-        """Take the start of the answer."""
-        self.reply = self._host.dialect.read_reply(self._exchange.request, status, headers)
-        self._exchange.attempt_began(self, self.reply)
-
-    def data(self, content: bytes) -> None:
-        """Take a part of the answer's body."""
-        if not self._finished:
-            self._exchange.attempt_data(self, content)
-
-    def answered(self) -> None:
-        """Learn that the answer is whole."""
-        if not self._finished:
-            self._exchange.attempt_answered(self)
-
-    def broken(self, how: Break, detail: str) -> None:
-        """Learn that the connection broke."""
-        if not self._finished:
-            self._exchange.attempt_broken(self, how, detail)
-
-
-def _helper_name(attempt: Attempt, helper: Helper) -> HelperName:
-    ticket = attempt.ticket(helper.entry.id) if helper.stored else None
-    return HelperName(helper.entry.address, ticket)
