--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -146,6 +146,7 @@
 
   Scenario: The platform's settings, configuration and list are decoded once
     Then the settings file of the platform gives a daemon's settings
+    And a settings file that changes is noticed once
     And a broken settings file names the file and what is wrong
     And a configuration of the platform gives routes, services and organisations
     And a broken configuration and a broken entry are refused
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -36,7 +36,7 @@
 from brassdrum.gateway.stopping import PlannedStop, longest_seconds
 from brassdrum.gateway.suspicion import Suspicions
 from brassdrum.platform.documents import decode_configuration, decode_endpoint
-from brassdrum.platform.settings import read_settings
+from brassdrum.platform.settings import SettingsFile, read_settings
 from brassdrum.platform.store import PlatformStore
 from features.gateway_world import HOST, event, route
 
@@ -55,7 +55,7 @@
 
 def place(context, need, policy="least_harm"):
     candidates = [
-        Candidate(entry(number), load, True, number in context.suspect)
+        Candidate(entry(number), load, number in context.suspect)
         for number, load in context.loads.items()
     ]
     context.need = need
@@ -483,6 +483,20 @@
         return read_settings(path)
 
 
+@then("a settings file that changes is noticed once")
+def step_noticed(context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "boot.json"
+        path.write_text("{}")
+        file = SettingsFile(path)
+        assert not file.changed()
+        path.write_text('{"zone": "b"}')
+        assert file.changed()
+        assert not file.changed()
+        path.unlink()
+        assert not file.changed()
+
+
 @then("a broken settings file names the file and what is wrong")
 def step_broken_settings(context):
     for text in ("", "[]", "{", json.dumps({**SETTINGS, "ip": None})):
--- a/src/brassdrum/cli/gateway.py
+++ b/src/brassdrum/cli/gateway.py
@@ -13,7 +13,7 @@
     # Imported here: other commands need neither the gateway nor what it brings into memory.
     from brassdrum.platform.serve import serve
 
-    return serve(options.log_level)
+    return serve(options.log_level, options.policy)
 
 
 def add_commands(commands: argparse._SubParsersAction) -> None:
@@ -25,4 +25,5 @@
         "cutting a request.",
     )
     gateway.add_argument("--log-level", choices=_LEVELS, default="INFO", help="what is logged")
+    gateway.add_argument("--policy", default="least_harm", help="placement policy by its name")
     gateway.set_defaults(run=_run_gateway)
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -52,6 +52,8 @@
 _STOP_CHECK_SECONDS = 0.1
 # Part of the time in which unused memory must be free again for which it is held at once.
 _HOLD_SHARE = 0.8
+# A changed settings file is noticed within this time; one look at the file costs microseconds.
+_SETTINGS_CHECK_SECONDS = 2.0
 # A request that comes when the planned stop is near is sent to another daemon at once.
 _LEAVING_RETRY_SECONDS = 0.01
 # A daemon without configuration or endpoints asks callers to come back after this.
@@ -147,6 +149,14 @@
         """Read the settings again when the process gets the signal."""
         signal.signal(number, lambda *_: self.loop.post(lambda: self._reload(reload)))
 
+    def reload_when(
+        self, changed: Callable[[], bool], reload: Callable[[], GatewaySettings]
+    ) -> None:
+        """Read the settings again also when their file changes without a signal."""
+        if changed():
+            self._reload(reload)
+        self.loop.call_later(_SETTINGS_CHECK_SECONDS, lambda: self.reload_when(changed, reload))
+
     def leave(self) -> None:
         """Stop gracefully: not ready at once, then finish what callers still send."""
         if self._state in ("leaving", "draining", "stopped"):
@@ -233,7 +243,6 @@
             Candidate(
                 entry,
                 self.table.total(entry.id),
-                entry.zone == self.settings.zone,
                 self._suspicions.suspect(entry.id, now),
             )
             for entry in fresh
--- a/src/brassdrum/gateway/placement.py
+++ b/src/brassdrum/gateway/placement.py
@@ -93,7 +93,6 @@
 
     entry: EndpointEntry
     load: EndpointLoad
-    near: bool
     suspect: bool = False
 
 
@@ -250,17 +249,17 @@
 def _place_heavy(
     need: Need, candidates: list[Candidate], engine: EngineModel, rng: random.Random
 ) -> Placement | None:
-    seats = [_Seat.of(each, need, engine, rng.random()) for each in candidates]
-    if not any(seat.fits for seat in seats):
+    views = [_EngineView.of(each, need, engine, rng.random()) for each in candidates]
+    if not any(view.fits for view in views):
         return _place_apart(
-            need, candidates, engine, {s.candidate.entry.id: s.order for s in seats}
+            need, candidates, engine, {s.candidate.entry.id: s.order for s in views}
         )
-    if len(seats) > _CONSIDERED:
-        seats = heapq.nsmallest(_CONSIDERED, seats, key=lambda seat: (not seat.fits, seat.calm))
+    if len(views) > _CONSIDERED:
+        views = heapq.nsmallest(_CONSIDERED, views, key=lambda view: (not view.fits, view.calm))
     fewest = max(1, math.ceil(prefill_ms(engine, need.prompt_tokens) / _PART_MS))
     best: _Group | None = None
-    for count in range(1, min(_MOST_HELPERS + 1, len(seats)) + 1):
-        group = _group(need, seats, count, engine)
+    for count in range(1, min(_MOST_HELPERS + 1, len(views)) + 1):
+        group = _group(need, views, count, engine)
         distance = abs(count - fewest)
         if best is None or (group.loss, distance) < (best.loss, abs(best.count - fewest)):
             best = group
@@ -269,7 +268,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Seat:
+class _EngineView:
     """Hold what is worked out once for an engine while groups of all sizes are compared."""
 
     candidate: Candidate
@@ -283,8 +282,8 @@
     order: float
 
     @classmethod
-    def of(cls, each: Candidate, need: Need, engine: EngineModel, order: float) -> _Seat:
-        """Return the seat of an engine; one that helps too many has no room."""
+    def of(cls, each: Candidate, need: Need, engine: EngineModel, order: float) -> _EngineView:
+        """Look at an engine; one that helps too many has no room."""
         load = each.load
         assert need.pause_ms is not None
         room = _room_ms(each, engine, need.pause_ms)
@@ -330,25 +329,25 @@
         return self.harm + self.late
 
 
-def _group(need: Need, seats: list[_Seat], count: int, engine: EngineModel) -> _Group:
+def _group(need: Need, views: list[_EngineView], count: int, engine: EngineModel) -> _Group:
     """Return the engines that are harmed least by one of a number of even parts.
 
     What a stream is worth is not declared, but its memory is known and grows with its worth.
     """
     part = prefill_ms(engine, need.prompt_tokens) / count
     head = min(
-        (seat for seat in seats if seat.fits),
-        key=lambda seat: (seat.full, seat.harm(part), seat.light, seat.crowd, seat.order),
+        (view for view in views if view.fits),
+        key=lambda view: (view.full, view.harm(part), view.light, view.crowd, view.order),
     )
     helpers = heapq.nsmallest(
         count - 1,
-        (seat for seat in seats if seat is not head),
-        key=lambda seat: (seat.harm(part), seat.candidate.load.reading_ms, seat.order),
+        (view for view in views if view is not head),
+        key=lambda view: (view.harm(part), view.candidate.load.reading_ms, view.order),
     )
     members = [head, *helpers]
-    late = _lateness(need, part + max(seat.wait for seat in members))
-    harmed = sum(seat.harm(part) for seat in members) + count * _blocked_tokens(part)
-    return _Group(head.candidate, [seat.candidate for seat in helpers], harmed, late)
+    late = _lateness(need, part + max(view.wait for view in members))
+    harmed = sum(view.harm(part) for view in members) + count * _blocked_tokens(part)
+    return _Group(head.candidate, [view.candidate for view in helpers], harmed, late)
 
 
 def _blocked_tokens(part_ms: float) -> float:
--- a/src/brassdrum/platform/serve.py
+++ b/src/brassdrum/platform/serve.py
@@ -4,11 +4,13 @@
 
 import signal
 import sys
+from dataclasses import replace
 
 from brassdrum.clock import SystemClock
 from brassdrum.gateway.daemon import GatewayDaemon
+from brassdrum.gateway.model import GatewaySettings
 from brassdrum.platform.dialect import PlatformDialect
-from brassdrum.platform.settings import read_settings, settings_path
+from brassdrum.platform.settings import SettingsFile, read_settings, settings_path
 from brassdrum.platform.store import PlatformStore
 from brassdrum.telemetry.bounded_logs import configure_bounded_logging
 
@@ -18,7 +20,7 @@
 _LINES_PER_SECOND = 200
 
 
-def serve(level: str) -> int:
+def serve(level: str, policy: str) -> int:
     """Serve until the platform stops the process."""
     path = settings_path()
     settings = read_settings(path)
@@ -26,9 +28,15 @@
     handler = configure_bounded_logging(
         level, settings.gateway.name, sys.stdout, clock, _LINES_PER_SECOND
     )
-    daemon = GatewayDaemon(settings.gateway, PlatformStore(settings.store), PlatformDialect())
+    store = PlatformStore(settings.store)
+    daemon = GatewayDaemon(replace(settings.gateway, policy=policy), store, PlatformDialect())
     daemon.stop_on(signal.SIGTERM, signal.SIGINT)
-    daemon.reload_on(signal.SIGHUP, lambda: read_settings(path).gateway)
+
+    def reload() -> GatewaySettings:
+        return replace(read_settings(path).gateway, policy=policy)
+
+    daemon.reload_on(signal.SIGHUP, reload)
+    daemon.reload_when(SettingsFile(path).changed, reload)
     daemon.metrics.count_dropped_lines(handler.dropped)
     daemon.run()
     handler.close()
