Keep the last two of the platform's names inside the adapter

Cause: a route's field and the settings variable carried the platform's names in gateway/ and soak/; the check only looked for quoted names. Change: the field is 'prefix', the variable comes from the adapter, and the check looks for the bare name and at the soak too.

--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -613,7 +613,7 @@
 
 PLATFORM_NAMES = re.compile(
     r"x-attempt-id|x-replica|x-deadline|x-not-executed|x-prompt-prefix|x-expect|x-helpers|x-tenant"
-    r"|x-token-usage|at-server|keyed\.|log-(read|append|newest|join)|path_prefix['\"]"
+    r"|x-token-usage|at-server|keyed\.|log-(read|append|newest|join)|path_prefix"
     r"|(timeout|goal|hold|grace|stall|gap_aim|config_apply)_ms|brassdrum_boot|node_name"
     r"|api_keys|listen_addrs",
     re.IGNORECASE,
@@ -624,7 +624,9 @@
 @then("no other folder of the product names the platform's headers, topics or fields")
 def step_names_inside(context):
     files = [
-        path for path in GATEWAY.rglob("*.py") if path.parent.name in ("gateway", "cli", "charts")
+        path
+        for path in GATEWAY.rglob("*.py")
+        if path.parent.name in ("gateway", "cli", "charts", "soak")
     ]
     assert files
     for path in files:
--- a/src/brassdrum/gateway/knowledge.py
+++ b/src/brassdrum/gateway/knowledge.py
@@ -55,7 +55,7 @@
             return False
         self.configuration = configuration
         self._routes_by_host = {}
-        for route in sorted(configuration.routes, key=lambda each: -len(each.path_prefix)):
+        for route in sorted(configuration.routes, key=lambda each: -len(each.prefix)):
             self._routes_by_host.setdefault(route.host, []).append(route)
         self._organisation_by_key = {
             key: organisation
@@ -67,7 +67,7 @@
     def route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path."""
         for route in self._routes_by_host.get(host, ()):
-            if path.startswith(route.path_prefix):
+            if path.startswith(route.prefix):
                 return route
         return None
 
--- a/src/brassdrum/gateway/model.py
+++ b/src/brassdrum/gateway/model.py
@@ -58,7 +58,7 @@
 
     name: str
     host: str
-    path_prefix: str
+    prefix: str
     kind: RouteKind
     targets: tuple[RouteTarget, ...]
     timeout: float
--- a/src/brassdrum/platform/documents.py
+++ b/src/brassdrum/platform/documents.py
@@ -56,7 +56,7 @@
         return Route(
             name=self.name,
             host=self.host,
-            path_prefix=self.path_prefix,
+            prefix=self.path_prefix,
             # An unknown kind is handled as what may not be repeated: the careful reading.
             kind=_KIND_BY_WORD.get(self.kind, RouteKind.NON_IDEMPOTENT),
             targets=targets,
--- a/src/brassdrum/platform/settings.py
+++ b/src/brassdrum/platform/settings.py
@@ -10,11 +10,11 @@
 from brassdrum.errors import InvalidDocumentError
 from brassdrum.gateway.model import Bounds, GatewaySettings
 
-__all__ = ["PlatformSettings", "SettingsFile", "read_settings", "settings_path"]
+__all__ = ["PATH_VARIABLE", "PlatformSettings", "SettingsFile", "read_settings", "settings_path"]
 
 # Collectors ask here, as deploy/system.toml says; it is the usual port of such pages.
 _METRICS_PORT = 9464
-_PATH_VARIABLE = "BRASSDRUM_BOOT"
+PATH_VARIABLE = "BRASSDRUM_BOOT"
 
 
 class _Listen(BaseModel):
@@ -60,9 +60,9 @@
 
 def settings_path() -> Path:
     """Return the path that the platform names, or raise ``InvalidDocumentError``."""
-    path = os.environ.get(_PATH_VARIABLE)
+    path = os.environ.get(PATH_VARIABLE)
     if not path:
-        raise InvalidDocumentError(f"{_PATH_VARIABLE} names no settings file.")
+        raise InvalidDocumentError(f"{PATH_VARIABLE} names no settings file.")
     return Path(path)
 
 
--- a/src/brassdrum/soak/run.py
+++ b/src/brassdrum/soak/run.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from brassdrum.platform.settings import PATH_VARIABLE
 from brassdrum.platform.standin import Replica, Store, boot_file, caller_headers
 from brassdrum.registry import Registry
 from brassdrum.soak.checks import History, Result, Violation, judge
@@ -75,7 +76,7 @@
         """Start the process unless it runs."""
         if self._process is not None and self._process.poll() is None:
             return
-        environment = {**os.environ, "BRASSDRUM_BOOT": str(self._boot)}
+        environment = {**os.environ, PATH_VARIABLE: str(self._boot)}
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "brassdrum", "gateway"], env=environment, stdout=log
