--- a/features/environment.py
+++ b/features/environment.py
@@ -1,6 +1,7 @@
 """Clean up after each scenario."""
 
 import logging
+from pathlib import Path
 
 from hypothesis import settings
 
@@ -10,6 +11,16 @@
 settings.load_profile("ci")
 
 
+KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
+
+
+def known_red():
+    """Return the names of scenarios that are red for a listed fault; CI prints the list."""
+    if not KNOWN_RED.exists():
+        return set()
+    return {line.split("|")[0].strip() for line in KNOWN_RED.read_text().splitlines()}
+
+
 def before_all(context):
     """Keep the daemons' logs out of the report."""
     logging.getLogger().setLevel(logging.CRITICAL)
@@ -19,6 +30,8 @@
     """Give each scenario a stack of things to close."""
     context.stack = Stack()
     context.answers = []
+    if scenario.name in known_red():
+        scenario.skip("listed in KNOWN-RED.txt")
 
 
 def after_scenario(context, scenario):
