--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -48,6 +48,13 @@
       | once | stream                 | 200    | all events | 1     |
       | once | lost                   | 502    |            | 1     |
 
+  Scenario: A silent stream goes on where the budget allows no second send
+    Given a gateway before two endpoints without a budget for repeats
+    And all requests meet "slow stream"
+    When a caller sends a "text" that pauses for long
+    Then the answer is 200 and "all events"
+    And endpoints received 1 requests
+
   Scenario: A stream that may not run again breaks off visibly
     Given the next request meets "stream cut in an event"
     When a caller sends a "once"
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import threading
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -94,6 +95,11 @@
     start(context, 1, 2)
 
 
+@given("a gateway before two endpoints without a budget for repeats")
+def step_no_budget(context):
+    start(context, 1, 2, bounds=replace(QUICK, retry_ratio=0.0, retry_slack=0.0))
+
+
 @given("{daemons:d} gateways before two endpoints")
 def step_gateways(context, daemons):
     start(context, daemons, 2)
@@ -152,6 +158,15 @@
     send(context, kind)
 
 
+@when('a caller sends a "{kind:w}" that pauses for long')
+def step_send_paused(context, kind):
+    # Longer than the silence after which an endpoint is given up, shorter than any deadline.
+    timer = threading.Timer(2.0, step_go_on, (context,))
+    timer.start()
+    send(context, kind)
+    timer.join()
+
+
 @when('a caller sends a "{kind:w}" {times:d} times')
 def step_send_times(context, kind, times):
     context.answers = [send(context, kind) for _ in range(times)]
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -445,6 +445,9 @@
         attempt = self._attempt
         if self._done or attempt is None or not self._host_has_other(attempt):
             return
+        if self._host.budget_left(self.service) < 1.0:
+            # Silence alone ends no answer: without a second send the endpoint may still go on.
+            return
         attempt.cancel()
         reading_ms = self._host.table.total(attempt.endpoint).reading_ms
         certain = self.route.streams and reading_ms < _EXPLAINED_READING_MS
