--- a/src/brassdrum/gateway/follower.py
+++ b/src/brassdrum/gateway/follower.py
@@ -89,7 +89,6 @@
         on_changes: Callable[[list[EndpointChange], str], None],
         on_configured: Callable[[int, str], None],
     ) -> None:
-        self.calls = 0
         self._loop = loop
         self._store = store
         self._knowledge = knowledge
--- a/src/brassdrum/gateway/peers.py
+++ b/src/brassdrum/gateway/peers.py
@@ -9,7 +9,7 @@
 import socket
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from brassdrum.gateway.load import EndpointLoad, LoadRow, LoadTable
 from brassdrum.gateway.loop import EventLoop
@@ -145,7 +145,6 @@
 @dataclass(slots=True)
 class _Introduction:
     until: float
-    attempts: int = field(default=0)
 
 
 class Peers:
