Hear the signal to stop also when several come at once

Cause: wait_for_signal() set a threading.Event in the handler. Handlers run in the thread that waits; a second signal that comes while that thread holds the Event's lock waits for the lock for ever. The stack of a hung process shows three handlers inside each other at the lock.

Also: signals are noted before the line that tells others the address, and close() closes all parts even if one fails.

The gateway was never concerned: it posts to its loop.

--- a/features/replacing.feature
+++ b/features/replacing.feature
@@ -12,6 +12,11 @@
     When a stream of 300 tokens runs at the first process, which is told to stop
     Then the stream ends whole and the process ends by itself
 
+  Scenario: A process hears that it shall stop, however many signals come at once
+    Given a process that waits to be told to stop, 100 times
+    When it is told so three times in a row before each wait ends
+    Then the process has heard of it each time
+
   Scenario Outline: An endpoint that <sign> gets no new work
     Given a site of 3 daemons and 2 engines
     When the first engine <sign>
--- a/features/steps/replacing_steps.py
+++ b/features/steps/replacing_steps.py
@@ -1,11 +1,15 @@
 """Steps on daemons and endpoints that come and go."""
 
 import re
+import signal
+import subprocess
+import sys
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
-from behave import then, when
+from behave import given, then, when
 
 from brassdrum.caller import Answer, Caller
 from brassdrum.errors import PlatformUnavailableError
@@ -73,6 +77,46 @@
     assert context.processes[0].process.wait(timeout=30) == 0
 
 
+def _end(process):
+    """End a process that a step started, if it still runs."""
+    if process.poll() is None:
+        process.kill()
+    process.wait()
+    process.stdout.close()
+
+
+@given("a process that waits to be told to stop, {rounds:d} times")
+def step_waiter(context, rounds):
+    waiter = Path(__file__).parents[1] / "stop_waiter.py"
+    command = [sys.executable, str(waiter), str(rounds)]
+    context.waiter = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    context.stack.push(lambda: _end(context.waiter))
+
+
+@when("it is told so three times in a row before each wait ends")
+def step_told(context):
+    waiter = context.waiter
+
+    def tell():
+        for number, _ in enumerate(waiter.stdout):
+            # Time to be in the midst of the wait; any other time must do as well.
+            time.sleep(0.01)
+            for _ in range(3):
+                waiter.send_signal(signal.SIGTERM)
+                # Signals that come together are one to the process; these come while it handles
+                # the one before.
+                time.sleep(number % 4 * 1e-5)
+
+    context.telling = threading.Thread(target=tell, daemon=True)
+    context.telling.start()
+
+
+@then("the process has heard of it each time")
+def step_heard(context):
+    assert context.waiter.wait(timeout=30) == 0
+    context.telling.join()
+
+
 @when("the first engine is marked as leaving on the host list")
 def step_leaving(context):
     name = context.site.engines[0].settings.name
--- a/src/brassdrum/cli/bench.py
+++ b/src/brassdrum/cli/bench.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from brassdrum.cli.output import print_json, print_rows
-from brassdrum.cli.serve import wait_for_signal
+from brassdrum.cli.signals import wait_for_signal
 from brassdrum.settings import load_settings
 
 __all__ = ["add_commands"]
--- a/src/brassdrum/cli/serve.py
+++ b/src/brassdrum/cli/serve.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import argparse
-import signal
-import threading
 from pathlib import Path
 
+from brassdrum.cli.signals import StopSignals, wait_for_signal
 from brassdrum.daemon.main import Daemon
 from brassdrum.demo import run_demo
 from brassdrum.settings import (
@@ -21,24 +20,18 @@
 from brassdrum.standins.service import ServiceStandin
 from brassdrum.telemetry.logs import configure_logging
 
-__all__ = ["add_commands", "wait_for_signal"]
-
-
-def wait_for_signal() -> None:
-    """Wait until the process is told to stop."""
-    stopped = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
-    stopped.wait()
+__all__ = ["add_commands"]
 
 
 def _run_daemon(options: argparse.Namespace) -> int:
     settings = load_settings(options.settings, DaemonSettings)
     configure_logging(settings.log.level, settings.name)
+    # Whoever reads the line below may send a signal at once.
+    signals = StopSignals()
     daemon = Daemon(settings, policy=options.policy)
     daemon.start()
     print(f"{settings.name} serves callers at {daemon.url}", flush=True)
-    wait_for_signal()
+    signals.wait()
     daemon.stop()
     return 0
 
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -5,6 +5,7 @@
 import logging
 import threading
 import time
+from contextlib import ExitStack
 
 from brassdrum.admission.lending import Census
 from brassdrum.charts import load_chart
@@ -58,6 +59,8 @@
 _HOST_READERS_PER_POLL = 8
 _FLUSH_SECONDS = 5.0
 _LONELY_SECONDS = 5.0
+# Loops that wait for a neighbour are not waited for: they end by themselves after their timeout.
+_LOOPS_SECONDS = 0.1
 
 
 class Daemon:
@@ -244,14 +247,16 @@
         if self._state == "stopped":
             return
         self._follow("stop")
-        self._http.close()
-        self.core.relay.close()
-        self._peer_server.close()
-        self._loops.stop(timeout=0.1)
-        self._endpoint_watch.close()
-        self._clients.close()
-        self.core.tracing.close()
-        self.core.metrics.close()
+        with ExitStack() as parts:
+            # All are closed even if one of them fails: a loop that goes on keeps the process.
+            parts.callback(self.core.metrics.close)
+            parts.callback(self.core.tracing.close)
+            parts.callback(self._clients.close)
+            parts.callback(self._endpoint_watch.close)
+            parts.callback(self._loops.stop, timeout=_LOOPS_SECONDS)
+            parts.callback(self._peer_server.close)
+            parts.callback(self.core.relay.close)
+            parts.callback(self._http.close)
         _logger.info("daemon stopped")
 
     def _make_core(self) -> Core:
