Count each read of the store once, so that knowledge does not grow younger by being told

Cause: a daemon took a peer's word that the same list was read later. The time on the way is not part of the age that is told, so each hop makes the list look some ms newer; told to and fro between 60 daemons the age stood nearly still: mean list_age of the placed lines grew from 0.12 to 0.81 s while 3.75 s went by, all daemons thought the list fresh, and nobody read the store from 23.68 to 27.73 s.

Ruled out: a store that did not answer (no line 'store lost'), lost datagrams (words of leaving endpoints reached all 60 daemons within 12 ms), a slow reader.

Change: each read of the store has a number that grows by one whoever reads; a number counts once.

Before: the new scenario failed (read at 10 s, told 500 times to and fro: held to be read at 12 s). After: it passes, as do the 46 scenarios of gateway_decisions and gateway_fleet.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -130,6 +130,13 @@
     When a list is read and an older one arrives from a peer
     Then the newer one stays
 
+  Scenario: Knowledge does not grow younger by being told to and fro
+    Given 2 daemons of which one read the list at 10 s
+    When each tells the other how old its knowledge is, 500 times, 2 ms on the way
+    Then both hold it to be read between 10 and 10.01 s
+    When the one reads the list again at 20 s and tells the other
+    Then both hold it to be read between 20 and 20.01 s
+
   Scenario: A peer's word that an endpoint leaves outlives a list that was read before it
     When a peer says that a listed endpoint leaves
     Then it gets no new work, also after an older list
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -324,7 +324,7 @@
 @then("a peer message comes back as it was sent")
 def step_message(context):
     row = LoadRow("a", EndpointLoad(50, 7000, 6000, 1, 2, {250: 1, 1000: 3}))
-    belief = PeerBelief(7, "digest", 0.25, ("b",), ("c",))
+    belief = PeerBelief(7, "digest", 0.25, 3, ("b",), ("c",))
     message = PeerMessage(
         "daemon-1", "10.0.0.1", "zone-a", 5, 6, belief, (row,), ("10.0.0.2",), True, True
     )
@@ -370,11 +370,52 @@
     assert [each.id for each in context.knowledge.usable("pool")] == ["engine-2"]
 
 
+_ON_THE_WAY_SECONDS = 0.002
+
+
+def _tell(teller, hearer, now):
+    """Pass on how old a daemon's knowledge is; return the time of arrival."""
+    age = now - teller.read_at
+    arrival = now + _ON_THE_WAY_SECONDS
+    hearer.confirm(teller.digest, arrival - age, teller.reads)
+    return arrival
+
+
+@given("2 daemons of which one read the list at 10 s")
+def step_two(context):
+    context.pair = Knowledge(), Knowledge()
+    reader, other = context.pair
+    reader.read([entry(1)], 10.0)
+    other.adopt([entry(1)], 10.0, reader.reads)
+
+
+@when("each tells the other how old its knowledge is, {count:d} times, 2 ms on the way")
+def step_to_and_fro(context, count):
+    reader, other = context.pair
+    now = 10.0
+    for _ in range(count):
+        now = _tell(reader, other, now)
+        now = _tell(other, reader, now)
+
+
+@when("the one reads the list again at 20 s and tells the other")
+def step_read_again(context):
+    reader, other = context.pair
+    reader.read([entry(1)], 20.0)
+    _tell(reader, other, 20.0)
+
+
+@then("both hold it to be read between {start:g} and {end:g} s")
+def step_read_between(context, start, end):
+    for knowledge in context.pair:
+        assert start <= knowledge.read_at <= end, knowledge.read_at
+
+
 @when("a list is read and an older one arrives from a peer")
 def step_older_list(context):
     context.knowledge = Knowledge()
     context.knowledge.read([entry(2)], 10.0)
-    context.knowledge.adopt([entry(1), entry(2)], 9.0)
+    context.knowledge.adopt([entry(1), entry(2)], 9.0, 1)
 
 
 @then("the newer one stays")
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -359,6 +359,7 @@
             self.knowledge.version,
             self.knowledge.digest,
             self._follower.age(),
+            self.knowledge.reads,
             tuple(self._suspicions.named(now)),
             tuple(self.knowledge.recently_left(now)),
         )
--- a/src/brassdrum/gateway/follower.py
+++ b/src/brassdrum/gateway/follower.py
@@ -150,7 +150,7 @@
         read_at = self._loop.now() - belief.age
         known = self._knowledge
         if belief.version == known.version:
-            known.confirm(belief.digest, read_at)
+            known.confirm(belief.digest, read_at, belief.reads)
         newer_list = belief.digest != known.digest and (
             known.read_at is None or read_at > known.read_at
         )
@@ -160,7 +160,10 @@
             return
         # One peer at a time is asked; another one when it does not answer soon.
         self._pull_not_before = self._loop.now() + _PULL_AGAIN_SECONDS
-        self._submit(lambda: self._pull(host), lambda future: self._pulled(host, read_at, future))
+        self._submit(
+            lambda: self._pull(host),
+            lambda future: self._pulled(host, read_at, belief.reads, future),
+        )
 
     def _check(self) -> None:
         now = self._loop.now()
@@ -210,14 +213,14 @@
             raise ValueError(f"the peer answered {status}")
         return Snapshot.decode(body)
 
-    def _pulled(self, host: str, read_at: float, future: Future[Snapshot]) -> None:
+    def _pulled(self, host: str, read_at: float, reads: int, future: Future[Snapshot]) -> None:
         self._pull_not_before = 0.0
         try:
             snapshot = future.result()
         except (ConnectFailedError, ExchangeFailedError, ValueError) as error:
             log_events.PEER_NOT_READ.write(_logger, host=host, error=str(error))
             return
-        self._apply(snapshot, host, lambda entries: self._knowledge.adopt(entries, read_at))
+        self._apply(snapshot, host, lambda entries: self._knowledge.adopt(entries, read_at, reads))
 
     def _apply(
         self,
--- a/src/brassdrum/gateway/knowledge.py
+++ b/src/brassdrum/gateway/knowledge.py
@@ -36,6 +36,8 @@
         self.configuration: FleetConfiguration | None = None
         self.endpoints_by_id: dict[str, EndpointEntry] = {}
         self.read_at: float | None = None
+        # Number of the read of the store, by whichever daemon, that this knowledge rests on.
+        self.reads = 0
         self.digest = ""
         self._routes_by_host: dict[str, list[Route]] = {}
         self._organisation_by_key: dict[str, Organisation] = {}
@@ -107,19 +109,29 @@
         if self._away or (self.read_at is not None and now - self.read_at > _AWAY_SECONDS):
             self._away = False
             self._returned_at = now
+        self.reads += 1
         settling = self._returned_at is not None and now - self._returned_at < _RETURN_SECONDS
         return self._replace({entry.id: entry for entry in entries}, now, settling=settling)
 
-    def adopt(self, entries: Iterable[EndpointEntry], read_at: float) -> list[EndpointChange]:
+    def adopt(
+        self, entries: Iterable[EndpointEntry], read_at: float, reads: int
+    ) -> list[EndpointChange]:
         """Take a peer's list, which has been judged already, if it is newer."""
         if self.read_at is not None and read_at <= self.read_at:
             return []
+        self.reads = max(self.reads, reads)
         return self._replace({entry.id: entry for entry in entries}, read_at, settling=False)
 
-    def confirm(self, digest: str, read_at: float) -> None:
-        """Note that a peer read the same list later."""
-        if digest == self.digest and self.read_at is not None:
-            self.read_at = max(self.read_at, read_at)
+    def confirm(self, digest: str, read_at: float, reads: int) -> None:
+        """Note that the same list was read later, as a peer says.
+
+        Each read counts once. The time on the way makes it look newer with every daemon that tells
+        it on: told to and fro, ages stood still, and 60 daemons left the store unread for 4 s.
+        """
+        if digest != self.digest or self.read_at is None or reads <= self.reads:
+            return
+        self.reads = reads
+        self.read_at = max(self.read_at, read_at)
 
     def recently_left(self, now: float) -> list[str]:
         """Return the endpoints that began to leave a moment ago, for peers to know at once."""
--- a/src/brassdrum/gateway/peers.py
+++ b/src/brassdrum/gateway/peers.py
@@ -37,16 +37,20 @@
 _ROWS_PER_MESSAGE = 24
 _KNOWN_HOSTS_PER_MESSAGE = 12
 _LARGEST_DATAGRAM = 65536
-_FORMAT = 2
+_FORMAT = 3
 
 
 @dataclass(frozen=True, slots=True)
 class PeerBelief:
-    """Hold how new a daemon's knowledge is; age in seconds, None before the first read."""
+    """Hold how new a daemon's knowledge is; age in seconds, None before the first read.
+
+    ``reads`` is the number of the read of the store that it rests on.
+    """
 
     version: int
     digest: str
     age: float | None
+    reads: int
     failing: tuple[str, ...] = ()
     leaving: tuple[str, ...] = ()
 
@@ -90,7 +94,14 @@
         message.zone,
         message.incarnation,
         message.sequence,
-        [belief.version, belief.digest, age, list(belief.failing), list(belief.leaving)],
+        [
+            belief.version,
+            belief.digest,
+            age,
+            belief.reads,
+            list(belief.failing),
+            list(belief.leaving),
+        ],
         rows,
         list(message.hosts),
         int(message.leaving),
@@ -107,7 +118,7 @@
         )
         if form != _FORMAT:
             raise ValueError(f"message format {form} is unknown; run one version on all hosts")
-        version, digest, age, failing, endpoints_leaving = belief
+        version, digest, age, reads, failing, endpoints_leaving = belief
         return PeerMessage(
             name,
             host,
@@ -118,6 +129,7 @@
                 version,
                 digest,
                 None if age is None else age / 1000,
+                reads,
                 tuple(failing),
                 tuple(endpoints_leaving),
             ),
