During a planned stop let requests wait for calmer engines, and refuse what cannot end

Ruled out: taking nothing after SIGTERM (callers and the balancer cannot know of it for 3 s).

Change: requests wait also then, as long as they end in time on busy engines; before callers can know of the stop, what could not end in time on idle engines is refused at once as not run.

The table of the scenario got a column; its five rows stand as they were, two are new.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -76,17 +76,35 @@
       | least_outstanding |
       | least_harm        |
 
-  Scenario Outline: A stopping daemon takes only what it can finish, once callers could know
+  Scenario Outline: A stopping daemon takes only what it can finish
     Given a planned stop with 8 seconds of grace
-    Then a stream of <tokens> tokens that comes after <seconds> seconds is <fate>
+    And a stream of <tokens> tokens with an objective of <objective> seconds
+    When it comes <seconds> seconds after the stop began
+    Then the stopping daemon has it <fate>
+
+    Examples: Until callers could know, idle engines would have to do
+      | tokens | objective | seconds | fate    |
+      | 3264   | 0.3       | 0.5     | taken   |
+      | 3264   | 0.3       | 2.7     | taken   |
+      | 1600   | 3         | 0.5     | taken   |
+      | 1600   | 3         | 2.5     | refused |
+
+    Examples: Then busy engines have to do
+      | tokens | objective | seconds | fate    |
+      | 3264   | 0.3       | 3.2     | refused |
+      | 400    | 0.3       | 3.2     | taken   |
+      | 400    | 0.3       | 6.5     | refused |
+
+  Scenario Outline: During a planned stop a request waits for calmer engines while it ends in time
+    Given a planned stop with 8 seconds of grace
+    And a stream of 800 tokens with an objective of 1.5 seconds
+    When it comes <seconds> seconds after the stop began
+    Then the stream <waits> for calmer engines
 
     Examples:
-      | tokens | seconds | fate    |
-      | 3264   | 0.5     | taken   |
-      | 3264   | 2.7     | taken   |
-      | 3264   | 3.2     | refused |
-      | 400    | 3.2     | taken   |
-      | 400    | 6.5     | refused |
+      | seconds | waits        |
+      | 1.0     | may wait     |
+      | 4.5     | may not wait |
 
   Scenario: Repeats stay within the ratio and this daemon's part of the slack
     Given a retry budget of ratio 0.2 and slack 30 over 10 seconds
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -33,7 +33,7 @@
     worth_serving,
 )
 from brassdrum.gateway.retry_budget import SharedRetryBudget
-from brassdrum.gateway.stopping import PlannedStop, longest_seconds
+from brassdrum.gateway.stopping import PlannedStop, declared_duration
 from brassdrum.gateway.suspicion import Suspicions
 from brassdrum.platform.documents import decode_configuration, decode_endpoint
 from brassdrum.platform.settings import SettingsFile, read_settings
@@ -201,12 +201,28 @@
     context.stop = PlannedStop(100.0, float(grace))
 
 
-@then("a stream of {tokens:d} tokens that comes after {seconds:g} seconds is {fate}")
-def step_fate(context, tokens, seconds, fate):
+@given("a stream of {tokens:d} tokens with an objective of {objective:g} seconds")
+def step_stream(context, tokens, objective):
     request = DeclaredRequest("a", b"POST", b"/", HOST, [], 10.0, None, 5000, tokens)
-    streams = route("text", RouteKind.STREAM, objective=0.3)
-    longest = longest_seconds(streams, request, ENGINE)
-    assert context.stop.takes(100.0 + seconds, longest) == (fate == "taken"), longest
+    streams = route("text", RouteKind.STREAM, objective=objective)
+    context.duration = declared_duration(streams, request, ENGINE)
+
+
+@when("it comes {seconds:g} seconds after the stop began")
+def step_comes(context, seconds):
+    context.now = context.stop.began_at + seconds
+
+
+@then("the stopping daemon has it {fate}")
+def step_fate(context, fate):
+    taken = context.stop.takes(context.now, context.duration)
+    assert taken == (fate == "taken"), context.duration
+
+
+@then("the stream {waits} for calmer engines")
+def step_waits(context, waits):
+    allowed = context.stop.may_wait(context.now, context.duration)
+    assert allowed == (waits == "may wait"), context.duration
 
 
 @given("a retry budget of ratio {ratio:g} and slack {slack:g} over {window:g} seconds")
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -36,7 +36,7 @@
 from brassdrum.gateway.placement import Candidate, Need, Placement, policies
 from brassdrum.gateway.reservations import Reservations
 from brassdrum.gateway.retry_budget import SharedRetryBudget
-from brassdrum.gateway.stopping import PlannedStop, longest_seconds
+from brassdrum.gateway.stopping import PlannedStop, declared_duration
 from brassdrum.gateway.suspicion import Suspicions
 from brassdrum.gateway.upstream import EndpointPool
 from brassdrum.telemetry import log_events
@@ -222,8 +222,8 @@
         """Return whether a planned stop would cut a request that is taken now."""
         if self._stop is None:
             return False
-        longest = longest_seconds(route, request, self._engine(service))
-        return not self._stop.takes(self.loop.now(), longest)
+        duration = declared_duration(route, request, self._engine(service))
+        return not self._stop.takes(self.loop.now(), duration)
 
     def _engine(self, service: str) -> EngineModel | None:
         configuration = self.knowledge.configuration
@@ -249,6 +249,14 @@
         ]
         return self._policy(need, candidates, self._engine(exchange.service), self._random)
 
+    def may_wait(self, exchange: Exchange) -> bool:
+        """Return whether a request may wait for calmer engines; near its end a stop allows none."""
+        if self._stop is None:
+            return True
+        engine = self._engine(exchange.service)
+        duration = declared_duration(exchange.route, exchange.request, engine)
+        return self._stop.may_wait(self.loop.now(), duration)
+
     def next_number(self) -> int:
         """Return a number that no other attempt of this daemon has."""
         return next(self._numbers)
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -91,8 +91,8 @@
     def place(self, exchange: Exchange, need: Need) -> Placement | None:
         """Return where to send a request now."""
 
-    def closing(self) -> bool:
-        """Return whether this daemon is about to stop."""
+    def may_wait(self, exchange: Exchange) -> bool:
+        """Return whether a request may wait for calmer engines."""
 
     def jitter(self, seconds: float) -> float:
         """Return a time near to one, so that daemons do not act in step."""
@@ -274,7 +274,7 @@
         if placement is None:
             self._fail("no endpoint takes the request")
             return
-        if not self._host.closing() and better_later(need, placement):
+        if better_later(need, placement) and self._host.may_wait(self):
             if self._review is None:
                 self._decided(
                     log_events.WAITING,
