Count a waiting caller beside the tokens of its stream when harm is weighed

Cause: harm was counted in tokens only, so that six short streams (30,000 tokens) weighed less than one of 40,000, though six callers wait; long parts went to engines with short streams.

Change: a stream at risk counts 5,000 tokens more than it holds.

The scenario failed before.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -12,6 +12,13 @@
     Then it is read by more than 2 engines
     And engine 1 is not among them
 
+  Scenario: Four callers who wait count for more than one with a few more tokens
+    Given 2 idle engines
+    And 4 short streams on engine 1
+    And a stream of 30000 tokens on engine 2
+    When a prompt of 100000 tokens is placed
+    Then engine 1 is not among them
+
   Scenario: A prompt in the middle is read in parts that no short stream feels
     Given 9 idle engines
     And a short stream on engine 1
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -74,6 +74,17 @@
     context.loads[number].add(SHORT_LOAD, 1)
 
 
+@given("{streams:d} short streams on engine {number:d}")
+def step_streams_on(context, streams, number):
+    for _ in range(streams):
+        context.loads[number].add(SHORT_LOAD, 1)
+
+
+@given("a stream of {tokens:d} tokens on engine {number:d}")
+def step_long_stream(context, tokens, number):
+    context.loads[number].add(EndpointLoad(0.0, tokens, tokens, 1, 0, {250: 1}), 1)
+
+
 @given("{streams:d} short streams on every engine")
 def step_streams(context, streams):
     for load in context.loads.values():
--- a/src/brassdrum/gateway/placement.py
+++ b/src/brassdrum/gateway/placement.py
@@ -45,6 +45,8 @@
 # What a prompt is worth, in tokens, that an engine reads a part of for another engine: its length
 # is not told to peers, and 45,000 is the usual one of those that are split.
 _HELPED_TOKENS = 45_000
+# A stream counts for this many tokens more than it holds: a caller waits for it, however short.
+_STREAM_TOKENS = 5_000
 # Parts up to this length fit the pauses of long prompts; what a longer one keeps away from its
 # engine in a second is about what one engine writes in it: 8 streams of 5,000 tokens in 1.7 s.
 _BLOCKING_MS = 700.0
@@ -358,7 +360,7 @@
 def _tokens_at_risk(candidate: Candidate) -> float:
     """Return what a pass that lasts too long delays: streams here, and prompts read for others."""
     load = candidate.load
-    return float(load.streamed + _HELPED_TOKENS * load.helping)
+    return float(load.streamed + _STREAM_TOKENS * load.writers + _HELPED_TOKENS * load.helping)
 
 
 def _lateness(need: Need, first_event_ms: float) -> float:
