--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -14,7 +14,7 @@
 from brassdrum.clock import Clock, SystemClock
 from brassdrum.errors import InvalidDocumentError, InvalidRequestError
 from brassdrum.gateway.callers import CallerConnection, CallerHandler, Listener
-from brassdrum.gateway.exchange import Exchange, Outcome
+from brassdrum.gateway.exchange import Exchange
 from brassdrum.gateway.follower import KNOWLEDGE_PATH, Follower
 from brassdrum.gateway.knowledge import EndpointChange, Knowledge
 from brassdrum.gateway.load import LoadTable
@@ -31,6 +31,7 @@
     RequestHead,
     Route,
 )
+from brassdrum.gateway.outcome import Outcome
 from brassdrum.gateway.pages import Page, PageResponder, ReadinessResponder
 from brassdrum.gateway.peers import PeerBelief, Peers
 from brassdrum.gateway.placement import Candidate, Need, Placement
@@ -311,7 +312,7 @@
     def ended(self, exchange: Exchange, outcome: Outcome, status: int, detail: str) -> None:
         """Log and count the end of a request."""
         self._exchanges.discard(exchange)
-        report = exchange.report(self.loop.now())
+        report = exchange.report()
         self.metrics.ended(exchange, outcome, report)
         values = {
             "request": exchange.request.id,
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-import logging
 import math
-from dataclasses import dataclass
-from enum import Enum, auto
-from typing import Protocol
 
-from brassdrum.gateway.attempt import Attempt, AttemptHost, helper_name
+from brassdrum.gateway.attempt import Attempt, helper_name
 from brassdrum.gateway.callers import CallerConnection
 from brassdrum.gateway.events import EventOrderError, EventReader
-from brassdrum.gateway.knowledge import Knowledge
+from brassdrum.gateway.exchange_host import ExchangeHost
 from brassdrum.gateway.loop import Timer
 from brassdrum.gateway.model import (
     DeclaredRequest,
@@ -20,31 +16,23 @@
     Reply,
     ReplyKind,
     Route,
-    RouteKind,
     Sending,
 )
+from brassdrum.gateway.outcome import Outcome, Report, Timing
 from brassdrum.gateway.placement import Need, Placement, better_later, worth_serving
+from brassdrum.gateway.silence import allowed_silence
 from brassdrum.gateway.upstream import Break, OutgoingRequest
 from brassdrum.telemetry import log_events
 from brassdrum.telemetry.log_events import LogEvent
 
-__all__ = ["Exchange", "ExchangeHost", "Outcome", "Report"]
+__all__ = ["Exchange"]
 
-_logger = logging.getLogger(__name__)
 # Endpoints stop at the time they were given and say so; their own answer is worth this wait.
 _DEADLINE_GRACE_SECONDS = 0.05
 # Sends that reached no endpoint cost no budget, but an outage must not spin.
 _MOST_UNSENT = 4
-# A stream is given up at an endpoint when its first event is later than its objective, this
-# slack and this many times the prediction; sending it again reads the whole prompt again.
-_FIRST_EVENT_FACTOR = 2.0
-_FIRST_EVENT_SLACK_SECONDS = 0.7
 # Silence of an engine with this much to read says nothing about its health.
 _EXPLAINED_READING_MS = 300.0
-# ... or when it pauses this much longer than its route allows: late it is then in any case, and
-# callers wait for 2 s at least.
-_PAUSE_FACTOR = 1.6
-_PAUSE_SLACK_SECONDS = 0.8
 # A repeatable call that is silent for its objective is tried elsewhere if this much time is left.
 _REPEAT_LEAST_SECONDS = 0.05
 # When to come back after a refusal: about the time in which an endpoint frees a place.
@@ -63,65 +51,6 @@
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
-class Outcome(Enum):
-    """Say how a request ended, for logs and metrics."""
-
-    SERVED = auto()
-    REFUSED = auto()
-    FAILED = auto()
-    BROKEN_OFF = auto()
-    CALLER_LEFT = auto()
-
-
-@dataclass(frozen=True, slots=True)
-class Report:
-    """Hold how long a request took, in ms, and whether that is over its route's objective."""
-
-    ms: int
-    first_ms: int | None
-    pause_ms: int
-    late: bool
-
-
-class ExchangeHost(AttemptHost, Protocol):
-    """Give an exchange what it shares with all others of this daemon."""
-
-    knowledge: Knowledge
-
-    def place(self, exchange: Exchange, need: Need) -> Placement | None:
-        """Return where to send a request now."""
-
-    def may_wait(self, exchange: Exchange) -> bool:
-        """Return whether a request may wait for calmer engines."""
-
-    def jitter(self, seconds: float) -> float:
-        """Return a time near to one, so that daemons do not act in step."""
-
-    def may_repeat(self, service: str) -> bool:
-        """Take one repeated send from the shared budget, or return False."""
-
-    def endpoint_failed(self, endpoint: str, *, certain: bool, detail: str) -> None:
-        """Learn that an endpoint failed a request."""
-
-    def endpoint_served(self, endpoint: str) -> None:
-        """Learn that an endpoint answered whole."""
-
-    def address_reused(self, endpoint: str) -> None:
-        """Learn that another endpoint answers at an endpoint's address."""
-
-    def decided(self, event: LogEvent, **values: object) -> None:
-        """Log a decision that touches a request."""
-
-    def list_age(self) -> float | None:
-        """Return the seconds since the list of endpoints was read."""
-
-    def budget_left(self, service: str) -> float:
-        """Return how many repeats this daemon may still send."""
-
-    def ended(self, exchange: Exchange, outcome: Outcome, status: int, detail: str) -> None:
-        """Learn that a request got its final answer."""
-
-
 class Exchange:
     """Answer one request: the caller's side, and the owner of its attempts."""
 
@@ -138,11 +67,10 @@
         self.route = route
         self.organisation = organisation
         self.arrived = host.loop.now()
+        self.timing = Timing(self.arrived)
         self.service = ""
         self.tried: set[str] = set()
         self.sends = 0
-        self.first_event_at: float | None = None
-        self.longest_pause = 0.0
         self.story: list[dict[str, object]] = []
         self._host = host
         self._connection = connection
@@ -154,7 +82,6 @@
         self._done = False
         self._attempt: Attempt | None = None
         self._reader = EventReader(request.resume_after)
-        self._last_event_at = self.arrived
         self._silence: Timer | None = None
         self._review: Timer | None = None
         self._deadline_timer = host.loop.call_at(
@@ -175,12 +102,13 @@
 
     def need(self) -> Need:
         """Return what the request asks of an endpoint."""
-        pause = round(self.route.longest_pause * 1000) if self.route.streams else None
+        # A route that names no pause is held to its objective.
+        pause = self.route.longest_pause or self.route.objective
         return Need(
             self.request.prompt_tokens,
             self.request.answer_tokens,
             self.route.objective * 1000,
-            pause,
+            round(pause * 1000) if self.route.streams else None,
             (self._host.loop.now() - self.arrived) * 1000,
         )
 
@@ -318,17 +246,9 @@
             at = round((self._host.loop.now() - self.arrived) * 1000)
             self.story.append({"at_ms": at, "event": event.name, **values})
 
-    def report(self, now: float) -> Report:
+    def report(self) -> Report:
         """Return how long the request took."""
-        first = self.first_event_at
-        first_ms = None if first is None else round((first - self.arrived) * 1000)
-        took = round((now - self.arrived) * 1000)
-        pause_ms = round(self.longest_pause * 1000)
-        allowed = self.route.objective * 1000
-        late = (took if first_ms is None else first_ms) > allowed
-        if self.route.longest_pause:
-            late = late or pause_ms > self.route.longest_pause * 1000
-        return Report(took, first_ms, pause_ms, late)
+        return self.timing.report(self.route, self._host.loop.now())
 
     def memory_refused(self, attempt: Attempt) -> None:
         """Choose other engines for a prompt that is stored in parts; nothing was sent yet."""
@@ -355,12 +275,7 @@
         return OutgoingRequest(self.request.method, self.request.target, headers, self._body)
 
     def _pass_on(self, attempt: Attempt, reply: Reply, events: bytes) -> None:
-        now = self._host.loop.now()
-        if self.first_event_at is None:
-            self.first_event_at = now
-        else:
-            self.longest_pause = max(self.longest_pause, now - self._last_event_at)
-        self._last_event_at = now
+        self.timing.event(self._host.loop.now())
         attempt.writes()
         if not self._began:
             self._began = True
@@ -431,14 +346,8 @@
             self._silence = None
         if not self.route.repeatable or self.sends >= self.route.max_attempts:
             return
-        if self.route.kind is RouteKind.IDEMPOTENT:
-            seconds = self.route.objective
-        elif placement is None:
-            seconds = self.route.longest_pause * _PAUSE_FACTOR + _PAUSE_SLACK_SECONDS
-        else:
-            predicted = placement.first_event_ms / 1000
-            seconds = self.route.objective + _FIRST_EVENT_SLACK_SECONDS
-            seconds += _FIRST_EVENT_FACTOR * predicted
+        predicted_ms = None if placement is None else placement.first_event_ms
+        seconds = allowed_silence(self.route, predicted_ms)
         self._silence = self._host.loop.call_later(seconds, self._silent)
 
     def _silent(self) -> None:
--- /dev/null
+++ b/src/brassdrum/gateway/exchange_host.py
@@ -0,0 +1,55 @@
+"""What a request's exchange asks of the daemon that carries it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from brassdrum.gateway.attempt import AttemptHost
+from brassdrum.gateway.knowledge import Knowledge
+from brassdrum.gateway.outcome import Outcome
+from brassdrum.gateway.placement import Need, Placement
+from brassdrum.telemetry.log_events import LogEvent
+
+if TYPE_CHECKING:
+    from brassdrum.gateway.exchange import Exchange
+
+__all__ = ["ExchangeHost"]
+
+
+class ExchangeHost(AttemptHost, Protocol):
+    """Give an exchange what it shares with all others of this daemon."""
+
+    knowledge: Knowledge
+
+    def place(self, exchange: Exchange, need: Need) -> Placement | None:
+        """Return where to send a request now."""
+
+    def may_wait(self, exchange: Exchange) -> bool:
+        """Return whether a request may wait for calmer engines."""
+
+    def jitter(self, seconds: float) -> float:
+        """Return a time near to one, so that daemons do not act in step."""
+
+    def may_repeat(self, service: str) -> bool:
+        """Take one repeated send from the shared budget, or return False."""
+
+    def endpoint_failed(self, endpoint: str, *, certain: bool, detail: str) -> None:
+        """Learn that an endpoint failed a request."""
+
+    def endpoint_served(self, endpoint: str) -> None:
+        """Learn that an endpoint answered whole."""
+
+    def address_reused(self, endpoint: str) -> None:
+        """Learn that another endpoint answers at an endpoint's address."""
+
+    def decided(self, event: LogEvent, **values: object) -> None:
+        """Log a decision that touches a request."""
+
+    def list_age(self) -> float | None:
+        """Return the seconds since the list of endpoints was read."""
+
+    def budget_left(self, service: str) -> float:
+        """Return how many repeats this daemon may still send."""
+
+    def ended(self, exchange: Exchange, outcome: Outcome, status: int, detail: str) -> None:
+        """Learn that a request got its final answer."""
--- a/src/brassdrum/gateway/measures.py
+++ b/src/brassdrum/gateway/measures.py
@@ -12,10 +12,11 @@
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from opentelemetry.sdk.resources import Resource
 
-from brassdrum.gateway.exchange import Exchange, Outcome, Report
+from brassdrum.gateway.exchange import Exchange
 from brassdrum.gateway.follower import Follower
 from brassdrum.gateway.knowledge import Knowledge
 from brassdrum.gateway.model import ControlStore
+from brassdrum.gateway.outcome import Outcome, Report
 from brassdrum.gateway.peers import Peers
 from brassdrum.gateway.upstream import EndpointPool
 
--- /dev/null
+++ b/src/brassdrum/gateway/silence.py
@@ -0,0 +1,25 @@
+"""Say for how long an endpoint may be silent before a request is sent again; a pure decision."""
+
+from __future__ import annotations
+
+from brassdrum.gateway.model import Route, RouteKind
+
+__all__ = ["allowed_silence"]
+
+# A stream is given up at an endpoint when its first event is later than its objective, this
+# slack and this many times the prediction; sending it again reads the whole prompt again.
+_FIRST_EVENT_FACTOR = 2.0
+_FIRST_EVENT_SLACK_SECONDS = 0.7
+# Later on it is given up when it pauses this much longer than its route allows: late it is then in
+# any case, and callers wait for 2 s at least.
+_PAUSE_FACTOR = 1.6
+_PAUSE_SLACK_SECONDS = 0.8
+
+
+def allowed_silence(route: Route, predicted_ms: float | None) -> float:
+    """Return seconds; ``predicted_ms`` is the time to the first event, None once that came."""
+    if route.kind is RouteKind.IDEMPOTENT:
+        return route.objective
+    if predicted_ms is None:
+        return route.longest_pause * _PAUSE_FACTOR + _PAUSE_SLACK_SECONDS
+    return route.objective + _FIRST_EVENT_SLACK_SECONDS + _FIRST_EVENT_FACTOR * predicted_ms / 1000
--- /dev/null
+++ b/src/brassdrum/soak/actions.py
@@ -0,0 +1,118 @@
+"""Carry out the planned faults of a soak, from outside the processes; filed by kind."""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from brassdrum.registry import Registry
+from brassdrum.soak.plan import PlannedFault
+
+if TYPE_CHECKING:
+    from brassdrum.soak.run import Soak
+
+__all__ = ["ACTIONS", "FaultAction"]
+
+_LINK_MODES = ("delay", "reset", "one_way", "silent")
+_STORE_FAULTS = ("busy", "silent", "slow", "lost")
+
+FaultAction = Callable[["Soak", PlannedFault], None]
+ACTIONS: Registry[FaultAction] = Registry("soak fault action")
+
+
+@ACTIONS.register("terminate")
+def terminate(soak: Soak, fault: PlannedFault) -> None:
+    """Ask a daemon to stop; it is started again when it has ended."""
+    daemon = soak.pick_daemon(fault)
+    soak.disturb(daemon.name, 4.0)
+    daemon.send(signal.SIGTERM)
+
+
+@ACTIONS.register("kill")
+def kill(soak: Soak, fault: PlannedFault) -> None:
+    """Kill a daemon."""
+    daemon = soak.pick_daemon(fault)
+    soak.disturb(daemon.name, 1.0)
+    daemon.send(signal.SIGKILL)
+
+
+@ACTIONS.register("pause")
+def pause(soak: Soak, fault: PlannedFault) -> None:
+    """Freeze a daemon for a while."""
+    daemon = soak.pick_daemon(fault)
+    soak.disturb(daemon.name, fault.seconds)
+    daemon.send(signal.SIGSTOP)
+    soak.after(fault.seconds, lambda: daemon.send(signal.SIGCONT))
+
+
+@ACTIONS.register("reload")
+def reload(soak: Soak, fault: PlannedFault) -> None:
+    """Let a daemon read its settings again."""
+    soak.pick_daemon(fault).send(signal.SIGHUP)
+
+
+@ACTIONS.register("store")
+def store_fault(soak: Soak, fault: PlannedFault) -> None:
+    """Let the store fail for all."""
+    soak.disturb("all", fault.seconds)
+    soak.store.fault = _STORE_FAULTS[fault.variant % len(_STORE_FAULTS)]
+    soak.after(fault.seconds, lambda: setattr(soak.store, "fault", ""))
+
+
+@ACTIONS.register("cut_store")
+def cut_store(soak: Soak, fault: PlannedFault) -> None:
+    """Harm one daemon's way to the store; peers keep it informed."""
+    link = soak.store_links[fault.choice % len(soak.store_links)]
+    link.set_mode(_LINK_MODES[fault.variant % len(_LINK_MODES)])
+    soak.after(fault.seconds, lambda: link.set_mode("pass"))
+
+
+@ACTIONS.register("link")
+def harm_link(soak: Soak, fault: PlannedFault) -> None:
+    """Harm the way to a replica."""
+    link = soak.links[soak.pick_replica(fault).name]
+    link.set_mode(_LINK_MODES[fault.variant % len(_LINK_MODES)])
+    soak.after(fault.seconds, lambda: link.set_mode("pass"))
+
+
+@ACTIONS.register("misbehave")
+def misbehave(soak: Soak, fault: PlannedFault) -> None:
+    """Let a replica fail a share of its requests."""
+    faults = soak.pick_replica(fault).faults
+    name = ("fail", "lose", "cut", "refuse")[fault.variant % 4]
+    setattr(faults, name, 0.4)
+    soak.after(fault.seconds, lambda: setattr(faults, name, 0.0))
+
+
+@ACTIONS.register("crash")
+def crash(soak: Soak, fault: PlannedFault) -> None:
+    """Let a replica crash for good; its entry lapses and another one comes."""
+    replica = soak.pick_replica(fault)
+    soak.add_replica()
+    soak.replicas.remove(replica)
+    replica.close()
+    soak.links[replica.name].close()
+    soak.after(1.0, lambda: soak.store.remove_replica(replica.name))
+
+
+@ACTIONS.register("drain")
+def drain(soak: Soak, fault: PlannedFault) -> None:
+    """Let a replica leave; it serves for a while longer."""
+    replica = soak.pick_replica(fault)
+    soak.add_replica()
+    soak.replicas.remove(replica)
+    soak.store.list_replica(replica, draining=True)
+    soak.history.left_at_by_replica[replica.name] = time.monotonic()
+    soak.after(3.0, lambda: soak.store.remove_replica(replica.name))
+
+
+@ACTIONS.register("revoke")
+def revoke(soak: Soak, fault: PlannedFault) -> None:
+    """Take a key away and give another one."""
+    organisation = ("org-1", "org-2")[fault.choice % 2]
+    key = soak.keys.by_organisation[organisation].pop(0)
+    soak.history.organisation_by_key[soak.keys.issue(organisation)] = organisation
+    soak.configure()
+    soak.history.revoked_at_by_key[key] = time.monotonic()
