--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -12,11 +12,13 @@
 
 from brassdrum.charts import load_chart
 from brassdrum.clock import Clock, SystemClock
-from brassdrum.errors import InvalidDocumentError, InvalidRequestError
+from brassdrum.errors import InvalidDocumentError
+from brassdrum.gateway.admission import Refusal, admit
+from brassdrum.gateway.beliefs import Beliefs
 from brassdrum.gateway.callers import CallerConnection, CallerHandler, Listener
 from brassdrum.gateway.exchange import Exchange
 from brassdrum.gateway.follower import KNOWLEDGE_PATH, Follower
-from brassdrum.gateway.knowledge import EndpointChange, Knowledge
+from brassdrum.gateway.knowledge import Knowledge
 from brassdrum.gateway.load import LoadTable
 from brassdrum.gateway.loop import EventLoop
 from brassdrum.gateway.measures import GatewayMetrics, MetricsSources
@@ -33,13 +35,12 @@
 )
 from brassdrum.gateway.outcome import Outcome
 from brassdrum.gateway.pages import Page, PageResponder, ReadinessResponder
-from brassdrum.gateway.peers import PeerBelief, Peers
+from brassdrum.gateway.peers import Peers
 from brassdrum.gateway.placement import Candidate, Need, Placement
 from brassdrum.gateway.policies import policies
 from brassdrum.gateway.reservations import Reservations
 from brassdrum.gateway.retry_budget import SharedRetryBudget
 from brassdrum.gateway.stopping import PlannedStop, declared_duration
-from brassdrum.gateway.suspicion import Suspicions
 from brassdrum.gateway.upstream import EndpointPool
 from brassdrum.telemetry import log_events
 from brassdrum.telemetry.log_events import LogEvent
@@ -58,8 +59,6 @@
 _SETTINGS_CHECK_SECONDS = 2.0
 # A request that comes when the planned stop is near is sent to another daemon at once.
 _LEAVING_RETRY_SECONDS = 0.01
-# A daemon without configuration or endpoints asks callers to come back after this.
-_STARTING_RETRY_SECONDS = 0.3
 
 
 class GatewayDaemon:
@@ -92,21 +91,22 @@
         self._random = rng or random.Random()
         self._store = store
         self._policy = policies.get(settings.policy)
-        self._suspicions = Suspicions()
         self._budget_by_service: dict[str, SharedRetryBudget] = {}
         self._connections: set[CallerConnection] = set()
         self._exchanges: set[Exchange] = set()
         self._state = _CHART.initial
         self._stop: PlannedStop | None = None
+        self.beliefs = Beliefs(self.loop, self.knowledge, self.pool, self._become_ready)
         self._follower = Follower(
             self.loop,
             store,
             self.knowledge,
             bounds,
             settings.peer_port,
-            self._endpoints_changed,
-            self._configured,
+            self.beliefs.endpoints_changed,
+            self.beliefs.configured,
         )
+        self.beliefs.follow(self._follower)
         self._peers: Peers | None = None
         self._listeners: list[Listener] = []
 
@@ -125,8 +125,8 @@
             settings.zone,
             settings.peer_port,
             self.table,
-            self._belief,
-            self._peer_heard,
+            self.beliefs.told,
+            self.beliefs.heard,
             self._random,
         )
         for host in settings.seeds:
@@ -189,31 +189,17 @@
         self, connection: CallerConnection, head: RequestHead, body: bytes
     ) -> CallerHandler | None:
         """Begin to answer a caller's request."""
-        configuration = self.knowledge.configuration
-        if configuration is None:
-            self._refuse(connection, 503, "no configuration yet", _STARTING_RETRY_SECONDS)
-            return None
-        try:
-            request = self.dialect.read_request(head)
-        except InvalidRequestError as error:
-            self._refuse(connection, 400, error.message)
-            return None
-        path = request.target.split(b"?", 1)[0].decode("latin-1")
-        route = self.knowledge.route(request.host, path)
-        if route is None:
-            self._refuse(connection, 404, "no route", request=request.id)
+        verdict = admit(self.knowledge, self.dialect, head)
+        if isinstance(verdict, Refusal):
+            self._refuse(connection, verdict)
             return None
-        organisation = self.knowledge.organisation(request.key)
-        keyed = bool(configuration.organisations) and not route.anonymous
-        if keyed and organisation is None:
-            self._refuse(connection, 401, "unknown key", request=request.id)
-            return None
-        owner = organisation if keyed else None
+        request, route = verdict.request, verdict.route
         service = self.knowledge.target(route, self._random)
         if self._would_cut(request, route, service):
-            self._refuse(connection, 503, "about to stop", _LEAVING_RETRY_SECONDS, request.id)
+            refusal = Refusal(503, "about to stop", _LEAVING_RETRY_SECONDS, request.id)
+            self._refuse(connection, refusal)
             return None
-        exchange = Exchange(self, connection, request, body, route, owner)
+        exchange = Exchange(self, connection, request, body, route, verdict.organisation)
         exchange.service = service
         self._exchanges.add(exchange)
         self._budget(exchange.service).request(self.loop.now())
@@ -245,7 +231,7 @@
             Candidate(
                 entry,
                 self.table.total(entry.id),
-                self._suspicions.suspect(entry.id, now),
+                self.beliefs.suspect(entry.id),
             )
             for entry in fresh
         ]
@@ -277,34 +263,11 @@
         assert self._peers is not None
         return self._budget(service).left(self.loop.now(), self._peers.live)
 
-    def list_age(self) -> float | None:
-        """Return the seconds since the list of endpoints was read."""
-        return self._follower.age()
-
     def load_changed(self) -> None:
         """Tell peers soon."""
         assert self._peers is not None
         self._peers.changed()
 
-    def endpoint_failed(self, endpoint: str, *, certain: bool, detail: str) -> None:
-        """Avoid an endpoint that fails; tell peers of what is certain."""
-        if self._suspicions.failed(endpoint, self.loop.now(), certain=certain):
-            log_events.ENDPOINT_SUSPECT.write(
-                _logger, endpoint=endpoint, detail=detail, certain=certain
-            )
-
-    def endpoint_served(self, endpoint: str) -> None:
-        """Note a whole answer."""
-        self._suspicions.succeeded(endpoint)
-
-    def address_reused(self, endpoint: str) -> None:
-        """Forget an endpoint whose address answers as another one."""
-        entry = self.knowledge.endpoints_by_id.get(endpoint)
-        self.knowledge.address_reused(endpoint)
-        if entry is not None:
-            self.pool.forget(entry.address)
-            self._log_endpoint(EndpointChange(endpoint, entry.service, "gone"), "address reused")
-
     def decided(self, event: LogEvent, **values: object) -> None:
         """Log a decision that touches a request."""
         event.write(_logger, **values)
@@ -363,61 +326,10 @@
         """Return whether the balancer shall send new connections."""
         return not self.closing() and bool(self.knowledge.endpoints_by_id)
 
-    def _belief(self) -> PeerBelief:
-        now = self.loop.now()
-        return PeerBelief(
-            self.knowledge.version,
-            self.knowledge.digest,
-            self._follower.age(),
-            self.knowledge.reads,
-            tuple(self._suspicions.named(now)),
-            tuple(self.knowledge.recently_left(now)),
-        )
-
-    def _peer_heard(self, host: str, belief: PeerBelief) -> None:
-        now = self.loop.now()
-        for endpoint in belief.failing:
-            self._suspicions.heard(endpoint, now)
-        for endpoint in belief.leaving:
-            if self.knowledge.leaves(endpoint, now):
-                entry = self.knowledge.endpoints_by_id[endpoint]
-                self._log_endpoint(EndpointChange(endpoint, entry.service, "draining"), host)
-        self._follower.heard(host, belief)
-
     def _announce(self) -> list[str]:
         self._store.announce(self.settings.name, self.settings.host)
         return self._store.daemons()
 
-    def _configured(self, earlier: int, source: str) -> None:
-        configuration = self.knowledge.configuration
-        assert configuration is not None
-        log_events.CONFIGURED.write(
-            _logger,
-            version=configuration.version,
-            earlier=earlier,
-            routes=len(configuration.routes),
-            organisations=len(configuration.organisations),
-            source=source,
-        )
-        self._become_ready()
-
-    def _log_endpoint(self, change: EndpointChange, source: str) -> None:
-        age = self._follower.age()
-        log_events.ENDPOINT_CHANGED.write(
-            _logger,
-            endpoint=change.endpoint,
-            service=change.service,
-            change=change.change,
-            source=source,
-            age=None if age is None else round(age, 3),
-        )
-
-    def _endpoints_changed(self, changes: list[EndpointChange], source: str) -> None:
-        for change in changes:
-            self._log_endpoint(change, source)
-        self._suspicions.keep(set(self.knowledge.endpoints_by_id))
-        self._become_ready()
-
     def _become_ready(self) -> None:
         if self._state == _CHART.initial and self.ready():
             self._state = _CHART.next(self._state, "become_ready")
@@ -435,24 +347,17 @@
             )
         return self._budget_by_service[service]
 
-    def _refuse(
-        self,
-        connection: CallerConnection,
-        status: int,
-        detail: str,
-        retry_after: float | None = None,
-        request: str | None = None,
-    ) -> None:
+    def _refuse(self, connection: CallerConnection, refusal: Refusal) -> None:
         headers: Headers = []
-        if retry_after is not None:
-            headers.append((b"Retry-After", b"%.2f" % retry_after))
-        connection.answer(status, headers, b"")
-        self.metrics.refused(status)
+        if refusal.retry_after is not None:
+            headers.append((b"Retry-After", b"%.2f" % refusal.retry_after))
+        connection.answer(refusal.status, headers, b"")
+        self.metrics.refused(refusal.status)
         log_events.REFUSED.write(
             _logger,
-            request=request,
-            status=status,
-            detail=detail,
+            request=refusal.request,
+            status=refusal.status,
+            detail=refusal.detail,
             version=self.knowledge.version,
         )
 
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -140,9 +140,11 @@
         if reply.culprit is not None:
             culprit = self._host.knowledge.find(reply.culprit) or culprit
         if reply.kind is ReplyKind.WRONG_ENDPOINT and culprit == attempt.endpoint:
-            self._host.address_reused(attempt.endpoint)
+            self._host.beliefs.address_reused(attempt.endpoint)
         elif culprit != attempt.endpoint:
-            self._host.endpoint_failed(culprit, certain=True, detail="named by another endpoint")
+            self._host.beliefs.endpoint_failed(
+                culprit, certain=True, detail="named by another endpoint"
+            )
         self._retry_unrun(attempt, f"the endpoint answered {reply.status}, not run")
 
     def attempt_data(self, attempt: Attempt, content: bytes) -> None:
@@ -172,7 +174,7 @@
         if reply.kind is ReplyKind.FAILURE:
             self._endpoint_refused(attempt, reply)
             return
-        self._host.endpoint_served(attempt.endpoint)
+        self._host.beliefs.endpoint_served(attempt.endpoint)
         if not self.route.streams:
             self._connection.answer(reply.status, reply.headers, bytes(attempt.body))
             self._end(Outcome.SERVED, reply.status, "")
@@ -189,7 +191,7 @@
         """Try again where that does no harm."""
         attempt.finish()
         if how is Break.NOT_SENT:
-            self._host.endpoint_failed(attempt.endpoint, certain=True, detail=detail)
+            self._host.beliefs.endpoint_failed(attempt.endpoint, certain=True, detail=detail)
             self.sends -= 1
             self._unsent += 1
             self._retry_unrun(attempt, detail)
@@ -224,7 +226,7 @@
         self._attempt.start()
 
     def _note_placed(self, placement: Placement) -> None:
-        age = self._host.list_age()
+        age = self._host.beliefs.list_age()
         self._decided(
             log_events.PLACED,
             endpoint=placement.entry.id,
@@ -287,7 +289,7 @@
     def _endpoint_refused(self, attempt: Attempt, reply: Reply) -> None:
         """Handle an endpoint's own failure: the request ran there."""
         self._may_have_run = True
-        self._host.endpoint_failed(
+        self._host.beliefs.endpoint_failed(
             attempt.endpoint, certain=False, detail=f"answered {reply.status}"
         )
         if reply.status >= 500 and self.route.repeatable and self._may_send_again():
@@ -315,7 +317,7 @@
     def _attempt_lost(self, attempt: Attempt, detail: str, *, certain: bool) -> None:
         attempt.finish()
         self._may_have_run = True
-        self._host.endpoint_failed(attempt.endpoint, certain=certain, detail=detail)
+        self._host.beliefs.endpoint_failed(attempt.endpoint, certain=certain, detail=detail)
         if self.route.repeatable and self._may_send_again():
             self._again(detail)
             return
--- a/src/brassdrum/gateway/exchange_host.py
+++ b/src/brassdrum/gateway/exchange_host.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from brassdrum.gateway.attempt import AttemptHost
+from brassdrum.gateway.beliefs import Beliefs
 from brassdrum.gateway.knowledge import Knowledge
 from brassdrum.gateway.outcome import Outcome
 from brassdrum.gateway.placement import Need, Placement
@@ -20,6 +21,7 @@
     """Give an exchange what it shares with all others of this daemon."""
 
     knowledge: Knowledge
+    beliefs: Beliefs
 
     def place(self, exchange: Exchange, need: Need) -> Placement | None:
         """Return where to send a request now."""
@@ -33,21 +35,9 @@
     def may_repeat(self, service: str) -> bool:
         """Take one repeated send from the shared budget, or return False."""
 
-    def endpoint_failed(self, endpoint: str, *, certain: bool, detail: str) -> None:
-        """Learn that an endpoint failed a request."""
-
-    def endpoint_served(self, endpoint: str) -> None:
-        """Learn that an endpoint answered whole."""
-
-    def address_reused(self, endpoint: str) -> None:
-        """Learn that another endpoint answers at an endpoint's address."""
-
     def decided(self, event: LogEvent, **values: object) -> None:
         """Log a decision that touches a request."""
 
-    def list_age(self) -> float | None:
-        """Return the seconds since the list of endpoints was read."""
-
     def budget_left(self, service: str) -> float:
         """Return how many repeats this daemon may still send."""
 
