Tell other zones of the heartbeat too through one daemon of theirs, another one each beat

Cause: changes went to other zones through one daemon, but each heartbeat went to every daemon of every zone: 40 datagrams a second and daemon between zones with 3 zones of 20. The one that sends on was always the same, so that a dead one lost all changes of a sender until it was noticed.

Change: spreading.py, a pure decision, says who is told; the one that sends on changes with each beat and rows are told again after a change, so a dead one costs one beat.

Ruled out: a fixed relay a zone (one dead host would hide many), full gossip (rounds are too slow for work in flight).

--- a/src/brassdrum/gateway/beliefs.py
+++ b/src/brassdrum/gateway/beliefs.py
@@ -8,7 +8,7 @@
 from brassdrum.gateway.follower import Follower
 from brassdrum.gateway.knowledge import EndpointChange, Knowledge
 from brassdrum.gateway.loop import EventLoop
-from brassdrum.gateway.peers import PeerBelief
+from brassdrum.gateway.peer_messages import PeerBelief
 from brassdrum.gateway.suspicion import Suspicions
 from brassdrum.gateway.upstream import EndpointPool
 from brassdrum.telemetry import log_events
--- a/src/brassdrum/gateway/follower.py
+++ b/src/brassdrum/gateway/follower.py
@@ -15,7 +15,8 @@
 from brassdrum.gateway.knowledge import EndpointChange, Knowledge
 from brassdrum.gateway.loop import EventLoop, Timer
 from brassdrum.gateway.model import Bounds, ControlStore, EndpointEntry, SharedRecord
-from brassdrum.gateway.peers import PeerBelief, Peers
+from brassdrum.gateway.peer_messages import PeerBelief
+from brassdrum.gateway.peers import Peers
 from brassdrum.http_pool import ConnectFailedError, ExchangeFailedError, HttpPool
 from brassdrum.telemetry import log_events
 
--- a/src/brassdrum/gateway/peers.py
+++ b/src/brassdrum/gateway/peers.py
@@ -2,20 +2,25 @@
 
 from __future__ import annotations
 
-import json
 import logging
 import random
 import selectors
 import socket
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from brassdrum.gateway.load import EndpointLoad, LoadRow, LoadTable
+from brassdrum.gateway.load import LoadRow, LoadTable
 from brassdrum.gateway.loop import EventLoop
+from brassdrum.gateway.peer_messages import (
+    PeerBelief,
+    PeerMessage,
+    decode_message,
+    encode_message,
+)
+from brassdrum.gateway.spreading import recipients
 from brassdrum.telemetry import log_events
 
-__all__ = ["PeerBelief", "PeerMessage", "Peers", "decode_message", "encode_message"]
+__all__ = ["Peers"]
 
 _logger = logging.getLogger(__name__)
 # Changes wait this long for others, so that a burst makes one datagram a peer. The pause grows with
@@ -30,119 +35,11 @@
 _FORGET_HEARTBEATS = 7.0
 # The work of a daemon that was silent for this many heartbeats counts no more.
 _EXPIRE_HEARTBEATS = 4.5
-# Other zones with this many daemons get changes through one of them, which sends them on.
-_RELAYED_ZONE_DAEMONS = 4
 # An address without an answer is tried for this long: a daemon starts within a second or two.
 _INTRODUCE_SECONDS = 20.0
 _ROWS_PER_MESSAGE = 24
 _KNOWN_HOSTS_PER_MESSAGE = 12
 _LARGEST_DATAGRAM = 65536
-_FORMAT = 3
-
-
-@dataclass(frozen=True, slots=True)
-class PeerBelief:
-    """Hold how new a daemon's knowledge is; age in seconds, None before the first read.
-
-    ``reads`` is the number of the read of the store that it rests on.
-    """
-
-    version: int
-    digest: str
-    age: float | None
-    reads: int
-    failing: tuple[str, ...] = ()
-    leaving: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class PeerMessage:
-    """Hold one datagram; who gets it with ``relay`` sends it on within its zone."""
-
-    name: str
-    host: str
-    zone: str
-    incarnation: int
-    sequence: int
-    belief: PeerBelief
-    rows: tuple[LoadRow, ...]
-    hosts: tuple[str, ...] = ()
-    leaving: bool = False
-    relay: bool = False
-
-
-def encode_message(message: PeerMessage) -> bytes:
-    """Return a datagram."""
-    belief = message.belief
-    age = None if belief.age is None else round(belief.age * 1000)
-    rows = [
-        [
-            row.endpoint,
-            round(row.load.reading_ms),
-            row.load.memory,
-            row.load.streamed,
-            row.load.calls,
-            row.load.helping,
-            sorted(row.load.writers_by_pause.items()),
-        ]
-        for row in message.rows
-    ]
-    content = [
-        _FORMAT,
-        message.name,
-        message.host,
-        message.zone,
-        message.incarnation,
-        message.sequence,
-        [
-            belief.version,
-            belief.digest,
-            age,
-            belief.reads,
-            list(belief.failing),
-            list(belief.leaving),
-        ],
-        rows,
-        list(message.hosts),
-        int(message.leaving),
-        int(message.relay),
-    ]
-    return json.dumps(content, separators=(",", ":")).encode()
-
-
-def decode_message(data: bytes) -> PeerMessage:
-    """Return a message, or raise ``ValueError``."""
-    try:
-        form, name, host, zone, incarnation, sequence, belief, rows, hosts, leaving, relay = (
-            json.loads(data)
-        )
-        if form != _FORMAT:
-            raise ValueError(f"message format {form} is unknown; run one version on all hosts")
-        version, digest, age, reads, failing, endpoints_leaving = belief
-        return PeerMessage(
-            name,
-            host,
-            zone,
-            incarnation,
-            sequence,
-            PeerBelief(
-                version,
-                digest,
-                None if age is None else age / 1000,
-                reads,
-                tuple(failing),
-                tuple(endpoints_leaving),
-            ),
-            tuple(
-                LoadRow(endpoint, EndpointLoad(*sums, dict(writers)))
-                for endpoint, *sums, writers in rows
-            ),
-            tuple(hosts),
-            bool(leaving),
-            bool(relay),
-        )
-    except (TypeError, IndexError) as error:
-        raise ValueError(f"unreadable peer message: {error}") from error
 
 
 @dataclass(slots=True)
@@ -191,6 +88,7 @@
         self._introductions_by_host: dict[str, _Introduction] = {}
         self._changed_at: dict[str, float] = {}
         self._flush_planned = False
+        self._beats = 0
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((host, port))
         self._socket.setblocking(False)
@@ -249,18 +147,10 @@
             self._changed_at[endpoint] = now
         self._broadcast(self._table.own_rows(changed))
 
-    def _broadcast(self, rows: list[LoadRow]) -> None:
-        """Send to every peer of this zone, and to one of each other zone that sends it on."""
-        hosts_by_zone: dict[str, list[str]] = {}
-        for host, peer in self._peer_by_host.items():
-            hosts_by_zone.setdefault(peer.zone, []).append(host)
-        for zone, hosts in hosts_by_zone.items():
-            if zone == self._zone or len(hosts) < _RELAYED_ZONE_DAEMONS:
-                for host in hosts:
-                    self._send_to(host, rows)
-                continue
-            relay = max(hosts, key=lambda host: zlib.crc32(f"{self._name} {host}".encode()))
-            self._send_to(relay, rows, relay=True)
+    def _broadcast(self, rows: list[LoadRow], *, with_hosts: bool = False) -> None:
+        zones = {host: peer.zone for host, peer in self._peer_by_host.items()}
+        for recipient in recipients(self._name, self._zone, zones, self._beats):
+            self._send_to(recipient.host, rows, with_hosts=with_hosts, relay=recipient.relay)
 
     def _spread(self) -> float:
         return max(1.0, self.live / _DAEMONS_AT_FULL_PACE)
@@ -289,8 +179,8 @@
         rows = [
             row for row in self._table.own_rows() if row.endpoint in recent or not row.load.empty()
         ]
-        for host in self._peer_by_host:
-            self._send_to(host, rows, with_hosts=True)
+        self._beats += 1
+        self._broadcast(rows, with_hosts=True)
         for host, introduction in list(self._introductions_by_host.items()):
             if now > introduction.until:
                 del self._introductions_by_host[host]
