Give held memory back when the endpoint that uses it gives no sign of life

Ruled out: a shorter silence (reading such a prompt takes seconds), shorter holds (they are renewed as long as the daemon lives).

Change: before each renewal the endpoint that uses the memory is asked for its report page; two questions in a row without an answer within 0.3 s each end the hold, 1.7 s after the last sign at most, and the request is sent elsewhere where that is allowed.

Before: the new scenario failed. After: it passes, as do the 52 of gateway and gateway_fleet.

--- a/features/gateway_fleet.feature
+++ b/features/gateway_fleet.feature
@@ -51,6 +51,13 @@
     And the request named helpers with memory
     And every reservation was released
 
+  Scenario: Memory held for an endpoint that goes dark is given back while its caller waits
+    Given a gateway before 4 engines
+    And all requests meet "dark"
+    When a caller declares a prompt of 150000 tokens on "once" and waits
+    Then every reservation was released
+    And the caller still waits
+
   Scenario: Memory that is refused is given back and the request is refused as not run
     Given a gateway before 4 engines
     And all requests meet "no memory"
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -94,6 +94,7 @@
         self.requests = []
         self.orders = []
         self.open = 0
+        self.dark = False
         self.released = threading.Event()
         self._lock = threading.Lock()
         self._socket = socket.create_server(("127.0.0.1", 0))
@@ -129,9 +130,15 @@
                 request = read_request(stream)
                 if request is None:
                     return
+                if self.dark:
+                    self.released.wait(20)
+                    return
                 if request.target == "/order":
                     self._order(connection, request)
                     continue
+                if request.target == "/report":
+                    send(connection, 200, b"{}", request, seal=False)
+                    continue
                 with self._lock:
                     self.requests.append(request)
                     behaviour = self.script.pop(0) if self.script else self.usual
@@ -258,6 +265,14 @@
     return False
 
 
+@behaviours.register("dark")
+def dark(endpoint, connection, request):
+    """Take the request and never answer anything again, as a host without power does."""
+    endpoint.dark = True
+    endpoint.released.wait(20)
+    return False
+
+
 @behaviours.register("foreign")
 def foreign(endpoint, connection, request):
     """Send the late answer of another request first."""
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -244,6 +244,29 @@
     send(context, "text", X_Token_Usage=f"{tokens},10")
 
 
+@when('a caller declares a prompt of {tokens:d} tokens on "{kind:w}" and waits')
+def step_prompt_and_wait(context, tokens, kind):
+    usage = f"{tokens},10"
+    context.waiting = threading.Thread(
+        target=send, args=(context, kind), kwargs={"X_Token_Usage": usage}, daemon=True
+    )
+    context.waiting.start()
+    eventually(lambda: received(context), "an endpoint has the request")
+
+
+@then("the kept connection breaks when a request stays unacknowledged for {seconds:d} s")
+def step_unacknowledged(context, seconds):
+    idle = context.gateways[0].daemon.pool._idle_by_address
+    sockets = [each._transport._socket for kept in idle.values() for each in kept]
+    bounds = [each.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) for each in sockets]
+    assert bounds == [seconds * 1000], bounds
+
+
+@then("the caller still waits")
+def step_still_waits(context):
+    assert context.waiting.is_alive()
+
+
 @when("version {version:d} of the configuration drops the key")
 def step_drop_key(context, version):
     context.store.current = configuration(version, keys=("other",))
--- a/src/brassdrum/gateway/attempt.py
+++ b/src/brassdrum/gateway/attempt.py
@@ -53,6 +53,9 @@
     def memory_refused(self, attempt: Attempt) -> None:
         """Learn that an endpoint has no memory for its part; nothing was sent."""
 
+    def attempt_unheard(self, attempt: Attempt) -> None:
+        """Learn that the endpoint gives no sign of life; memory held for it is given back."""
+
     def attempt_began(self, attempt: Attempt, reply: Reply) -> None:
         """Judge the start of an answer."""
 
@@ -108,7 +111,10 @@
             if each.stored
         )
         if reservations:
-            self._hold = self._host.reservations.hold(reservations, self._held)
+            user = self._placement.entry.address
+            self._hold = self._host.reservations.hold(
+                reservations, user, self._held, self._user_gone
+            )
             return
         self._send()
 
@@ -127,6 +133,10 @@
         self._call = self._host.pool.call(address, self, request, fresh=fresh)
         self._exchange.watch_silence(self._placement)
 
+    def _user_gone(self) -> None:
+        if not self._finished:
+            self._exchange.attempt_unheard(self)
+
     def writes(self) -> None:
         """Note that the first event came: the prompt is read."""
         if self._writing or self._finished:
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -346,7 +346,7 @@
         if self._silence is not None:
             self._silence.cancel()
             self._silence = None
-        if not self.route.repeatable or self.sends >= self.route.max_attempts:
+        if not self._more_sends():
             return
         predicted_ms = None if placement is None else placement.first_event_ms
         seconds = allowed_silence(self.route, predicted_ms)
@@ -354,16 +354,32 @@
 
     def _silent(self) -> None:
         attempt = self._attempt
-        if self._done or attempt is None or not self._host_has_other(attempt):
-            return
-        if self._host.budget_left(self.service) < 1.0:
-            # Silence alone ends no answer: without a second send the endpoint may still go on.
+        if attempt is None or not self._can_replace(attempt):
             return
         attempt.cancel()
         reading_ms = self._host.table.total(attempt.endpoint).reading_ms
         certain = self.route.streams and reading_ms < _EXPLAINED_READING_MS
         self._attempt_lost(attempt, "the endpoint is silent", certain=certain)
 
+    def attempt_unheard(self, attempt: Attempt) -> None:
+        """Send the request elsewhere when its endpoint gives no sign of life."""
+        if not self._can_replace(attempt):
+            return
+        attempt.cancel()
+        self._attempt_lost(attempt, "the endpoint gives no sign of life", certain=True)
+
+    def _more_sends(self) -> bool:
+        return self.route.repeatable and self.sends < self.route.max_attempts
+
+    def _can_replace(self, attempt: Attempt) -> bool:
+        """Return whether a silent attempt may be given up for another one.
+
+        Silence alone ends no answer: without a second send the endpoint may still go on.
+        """
+        if self._done or not self._more_sends() or not self._host_has_other(attempt):
+            return False
+        return self._host.budget_left(self.service) >= 1.0
+
     def _host_has_other(self, attempt: Attempt) -> bool:
         usable = self._host.knowledge.usable(self.service)
         return any(entry.id != attempt.endpoint for entry in usable)
--- a/src/brassdrum/gateway/model.py
+++ b/src/brassdrum/gateway/model.py
@@ -257,6 +257,10 @@
     def order_path(self) -> str:
         """Return the path that takes orders."""
 
+    @property
+    def report_path(self) -> str:
+        """Return the path of a page that an endpoint serves whatever its load."""
+
 
 class ControlStore(Protocol):
     """Read and write the platform's store; calls block and raise ``PlatformUnavailableError``."""
--- a/src/brassdrum/gateway/reservations.py
+++ b/src/brassdrum/gateway/reservations.py
@@ -16,22 +16,28 @@
 _ORDER_SECONDS = 0.3
 # A hold is renewed three times in its span, so that one lost renewal does no harm.
 _RENEWALS_PER_HOLD = 3.0
+# Before each renewal the endpoint that uses the memory is asked for a sign of life. After this many
+# questions in a row without an answer it counts as gone: at most 1.7 s after its last answer, with
+# holds of 3.2 s, so that memory is free again within the 4 s that the platform allows.
+_MOST_UNANSWERED = 2
+_GRANTED = 200
+_NO_ANSWER = 0
 # A release is repeated this often; after that the hold's own end gives the memory back.
 _RELEASE_ATTEMPTS = 3
 
 
 class Order:
-    """Send one order and tell whether the endpoint granted it."""
+    """Send one order or question and tell the status of its answer, 0 without one."""
 
-    def __init__(self, loop: EventLoop, pool: EndpointPool, done: Callable[[bool], None]) -> None:
+    def __init__(self, loop: EventLoop, pool: EndpointPool, done: Callable[[int], None]) -> None:
         self._pool = pool
-        self._done: Callable[[bool], None] | None = done
-        self._status = 0
+        self._done: Callable[[int], None] | None = done
+        self._status = _NO_ANSWER
         self._call: EndpointCall | None = None
         self._timer = loop.call_later(_ORDER_SECONDS, self._late)
 
     def send(self, address: str, path: str, body: bytes) -> None:
-        """Send the order."""
+        """Send an order."""
         headers = [
             (b"Host", address.encode()),
             (b"Content-Type", b"application/json"),
@@ -40,6 +46,11 @@
         request = OutgoingRequest(b"POST", path.encode(), headers, body)
         self._call = self._pool.call(address, self, request)
 
+    def ask(self, address: str, path: str) -> None:
+        """Send a question."""
+        request = OutgoingRequest(b"GET", path.encode(), [(b"Host", address.encode())], b"")
+        self._call = self._pool.call(address, self, request)
+
     def began(self, status: int, _headers: Headers) -> None:
         """Take the start of the answer."""
         self._status = status
@@ -49,23 +60,23 @@
 
     def answered(self) -> None:
         """Take a whole answer."""
-        self._finish(self._status == 200)
+        self._finish(self._status)
 
     def broken(self, how: Break, detail: str) -> None:
-        """Take a broken connection as a refusal."""
+        """Take a broken connection as no answer."""
         _logger.info("order not answered", extra={"how": how.name, "detail": detail})
-        self._finish(False)
+        self._finish(_NO_ANSWER)
 
     def _late(self) -> None:
         if self._call is not None:
             self._call.cancel()
-        self._finish(False)
+        self._finish(_NO_ANSWER)
 
-    def _finish(self, granted: bool) -> None:
+    def _finish(self, status: int) -> None:
         self._timer.cancel()
         done, self._done = self._done, None
         if done is not None:
-            done(granted)
+            done(status)
 
 
 class Hold:
@@ -75,10 +86,15 @@
         self,
         manager: Reservations,
         reservations: tuple[Reservation, ...],
+        user: str,
         done: Callable[[bool], None],
+        on_user_gone: Callable[[], None],
     ) -> None:
         self.reservations = reservations
         self._manager = manager
+        self._user = user
+        self._on_user_gone = on_user_gone
+        self._unanswered = 0
         self._done: Callable[[bool], None] | None = done
         self._waiting = len(reservations)
         self._refused = False
@@ -114,7 +130,26 @@
 
     def _plan_renewal(self) -> None:
         seconds = self._manager.hold_seconds / _RENEWALS_PER_HOLD
-        self._timer = self._manager.loop.call_later(seconds, self._renew)
+        self._timer = self._manager.loop.call_later(seconds, self._ask)
+
+    def _ask(self) -> None:
+        """Ask the endpoint that uses the memory for a sign of life."""
+        self._manager.ask(self._user, self._heard)
+
+    def _heard(self, answered: bool) -> None:
+        if self._released:
+            return
+        if answered:
+            self._unanswered = 0
+            self._renew()
+            return
+        self._unanswered += 1
+        if self._unanswered < _MOST_UNANSWERED:
+            self._ask()
+            return
+        # Nobody uses the memory any more, or nobody here would hear of it.
+        self.release()
+        self._on_user_gone()
 
     def _renew(self) -> None:
         for reservation in self.reservations:
@@ -134,9 +169,19 @@
         self._pool = pool
         self._dialect = dialect
 
-    def hold(self, reservations: tuple[Reservation, ...], done: Callable[[bool], None]) -> Hold:
-        """Ask for memory at several endpoints; tell whether all of them granted it."""
-        hold = Hold(self, reservations, done)
+    def hold(
+        self,
+        reservations: tuple[Reservation, ...],
+        user: str,
+        done: Callable[[bool], None],
+        on_user_gone: Callable[[], None],
+    ) -> Hold:
+        """Ask for memory at several endpoints; tell whether all of them granted it.
+
+        ``user`` is the address of the endpoint that uses it. When that gives no sign of life, all
+        is given back and ``on_user_gone`` is called.
+        """
+        hold = Hold(self, reservations, user, done, on_user_gone)
         hold.acquire()
         return hold
 
@@ -156,9 +201,14 @@
 
         self._order(reservation, self._dialect.release(reservation.ticket), repeat)
 
+    def ask(self, address: str, done: Callable[[bool], None]) -> None:
+        """Tell whether an endpoint answers at all."""
+        order = Order(self.loop, self._pool, lambda status: done(status != _NO_ANSWER))
+        order.ask(address, self._dialect.report_path)
+
     def _order(self, reservation: Reservation, body: bytes, done: Callable[[bool], None]) -> None:
         self.orders += 1
-        order = Order(self.loop, self._pool, done)
+        order = Order(self.loop, self._pool, lambda status: done(status == _GRANTED))
         order.send(reservation.address, self._dialect.order_path, body)
 
 
--- a/src/brassdrum/platform/dialect.py
+++ b/src/brassdrum/platform/dialect.py
@@ -57,6 +57,7 @@
     """Read and write the platform's headers."""
 
     order_path = "/order"
+    report_path = "/report"
 
     def read_request(self, head: RequestHead) -> DeclaredRequest:
         """Return what a caller declares, or raise ``InvalidRequestError``."""
--- a/src/brassdrum/platform/standin.py
+++ b/src/brassdrum/platform/standin.py
@@ -275,6 +275,9 @@
         if request.path == "/order":
             self._answer(connection, request, self._order(json.loads(request.body)), b"{}", "")
             return True
+        if request.path == "/report":
+            self._answer(connection, request, 200, b"{}", "")
+            return True
         if headers.get("x-expect-replica") != self.name:
             self._answer(connection, request, 421, b"", "X-Replica-Id: other\r\n")
             return True
