Bound how long a request that may be sent again stays unacknowledged

Cause: a kept connection to a host that lost power or its way, or one that went silent, takes a request and says nothing; only silence at the level of answers showed it, for a prompt of 45,000 tokens after about 2.5 s, when its first event is late in any case.

Change: the kernel breaks such a connection after 1 s without acknowledgement. Requests that may run once go out on fresh connections, which the limit on connecting covers, and are left alone.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -48,6 +48,12 @@
       | once | stream                 | 200    | all events | 1     |
       | once | lost                   | 502    |            | 1     |
 
+  Scenario: A request that may be sent again does not stay unacknowledged for long
+    Given a gateway before two endpoints
+    And all requests meet "whole"
+    When a caller sends a "check"
+    Then the kept connection breaks when a request stays unacknowledged for 1 s
+
   Scenario: A silent stream goes on where the budget allows no second send
     Given a gateway before two endpoints without a budget for repeats
     And all requests meet "slow stream"
--- a/src/brassdrum/gateway/transport.py
+++ b/src/brassdrum/gateway/transport.py
@@ -48,6 +48,10 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._watch()
 
+    def bound_acknowledgement(self, seconds: float) -> None:
+        """Break the connection when bytes that were sent stay unacknowledged for this long."""
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(seconds * 1000))
+
     @property
     def backlog(self) -> int:
         """Return the bytes that the other side has not taken yet."""
--- a/src/brassdrum/gateway/upstream.py
+++ b/src/brassdrum/gateway/upstream.py
@@ -23,6 +23,10 @@
 _REUSE_SECONDS = 2.0
 # Endpoints close at the time that they name; a request on its way then would be lost.
 _KEEP_ALIVE_MARGIN_SECONDS = 0.5
+# A host that is gone, or a connection that went silent, acknowledges nothing: a request that may be
+# sent again is not left there for longer. Round trips take about 5 ms; this bears two lost packets,
+# and half a second of waiting at a thin link.
+_UNACKNOWLEDGED_SECONDS = 1.0
 _MOST_IDLE = 32
 _LARGEST_HEADER_BYTES = 65536
 
@@ -89,6 +93,10 @@
         """Return whether the connection is closed."""
         return self._transport.closed
 
+    def bound_acknowledgement(self) -> None:
+        """Break off soon when the endpoint's host does not acknowledge the request."""
+        self._transport.bound_acknowledgement(_UNACKNOWLEDGED_SECONDS)
+
     def send(self, call: EndpointCall) -> None:
         """Begin a call as soon as the connection is up."""
         self._call = call
@@ -241,6 +249,8 @@
             self._loop.post(lambda: owner.broken(Break.NOT_SENT, "connect refused"))
             return call
         call.connection = connection
+        if not fresh:
+            connection.bound_acknowledgement()
         connection.send(call)
         return call
 
