Let one request have one attempt and one timer at a time

Cause: a send that reached no endpoint, or was refused as not run, left its timer for silence behind. While the request waited for calmer engines that timer fired, took the request for lost and began a second round of waiting beside the first: the request was sent to two endpoints at once, and after its final answer too, since the end cancelled only one of the two.

Ruled out: the codec, a second answer of a replica, a caller that had left.

Change: sending cancels both timers first; a silent attempt is replaced only if it is the present one and not finished.

--- a/src/brassdrum/gateway/attempt.py
+++ b/src/brassdrum/gateway/attempt.py
@@ -92,6 +92,11 @@
         """Return whether the request was sent and nothing has proved that it did not run."""
         return not self._finished and self._call is not None and self._call.sent
 
+    @property
+    def finished(self) -> bool:
+        """Return whether nothing more is expected of the attempt."""
+        return self._finished
+
     def ticket(self, endpoint: str) -> str:
         """Return the name of the memory that an endpoint holds for this attempt."""
         return f"{self._exchange.request.id}-{self._number}-{endpoint}"
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -199,6 +199,8 @@
         self._attempt_lost(attempt, detail, certain=False)
 
     def _send(self) -> None:
+        """Choose endpoints and send; nothing else of this request is under way then."""
+        self._stop_timers()
         need = self.need()
         placement = self._host.place(self, need)
         if placement is None:
@@ -345,7 +347,6 @@
         """Give an endpoint up when it is silent for longer than its work explains."""
         if self._silence is not None:
             self._silence.cancel()
-            self._silence = None
         if not self._more_sends():
             return
         predicted_ms = None if placement is None else placement.first_event_ms
@@ -376,7 +377,9 @@
 
         Silence alone ends no answer: without a second send the endpoint may still go on.
         """
-        if self._done or not self._more_sends() or not self._host_has_other(attempt):
+        if self._done or attempt is not self._attempt or attempt.finished:
+            return False
+        if not self._more_sends() or not self._host_has_other(attempt):
             return False
         return self._host.budget_left(self.service) >= 1.0
 
@@ -415,13 +418,16 @@
             self._may_have_run = self._may_have_run or self._attempt.unproven
             self._attempt.cancel()
 
+    def _stop_timers(self) -> None:
+        """Cancel what would send again: a second attempt beside the first, or after the end."""
+        for timer in (self._silence, self._review):
+            if timer is not None:
+                timer.cancel()
+
     def _end(self, outcome: Outcome, status: int, detail: str) -> None:
         if self._done:
             return
         self._done = True
         self._deadline_timer.cancel()
-        if self._silence is not None:
-            self._silence.cancel()
-        if self._review is not None:
-            self._review.cancel()
+        self._stop_timers()
         self._host.ended(self, outcome, status, detail)
