--- a/features/environment.py
+++ b/features/environment.py
@@ -37,3 +37,9 @@
 def after_scenario(context, scenario):
     """Close what the scenario opened, newest first."""
     context.stack.close()
+
+
+def after_step(context, step):
+    """Say what a failing step found; the progress report names its scenario only."""
+    if step.exception is not None:
+        print(f"\n{step.keyword} {step.name}\n  {step.error_message}", flush=True)
