--- a/features/stop_waiter.py
+++ b/features/stop_waiter.py
@@ -1,5 +1,6 @@
 """Wait to be told to stop, a number of times; a process for the scenarios of planned stops."""
 
+import signal
 import sys
 import threading
 import time
@@ -22,6 +23,8 @@
         signals = StopSignals()
         print("waits", flush=True)
         signals.wait()
+    # The interpreter takes handlers away while it ends; the last signals may come then.
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
 
 
 if __name__ == "__main__":
