Refuse late requests at once where late ones are not served, and leave freed places to timely ones

Change: late requests see a freed place only after all daemons have had their turn. As many late ones may wait as were served late in the last 1.5 s, and two more; others are refused at once. Retry-After is as long as the overload has lasted, 0.5 to 8 s, within the caller's bound.

--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -352,7 +352,7 @@
 @then("nothing is left to read but the peer's part")
 def step_left(context):
     assert context.loads_seen.total("a").reading_ms == 50.0
-    context.loads_seen.end("own")
+    context.loads_seen.end("own", 0.0)
     assert context.loads_seen.total("a").calls == 1
 
 
--- a/src/brassdrum/gateway/attempt.py
+++ b/src/brassdrum/gateway/attempt.py
@@ -163,7 +163,7 @@
         self._finished = True
         if self._hold is not None:
             self._hold.release()
-        self._host.table.end(self._key)
+        self._host.table.end(self._key, self._host.loop.now())
         self._host.load_changed()
 
     def began(self, status: int, headers: Headers) -> None:
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -238,6 +238,8 @@
         """Return where to send a request now."""
         now = self.loop.now()
         self.table.refresh(now)
+        # Late requests leave freed places to the timely ones of all daemons.
+        late = now > exchange.timely_until
         usable = self.knowledge.usable(exchange.service)
         fresh = [entry for entry in usable if entry.id not in exchange.tried]
         candidates = [
@@ -245,17 +247,17 @@
                 entry,
                 self.table.total(entry.id),
                 self.beliefs.suspect(entry.id),
-                self.table.freed_by_peers(entry.id, now - self._turn_seconds(entry.id)),
+                self.table.freed_since(entry.id, now - self._turn(entry.id, late), own=late),
             )
             for entry in fresh
         ]
         return self._policy(need, candidates, self._engine(exchange.service), self._random)
 
-    def _turn_seconds(self, endpoint: str) -> float:
-        """Return for how long places that peers' streams free at an endpoint are left to others."""
+    def _turn(self, endpoint: str, late: bool) -> float:
+        """Return for how many seconds places that are freed at an endpoint are left to others."""
         assert self._peers is not None
         turn = zlib.crc32(f"{self.settings.name} {endpoint}".encode()) % _TURNS
-        return self._peers.flush_seconds * _FLUSHES_PER_TURN * (1 + turn)
+        return self._peers.flush_seconds * _FLUSHES_PER_TURN * (1 + (_TURNS if late else turn))
 
     def may_wait(self, exchange: Exchange) -> bool:
         """Return whether a request may wait for calmer engines; near its end a stop allows none."""
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -20,7 +20,7 @@
 )
 from brassdrum.gateway.outcome import Outcome, Report, Timing
 from brassdrum.gateway.patience import caller_patience, silence_patience
-from brassdrum.gateway.placement import Need, Placement, Verdict, judge
+from brassdrum.gateway.placement import FULL_WAIT_SHARE, Need, Placement, Verdict, judge
 from brassdrum.gateway.silence import allowed_silence, explained_silence
 from brassdrum.gateway.upstream import Break, OutgoingRequest
 from brassdrum.telemetry import log_events
@@ -38,8 +38,6 @@
 _REPEAT_LEAST_SECONDS = 0.05
 # When to come back after a refusal: about the time in which an endpoint frees a place.
 _RETRY_AFTER_SECONDS = 0.15
-# Streams under way last about this long; then a prompt that would harm too many finds fewer.
-_CROWDED_RETRY_SECONDS = 1.5
 # A refusal names at most this part of the time left, or the caller would not wait for it.
 _RETRY_AFTER_SHARE = 0.3
 # A waiting request counts as timely while this many times its prediction is left: at nine in ten
@@ -78,7 +76,8 @@
         self._body = body
         self.timely_until = self.arrived + route.objective
         self._deadline = self.arrived + min(request.patience, route.timeout)
-        self.waits_until = self.arrived + caller_patience(route, request)
+        self._patience = caller_patience(route, request)
+        self.due = self.timely_until
         self._unsent = 0
         self._may_have_run = False
         self._began = False
@@ -115,7 +114,7 @@
             self.route.objective * 1000,
             round(pause * 1000) if self.route.streams else None,
             (self._host.loop.now() - self.arrived) * 1000,
-            (self.waits_until - self.arrived) * 1000,
+            self._patience * 1000,
         )
 
     def start(self) -> None:
@@ -214,13 +213,14 @@
             self._fail("no endpoint takes the request")
             return
         verdict = judge(need, placement)
-        if verdict is Verdict.WAIT and self._host.may_wait(self):
-            self._wait(placement)
+        if verdict is Verdict.WAIT and not self._host.may_wait(self):
+            verdict = Verdict.SEND
+        if verdict is Verdict.WAIT and self._wait(placement):
             return
-        self._stop_waiting()
-        if verdict is Verdict.REFUSE and not self._may_have_run and not self._began:
+        self._stop_waiting(served=verdict is Verdict.SEND)
+        if verdict is not Verdict.SEND and not self._may_have_run and not self._began:
             detail = "every place is taken" if placement.full else "others would lose more by it"
-            self._fail(detail, _CROWDED_RETRY_SECONDS)
+            self._fail(detail, self._host.line.retry_seconds())
             return
         self.sends += 1
         self.tried.add(placement.entry.id)
@@ -233,12 +233,19 @@
         self._send()
         return not self._waits_for_place
 
-    def _wait(self, placement: Placement) -> None:
+    def _wait(self, placement: Placement) -> bool:
+        """Wait for a better placement; return False where that is in vain."""
+        now = self._host.loop.now()
         self._waits_for_place = placement.full
         to_come = placement.first_event_ms / 1000 * _PREDICTION_MARGIN
         self.timely_until = self.arrived + self.route.objective - to_come
+        self.due = self.timely_until
+        if now > self.timely_until:
+            if placement.full and not self._host.line.keeps_late(self):
+                return False
+            self.due = self.arrived + self._patience * FULL_WAIT_SHARE - to_come
         if self._waits:
-            return
+            return True
         self._waits = True
         self._decided(
             log_events.WAITING,
@@ -248,11 +255,12 @@
             predicted_ms=round(placement.first_event_ms),
         )
         self._host.line.join(self)
+        return True
 
-    def _stop_waiting(self) -> None:
+    def _stop_waiting(self, *, served: bool = False) -> None:
         if self._waits:
             self._waits = self._waits_for_place = False
-            self._host.line.leave(self)
+            self._host.line.leave(self, served=served)
 
     def _note_placed(self, placement: Placement) -> None:
         age = self._host.beliefs.list_age()
--- a/src/brassdrum/gateway/load.py
+++ b/src/brassdrum/gateway/load.py
@@ -79,6 +79,7 @@
 class _FreedPlaces:
     at: float
     places: int
+    own: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,12 +118,12 @@
         """Return the work of all daemons at an endpoint."""
         return self._total_by_endpoint[endpoint]
 
-    def freed_by_peers(self, endpoint: str, since: float) -> int:
-        """Return how many places peers' streams have freed at an endpoint since a time."""
+    def freed_since(self, endpoint: str, since: float, *, own: bool) -> int:
+        """Return how many places peers' streams, and own ones too, have freed since a time."""
         freed = self._freed_by_endpoint.get(endpoint)
         if freed is None:
             return 0
-        return sum(each.places for each in freed if each.at > since)
+        return sum(each.places for each in freed if each.at > since and (own or not each.own))
 
     def start(self, request: str, shares: Iterable[Share], now: float, first_ms: float) -> None:
         """Note an own request that is sent, with the predicted time to its first event."""
@@ -156,11 +157,13 @@
             self._change(share.endpoint, share.load(reading=False), 1)
         self._predicted_by_request.pop(request, None)
 
-    def end(self, request: str) -> None:
+    def end(self, request: str, now: float) -> None:
         """Note that an own request ended."""
         reading = self._predicted_by_request.pop(request, None) is not None
         for share in self._shares_by_request.pop(request, ()):
             self._change(share.endpoint, share.load(reading=reading), -1)
+            if share.pause_ms is not None:
+                self._note_freed(share.endpoint, 1, now, own=True)
 
     def own_rows(self, endpoints: Iterable[str] | None = None) -> list[LoadRow]:
         """Return own work, at all endpoints or at some."""
@@ -180,16 +183,15 @@
                 continue
             if earlier is not None:
                 self._total_by_endpoint[row.endpoint].add(earlier.load, -1)
-                self._note_freed(row, earlier.load, now)
+                self._note_freed(row.endpoint, earlier.load.writers - row.load.writers, now)
             known[row.endpoint] = _PeerRow(sequence, row.load)
             self._total_by_endpoint[row.endpoint].add(row.load, 1)
 
-    def _note_freed(self, row: LoadRow, earlier: EndpointLoad, now: float) -> None:
-        places = earlier.writers - row.load.writers
+    def _note_freed(self, endpoint: str, places: int, now: float, *, own: bool = False) -> None:
         if places <= 0:
             return
-        freed = self._freed_by_endpoint[row.endpoint]
-        freed.append(_FreedPlaces(now, places))
+        freed = self._freed_by_endpoint[endpoint]
+        freed.append(_FreedPlaces(now, places, own))
         while freed[0].at < now - _FREED_KEPT_SECONDS:
             freed.popleft()
 
--- a/src/brassdrum/gateway/placement.py
+++ b/src/brassdrum/gateway/placement.py
@@ -12,6 +12,7 @@
 from brassdrum.gateway.model import EndpointEntry, EngineModel
 
 __all__ = [
+    "FULL_WAIT_SHARE",
     "Candidate",
     "Helper",
     "Need",
@@ -37,7 +38,7 @@
 _ACCEPTED_SHARE = 0.5
 # A request waits for a free place while its first event would come within this part of the time
 # after which its caller gives up.
-_PATIENCE_SHARE = 0.75
+FULL_WAIT_SHARE = 0.75
 # An engine with this much to read takes no further part without stopping its streams for longer
 # than those of long prompts allow.
 _FULL_READING_MS = 700.0
@@ -131,7 +132,7 @@
 
     A request that queues inside an engine cannot be moved, ordered or refused any more.
     """
-    if need.waited_ms + placement.best_ms < need.patience_ms * _PATIENCE_SHARE:
+    if need.waited_ms + placement.best_ms < need.patience_ms * FULL_WAIT_SHARE:
         return Verdict.WAIT
     return Verdict.REFUSE
 
--- a/src/brassdrum/gateway/waiting.py
+++ b/src/brassdrum/gateway/waiting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
@@ -11,14 +12,27 @@
 
 # All waiting requests are looked at again after this at the latest: a pass takes about 45 ms.
 _REVIEW_SECONDS = 0.02
+# As many late requests may wait as were served in this time, which is what callers of short
+# prompts wait at most, and these more, to learn whether places have become free again.
+_LATE_SPAN_SECONDS = 1.5
+_LATE_PROBES = 2
+# A line that was empty for this long is no longer the same overload.
+_CALM_SECONDS = 0.5
+# The shortest and longest times after which a refused caller is asked to come back.
+_LEAST_RETRY_SECONDS = 0.5
+_MOST_RETRY_SECONDS = 8.0
 
 
 class Waiter(Protocol):
-    """Wait for an endpoint; times are monotonic seconds."""
+    """Wait for an endpoint; times are monotonic seconds.
+
+    ``timely_until`` is when the request can no longer be in time, ``due`` when it must be looked
+    at even if no place is free.
+    """
 
     service: str
     timely_until: float
-    waits_until: float
+    due: float
 
     @property
     def priority(self) -> int:
@@ -41,19 +55,47 @@
         self._waiters: set[Waiter] = set()
         self._tick: Timer | None = None
         self._review_planned = False
+        self._late_served: deque[float] = deque()
+        self._busy_since = 0.0
+        self._busy_until = 0.0
 
     def __len__(self) -> int:
         return len(self._waiters)
 
     def join(self, waiter: Waiter) -> None:
         """Look at a request again until it leaves."""
+        now = self._loop.now()
+        if now - self._busy_until > _CALM_SECONDS:
+            self._busy_since = now
+        self._busy_until = now
         self._waiters.add(waiter)
         if self._tick is None:
             self._plan_tick()
 
-    def leave(self, waiter: Waiter) -> None:
+    def leave(self, waiter: Waiter, *, served: bool) -> None:
         """Look at a request no more."""
         self._waiters.discard(waiter)
+        now = self._loop.now()
+        if served and now > waiter.timely_until:
+            self._late_served.append(now)
+
+    def keeps_late(self, waiter: Waiter) -> bool:
+        """Return whether a request that will be late has a chance that is worth its wait.
+
+        Late requests get the places that timely ones leave. When there were none of late, the
+        caller is better told at once to come back.
+        """
+        now = self._loop.now()
+        while self._late_served and self._late_served[0] < now - _LATE_SPAN_SECONDS:
+            self._late_served.popleft()
+        ahead = sum(1 for each in self._waiters if each is not waiter and each.timely_until < now)
+        return ahead < len(self._late_served) + _LATE_PROBES
+
+    def retry_seconds(self) -> float:
+        """Return when a refused caller shall come back: an overload lasts as long again."""
+        lasted = self._loop.now() - self._busy_since if self._waiters else 0.0
+        bounded = min(_MOST_RETRY_SECONDS, max(_LEAST_RETRY_SECONDS, lasted))
+        return self._jitter(bounded)
 
     def place_freed(self) -> None:
         """Look at the line as soon as the present event is handled."""
@@ -73,6 +115,8 @@
     def _review(self) -> None:
         self._review_planned = False
         now = self._loop.now()
+        if self._waiters:
+            self._busy_until = now
 
         def rank(waiter: Waiter) -> tuple[int, bool, float]:
             return waiter.priority, now > waiter.timely_until, waiter.timely_until
@@ -82,7 +126,7 @@
             if waiter not in self._waiters:
                 continue
             # Those behind one that finds no place would find none either: a look costs 0.2 ms.
-            if waiter.service in full and now < waiter.waits_until:
+            if waiter.service in full and now < waiter.due:
                 continue
             if not waiter.look_again():
                 full.add(waiter.service)
