--- a/deploy/brassdrum.py
+++ b/deploy/brassdrum.py
@@ -3,7 +3,10 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+_ROOT = Path(__file__).resolve().parent.parent
+# The build compiles there; see system.toml.
+sys.pycache_prefix = str(_ROOT / "target" / "pycache")
+sys.path.insert(0, str(_ROOT / "src"))
 
 from brassdrum.cli import main
 
