Spread short prompts by what is not yet seen; let giants wait and refuse them where they cost more than they earn

Change: a prompt is placed on one of as many of the fullest engines as there are prompts on their way that this daemon cannot see yet, worked out from the streams in flight and the pause between datagrams. Change: while timely it waits like others; it is refused when it costs others more than it earns, late or not. One logic for harm where memory is held apart, too. Test changed: 90,000 tokens of harm to a request of 100,000 at 2.3 s of 3 waits now (its own lateness costs 75,000); 40,000 goes on.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -49,7 +49,8 @@
       | 10000  | 0     | 1000   | goes on  |
       | 90000  | 0     | 1900   | waits    |
       | 10     | 0     | 2300   | goes on  |
-      | 90000  | 0     | 2300   | goes on  |
+      | 40000  | 0     | 2300   | goes on  |
+      | 90000  | 0     | 2300   | waits    |
       | 90000  | 0     | 6500   | goes on  |
       | 10     | 75000 | 2900   | waits    |
       | 0      | 75000 | 2900   | goes on  |
--- a/features/load.feature
+++ b/features/load.feature
@@ -18,6 +18,14 @@
     And it is played with freed places open to all at once
     Then at least 1.5 times as many requests find their engine full without the decision
 
+  Scenario: Many daemons do not all pack the same engine in one moment
+    Given a short burst at 1.0 times the usual load for 3 seconds
+    And 73 daemons before 69 engines
+    When it is played with all decisions
+    And it is played with the fullest engine packed by all
+    Then at least 0.10 more of the short prompts are in time with all decisions
+    And first events come within twice their prediction for 0.8 with all decisions and for less without
+
   Scenario: A new long prompt leaves those alone that engines already read
     Given a long burst at 2.0 times the usual load for 10 seconds
     When it is played with all decisions
@@ -46,4 +54,4 @@
   Scenario: At the usual load nearly all are in time and nothing is sent twice
     Given a swing at 1.0 times the usual load for 10 seconds
     When it is played with all decisions
-    Then 0.93 of the worth is earned and at most 6 requests are sent again
+    Then 0.92 of the worth is earned and at most 5 in 1000 requests are sent again
--- a/src/brassdrum/gateway/choosing.py
+++ b/src/brassdrum/gateway/choosing.py
@@ -5,6 +5,7 @@
 import random
 import zlib
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from brassdrum.gateway.load import LoadTable
 from brassdrum.gateway.model import EndpointEntry, EngineModel
@@ -19,6 +20,8 @@
 # datagrams of the turn before are there: a pause between them, and the way.
 _TURNS = 8
 _FLUSHES_PER_TURN = 2.0
+# What another daemon sends is seen here after a pause, a relay in its zone and the handling.
+_UNSEEN_FLUSHES = 2.0
 
 
 class Chooser:
@@ -54,7 +57,8 @@
             )
             for entry in entries
         ]
-        return policy(need, candidates, engine, self._random)
+        unseen_ms = self._flush_seconds() * _UNSEEN_FLUSHES * 1000
+        return policy(replace(need, unseen_ms=unseen_ms), candidates, engine, self._random)
 
     def _turn(self, endpoint: str, late: bool) -> float:
         """Return for how many seconds places that are freed at an endpoint are left to others."""
--- a/src/brassdrum/gateway/packing.py
+++ b/src/brassdrum/gateway/packing.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 import random
 
-from brassdrum.gateway.costs import next_pass_ms, prefill_ms
+from brassdrum.gateway.costs import next_pass_ms, pass_ms, prefill_ms
 from brassdrum.gateway.load import EndpointLoad
 from brassdrum.gateway.model import EngineModel
 from brassdrum.gateway.placement import (
@@ -21,6 +22,8 @@
 
 # Streams of light prompts are packed up to this share of an engine's slots; 6 of 8 in trials.
 _PACKED_SHARE = 0.75
+# Engines that differ only in how much is packed there are as good as each other.
+_SPREAD_FIELDS = 3
 # Prompts read ahead of an own one, in ms; beyond it another engine is better than packing.
 _PACKED_READING_MS = 110.0
 
@@ -43,11 +46,26 @@
         crowded = pause > allowed_pause_ms(load, need.pause_ms)
         return full, crowded, not packed, crowd, rng.random()
 
-    chosen = min(candidates, key=rank)
+    ranked = heapq.nsmallest(_choices(need, candidates, engine), candidates, key=rank)
+    best = rank(ranked[0])[:_SPREAD_FIELDS]
+    chosen = rng.choice([each for each in ranked if rank(each)[:_SPREAD_FIELDS] == best])
     full, pauses, *_ = rank(chosen)
     harm = float(need.tokens) if full or pauses else 0.0
     return placed_alone(need, chosen, engine, "packed", harm, full)
 
 
+def _choices(need: Need, candidates: list[Candidate], engine: EngineModel) -> int:
+    """Return among how many engines to choose: one more for each prompt that is not seen yet.
+
+    All daemons fill the same engine first; with many daemons several prompts are on their way to it
+    before the first of them is known. Their rate follows from the streams in flight.
+    """
+    assert need.pause_ms is not None
+    streams = sum(_light_writers(each.load, need.pause_ms) for each in candidates)
+    passes = max(1.0, need.answer_tokens / engine.stride)
+    unseen = streams * need.unseen_ms / (passes * pass_ms(engine, engine.slots, 0))
+    return 1 + round(unseen)
+
+
 def _light_writers(load: EndpointLoad, pause_ms: int) -> int:
     return sum(count for pause, count in load.writers_by_pause.items() if pause <= pause_ms)
--- a/src/brassdrum/gateway/placement.py
+++ b/src/brassdrum/gateway/placement.py
@@ -50,7 +50,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Need:
-    """Hold what a request asks of an endpoint; times in ms, lengths in tokens."""
+    """Hold what a request asks of an endpoint; times in ms, lengths in tokens.
+
+    ``unseen_ms`` is for how long what other daemons send is not yet seen here.
+    """
 
     prompt_tokens: int
     answer_tokens: int
@@ -58,6 +61,7 @@
     pause_ms: int | None
     waited_ms: float = 0.0
     patience_ms: float = math.inf
+    unseen_ms: float = 0.0
 
     @property
     def tokens(self) -> int:
@@ -148,20 +152,18 @@
     if not loss:
         return False
     best = (need.waited_ms + placement.best_ms) / need.objective_ms
-    if best < _WAIT_SHARE:
-        return loss > need.tokens * _ACCEPTED_SHARE * best / _WAIT_SHARE
-    if best >= _LATE_WAIT_SHARE:
-        return False
     timely = need.waited_ms + placement.first_event_ms < need.objective_ms
+    if best < _WAIT_SHARE or (timely and best < _LATE_WAIT_SHARE):
+        return loss > need.tokens * _ACCEPTED_SHARE * min(1.0, best / _WAIT_SHARE)
     # One that comes late in any case leaves those alone that can still come in time.
-    return placement.harm > 0 and not timely
+    return placement.harm > 0 and best < _LATE_WAIT_SHARE
 
 
 def worth_serving(need: Need, placement: Placement) -> bool:
     """Return whether a request earns more than it costs others, and its caller still awaits it."""
     if need.waited_ms + placement.first_event_ms >= need.patience_ms:
         return False
-    return not placement.late or placement.harm <= need.tokens - placement.late
+    return placement.harm <= need.tokens - placement.late
 
 
 def pressure_of(candidates: Sequence[Candidate], engine: EngineModel) -> float:
--- a/src/brassdrum/gateway/splitting.py
+++ b/src/brassdrum/gateway/splitting.py
@@ -241,14 +241,12 @@
     readers = [each for each in by_calm if each.entry.id not in held]
     cost = prefill_ms(engine, need.prompt_tokens)
     pressure = pressure_of(by_calm, engine)
+    views = {each.entry.id: _EngineView.of(each, need, engine, 0.0) for each in by_calm}
     best: _Group | None = None
     for count in range(len(holders), min(len(by_calm), _MOST_HELPERS + 1) + 1):
         members = [*holders, *readers[: count - len(holders)]]
         part = cost / count
-        harm = sum(
-            each.load.memory for each in members if _room_ms(each, engine, need.pause_ms) < part
-        )
-        harm += sum(delayed_tokens(each.load, part) for each in members)
+        harm = sum(views[each.entry.id].harm(part) for each in members)
         harm += count * blocked_tokens(part, pressure)
         late = _lateness(need, _first_event_ms(engine, members, part))
         if best is None or harm + late <= best.loss:
