--- a/features/explaining.feature
+++ b/features/explaining.feature
@@ -45,8 +45,9 @@
 
   Scenario: Metrics compare each first event with its prediction
     Given a gateway before 2 engines
-    When a caller sends a "text" 2 times
-    Then the metrics page compares 2 first events with their predictions
+    And all requests meet "stream"
+    When a caller declares a prompt of 5000 tokens
+    Then the metrics page compares 1 first event with its prediction
 
   Scenario: Settings are read again on a signal, and broken ones are refused
     Given a gateway before two endpoints
--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -174,7 +174,7 @@
     assert shown[0].endswith(f" {endpoints}.0"), shown
 
 
-@then("the metrics page compares {events:d} first events with their predictions")
+@then("the metrics page compares {events:d} first event with its prediction")
 def step_compared(context, events):
     page = context.gateways[0].daemon.metrics.page().decode()
     counted = [line for line in page.splitlines() if "prediction_ratio_count{" in line]
