--- a/src/brassdrum/cli/bench.py
+++ b/src/brassdrum/cli/bench.py
@@ -76,6 +76,21 @@
     return 0
 
 
+def _run_load(options: argparse.Namespace) -> int:
+    from brassdrum.bench.load.curve import LoadPlan, measure_curve
+
+    plan = LoadPlan(options.shape, options.seconds, options.daemons, options.engines)
+    points = [
+        asdict(point)
+        for point in measure_curve(plan, options.policy, options.load, range(1, options.seeds + 1))
+    ]
+    if options.json:
+        print_json(points)
+        return 0
+    print_rows(tuple(points[0]), [list(point.values()) for point in points])
+    return 0
+
+
 def _run_source(options: argparse.Namespace) -> int:
     from brassdrum.bench.source import PacedSource, PacedSourceSettings
 
@@ -110,6 +125,18 @@
     decisions.add_argument("--seed", type=int, default=1)
     decisions.add_argument("--json", action="store_true", help="print JSON")
     decisions.set_defaults(run=_run_decisions)
+    load = actions.add_parser("load", help="the gateway's decisions against load, simulated")
+    load.add_argument("load", nargs="+", type=float, help="times the usual load, as 1 1.5 2")
+    load.add_argument("--shape", default="swing", help="steady, short burst, long burst, swing")
+    load.add_argument(
+        "--policy", nargs="+", default=["round_robin", "least_outstanding", "least_harm"]
+    )
+    load.add_argument("--seeds", type=int, default=3)
+    load.add_argument("--seconds", type=float, default=10.0)
+    load.add_argument("--daemons", type=int, default=7)
+    load.add_argument("--engines", type=int, default=21)
+    load.add_argument("--json", action="store_true", help="print JSON")
+    load.set_defaults(run=_run_load)
     run = actions.add_parser("run", help="compare routing policies on a seeded workload")
     run.add_argument("experiment", type=Path, metavar="EXPERIMENT.json")
     run.add_argument("--output", type=Path, help="write one JSON line a run")
