--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -156,6 +156,11 @@
     Then a peer message comes back as it was sent
     And these are refused as peer messages: "", "[]", "{}", "[2,1,1,1,1,1,1]", "null", "[1"
 
+  Scenario: A new daemon learns from a peer's snapshot what that peer knows by word only
+    Given a daemon that read a list and then heard that an endpoint leaves
+    When a new daemon takes its snapshot
+    Then the new daemon does not use that endpoint
+
   Scenario: Lapsed entries are kept while the store settles, dropped ones are not
     When the list is read, the store is away for 5 seconds, and the list comes back empty
     Then the endpoints are kept for 2 seconds and dropped after that
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -6,6 +6,7 @@
 import tempfile
 import threading
 from collections import Counter
+from concurrent.futures import Future
 from http.server import BaseHTTPRequestHandler, HTTPServer
 from itertools import groupby
 from pathlib import Path
@@ -13,17 +14,21 @@
 from behave import given, then, when
 
 import brassdrum
+from brassdrum.bench.load.loop import SimulatedLoop
 from brassdrum.errors import InvalidDocumentError, PlatformUnavailableError
 from brassdrum.gateway.events import EventOrderError, EventReader
+from brassdrum.gateway.follower import Follower, Snapshot
 from brassdrum.gateway.knowledge import Knowledge
 from brassdrum.gateway.load import EndpointLoad, LoadRow, LoadTable, Share
 from brassdrum.gateway.model import (
+    Bounds,
     DeclaredRequest,
     EndpointEntry,
     EngineModel,
     FleetConfiguration,
     RouteKind,
     RouteTarget,
+    SharedRecord,
 )
 from brassdrum.gateway.peer_messages import (
     PeerBelief,
@@ -752,3 +757,40 @@
 def step_small(context, most):
     lines = sum(len(path.read_text().splitlines()) for path in GATEWAY.glob("platform/*.py"))
     assert lines < most, lines
+
+
+class ListedEntries:
+    """Decode entries as they are named here; the list itself comes from peers."""
+
+    def decode_endpoint(self, record):
+        """Return an entry that takes new work."""
+        return EndpointEntry(record.key, "pool", "10.0.0.1:80", "zone-a", 8, False)
+
+
+def follower_that_pulled(snapshot):
+    """Return a daemon's knowledge and follower after it took a peer's snapshot."""
+    knowledge = Knowledge()
+    follower = Follower(
+        SimulatedLoop(), ListedEntries(), knowledge, Bounds(), 1, lambda *_: None, lambda *_: None
+    )
+    pulled = Future()
+    pulled.set_result(Snapshot.decode(snapshot))
+    follower._pulled("10.1.0.1", 90.0, 1, pulled)
+    return knowledge, follower
+
+
+@given("a daemon that read a list and then heard that an endpoint leaves")
+def step_heard_leaving(context):
+    listed = Snapshot(None, (SharedRecord("engine-1", b""), SharedRecord("engine-2", b"")))
+    knowledge, context.teller = follower_that_pulled(listed.encode())
+    assert knowledge.leaves("engine-1", 95.0)
+
+
+@when("a new daemon takes its snapshot")
+def step_take_snapshot(context):
+    context.knowledge, _ = follower_that_pulled(context.teller.snapshot())
+
+
+@then("the new daemon does not use that endpoint")
+def step_not_used(context):
+    assert [entry.id for entry in context.knowledge.usable("pool")] == ["engine-2"]
--- a/src/brassdrum/gateway/follower.py
+++ b/src/brassdrum/gateway/follower.py
@@ -9,7 +9,7 @@
 import zlib
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from brassdrum.errors import BrassdrumError, InvalidDocumentError
 from brassdrum.gateway.knowledge import EndpointChange, Knowledge
@@ -46,10 +46,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """Hold all that one read of the store or of a peer brought."""
+    """Hold all that one read of the store or of a peer brought.
+
+    ``leaving`` names endpoints that a peer knows to leave by word, whatever their record says.
+    """
 
     configuration: SharedRecord | None
     endpoints: tuple[SharedRecord, ...]
+    leaving: tuple[str, ...] = ()
 
     def encode(self) -> bytes:
         """Return the form that daemons hand to each other."""
@@ -59,6 +63,7 @@
             "endpoints": [
                 [record.key, base64.b64encode(record.value).decode()] for record in self.endpoints
             ],
+            "leaving": list(self.leaving),
         }
         return zlib.compress(json.dumps(content).encode(), _COMPRESSION)
 
@@ -74,7 +79,7 @@
         endpoints = tuple(
             SharedRecord(key, base64.b64decode(entry)) for key, entry in content["endpoints"]
         )
-        return cls(record, endpoints)
+        return cls(record, endpoints, tuple(content["leaving"]))
 
 
 class Follower:
@@ -134,7 +139,8 @@
         if self._packed is None or self._packed_mark != mark:
             named = self._records_by_id
             records = tuple(named[name] for name in known.endpoints_by_id if name in named)
-            self._packed = Snapshot(self._configuration, records).encode()
+            leaving = tuple(name for name, each in known.endpoints_by_id.items() if each.draining)
+            self._packed = Snapshot(self._configuration, records, leaving).encode()
             self._packed_mark = mark
         return self._packed
 
@@ -233,10 +239,13 @@
         entries = []
         for record in snapshot.endpoints:
             try:
-                entries.append(self._store.decode_endpoint(record))
+                entry = self._store.decode_endpoint(record)
             except InvalidDocumentError as error:
                 log_events.ENTRY_REFUSED.write(_logger, error=error.message)
                 continue
+            # A record may be older than the word: what a list calls ready would be used again.
+            leaves = entry.draining or entry.id in snapshot.leaving
+            entries.append(replace(entry, draining=leaves))
             self._records_by_id[record.key] = record
         changes = take(entries)
         if changes:
