Hold simulated predictions and memory by name instead of by place

Cause: the simulated daemon found the owner of held memory through a bound method, and kept bare tuples. Change: memory by its ticket, predictions in a typed record.

--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -30,7 +30,7 @@
 from brassdrum.gateway.waiting import WaitingLine
 from brassdrum.telemetry.log_events import PLACED, LogEvent
 
-__all__ = ["SERVICE", "Fleet", "SimulatedDaemon"]
+__all__ = ["SERVICE", "Fleet", "Prediction", "SimulatedDaemon"]
 
 SERVICE = "pool"
 # How long a daemon gathers changes, which grows with the fleet, and a datagram's way.
@@ -40,6 +40,15 @@
 _SENDING = b"sending"
 
 
+@dataclass(frozen=True, slots=True)
+class Prediction:
+    """Hold what was predicted of a request when it was sent first; times in ms."""
+
+    request: str
+    first_event_ms: float
+    waited_ms: float
+
+
 @dataclass(slots=True)
 class Fleet:
     """Hold what all daemons of one run share."""
@@ -90,7 +99,12 @@
             owner.data(b"id: %d\ndata: x\n\n" % (first + number - 1))
 
         helpers = [fleet.engine_by_id[each.address] for each in sending.sending.helpers]
-        stored = {each.address: each.tokens for each in self._daemon.holds.pop(owner, ())}
+        tokens_by_ticket = self._daemon.tokens_by_ticket
+        stored = {
+            each.address: tokens_by_ticket.pop(each.ticket)
+            for each in sending.sending.helpers
+            if each.ticket is not None
+        }
         run = EngineRun(
             declared.prompt_tokens,
             max(1, events - first + 1),
@@ -146,8 +160,8 @@
         _on_user_gone: Callable[[], None],
     ) -> _Hold:
         """Grant all memory after the way to an engine and back."""
-        owner = done.__self__  # type: ignore[attr-defined]
-        self._daemon.holds[owner] = reservations
+        for reservation in reservations:
+            self._daemon.tokens_by_ticket[reservation.ticket] = reservation.tokens
         self._daemon.loop.call_later(2 * _WAY_SECONDS, lambda: done(True))
         return _Hold()
 
@@ -186,9 +200,9 @@
         self.loop = fleet.loop
         self.table = LoadTable()
         self.sendings: dict[bytes, _Sent] = {}
-        self.holds: dict[Attempt, tuple[Reservation, ...]] = {}
+        self.tokens_by_ticket: dict[str, int] = {}
         self.events_by_request: dict[str, int] = {}
-        self.predictions: list[tuple[str, float, float]] = []
+        self.predictions: list[Prediction] = []
         self.repeats = 0
         self.dialect = _Dialect(self)
         self.pool = _Pool(self)
@@ -232,8 +246,13 @@
     def decided(self, event: LogEvent, **values: object) -> None:
         """Note what was predicted of a request when it was sent first."""
         if event is PLACED and values["send"] == 1:
-            predicted, waited = float(values["predicted_ms"]), float(values["waited_ms"])  # type: ignore[arg-type]
-            self.predictions.append((str(values["request"]), predicted, waited))
+            self.predictions.append(
+                Prediction(
+                    str(values["request"]),
+                    float(str(values["predicted_ms"])),
+                    float(str(values["waited_ms"])),
+                )
+            )
 
     def ended(self, exchange: Exchange, _outcome: Outcome, _status: int, _detail: str) -> None:
         """Forget what was drawn for the request."""
--- a/src/brassdrum/bench/load/play.py
+++ b/src/brassdrum/bench/load/play.py
@@ -151,7 +151,7 @@
         request = DeclaredRequest(
             name, b"POST", b"/", "host", [], left, None, self._arrival.prompt, tokens
         )
-        self._exchange = Exchange(self._daemon, self, request, b"", self._route, None)  # type: ignore[arg-type]
+        self._exchange = Exchange(self._daemon, self, request, b"", self._route, None)
         self._exchange.service = SERVICE
         self._exchange.start()
         self._watch()
@@ -220,11 +220,12 @@
 
     def _note_prediction(self, now: float) -> None:
         assert self._daemon is not None and self._exchange is not None
-        for request, predicted, waited in reversed(self._daemon.predictions):
-            if request == self._exchange.request.id:
-                took = (now - self._called_at) * 1000 - waited
-                self._result.ratios.append(took / max(1.0, predicted))
-                return
+        for prediction in reversed(self._daemon.predictions):
+            if prediction.request != self._exchange.request.id:
+                continue
+            took = (now - self._called_at) * 1000 - prediction.waited_ms
+            self._result.ratios.append(took / max(1.0, prediction.first_event_ms))
+            return
 
 
 def _route(kind: Kind) -> Route:
