Say once which work explains a silence; drop a method that nothing calls

Cause: reading the whole change again: the 0.3 s of reading that explains an endpoint's silence stood in the exchange and again in silence.py; the length of the waiting line was never asked for. Change: work_explains in silence.py serves both; the method is gone. No decision changed.

--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -23,7 +23,7 @@
     silence_patience,
 )
 from brassdrum.gateway.placement import Need, Placement, Verdict, judge
-from brassdrum.gateway.silence import allowed_silence, explained_silence
+from brassdrum.gateway.silence import allowed_silence, explained_silence, work_explains
 from brassdrum.gateway.upstream import Break, OutgoingRequest
 from brassdrum.telemetry import log_events
 from brassdrum.telemetry.log_events import LogEvent
@@ -34,8 +34,6 @@
 _DEADLINE_GRACE_SECONDS = 0.05
 # Sends that reached no endpoint cost no budget, but an outage must not spin.
 _MOST_UNSENT = 4
-# Silence of an engine with this much to read says nothing about its health.
-_EXPLAINED_READING_SECONDS = 0.3
 # A repeatable call that is silent for its objective is tried elsewhere if this much time is left.
 _REPEAT_LEAST_SECONDS = 0.05
 # When to come back after a refusal: about the time in which an endpoint frees a place.
@@ -395,7 +393,7 @@
                 self._silence = self._host.loop.call_later(more, self._silent)
                 return
         attempt.cancel()
-        certain = self.route.streams and reading < _EXPLAINED_READING_SECONDS
+        certain = self.route.streams and not work_explains(reading)
         self._attempt_lost(attempt, "the endpoint is silent", certain=certain)
 
     def attempt_unheard(self, attempt: Attempt) -> None:
--- a/src/brassdrum/gateway/silence.py
+++ b/src/brassdrum/gateway/silence.py
@@ -4,7 +4,7 @@
 
 from brassdrum.gateway.model import Route, RouteKind
 
-__all__ = ["allowed_silence", "explained_silence"]
+__all__ = ["allowed_silence", "explained_silence", "work_explains"]
 
 # A stream is given up at an endpoint when its first event is later than its objective, this
 # slack and this many times the prediction; sending it again reads the whole prompt again.
@@ -23,13 +23,18 @@
 _LEAST_MORE_SECONDS = 0.05
 
 
+def work_explains(reading: float) -> bool:
+    """Return whether an endpoint with seconds of reading may be silent and sound."""
+    return reading >= _EXPLAINED_SECONDS
+
+
 def explained_silence(silent: float, patience: float, reading: float) -> float | None:
     """Return for how many more seconds known work explains an endpoint's silence, or None.
 
     ``reading`` is what the endpoint has to read, ``silent`` how long it was silent so far, both in
     seconds. Prompts that are sent again are read again: on a busy fleet that makes others silent.
     """
-    if reading < _EXPLAINED_SECONDS:
+    if not work_explains(reading):
         return None
     more = min(reading * _READING_FACTOR, patience * _PATIENCE_SHARE - silent)
     return more if more > _LEAST_MORE_SECONDS else None
--- a/src/brassdrum/gateway/waiting.py
+++ b/src/brassdrum/gateway/waiting.py
@@ -59,9 +59,6 @@
         self._busy_since = 0.0
         self._busy_until = 0.0
 
-    def __len__(self) -> int:
-        return len(self._waiters)
-
     def join(self, waiter: Waiter) -> None:
         """Look at a request again until it leaves."""
         now = self._loop.now()
