Take entries of the list strictly, and let an endpoint that starts again start from nothing

An endpoint may start again under its id (`born`); entries may come from other writers. Before: of six faulty entries five were taken as endpoints (unknown state, number as text, start that is no whole number, missing field, address without port); one record with unreadable base64 ended the whole read; a restarted endpoint kept suspicion, words of peers and load rows of its predecessor, and two lists that differ only in the start had one digest. Change: the adapter decodes entries strictly (all fields, each of its type); an entry's `id` names one incarnation (name and start), so that everything kept by it begins anew and late words about the earlier one change nothing; the wire carries the name. A refused entry is logged once until it changes. Ruled out: comparing starts by size (an endpoint's clock may step back; the newest read decides); cutting streams of the predecessor on the list's word (an entry may be another writer's; the connection tells). Also: requests are counted and logged ahead of their answer's last byte, so that who has the answer finds it in the metrics page (explaining.feature "Metrics count..." raced with the loop's thread).

--- a/features/steps/gateway_adapter_steps.py
+++ b/features/steps/gateway_adapter_steps.py
@@ -20,8 +20,9 @@
     RouteTarget,
 )
 from brassdrum.platform.documents import decode_configuration, decode_endpoint
-from brassdrum.platform.settings import SettingsFile, read_settings
+from brassdrum.platform.settings import read_settings
 from brassdrum.platform.store import PlatformStore
+from brassdrum.settings_file import SettingsFile
 from features.gateway_world import HOST, event, route
 
 
@@ -183,12 +184,16 @@
     """Answer as the platform's store does, three entries a page."""
 
     status = 200
+    unreadable = None
 
     def do_GET(self):
         """Answer one page."""
         after = self.path.partition("&after=")[2]
         start = int(after or 0)
-        items = [{"key": str(n), "value": "e30=", "offset": n} for n in range(start + 1, start + 4)]
+        items = [
+            {"key": str(n), "value": "?" if str(n) == self.unreadable else "e30=", "offset": n}
+            for n in range(start + 1, start + 4)
+        ]
         body = json.dumps({"items": items, "has_more": start < 6, "end_offset": 9}).encode()
         if self.status == 0:
             self.close_connection = True
--- a/src/brassdrum/gateway/attempt.py
+++ b/src/brassdrum/gateway/attempt.py
@@ -111,7 +111,7 @@
         )
         self._host.load_changed()
         reservations = tuple(
-            Reservation(each.entry.address, self.ticket(each.entry.id), each.stored)
+            Reservation(each.entry.address, self.ticket(each.entry.name), each.stored)
             for each in self._placement.helpers
             if each.stored
         )
@@ -189,5 +189,5 @@
 
 def helper_name(attempt: Attempt, helper: Helper) -> HelperName:
     """Return how a request names a helper and the memory that it holds."""
-    ticket = attempt.ticket(helper.entry.id) if helper.stored else None
+    ticket = attempt.ticket(helper.entry.name) if helper.stored else None
     return HelperName(helper.entry.address, ticket)
--- a/src/brassdrum/gateway/beliefs.py
+++ b/src/brassdrum/gateway/beliefs.py
@@ -108,6 +108,8 @@
         """Log the endpoints that joined or left."""
         for change in changes:
             self._log_endpoint(change, source)
+            if change.change == "restarted" and change.address is not None:
+                self._pool.forget(change.address)
         self._suspicions.keep(set(self._knowledge.endpoints_by_id))
         self._on_changed()
 
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -358,7 +358,6 @@
         headers: Headers = []
         if refusal.retry_after is not None:
             headers.append((b"Retry-After", b"%.2f" % refusal.retry_after))
-        connection.answer(refusal.status, headers, b"")
         self.metrics.refused(refusal.status)
         log_events.REFUSED.write(
             _logger,
@@ -367,6 +366,7 @@
             detail=refusal.detail,
             version=self.knowledge.version,
         )
+        connection.answer(refusal.status, headers, b"")
 
     def _reload(self, reload: Callable[[], GatewaySettings]) -> None:
         try:
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -175,16 +175,16 @@
             return
         self._host.beliefs.endpoint_served(attempt.endpoint)
         if not self.route.streams:
-            self._connection.answer(reply.status, reply.headers, bytes(attempt.body))
             self._end(Outcome.SERVED, reply.status, "")
+            self._connection.answer(reply.status, reply.headers, bytes(attempt.body))
             return
         if not self._began:
             self._connection.begin(reply.status, reply.headers)
             self._began = True
         if self._reader.rest:
             self._connection.data(self._reader.rest)
-        self._connection.end()
         self._end(Outcome.SERVED, reply.status, "")
+        self._connection.end()
 
     def attempt_broken(self, attempt: Attempt, how: Break, detail: str) -> None:
         """Try again where that does no harm."""
@@ -331,8 +331,8 @@
             # The endpoint did not say that it did not run the request, so neither may this daemon.
             self._fail(f"the endpoint answered {reply.status} and may have run the request")
             return
-        self._connection.answer(reply.status, reply.headers, bytes(attempt.body))
         self._end(Outcome.FAILED, reply.status, "the endpoint's own failure")
+        self._connection.answer(reply.status, reply.headers, bytes(attempt.body))
 
     def _retry_unrun(self, attempt: Attempt, detail: str) -> None:
         attempt.finish()
@@ -430,17 +430,17 @@
     def _fail(self, detail: str, come_back: float = _RETRY_AFTER_SECONDS) -> None:
         """Give the final answer to a request that is not served."""
         if self._began:
-            self._connection.abort()
             self._end(Outcome.BROKEN_OFF, 0, detail)
+            self._connection.abort()
             return
         if not self._may_have_run:
             left = self.request.patience - (self._host.loop.now() - self.arrived)
-            self._connection.answer(503, retry_after(come_back, left), b"")
             self._end(Outcome.REFUSED, 503, detail)
+            self._connection.answer(503, retry_after(come_back, left), b"")
             return
         status = 504 if self.time_left <= 0 else 502
-        self._connection.answer(status, [], b"")
         self._end(Outcome.FAILED, status, detail)
+        self._connection.answer(status, [], b"")
 
     def _stop_attempt(self) -> None:
         if self._attempt is not None:
@@ -454,6 +454,10 @@
             self._silence.cancel()
 
     def _end(self, outcome: Outcome, status: int, detail: str) -> None:
+        """Count and log the end, ahead of the answer's last byte.
+
+        Whoever has the answer finds it counted: in the metrics page and in the log.
+        """
         if self._done:
             return
         self._done = True
--- a/src/brassdrum/gateway/follower.py
+++ b/src/brassdrum/gateway/follower.py
@@ -42,6 +42,8 @@
 # A daemon that could not announce itself tries again after this; peers' lists carry it meanwhile.
 _ANNOUNCE_SECONDS = 2.0
 _THREADS = 3
+# Entries of other writers that are remembered as logged: 64 of 200 bytes are 13 KB.
+_MOST_REFUSED = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +113,7 @@
         self._timer: Timer | None = None
         self._configuration: SharedRecord | None = None
         self._records_by_id: dict[str, SharedRecord] = {}
+        self._refused_by_key: dict[str, bytes] = {}
         self._store_answers: bool | None = None
         self._packed: bytes | None = None
         self._packed_mark = (-1, "")
@@ -241,12 +244,12 @@
             try:
                 entry = self._store.decode_endpoint(record)
             except InvalidDocumentError as error:
-                log_events.ENTRY_REFUSED.write(_logger, error=error.message)
+                self._note_refused(record, error.message)
                 continue
             # A record may be older than the word: what a list calls ready would be used again.
             leaves = entry.draining or entry.id in snapshot.leaving
             entries.append(replace(entry, draining=leaves))
-            self._records_by_id[record.key] = record
+            self._records_by_id[entry.id] = record
         changes = take(entries)
         if changes:
             self._on_changes(changes, source)
@@ -254,6 +257,15 @@
         for name in [name for name in self._records_by_id if name not in known]:
             del self._records_by_id[name]
 
+    def _note_refused(self, record: SharedRecord, error: str) -> None:
+        """Log an entry that names no endpoint, once until it changes: it is read each second."""
+        if self._refused_by_key.get(record.key) == record.value:
+            return
+        self._refused_by_key[record.key] = record.value
+        while len(self._refused_by_key) > _MOST_REFUSED:
+            del self._refused_by_key[next(iter(self._refused_by_key))]
+        log_events.ENTRY_REFUSED.write(_logger, error=error)
+
     def _configure(self, record: SharedRecord | None, source: str) -> None:
         if record is None:
             return
--- a/src/brassdrum/gateway/knowledge.py
+++ b/src/brassdrum/gateway/knowledge.py
@@ -22,11 +22,15 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointChange:
-    """Tell what became of an endpoint: ``joined``, ``draining``, ``gone`` or ``back``."""
+    """Tell what became of an endpoint: ``joined``, ``draining``, ``gone``, ``back``, ``restarted``.
+
+    One that started again under its name is ``restarted``; its next incarnation ``joined``.
+    """
 
     endpoint: str
     service: str
     change: str
+    address: str | None = None
 
 
 class Knowledge:
@@ -89,11 +93,9 @@
         return self._entries_by_service.get(service, [])
 
     def find(self, name: str) -> str | None:
-        """Return the id of the endpoint with an id or address."""
-        if name in self.endpoints_by_id:
-            return name
+        """Return the id of the endpoint with a name or address."""
         for entry in self.endpoints_by_id.values():
-            if entry.address == name:
+            if name in (entry.name, entry.address):
                 return entry.id
         return None
 
@@ -173,9 +175,13 @@
             elif earlier.draining and not entry.draining:
                 changes.append(EndpointChange(entry.id, entry.service, "back"))
                 self._left_at_by_id.pop(entry.id, None)
+        names = {entry.name for entry in entries_by_id.values()}
         for entry in self.endpoints_by_id.values():
             if entry.id in entries_by_id:
                 continue
+            if entry.name in names:
+                changes.append(EndpointChange(entry.id, entry.service, "restarted", entry.address))
+                continue
             if settling:
                 entries_by_id[entry.id] = entry
                 continue
--- a/src/brassdrum/gateway/model.py
+++ b/src/brassdrum/gateway/model.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, auto
 from typing import Protocol
 
@@ -137,14 +137,25 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointEntry:
-    """Hold what an endpoint says of itself in the platform's list."""
+    """Hold what an endpoint says of itself in the platform's list.
 
-    id: str
+    An endpoint may start again under its ``name``; ``born`` is the Unix millisecond of its start,
+    None where endpoints do not tell it. ``id`` names one incarnation: all that is kept by it
+    (suspicion, load, memory, words of peers) starts from nothing with the next one.
+    """
+
+    name: str
     service: str
     address: str
     zone: str
     slots: int
     draining: bool
+    born: int | None = None
+    id: str = field(init=False)
+
+    def __post_init__(self) -> None:
+        incarnation = self.name if self.born is None else f"{self.name}@{self.born}"
+        object.__setattr__(self, "id", incarnation)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/brassdrum/platform/dialect.py
+++ b/src/brassdrum/platform/dialect.py
@@ -86,7 +86,7 @@
         """Return the headers that an endpoint receives."""
         headers = list(request.headers)
         headers.append((b"X-Deadline-Remaining", b"%d" % max(1, int(sending.time_left * 1000))))
-        headers.append((b"X-Expect-Replica", sending.endpoint.id.encode("latin-1")))
+        headers.append((b"X-Expect-Replica", sending.endpoint.name.encode("latin-1")))
         if sending.organisation is not None:
             headers.append((b"X-Tenant", sending.organisation.encode("latin-1")))
         priority = min(_LOWEST_PRIORITY, max(0, sending.priority))
--- a/src/brassdrum/platform/documents.py
+++ b/src/brassdrum/platform/documents.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from pydantic import BaseModel, Field, ValidationError
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from brassdrum.errors import InvalidDocumentError
 from brassdrum.gateway.model import (
@@ -128,11 +130,24 @@
 
 
 class _Server(BaseModel):
-    service: str
-    address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
+    """Take an entry only as an endpoint writes it: all fields, each of its type.
+
+    Others may write there too; what they write names no endpoint.
+    """
+
+    model_config = ConfigDict(strict=True)
+
+    service: str = Field(min_length=1)
+    address: str = Field(pattern=r"^[0-9.]+:[0-9]+$")
+    zone: str
+    version: str
+    slots: int = Field(ge=1)
+    state: Literal["ready", "draining"]
+    cold_left_ms: float
+    # Counts the orders that the endpoint has taken; not used here.
+    seq: int
+    # The Unix millisecond of its start; endpoints of older deployments do not tell it.
+    born: int | None = None
 
 
 def decode_configuration(text: bytes) -> FleetConfiguration:
@@ -172,10 +187,11 @@
     except ValidationError as error:
         raise InvalidDocumentError(f"Endpoint entry {name} is not understood: {error}.") from error
     return EndpointEntry(
-        id=name,
+        name=name,
         service=content.service,
         address=content.address,
         zone=content.zone,
         slots=content.slots,
         draining=content.state == "draining",
+        born=content.born,
     )
--- a/src/brassdrum/platform/serve.py
+++ b/src/brassdrum/platform/serve.py
@@ -10,8 +10,9 @@
 from brassdrum.gateway.daemon import GatewayDaemon
 from brassdrum.gateway.model import GatewaySettings
 from brassdrum.platform.dialect import PlatformDialect
-from brassdrum.platform.settings import SettingsFile, read_settings, settings_path
+from brassdrum.platform.settings import read_settings, settings_path
 from brassdrum.platform.store import PlatformStore
+from brassdrum.settings_file import SettingsFile
 from brassdrum.telemetry.bounded_logs import configure_bounded_logging
 
 __all__ = ["serve"]
--- a/src/brassdrum/platform/settings.py
+++ b/src/brassdrum/platform/settings.py
@@ -10,7 +10,7 @@
 from brassdrum.errors import InvalidDocumentError
 from brassdrum.gateway.model import Bounds, GatewaySettings
 
-__all__ = ["PATH_VARIABLE", "PlatformSettings", "SettingsFile", "read_settings", "settings_path"]
+__all__ = ["PATH_VARIABLE", "PlatformSettings", "read_settings", "settings_path"]
 
 # Collectors ask here, as deploy/system.toml says; it is the usual port of such pages.
 _METRICS_PORT = 9464
@@ -66,30 +66,6 @@
     return Path(path)
 
 
-class SettingsFile:
-    """Notice when the settings file changes."""
-
-    def __init__(self, path: Path) -> None:
-        self._path = path
-        self._mark = self._read_mark()
-
-    def changed(self) -> bool:
-        """Return whether the file changed since the last look."""
-        mark = self._read_mark()
-        if mark is None or mark == self._mark:
-            return False
-        self._mark = mark
-        return True
-
-    def _read_mark(self) -> tuple[int, int] | None:
-        try:
-            status = self._path.stat()
-        except OSError:
-            # It is being replaced; the next look finds the new one.
-            return None
-        return status.st_mtime_ns, status.st_size
-
-
 def read_settings(path: Path) -> PlatformSettings:
     """Return the settings, or raise ``InvalidDocumentError``."""
     try:
--- a/src/brassdrum/platform/standin.py
+++ b/src/brassdrum/platform/standin.py
@@ -13,12 +13,13 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
+from brassdrum.soak.answers import EVENTS, event, expected
+
 __all__ = ["Replica", "ReplicaFaults", "Run", "Store", "boot_file", "caller_headers"]
 
 _CONFIGURATION_TOPIC = "keyed.op"
 _ENDPOINT_TOPIC = "keyed.servers"
 _SILENCE_SECONDS = 5.0
-EVENTS = 6
 _EVENT_SECONDS = 0.02
 _KINDS = {"hold": "non_idempotent", "check": "idempotent", "text": "streaming"}
 _HOST = "soak.example"
@@ -115,8 +116,11 @@
             "service": _SERVICE,
             "address": replica.address,
             "zone": "zone-a",
+            "version": "v1",
             "slots": 8,
             "state": "draining" if draining else "ready",
+            "cold_left_ms": 0,
+            "seq": 0,
         }
         self._put(_ENDPOINT_TOPIC, replica.name, json.dumps(content).encode())
 
@@ -309,7 +313,8 @@
             return True
         if request.path.startswith("/text/"):
             return self._stream(connection, request)
-        body = _expected(request.header_by_name["x-attempt-id"], self._chance() < self.faults.spoil)
+        spoilt = self._chance() < self.faults.spoil
+        body = expected(request.header_by_name["x-attempt-id"], spoilt=spoilt)
         self._answer(connection, request, 200, body, seal)
         return True
 
@@ -355,22 +360,6 @@
         connection.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
 
 
-def event(request: str, number: int) -> bytes:
-    """Return one event of a stream."""
-    return f"id: {number}\ndata: {request} {number}\n\n".encode()
-
-
-def whole_answer(kind: str, request: str) -> bytes:
-    """Return what a caller must receive."""
-    if kind == "text":
-        return b"".join(event(request, number) for number in range(1, EVENTS + 1))
-    return _expected(request, spoilt=False)
-
-
-def _expected(request: str, spoilt: bool) -> bytes:
-    return b"spoilt" if spoilt else f"done {request}".encode()
-
-
 def _read(stream: object) -> _Request | None:
     line = stream.readline().split()  # type: ignore[attr-defined]
     if len(line) < 2:
--- a/src/brassdrum/platform/store.py
+++ b/src/brassdrum/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+import logging
 from urllib.parse import quote
 
 from brassdrum.errors import PlatformUnavailableError
@@ -19,6 +20,7 @@
 _DAEMON_TOPIC = "keyed.brassdrum-daemons"
 # An answer takes 4 ms, and 60 times that on a slow day.
 _CALL_SECONDS = 1.0
+_logger = logging.getLogger(__name__)
 _HTTP_OK = 200
 _HTTP_NOT_FOUND = 404
 
@@ -64,11 +66,11 @@
         after = ""
         while True:
             page = self._page(topic, after)
-            for item in page.get("items", []):
-                records.append(SharedRecord(item["key"], base64.b64decode(item["value"])))
-            if not page.get("has_more") or not records:
+            items = page.get("items", [])
+            records.extend(record for record in map(_record, items) if record is not None)
+            if not page.get("has_more") or not items:
                 return records
-            after = f"&after={quote(records[-1].key, safe='')}"
+            after = f"&after={quote(str(items[-1].get('key')), safe='')}"
 
     def _page(self, topic: str, after: str) -> dict:
         body = self._call("GET", f"/log-newest?topic={topic}&part=0{after}")
@@ -88,3 +90,14 @@
         if status != _HTTP_OK:
             raise PlatformUnavailableError(f"The store answered {status} to {method} {path}.")
         return answer
+
+
+def _record(item: dict) -> SharedRecord | None:
+    """Return one record of a page, or None where it cannot be read; the others hold."""
+    try:
+        return SharedRecord(item["key"], base64.b64decode(item["value"], validate=True))
+    except (KeyError, TypeError, ValueError) as error:
+        _logger.warning(
+            "record not readable", extra={"record": str(item)[:80], "error": str(error)}
+        )
+        return None
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -127,14 +127,14 @@
     "endpoint entry refused",
     Topic.BELIEF,
     "error",
-    "An entry of the list of endpoints cannot be decoded; the endpoint is not used.",
+    "An entry of the list names no endpoint to use; logged once until it changes.",
     "Correct what the endpoint writes of itself.",
 )
 ENDPOINT_CHANGED = LOG_EVENTS.add(
     "endpoint changed",
     Topic.BELIEF,
     "endpoint service change source age",
-    "An endpoint joined, drains, is gone or is back.",
+    "An endpoint joined, drains, is gone, is back or started again under its name.",
 )
 ENDPOINT_SUSPECT = LOG_EVENTS.add(
     "endpoint suspect",
