Name a request's content in the log, and log an endpoint's end with who was there

Cause: the logs could not tell a request that ends engines from engines that end of themselves: they did not say which requests are the same, nor which were at an engine when it ended. Change: a fingerprint of caller, path and body in each line on a request; when an answer breaks off without a word, one connection to the endpoint tells an ended process (refused) from a lost answer; the end is one line with the requests and contents of this daemon that were there. Endpoints known to leave are not checked. Ruled out: taking every broken answer for an end: a lost or spoiled answer breaks off too, and the endpoint lives. Conclusion: the content of a request recurs only when its caller comes again, so that it can be followed.

--- /dev/null
+++ b/features/crashing_requests.feature
@@ -0,0 +1,25 @@
+Feature: A request that ends the engines that run it is not sent on for ever
+
+  What was seen: two requests went on to engines 16 and 18 times more after three engines had ended
+  under each; 29 and 36 of 16 engines' incarnations ended in 76 seconds, and the streams of other
+  callers beside them broke two to four times each.
+  How it came about: each attempt was sent to as many engines as its route allows; its caller came
+  again after the failure, at another daemon, with a new id; that daemon sent it on as new.
+  Cause: an endpoint's end was charged to the endpoint alone. Nothing was known of the request
+  beyond its attempt, nor told to other daemons, so no series of ends could stop.
+  Proof: the log names the content of a request and who was at an endpoint when it ended. The same
+  content recurs from one end to the next; no other content does more than its attempts explain.
+
+  Scenario: An endpoint that ends is logged with the requests that were there
+    Given a gateway before two endpoints
+    And its log is kept
+    When a request that ends its endpoint comes to daemon 1
+    Then the log names its content at each of 2 endpoints that ended
+
+  Scenario: An answer that breaks off at an endpoint that lives is no end
+    Given a gateway before two endpoints
+    And its log is kept
+    And all requests meet "truncated"
+    When a caller sends a "check"
+    Then the answer is 502 and ""
+    And the log names no endpoint that ended
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -1,5 +1,6 @@
 """A small world around gateway daemons: a store, endpoints that misbehave on command, callers."""
 
+import contextlib
 import http.client
 import random
 import socket
@@ -27,6 +28,8 @@
 SERVICE = "pool"
 KEY = "key-1"
 EVENTS = 5
+# A body that ends the process of every endpoint that begins to run it.
+ENDING_BODY = b"ends whoever runs it"
 QUICK = Bounds(drain=0.6, configuration=0.6, grace=2.5)
 
 behaviours = Registry("endpoint behaviour")
@@ -95,6 +98,8 @@
         self.orders = []
         self.open = 0
         self.dark = False
+        self.ended = False
+        self.incarnation = 0
         self.released = threading.Event()
         self._lock = threading.Lock()
         self._socket = socket.create_server(("127.0.0.1", 0))
@@ -102,6 +107,24 @@
         self._connections = []
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def end(self):
+        """End as a process does: its host refuses connections, and all open ones break."""
+        self.ended = True
+        self._socket.shutdown(socket.SHUT_RDWR)
+        self._socket.close()
+        for connection in self._connections:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
+    def start_again(self):
+        """Serve the same address as another process, under a new name."""
+        self.incarnation += 1
+        self.name = f"{self.name.split('@')[0]}@{self.incarnation}"
+        self._connections = []
+        self._socket = socket.create_server(("127.0.0.1", int(self.address.split(":")[1])))
+        self.ended = False
+        threading.Thread(target=self._accept, daemon=True).start()
+
     def entry(self, draining=False):
         """Return what the endpoint says of itself."""
         return EndpointEntry(self.name, self.service, self.address, "zone-a", self.slots, draining)
@@ -141,6 +164,9 @@
                     continue
                 with self._lock:
                     self.requests.append(request)
+                    if request.body == ENDING_BODY:
+                        self.end()
+                        return
                     behaviour = self.script.pop(0) if self.script else self.usual
                 if behaviours.get(behaviour)(self, connection, request) is False:
                     return
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -110,6 +110,9 @@
     def load_changed(self):
         """Tell nobody."""
 
+    def answer_broke(self, attempt, witness):
+        """Check nothing."""
+
     def decided(self, event, **values):
         """Log nothing."""
 
--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -12,6 +12,7 @@
 from brassdrum.bench.load.network import SimulatedNetwork
 from brassdrum.gateway.attempt import Attempt
 from brassdrum.gateway.choosing import Chooser
+from brassdrum.gateway.endings import Witness
 from brassdrum.gateway.exchange import Exchange
 from brassdrum.gateway.load import LoadTable
 from brassdrum.gateway.model import (
@@ -272,6 +273,9 @@
         """Forget what was drawn for the request."""
         self.events_by_request.pop(exchange.request.id, None)
 
+    def answer_broke(self, _attempt: Attempt, _witness: Witness) -> None:
+        """Do nothing: simulated engines do not end."""
+
     def load_changed(self) -> None:
         """Look at the line, and tell peers soon."""
         self.line.place_freed()
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -14,10 +14,12 @@
 from brassdrum.clock import Clock, SystemClock
 from brassdrum.errors import InvalidDocumentError
 from brassdrum.gateway.admission import Refusal, admit
+from brassdrum.gateway.attempt import Attempt
 from brassdrum.gateway.beliefs import Beliefs
 from brassdrum.gateway.callers import CallerConnection, CallerHandler, Listener
 from brassdrum.gateway.choosing import Chooser
 from brassdrum.gateway.datagrams import DatagramSocket
+from brassdrum.gateway.endings import EndingChecks, Witness
 from brassdrum.gateway.exchange import Exchange
 from brassdrum.gateway.follower import KNOWLEDGE_PATH, Follower
 from brassdrum.gateway.knowledge import Knowledge
@@ -30,6 +32,7 @@
     DaemonAddress,
     DeclaredRequest,
     Dialect,
+    EndpointEntry,
     EngineModel,
     GatewaySettings,
     Headers,
@@ -113,6 +116,7 @@
             self.beliefs.configured,
         )
         self.beliefs.follow(self._follower)
+        self._endings = EndingChecks(self.loop, self._endpoint_ended)
         self._peers: Peers | None = None
         self._listeners: list[Listener] = []
 
@@ -272,6 +276,12 @@
         assert self._peers is not None
         return self._budget(service).left(self.loop.now(), self._peers.live)
 
+    def answer_broke(self, attempt: Attempt, witness: Witness) -> None:
+        """Find out whether the endpoint has ended, unless it was about to leave."""
+        entry = self.knowledge.endpoints_by_id.get(attempt.endpoint)
+        if entry is not None and not entry.draining:
+            self._endings.answer_broke(entry, witness)
+
     def load_changed(self) -> None:
         """Look at the waiting requests, and tell peers soon."""
         assert self._peers is not None
@@ -299,7 +309,12 @@
         }
         if outcome is not Outcome.SERVED:
             log_events.FAILED.write(
-                _logger, outcome=outcome.name.lower(), detail=detail, story=exchange.story, **values
+                _logger,
+                content=exchange.content,
+                outcome=outcome.name.lower(),
+                detail=detail,
+                story=exchange.story,
+                **values,
             )
         elif report.late:
             log_events.LATE.write(_logger, pause_ms=report.pause_ms, story=exchange.story, **values)
@@ -308,6 +323,17 @@
 
     # Inner wiring.
 
+    def _endpoint_ended(self, entry: EndpointEntry, witnesses: list[Witness]) -> None:
+        self.beliefs.endpoint_failed(entry.id, certain=True, detail="its process has ended")
+        log_events.ENDPOINT_ENDED.write(
+            _logger,
+            endpoint=entry.id,
+            service=entry.service,
+            requests=[each.request for each in witnesses],
+            contents=[each.content for each in witnesses],
+            began=[each.request for each in witnesses if each.began],
+        )
+
     def _listen(self, port: int, accept: Callable[[socket.socket], None]) -> None:
         self._listeners.append(Listener(self.loop, self.settings.host, port, accept))
 
--- /dev/null
+++ b/src/brassdrum/gateway/endings.py
@@ -0,0 +1,105 @@
+"""Find out whether an endpoint's process has ended when an answer of it breaks off."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from brassdrum.gateway.loop import EventLoop, Timer
+from brassdrum.gateway.model import EndpointEntry
+from brassdrum.gateway.transport import Transport
+
+__all__ = ["EndingChecks", "Witness"]
+
+# A host without the process refuses a connection within a round trip, 1 to 5 ms between zones; one
+# that says nothing for this long has lost power or is cut off, which is no proof of an ending.
+_CHECK_SECONDS = 0.3
+# The streams of one endpoint break within milliseconds of each other; one check serves them all.
+_ENDED_KEPT_SECONDS = 2.0
+_MOST_ENDED = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Witness:
+    """Name a request that an endpoint had when its answer broke; ``began`` if it had begun."""
+
+    request: str
+    content: str
+    began: bool
+
+
+class EndingChecks:
+    """Open one connection to an endpoint whose answer broke: a refusal proves that it has ended."""
+
+    def __init__(
+        self, loop: EventLoop, on_ended: Callable[[EndpointEntry, list[Witness]], None]
+    ) -> None:
+        self._loop = loop
+        self._on_ended = on_ended
+        self._witnesses_by_endpoint: dict[str, list[Witness]] = {}
+        self._ended_at_by_endpoint: dict[str, float] = {}
+
+    def answer_broke(self, entry: EndpointEntry, witness: Witness) -> None:
+        """Take that the answer to a request broke off without the endpoint saying why."""
+        ended_at = self._ended_at_by_endpoint.get(entry.id)
+        if ended_at is not None and self._loop.now() - ended_at < _ENDED_KEPT_SECONDS:
+            self._on_ended(entry, [witness])
+            return
+        witnesses = self._witnesses_by_endpoint.get(entry.id)
+        if witnesses is not None:
+            witnesses.append(witness)
+            return
+        self._witnesses_by_endpoint[entry.id] = [witness]
+        _Check(self._loop, entry.address, lambda refused: self._checked(entry, refused))
+
+    def _checked(self, entry: EndpointEntry, refused: bool) -> None:
+        witnesses = self._witnesses_by_endpoint.pop(entry.id)
+        if not refused:
+            return
+        self._ended_at_by_endpoint[entry.id] = self._loop.now()
+        while len(self._ended_at_by_endpoint) > _MOST_ENDED:
+            del self._ended_at_by_endpoint[next(iter(self._ended_at_by_endpoint))]
+        self._on_ended(entry, witnesses)
+
+
+class _Check:
+    """Open a connection, say whether it was refused, and close it."""
+
+    def __init__(self, loop: EventLoop, address: str, done: Callable[[bool], None]) -> None:
+        self._done: Callable[[bool], None] | None = done
+        self._transport: Transport | None = None
+        self._timer: Timer | None = None
+        host, _, port = address.rpartition(":")
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        code = sock.connect_ex((host, int(port)))
+        if code not in (0, errno.EINPROGRESS):
+            sock.close()
+            loop.post(lambda: self._finish(code == errno.ECONNREFUSED))
+            return
+        self._timer = loop.call_later(_CHECK_SECONDS, lambda: self._finish(False))
+        self._transport = Transport(loop, sock, self, connecting=True)
+
+    def connected(self) -> None:
+        """Learn that the endpoint takes connections."""
+        self._finish(False)
+
+    def received(self, data: bytes) -> None:
+        """Take bytes that nobody asked for: the endpoint lives."""
+        self._finish(False)
+
+    def lost(self, error: OSError) -> None:
+        """Learn that there is no connection, and why."""
+        self._finish(error.errno == errno.ECONNREFUSED)
+
+    def _finish(self, refused: bool) -> None:
+        done, self._done = self._done, None
+        if done is None:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._transport is not None:
+            self._transport.close()
+        done(refused)
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -4,8 +4,10 @@
 
 from brassdrum.gateway.attempt import Attempt, helper_name
 from brassdrum.gateway.callers import CallerConnection
+from brassdrum.gateway.endings import Witness
 from brassdrum.gateway.events import EventOrderError, EventReader
 from brassdrum.gateway.exchange_host import ExchangeHost
+from brassdrum.gateway.fingerprint import fingerprint
 from brassdrum.gateway.loop import Timer
 from brassdrum.gateway.model import (
     DeclaredRequest,
@@ -57,6 +59,7 @@
         route: Route,
         organisation: Organisation | None,
     ) -> None:
+        self.content = fingerprint(request, "" if organisation is None else organisation.name, body)
         self.request = request
         self.route = route
         self.organisation = organisation
@@ -195,6 +198,8 @@
             self._unsent += 1
             self._retry_unrun(attempt, detail)
             return
+        began = how is Break.ANSWER_CUT
+        self._host.answer_broke(attempt, Witness(self.request.id, self.content, began))
         self._attempt_lost(attempt, detail, certain=False)
 
     def _send(self) -> None:
@@ -272,7 +277,7 @@
 
     def _decided(self, event: LogEvent, **values: object) -> None:
         """Log a decision, and keep it for the line that explains a failure."""
-        self._host.decided(event, request=self.request.id, **values)
+        self._host.decided(event, request=self.request.id, content=self.content, **values)
         if len(self.story) < _LONGEST_STORY:
             at = round((self._host.loop.now() - self.arrived) * 1000)
             self.story.append({"at_ms": at, "event": event.name, **values})
--- a/src/brassdrum/gateway/exchange_host.py
+++ b/src/brassdrum/gateway/exchange_host.py
@@ -4,8 +4,9 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from brassdrum.gateway.attempt import AttemptHost
+from brassdrum.gateway.attempt import Attempt, AttemptHost
 from brassdrum.gateway.beliefs import Beliefs
+from brassdrum.gateway.endings import Witness
 from brassdrum.gateway.knowledge import Knowledge
 from brassdrum.gateway.outcome import Outcome
 from brassdrum.gateway.placement import Need, Placement
@@ -37,6 +38,9 @@
     def decided(self, event: LogEvent, **values: object) -> None:
         """Log a decision that touches a request."""
 
+    def answer_broke(self, attempt: Attempt, witness: Witness) -> None:
+        """Learn that an endpoint broke off an answer without saying why."""
+
     def budget_left(self, service: str) -> float:
         """Return how many repeats this daemon may still send."""
 
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -143,6 +143,14 @@
     "An endpoint failed requests and is avoided for a while.",
     "Look at the endpoint when many daemons suspect it.",
 )
+ENDPOINT_ENDED = LOG_EVENTS.add(
+    "endpoint ended",
+    Topic.BELIEF,
+    "endpoint service requests contents began",
+    "An answer broke off and the endpoint's host refuses connections: its process has ended. "
+    "`requests` of this daemon were there, `contents` name what they ask for, `began` had begun.",
+    "Look for a content that recurs from one endpoint to the next: it may be what ends them.",
+)
 PEER_FOUND = LOG_EVENTS.add(
     "peer found", Topic.BELIEF, "peer host", "Another daemon was heard for the first time."
 )
@@ -169,19 +177,20 @@
 PLACED = LOG_EVENTS.add(
     "placed",
     Topic.REQUEST,
-    "request endpoint helpers predicted_ms waited_ms harm late reason send version list_age",
+    "request content endpoint helpers predicted_ms waited_ms harm late reason send version "
+    "list_age",
     "An endpoint was chosen; `helpers` read parts of the prompt.",
 )
 WAITING = LOG_EVENTS.add(
     "waiting",
     Topic.REQUEST,
-    "request harm late full predicted_ms",
+    "request content harm late full predicted_ms",
     "The request waits, since now it would be late or make others late.",
 )
 SENT_AGAIN = LOG_EVENTS.add(
     "sent again",
     Topic.REQUEST,
-    "request endpoint reason sends after_event budget",
+    "request content endpoint reason sends after_event budget",
     "The attempt failed and the request may be repeated.",
 )
 REFUSED = LOG_EVENTS.add(
@@ -207,7 +216,7 @@
 FAILED = LOG_EVENTS.add(
     "not served",
     Topic.FAILURE,
-    "request route outcome status detail ms first_ms prompt sends version story",
+    "request content route outcome status detail ms first_ms prompt sends version story",
     "The request got no whole answer; `story` lists the decisions that led there.",
     "Read `detail` first, then `story` from its end.",
 )
