Show by a failing test that a request which ends engines is sent on for ever

Cause looked for: whether the series of ends comes from one request that nobody remembers (hypothesis 1). The test sends one ending request six times, each time to the next of three daemons before twelve endpoints.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -23,3 +23,10 @@
     When a caller sends a "check"
     Then the answer is 502 and ""
     And the log names no endpoint that ended
+
+  Scenario: A request that ended three endpoints is refused as not run at every daemon
+    Given 3 gateways before 12 endpoints
+    When a request that ends its endpoint comes 6 times, each time to the next daemon
+    Then at most 6 endpoints have ended
+    And every daemon refuses it as not run and says when to come back
+    And another request to the same path is served by every daemon
