Quarantine the contents that end endpoints, at every daemon and beyond the last one's stop

Cause: an endpoint's end was charged to the endpoint alone (it became suspect); the request was sent on, and came again at another daemon as new. Class: a failure caused by the work is retried as if it were the worker's. Change: daemons add up, over all of them, at which ends each content was, and charge the ends to the fewest contents that explain them. Two ends: sent only to an endpoint without other work. Three: decided 0.25 s later, when the others were heard, then refused with 503 as not run, with the time after which one is tried again alone (ten minutes). A whole answer clears it. News go with the datagrams that daemons send anyway (29 bytes a content); what is quarantined lies in the store as well, one call at its start for the whole fleet. Bounds: 256 contents of 8 ends, 24 told, 20 minutes. Ruled out: counting ends of one content alone: streams beside an ending request break two to four times each, and a healthy one would be refused (a scenario over any series of ends shows it, and fails without the parsimonious charge).

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -30,3 +30,28 @@
     Then at most 6 endpoints have ended
     And every daemon refuses it as not run and says when to come back
     And another request to the same path is served by every daemon
+
+  Scenario: A call that may run once is refused too, and has not run
+    Given 3 gateways before 12 endpoints
+    When a "hold" that ends its endpoint comes until it is refused
+    Then at most 6 endpoints have ended
+    And every daemon refuses it as not run and says when to come back
+
+  Scenario: Daemons that all start anew know from the store what is quarantined
+    Given 3 gateways before 12 endpoints
+    When a request that ends its endpoint comes until it is refused
+    And all daemons are replaced by new ones
+    Then every daemon refuses it as not run and says when to come back
+
+  Scenario: A daemon that joins learns from the others what is quarantined
+    Given 3 gateways before 12 endpoints
+    When a request that ends its endpoint comes until it is refused
+    And a daemon joins while the store is away
+    Then every daemon refuses it as not run and says when to come back
+
+  Scenario: What is quarantined while the store is away is kept when it is back
+    Given 3 gateways before 12 endpoints
+    And the store is away
+    When a request that ends its endpoint comes until it is refused
+    And the store is back
+    Then the store holds what is quarantined
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -42,6 +42,7 @@
         self.current = None
         self.entries = []
         self.hosts = {}
+        self.quarantine_by_content = {}
         self.down = False
         self.calls = 0
         self._object_by_value = {}
@@ -66,6 +67,19 @@
         self._call()
         self.hosts[name] = address
 
+    def quarantines(self):
+        """Return the kept records of quarantined contents."""
+        self._call()
+        return list(self.quarantine_by_content.values())
+
+    def keep_quarantine(self, record):
+        """Keep a record, or drop it where the value is empty."""
+        self._call()
+        if record.value:
+            self.quarantine_by_content[record.key] = record
+        else:
+            self.quarantine_by_content.pop(record.key, None)
+
     def decode_configuration(self, record):
         """Return what was stored."""
         return self._object_by_value[record.value]
--- /dev/null
+++ b/features/quarantine.feature
@@ -0,0 +1,109 @@
+Feature: Ends of endpoints are charged to the fewest contents that explain them
+
+  An endpoint that ends takes all its requests with it. Scenarios name ends by number and contents by
+  letter; no network, the time is passed in. The pattern is that of a caller that comes again every
+  half second with a request which ends its engine, beside dozens of healthy streams.
+
+  Scenario: Three ends are proof, after other daemons were heard
+    Given content a was at ends 1, 2 and 3
+    Then content a is undecided
+    When 0.3 s pass
+    Then content a is quarantined
+
+  Scenario: Two ends make a request suspect, one end does not
+    Given content a was at ends 1 and 2
+    And content b was at ends 2
+    Then content a is suspect
+    And content b is sound
+
+  Scenario: Who was beside an ending request is cleared by its quarantine
+    Given content a was at ends 1, 2, 3 and 4
+    And content b was at ends 1, 2 and 3
+    And content c was at ends 3 and 4
+    When 0.3 s pass
+    Then content a is quarantined
+    And content b is sound
+    And content c is sound
+
+  Scenario: Two that were at the same ends are told apart by the next one
+    Given content a was at ends 1, 2 and 3
+    And content b was at ends 1, 2 and 3
+    When 0.3 s pass
+    Then content a is suspect
+    And content b is suspect
+    When content a was at ends 4
+    Then content a is quarantined
+    And content b is sound
+
+  Scenario: What was charged too early is put right by what comes later
+    Given content b was at ends 1, 2 and 3
+    When 0.3 s pass
+    And content a was at ends 1, 2, 3 and 4
+    Then content b is sound
+
+  Scenario: Two that end engines at the same time are both found
+    Given content a was at ends 1, 2 and 3
+    And content b was at ends 4, 5 and 6
+    When 0.3 s pass
+    Then content a is quarantined
+    And content b is quarantined
+
+  Scenario: A whole answer clears a request, also with others that heard of its ends before
+    Given content a was at ends 1, 2 and 3
+    And another daemon heard all
+    When 0.3 s pass
+    And content a is answered whole
+    Then content a is sound
+    When the other daemon hears all
+    Then content a is sound there
+    When this daemon hears the other
+    Then content a is sound
+
+  Scenario: A request that is quarantined is tried again alone after ten minutes
+    Given content a was at ends 1, 2 and 3
+    When 599 s pass
+    Then content a is quarantined
+    When 2 s pass
+    Then content a is suspect
+    When content a was at ends 4
+    Then content a is quarantined
+
+  Scenario: What was seen is forgotten after twenty minutes
+    Given content a was at ends 1, 2 and 3
+    When 1201 s pass
+    Then nothing is known
+
+  Scenario: A flood of contents is kept within bounds and does not push out what is proven
+    Given content a was at ends 1, 2 and 3
+    When 5000 other contents were at one end each
+    Then at most 256 contents are known
+    And at most 24 are told, content a first
+    When 0.3 s pass
+    Then content a is quarantined
+
+  Scenario: A suspect request is sent alone, and nothing beside it for a second
+    Given a daemon before 4 endpoints of which the first 2 have streams
+    Then a suspect request may be sent to endpoints 3 and 4
+    When a suspect request is sent to endpoint 3
+    Then another request may be sent to endpoints 1, 2 and 4
+    When the daemon has waited 1.1 seconds
+    Then another request may be sent to endpoints 1, 2, 3 and 4
+
+  Scenario: Where every endpoint has streams a suspect request is not refused
+    Given a daemon before 2 endpoints of which the first 2 have streams
+    Then a suspect request may be sent to endpoints 1 and 2
+
+  Scenario: Words told to and fro for an hour make nothing younger
+    Given content a was at ends 1, 2 and 3
+    When two daemons tell each other every 0.4 seconds with 0.05 on the way for 700 seconds
+    Then content a is suspect
+    And content a is suspect there
+
+  Scenario: What daemons tell each other survives the wire
+    Then any words are the same after encoding, ages to a twentieth of a second
+
+  Scenario: Daemons that heard the same in any order decide the same
+    Then any ends heard in any order, doubled and late, give the same decisions
+
+  Scenario: A healthy request beside ending ones is not refused
+    Then in any series of ends caused by at most two contents no other one is quarantined
--- a/features/steps/crashing_steps.py
+++ b/features/steps/crashing_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from brassdrum.telemetry import log_events
-from features.gateway_world import ENDING_BODY, HOST, KEY, call
+from features.gateway_world import ENDING_BODY, HOST, KEY, RunningGateway, call, free_port
 from features.steps.explaining_steps import lines
 from features.steps.gateway_steps import send, start
 from features.support import eventually
@@ -60,6 +60,63 @@
         send_ending(context, number % len(context.gateways) + 1)
 
 
+@when("a request that ends its endpoint comes until it is refused")
+def step_until_refused(context):
+    come_until_refused(context, "text")
+
+
+@when('a "{kind:w}" that ends its endpoint comes until it is refused')
+def step_kind_until_refused(context, kind):
+    come_until_refused(context, kind)
+
+
+def come_until_refused(context, kind):
+    """Come again at the next daemon each time; a refusal must leave all endpoints untouched."""
+    context.kind = kind
+    for number in range(20):
+        daemon = number % len(context.gateways) + 1
+        if send_ending(context, daemon, kind).status == 503:
+            return
+    raise AssertionError("20 requests were not refused")
+
+
+@when("all daemons are replaced by new ones")
+def step_replaced(context):
+    for gateway in context.gateways:
+        gateway.close()
+    port = free_port()
+    context.gateways = [RunningGateway(context.store, 2 + n, port) for n in range(3)]
+    for gateway in context.gateways:
+        context.stack.push(gateway.close)
+        eventually(gateway.ready, "the new daemon is ready")
+        eventually(lambda each=gateway: each.daemon.guard.quarantined == 1, "it knows")
+
+
+@when("a daemon joins while the store is away")
+def step_joins(context):
+    joined = RunningGateway(context.store, 9, context.gateways[0].daemon.settings.peer_port)
+    context.gateways.append(joined)
+    context.stack.push(joined.close)
+    eventually(joined.ready, "the new daemon is ready")
+    context.store.down = True
+    eventually(lambda: joined.daemon.guard.quarantined == 1, "it heard of it")
+
+
+@given("the store is away")
+def step_away(context):
+    context.store.down = True
+
+
+@when("the store is back")
+def step_back(context):
+    context.store.down = False
+
+
+@then("the store holds what is quarantined")
+def step_store_holds(context):
+    eventually(lambda: len(context.store.quarantine_by_content) == 1, "the store holds it")
+
+
 @then("at most {count:d} endpoints have ended")
 def step_at_most(context, count):
     ended = [each.name for each in context.endpoints if each.ended]
@@ -70,7 +127,7 @@
 def step_refused(context):
     for number in range(1, len(context.gateways) + 1):
         received = sum(len(each.requests) for each in context.endpoints)
-        answer = send_ending(context, number)
+        answer = send_ending(context, number, getattr(context, "kind", "text"))
         assert answer.status == 503, (number, answer.status)
         assert float(answer.header_by_name["retry-after"]) > 0
         assert sum(len(each.requests) for each in context.endpoints) == received
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from brassdrum.bench.load.loop import SimulatedLoop
+from brassdrum.gateway.crash_guard import CrashGuard
 from brassdrum.gateway.exchange import Exchange
 from brassdrum.gateway.load import LoadTable
 from brassdrum.gateway.model import DeclaredRequest, EndpointEntry, RouteKind
@@ -82,6 +83,7 @@
         ]
         self.knowledge = Knowledge(self.entries)
         self.harm = 0.0
+        self.guard = CrashGuard(self.loop, self.table)
         self.line = WaitingLine(self.loop, lambda seconds: seconds)
         self._numbers = itertools.count()
 
--- /dev/null
+++ b/features/steps/quarantine_steps.py
@@ -0,0 +1,241 @@
+"""Steps on the decisions about requests that end endpoints."""
+
+import random
+import re
+
+from behave import given, then, when
+from hypothesis import given as any_of
+from hypothesis import strategies as st
+
+from brassdrum.bench.load.loop import SimulatedLoop
+from brassdrum.gateway.crash_guard import CrashGuard
+from brassdrum.gateway.load import LoadTable, Share
+from brassdrum.gateway.model import DaemonAddress
+from brassdrum.gateway.peer_messages import (
+    PeerBelief,
+    Report,
+    Sender,
+    decode_message,
+    encode_message,
+)
+from brassdrum.gateway.quarantine import EndingWord, Quarantine, SeenEnd, Standing
+from features.gateway_world import engine_entry
+
+CONTENTS = st.sampled_from([f"{number:016x}" for number in range(6)])
+ENDS = st.lists(st.tuples(CONTENTS, st.integers(1, 8)), max_size=30)
+
+
+class Daemon:
+    """Hold what one daemon knows and what time it is there."""
+
+    def __init__(self):
+        self.quarantine = Quarantine()
+
+
+def content(letter):
+    return f"{ord(letter):016x}"
+
+
+def daemon(context):
+    if not hasattr(context, "daemon"):
+        context.now = 100.0
+        context.daemon = Daemon()
+    return context.daemon
+
+
+def standing(context, letter, where=None):
+    return (where or daemon(context)).quarantine.standing(content(letter), context.now)
+
+
+@given("content {letter} was at ends {numbers}")
+@when("content {letter} was at ends {numbers}")
+def step_was_at(context, letter, numbers):
+    quarantine = daemon(context).quarantine
+    for number in re.findall(r"\d+", numbers):
+        quarantine.ended(content(letter), f"endpoint-{number}", context.now)
+
+
+@given("another daemon heard all")
+@when("the other daemon hears all")
+def step_other_hears(context):
+    if not hasattr(context, "other"):
+        context.other = Daemon()
+    context.other.quarantine.hear(daemon(context).quarantine.words(context.now), context.now)
+
+
+@when("this daemon hears the other")
+def step_this_hears(context):
+    context.daemon.quarantine.hear(context.other.quarantine.words(context.now), context.now)
+
+
+@when("content {letter} is answered whole")
+def step_served(context, letter):
+    context.now += 0.2
+    assert daemon(context).quarantine.served(content(letter), context.now)
+
+
+@when("{seconds:g} s pass")
+def step_time(context, seconds):
+    daemon(context)
+    context.now += seconds
+    context.daemon.quarantine.words(context.now)
+
+
+@then("content {letter} is {name:w}")
+def step_standing(context, letter, name):
+    found = standing(context, letter)
+    assert found is Standing[name.upper()], found
+
+
+@then("content {letter} is {name:w} there")
+def step_standing_there(context, letter, name):
+    found = standing(context, letter, context.other)
+    assert found is Standing[name.upper()], found
+
+
+@then("nothing is known")
+def step_nothing(context):
+    assert daemon(context).quarantine.contents() == []
+
+
+@when("{count:d} other contents were at one end each")
+def step_flood(context, count):
+    for number in range(count):
+        name = f"{number + 1000:016x}"
+        context.daemon.quarantine.ended(name, f"endpoint-{number % 300 + 50}", context.now)
+
+
+@then("at most {count:d} contents are known")
+def step_bound(context, count):
+    assert len(context.daemon.quarantine.contents()) <= count
+
+
+@then("at most {count:d} are told, content {letter} first")
+def step_told(context, count, letter):
+    words = context.daemon.quarantine.words(context.now)
+    assert len(words) <= count
+    assert words[0].content == content(letter)
+
+
+@when(
+    "two daemons tell each other every {pause:g} seconds with {way:g} on the way "
+    "for {seconds:g} seconds"
+)
+def step_to_and_fro(context, pause, way, seconds):
+    context.other = Daemon()
+    pair = [context.daemon, context.other]
+    for number in range(round(seconds / pause)):
+        teller, hearer = pair[number % 2], pair[1 - number % 2]
+        words = passed(teller.quarantine.words(context.now))
+        context.now += way
+        hearer.quarantine.hear(words, context.now)
+        context.now += pause - way
+
+
+def passed(words):
+    """Return words as they come out of a datagram."""
+    belief = PeerBelief(1, "d", 0.0, 1, endings=tuple(words))
+    sender = Sender("daemon-1", DaemonAddress("10.0.0.1", "zone-a"), 1, 1)
+    return decode_message(encode_message(Report(sender, belief))).belief.endings
+
+
+@then("any words are the same after encoding, ages to a twentieth of a second")
+def step_wire(context):
+    ages = st.floats(0, 1200)
+    ends = st.lists(st.builds(SeenEnd, st.integers(0, 2**32 - 1), ages), max_size=8).map(tuple)
+    words = st.lists(
+        st.builds(EndingWord, CONTENTS, ends, st.none() | st.floats(0, 1200)), max_size=24
+    )
+
+    @any_of(words)
+    def check(told):
+        heard = passed(told)
+        assert len(heard) == len(told)
+        for sent, got in zip(told, heard, strict=True):
+            assert got.content == sent.content
+            assert [end.endpoint for end in got.ends] == [end.endpoint for end in sent.ends]
+            for mine, theirs in zip(sent.ends, got.ends, strict=True):
+                assert abs(mine.age - theirs.age) <= 0.0501
+            assert (got.served_age is None) == (sent.served_age is None)
+
+    check()
+
+
+@then("any ends heard in any order, doubled and late, give the same decisions")
+def step_any_order(context):
+    @any_of(ENDS, st.randoms(use_true_random=False))
+    def check(ends, rng):
+        words = [EndingWord(name, (SeenEnd(number, 1.0),)) for name, number in ends]
+        first, second = Quarantine(), Quarantine()
+        first.hear(words, 100.0)
+        for word in rng.sample(words + words, 2 * len(words)):
+            second.hear((word,), 100.0)
+        names = {name for name, _ in ends}
+        for name in names:
+            assert first.standing(name, 100.5) is second.standing(name, 100.5), (name, ends)
+
+    check()
+
+
+@then("in any series of ends caused by at most two contents no other one is quarantined")
+def step_healthy(context):
+    @any_of(st.integers(0, 2**32), st.integers(1, 2), st.integers(6, 24))
+    def check(seed, causes, endpoints):
+        rng = random.Random(seed)
+        quarantine = Quarantine()
+        now = 100.0
+        incarnation = 0
+        ending = [f"{number:016x}" for number in range(causes)]
+        healthy = [f"{number + 100:016x}" for number in range(40)]
+        for _ in range(60):
+            now += rng.uniform(0.2, 0.8)
+            cause = rng.choice(ending)
+            if quarantine.standing(cause, now) is Standing.QUARANTINED:
+                continue
+            incarnation += 1
+            endpoint = f"endpoint-{rng.randrange(endpoints)}-{incarnation}"
+            # Each healthy stream is sent again at most once, by its caller once more.
+            beside = rng.sample(healthy, 5)
+            for name in {cause, *beside}:
+                quarantine.ended(name, endpoint, now)
+            for name in beside:
+                if rng.random() < 0.5:
+                    quarantine.served(name, now + 0.1)
+        assert not {*quarantine.in_force(now + 1)} - {*ending}
+
+    check()
+
+
+@given("a daemon before {count:d} endpoints of which the first {busy:d} have streams")
+def step_guard(context, count, busy):
+    context.loop = SimulatedLoop()
+    table = LoadTable()
+    context.guard = CrashGuard(context.loop, table)
+    context.entries = [engine_entry(number + 1) for number in range(count)]
+    for entry in context.entries[:busy]:
+        table.start(entry.id, [Share(entry.id, 10.0, 100, 250)], 0.0, 10.0)
+
+
+@then("a suspect request may be sent to endpoints {numbers}")
+def step_suspect_choices(context, numbers):
+    assert_choices(context, Standing.SUSPECT, numbers)
+
+
+@then("another request may be sent to endpoints {numbers}")
+def step_other_choices(context, numbers):
+    assert_choices(context, Standing.SOUND, numbers)
+
+
+def assert_choices(context, standing, numbers):
+    found = [entry.name for entry in context.guard.choices(standing, context.entries)]
+    assert found == [f"engine-{number}" for number in re.findall(r"\d+", numbers)], found
+
+
+@when("a suspect request is sent to endpoint {number:d}")
+def step_suspect_sent(context, number):
+    context.guard.sent(Standing.SUSPECT, f"engine-{number}")
+
+
+@when("the daemon has waited {seconds:g} seconds")
+def step_guard_waits(context, seconds):
+    context.loop.advance(seconds)
--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -12,6 +12,7 @@
 from brassdrum.bench.load.network import SimulatedNetwork
 from brassdrum.gateway.attempt import Attempt
 from brassdrum.gateway.choosing import Chooser
+from brassdrum.gateway.crash_guard import CrashGuard
 from brassdrum.gateway.endings import Witness
 from brassdrum.gateway.exchange import Exchange
 from brassdrum.gateway.load import LoadTable
@@ -212,6 +213,7 @@
         self.pool = _Pool(self)
         self.beliefs = _Beliefs()
         self.knowledge = _Knowledge(fleet)
+        self.guard = CrashGuard(self.loop, self.table)
         self.reservations = _Reservations(self)
         self.line = WaitingLine(self.loop, lambda seconds: seconds * rng.uniform(0.6, 1.4))
         self.peers = Peers(
--- a/src/brassdrum/gateway/beliefs.py
+++ b/src/brassdrum/gateway/beliefs.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 
+from brassdrum.gateway.crash_guard import CrashGuard
 from brassdrum.gateway.follower import Follower
 from brassdrum.gateway.knowledge import EndpointChange, Knowledge
 from brassdrum.gateway.loop import EventLoop
@@ -27,11 +28,13 @@
         knowledge: Knowledge,
         pool: EndpointPool,
         on_changed: Callable[[], None],
+        guard: CrashGuard,
     ) -> None:
         self._loop = loop
         self._knowledge = knowledge
         self._pool = pool
         self._on_changed = on_changed
+        self._guard = guard
         self._suspicions = Suspicions()
         self._follower: Follower | None = None
 
@@ -76,11 +79,13 @@
             self._knowledge.reads,
             tuple(self._suspicions.named(now)),
             tuple(self._knowledge.recently_left(now)),
+            self._guard.words(),
         )
 
     def word(self, host: str, belief: PeerBelief) -> None:
-        """Take in which endpoints a peer names."""
+        """Take in which endpoints and contents of requests a peer names."""
         now = self._loop.now()
+        self._guard.hear(belief.endings)
         for endpoint in belief.failing:
             self._suspicions.heard(endpoint, now)
         for endpoint in belief.leaving:
--- /dev/null
+++ b/src/brassdrum/gateway/crash_guard.py
@@ -0,0 +1,245 @@
+"""Keep requests that end endpoints away from them: what is decided, told, logged and kept."""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections.abc import Callable, Iterable, Sequence
+from concurrent.futures import Future
+from dataclasses import dataclass
+from datetime import timedelta
+
+from brassdrum.errors import BrassdrumError
+from brassdrum.gateway.endings import Witness
+from brassdrum.gateway.load import LoadTable
+from brassdrum.gateway.loop import EventLoop
+from brassdrum.gateway.model import ControlStore, EndpointEntry, SharedRecord
+from brassdrum.gateway.quarantine import (
+    QUARANTINE_SECONDS,
+    SETTLE_SECONDS,
+    EndingWord,
+    Quarantine,
+    SeenEnd,
+    Standing,
+)
+from brassdrum.telemetry import log_events
+
+__all__ = ["CrashGuard", "QuarantineRecord"]
+
+_logger = logging.getLogger(__name__)
+# A request that may end its endpoint does so within a moment after it began to run, 0.05 to 0.4 s
+# as measured; for this long nothing else is sent there.
+_ALONE_SECONDS = 1.0
+# After the settling time and a moment for timers that fire late.
+_REVIEW_SECONDS = SETTLE_SECONDS + 0.01
+# Daemons that start together hear each other's news within this; the first of them then asks the
+# store, one call for the whole fleet.
+_LOAD_SECONDS = 1.0
+# A store that does not answer is asked again after this.
+_STORE_AGAIN_SECONDS = 2.0
+# Records that wait for the store; each is that of one quarantined content.
+_MOST_WAITING = 64
+
+Submit = Callable[[Callable[[], object], Callable[[Future], None]], None]
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineRecord:
+    """Hold what lies in the store of one quarantined content; times in Unix seconds."""
+
+    content: str
+    ended_at_by_endpoint: dict[int, float]
+
+    def encode(self) -> SharedRecord:
+        """Return the form that lies in the store."""
+        ends = [[endpoint, round(at, 1)] for endpoint, at in self.ended_at_by_endpoint.items()]
+        return SharedRecord(self.content, json.dumps({"ends": ends}).encode())
+
+    @classmethod
+    def decode(cls, record: SharedRecord) -> QuarantineRecord:
+        """Return a record, or raise ``ValueError``."""
+        try:
+            bytes.fromhex(record.key)
+            ends = {int(endpoint): float(at) for endpoint, at in json.loads(record.value)["ends"]}
+        except (KeyError, TypeError, ValueError) as error:
+            raise ValueError(
+                f"quarantine record {record.key[:40]!r} is damaged: {error}"
+            ) from error
+        return cls(record.key, ends)
+
+    def word(self, now: float) -> EndingWord:
+        """Return it as another daemon would tell it; a clock that stepped makes no end newer."""
+        ends = ((key, max(0.0, now - at)) for key, at in self.ended_at_by_endpoint.items())
+        return EndingWord(self.content, tuple(SeenEnd(key, age) for key, age in ends))
+
+
+class CrashGuard:
+    """Decide on requests whose contents were at endpoints that ended."""
+
+    def __init__(self, loop: EventLoop, table: LoadTable) -> None:
+        self._loop = loop
+        self._store: ControlStore | None = None
+        self._table = table
+        self._quarantine = Quarantine()
+        self._submit: Submit | None = None
+        self._alone_until_by_endpoint: dict[str, float] = {}
+        self._in_force: set[str] = set()
+        self._own: set[str] = set()
+        self._to_write: dict[str, SharedRecord] = {}
+        self._writing = False
+
+    def start(self, store: ControlStore, submit: Submit, first: Callable[[], bool]) -> None:
+        """Begin to use the store through ``submit``; ``first`` says who asks it for the fleet."""
+        self._store = store
+        self._submit = submit
+        self._loop.call_later(_LOAD_SECONDS, lambda: self._load(first))
+
+    @property
+    def quarantined(self) -> int:
+        """Return the number of contents that are quarantined."""
+        return len(self._in_force)
+
+    def standing(self, content: str) -> Standing:
+        """Return how a request is treated now."""
+        return self._quarantine.standing(content, self._loop.now())
+
+    def settles_in(self, content: str) -> float:
+        """Return after how many seconds it is decided whether a content is quarantined."""
+        return self._quarantine.settles_in(content, self._loop.now())
+
+    def seconds_left(self, content: str) -> float:
+        """Return for how long a content stays quarantined."""
+        return self._quarantine.seconds_left(content, self._loop.now())
+
+    def choices(self, standing: Standing, entries: Sequence[EndpointEntry]) -> list[EndpointEntry]:
+        """Return where a request may be sent: a suspect one alone, others not beside it.
+
+        Where nothing else is left all are: a suspect request may be a healthy one.
+        """
+        now = self._loop.now()
+        if standing is Standing.SUSPECT:
+            idle = [entry for entry in entries if self._table.total(entry.id).empty()]
+            return idle or list(entries)
+        if not self._alone_until_by_endpoint:
+            return list(entries)
+        for endpoint, until in list(self._alone_until_by_endpoint.items()):
+            if now >= until:
+                del self._alone_until_by_endpoint[endpoint]
+        free = [entry for entry in entries if entry.id not in self._alone_until_by_endpoint]
+        return free or list(entries)
+
+    def sent(self, standing: Standing, endpoint: str) -> None:
+        """Note where a request was sent."""
+        if standing is Standing.SUSPECT:
+            self._alone_until_by_endpoint[endpoint] = self._loop.now() + _ALONE_SECONDS
+
+    def endpoint_ended(self, entry: EndpointEntry, witnesses: Iterable[Witness]) -> None:
+        """Note which contents were at an endpoint that ended."""
+        now = self._loop.now()
+        for witness in witnesses:
+            self._quarantine.ended(witness.content, entry.id, now)
+            self._own.add(witness.content)
+        self._loop.call_later(_REVIEW_SECONDS, self._review)
+
+    def served(self, content: str) -> None:
+        """Note a whole answer."""
+        if self._quarantine.served(content, self._loop.now()):
+            self._review()
+
+    def words(self) -> tuple[EndingWord, ...]:
+        """Return what peers are told."""
+        return self._quarantine.words(self._loop.now())
+
+    def hear(self, words: Iterable[EndingWord]) -> None:
+        """Take what a peer says."""
+        if self._quarantine.hear(words, self._loop.now()):
+            self._loop.call_later(_REVIEW_SECONDS, self._review)
+
+    def _review(self) -> None:
+        """Log what is newly quarantined or released, and keep what was seen here in the store."""
+        now = self._loop.now()
+        in_force = set(self._quarantine.in_force(now))
+        for content in sorted(in_force - self._in_force):
+            self._log(log_events.CONTENT_QUARANTINED, content)
+            self._loop.call_later(QUARANTINE_SECONDS, self._review)
+            if content in self._own:
+                self._keep(self._record(content))
+        for content in sorted(self._in_force - in_force):
+            self._log(log_events.CONTENT_RELEASED, content)
+            if content in self._own:
+                self._keep(SharedRecord(content, b""))
+        self._in_force = in_force
+        self._own &= set(self._quarantine.contents())
+
+    def _log(self, event: log_events.LogEvent, content: str) -> None:
+        word = self._quarantine.word(content, self._loop.now())
+        event.write(
+            _logger,
+            content=content,
+            ends=len(word.ends),
+            first_age=round(max((end.age for end in word.ends), default=0.0), 2),
+            last_age=round(min((end.age for end in word.ends), default=0.0), 2),
+            seconds_left=round(self.seconds_left(content), 1),
+        )
+
+    # The store.
+
+    def _record(self, content: str) -> SharedRecord:
+        wall = self._loop.clock.now()
+        word = self._quarantine.word(content, self._loop.now())
+        ended_at = {
+            end.endpoint: (wall - timedelta(seconds=end.age)).timestamp() for end in word.ends
+        }
+        return QuarantineRecord(content, ended_at).encode()
+
+    def _keep(self, record: SharedRecord) -> None:
+        self._to_write[record.key] = record
+        while len(self._to_write) > _MOST_WAITING:
+            del self._to_write[next(iter(self._to_write))]
+        self._write()
+
+    def _write(self) -> None:
+        store = self._store
+        if self._writing or not self._to_write or self._submit is None or store is None:
+            return
+        record = next(iter(self._to_write.values()))
+        self._writing = True
+        self._submit(lambda: store.keep_quarantine(record), lambda f: self._wrote(record, f))
+
+    def _wrote(self, record: SharedRecord, future: Future) -> None:
+        self._writing = False
+        error = future.exception()
+        if error is None:
+            if self._to_write.get(record.key) is record:
+                del self._to_write[record.key]
+            self._write()
+            return
+        if not isinstance(error, BrassdrumError):
+            raise error
+        log_events.QUARANTINE_NOT_KEPT.write(_logger, content=record.key, error=error.message)
+        self._loop.call_later(_STORE_AGAIN_SECONDS, self._write)
+
+    def _load(self, first: Callable[[], bool]) -> None:
+        if not first():
+            return
+        assert self._submit is not None and self._store is not None
+        self._submit(self._store.quarantines, lambda future: self._loaded(first, future))
+
+    def _loaded(self, first: Callable[[], bool], future: Future[list[SharedRecord]]) -> None:
+        error = future.exception()
+        if isinstance(error, BrassdrumError):
+            log_events.QUARANTINE_NOT_KEPT.write(_logger, content=None, error=error.message)
+            self._loop.call_later(_STORE_AGAIN_SECONDS, lambda: self._load(first))
+            return
+        wall = self._loop.clock.now().timestamp()
+        for record in future.result():
+            try:
+                kept = QuarantineRecord.decode(record)
+            except ValueError as damage:
+                log_events.QUARANTINE_NOT_KEPT.write(
+                    _logger, content=record.key[:40], error=str(damage)
+                )
+                continue
+            self.hear((kept.word(wall),))
+            if not self._quarantine.knows(kept.content):
+                self._keep(SharedRecord(kept.content, b""))
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -18,6 +18,7 @@
 from brassdrum.gateway.beliefs import Beliefs
 from brassdrum.gateway.callers import CallerConnection, CallerHandler, Listener
 from brassdrum.gateway.choosing import Chooser
+from brassdrum.gateway.crash_guard import CrashGuard
 from brassdrum.gateway.datagrams import DatagramSocket
 from brassdrum.gateway.endings import EndingChecks, Witness
 from brassdrum.gateway.exchange import Exchange
@@ -105,7 +106,8 @@
         self._exchanges: set[Exchange] = set()
         self._state = _CHART.initial
         self._stop: PlannedStop | None = None
-        self.beliefs = Beliefs(self.loop, self.knowledge, self.pool, self._become_ready)
+        self.guard = CrashGuard(self.loop, self.table)
+        self.beliefs = Beliefs(self.loop, self.knowledge, self.pool, self._become_ready, self.guard)
         self._follower = Follower(
             self.loop,
             store,
@@ -143,8 +145,12 @@
         for host in settings.seeds:
             self._peers.introduce(host)
         self._follower.start(self._peers, self._announce)
+        peers = self._peers
+        self.guard.start(self._store, self._follower.submit, lambda: peers.rank == 0)
         self.metrics.watch(
-            MetricsSources(self.knowledge, self._follower, self._peers, self.pool, self._store)
+            MetricsSources(
+                self.knowledge, self._follower, self._peers, self.pool, self._store, self.guard
+            )
         )
         log_events.STARTED.write(
             _logger, host=settings.host, zone=settings.zone, settings=settings.source
@@ -243,7 +249,9 @@
     def place(self, exchange: Exchange, need: Need) -> Placement | None:
         """Return where to send a request now."""
         now = self.loop.now()
-        usable = self.knowledge.usable(exchange.service)
+        usable = self.guard.choices(
+            self.guard.standing(exchange.content), self.knowledge.usable(exchange.service)
+        )
         return self._chooser.choose(
             self._policy,
             need,
@@ -325,6 +333,8 @@
 
     def _endpoint_ended(self, entry: EndpointEntry, witnesses: list[Witness]) -> None:
         self.beliefs.endpoint_failed(entry.id, certain=True, detail="its process has ended")
+        self.guard.endpoint_ended(entry, witnesses)
+        self.metrics.endpoint_ended()
         log_events.ENDPOINT_ENDED.write(
             _logger,
             endpoint=entry.id,
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from brassdrum.gateway.attempt import Attempt, helper_name
 from brassdrum.gateway.callers import CallerConnection
 from brassdrum.gateway.endings import Witness
@@ -11,6 +13,7 @@
 from brassdrum.gateway.loop import Timer
 from brassdrum.gateway.model import (
     DeclaredRequest,
+    Headers,
     Organisation,
     Reply,
     ReplyKind,
@@ -25,6 +28,7 @@
     silence_patience,
 )
 from brassdrum.gateway.placement import Need, Placement, Verdict, judge
+from brassdrum.gateway.quarantine import Standing
 from brassdrum.gateway.silence import allowed_silence, explained_silence, work_explains
 from brassdrum.gateway.upstream import Break, OutgoingRequest
 from brassdrum.telemetry import log_events
@@ -82,6 +86,7 @@
         self._attempt: Attempt | None = None
         self._reader = EventReader(request.resume_after)
         self._silence: Timer | None = None
+        self._held: Timer | None = None
         self._heard_at = self.arrived
         self._waits = False
         self._waits_for_place = False
@@ -177,6 +182,7 @@
             self._endpoint_refused(attempt, reply)
             return
         self._host.beliefs.endpoint_served(attempt.endpoint)
+        self._host.guard.served(self.content)
         if not self.route.streams:
             self._end(Outcome.SERVED, reply.status, "")
             self._connection.answer(reply.status, reply.headers, bytes(attempt.body))
@@ -205,6 +211,15 @@
     def _send(self) -> None:
         """Choose endpoints and send; nothing else of this request is under way then."""
         self._stop_silence()
+        standing = self._host.guard.standing(self.content)
+        if standing is Standing.QUARANTINED:
+            self._stop_waiting()
+            self._keep_from_endpoints()
+            return
+        if standing is Standing.UNDECIDED:
+            # Other daemons may know who else was at the ends; a healthy request waits 0.25 s.
+            self._hold_back(self._host.guard.settles_in(self.content))
+            return
         need = self.need()
         placement = self._host.place(self, need)
         if placement is None:
@@ -223,7 +238,8 @@
             return
         self.sends += 1
         self.tried.add(placement.entry.id)
-        self._note_placed(placement)
+        self._host.guard.sent(standing, placement.entry.id)
+        self._note_placed(placement, standing)
         self.timing.expect(self._host.loop.now(), placement.first_event_ms)
         self._attempt = Attempt(self._host, self, placement)
         self._attempt.start()
@@ -259,7 +275,7 @@
             self._waits = self._waits_for_place = False
             self._host.line.leave(self, served=served)
 
-    def _note_placed(self, placement: Placement) -> None:
+    def _note_placed(self, placement: Placement, standing: Standing) -> None:
         age = self._host.beliefs.list_age()
         self._decided(
             log_events.PLACED,
@@ -273,6 +289,7 @@
             send=self.sends,
             version=self._host.knowledge.version,
             list_age=None if age is None else round(age, 3),
+            standing=standing.name.lower(),
         )
 
     def _decided(self, event: LogEvent, **values: object) -> None:
@@ -440,13 +457,29 @@
             return
         if not self._may_have_run:
             left = self.request.patience - (self._host.loop.now() - self.arrived)
-            self._end(Outcome.REFUSED, 503, detail)
-            self._connection.answer(503, retry_after(come_back, left), b"")
+            self._refuse(detail, retry_after(come_back, left))
             return
         status = 504 if self.time_left <= 0 else 502
         self._end(Outcome.FAILED, status, detail)
         self._connection.answer(status, [], b"")
 
+    def _keep_from_endpoints(self) -> None:
+        """Answer at once a request that ends endpoints: each further run costs all others there."""
+        detail = "requests with this content end the endpoints that run them"
+        if self._began or self._may_have_run:
+            self._fail(detail)
+            return
+        # The whole time, although callers seldom wait that long: to come sooner would be in vain.
+        self._refuse(detail, retry_after(self._host.guard.seconds_left(self.content), math.inf))
+
+    def _hold_back(self, seconds: float) -> None:
+        self._stop_waiting()
+        self._held = self._host.loop.call_later(seconds, self._send)
+
+    def _refuse(self, detail: str, headers: Headers) -> None:
+        self._end(Outcome.REFUSED, 503, detail)
+        self._connection.answer(503, headers, b"")
+
     def _stop_attempt(self) -> None:
         if self._attempt is not None:
             # A request that was sent may have run: no refusal may say otherwise from here on.
@@ -469,4 +502,6 @@
         self._deadline_timer.cancel()
         self._stop_silence()
         self._stop_waiting()
+        if self._held is not None:
+            self._held.cancel()
         self._host.ended(self, outcome, status, detail)
--- a/src/brassdrum/gateway/exchange_host.py
+++ b/src/brassdrum/gateway/exchange_host.py
@@ -6,6 +6,7 @@
 
 from brassdrum.gateway.attempt import Attempt, AttemptHost
 from brassdrum.gateway.beliefs import Beliefs
+from brassdrum.gateway.crash_guard import CrashGuard
 from brassdrum.gateway.endings import Witness
 from brassdrum.gateway.knowledge import Knowledge
 from brassdrum.gateway.outcome import Outcome
@@ -25,6 +26,7 @@
     knowledge: Knowledge
     beliefs: Beliefs
     line: WaitingLine
+    guard: CrashGuard
 
     def place(self, exchange: Exchange, need: Need) -> Placement | None:
         """Return where to send a request now."""
--- a/src/brassdrum/gateway/follower.py
+++ b/src/brassdrum/gateway/follower.py
@@ -137,7 +137,7 @@
         """Begin to follow; ``announce`` blocks and returns the addresses of other daemons."""
         self._peers = peers
         self._announce = announce
-        self._submit(announce, self._introduce)
+        self.submit(announce, self._introduce)
         self._check()
 
     def close(self) -> None:
@@ -186,7 +186,7 @@
         self._loop.call_later(delay, lambda: self._begin_pull(host, read_at, belief.reads))
 
     def _begin_pull(self, host: str, read_at: float, reads: int) -> None:
-        self._submit(
+        self.submit(
             lambda: self._pull(host),
             lambda future: self._pulled(host, read_at, reads, future),
         )
@@ -197,7 +197,7 @@
         due_at = now if read_at is None else read_at + self._due()
         if now >= max(due_at, self._not_before) and not self._reading:
             self._reading = True
-            self._submit(lambda: self._read(now), lambda future: self._read_done(now, future))
+            self.submit(lambda: self._read(now), lambda future: self._read_done(now, future))
         # Exactly when it is due: daemons whose turns lie 35 ms apart must not read in one step.
         pause = min(_LONGEST_CHECK_SECONDS, max(_SHORTEST_CHECK_SECONDS, due_at - now))
         self._timer = self._loop.call_later(pause, self._check)
@@ -321,11 +321,12 @@
         except BrassdrumError as error:
             _logger.warning("daemon not announced", extra={"error": error.message})
             self._loop.call_later(
-                _ANNOUNCE_SECONDS, lambda: self._submit(self._announce, self._introduce)
+                _ANNOUNCE_SECONDS, lambda: self.submit(self._announce, self._introduce)
             )
             return
         self._peers.learn(daemons)
 
-    def _submit(self, work: Callable, done: Callable[[Future], None]) -> None:
+    def submit(self, work: Callable, done: Callable[[Future], None]) -> None:
+        """Run a blocking call in a thread of the store's; ``done`` runs in the loop's thread."""
         future = self._executor.submit(work)
         future.add_done_callback(lambda each: self._loop.post(lambda: done(each)))
--- a/src/brassdrum/gateway/measures.py
+++ b/src/brassdrum/gateway/measures.py
@@ -12,6 +12,7 @@
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from opentelemetry.sdk.resources import Resource
 
+from brassdrum.gateway.crash_guard import CrashGuard
 from brassdrum.gateway.exchange import Exchange
 from brassdrum.gateway.follower import Follower
 from brassdrum.gateway.knowledge import Knowledge
@@ -39,6 +40,7 @@
     peers: Peers
     pool: EndpointPool
     store: ControlStore
+    guard: CrashGuard
 
 
 class GatewayMetrics:
@@ -65,6 +67,9 @@
         self._refusals = meter.create_counter(
             "brassdrum_gateway_refusals", description="Requests refused at the border, by status."
         )
+        self._endpoint_ends = meter.create_counter(
+            "brassdrum_gateway_endpoint_ends", description="Endpoints seen to end under requests."
+        )
         self._sends = meter.create_counter(
             "brassdrum_gateway_sends", description="Attempts at endpoints, by band."
         )
@@ -99,6 +104,10 @@
         """Count a request that no endpoint was chosen for."""
         self._refusals.add(1, {"status": str(status)})
 
+    def endpoint_ended(self) -> None:
+        """Count an endpoint whose process ended under requests of this daemon."""
+        self._endpoint_ends.add(1)
+
     def watch(self, sources: MetricsSources) -> None:
         """Show what the daemon believes, looked up when the page is asked for."""
         knowledge, follower = sources.knowledge, sources.follower
@@ -107,6 +116,7 @@
         self._gauge("endpoints", "Endpoints known.", lambda: len(knowledge.endpoints_by_id))
         self._gauge("peers", "Live daemons, this one too.", lambda: sources.peers.live)
         self._gauge("peer_bytes", "Bytes of datagrams sent.", lambda: sources.peers.sent_bytes)
+        self._gauge("quarantined", "Contents refused.", lambda: sources.guard.quarantined)
         self._gauge("store_calls", "Calls to the store.", lambda: sources.store.calls)
         self._gauge("connections_opened", "Connections opened.", lambda: sources.pool.opened)
 
--- a/src/brassdrum/gateway/model.py
+++ b/src/brassdrum/gateway/model.py
@@ -310,6 +310,12 @@
     def announce(self, name: str, address: DaemonAddress) -> None:
         """Tell other daemons where this one is."""
 
+    def quarantines(self) -> list[SharedRecord]:
+        """Return the records of quarantined contents that daemons have kept."""
+
+    def keep_quarantine(self, record: SharedRecord) -> None:
+        """Keep a record of a quarantined content, or drop it where the value is empty."""
+
     def decode_configuration(self, record: SharedRecord) -> FleetConfiguration:
         """Return a configuration, or raise ``InvalidDocumentError``."""
 
--- a/src/brassdrum/gateway/peer_messages.py
+++ b/src/brassdrum/gateway/peer_messages.py
@@ -8,6 +8,7 @@
 
 from brassdrum.gateway.load import LoadRow
 from brassdrum.gateway.model import DaemonAddress
+from brassdrum.gateway.quarantine import EndingWord, SeenEnd
 from brassdrum.gateway.wire import FieldReader, FieldWriter
 
 __all__ = [
@@ -23,9 +24,13 @@
     "encode_message",
 ]
 
-_FORMAT = 5
+_FORMAT = 6
 # Ages are told in ms; None before the first read of the store.
 _NO_AGE = 0xFFFFFFFF
+# Ages of ends are told in tenths of a second; the content of a request by its 8 bytes.
+_TENTHS = 10
+_NEVER = 0xFFFF
+_CONTENT_BYTES = 8
 # Flags of a digest.
 _ROLL, _ENDS, _FLEET = 1, 2, 4
 
@@ -50,6 +55,7 @@
     reads: int
     failing: tuple[str, ...] = ()
     leaving: tuple[str, ...] = ()
+    endings: tuple[EndingWord, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -262,6 +268,33 @@
         writer.number(len(names), 2)
         for name in names:
             writer.text(name)
+    writer.number(len(belief.endings), 1)
+    for word in belief.endings:
+        _write_ending(writer, word)
+
+
+def _write_ending(writer: FieldWriter, word: EndingWord) -> None:
+    """Append what is known of a content; one of three ends takes 29 bytes."""
+    writer.number(int(word.content, 16), _CONTENT_BYTES)
+    served = _NEVER if word.served_age is None else min(_NEVER - 1, _tenths(word.served_age))
+    writer.number(served, 2)
+    writer.number(len(word.ends), 1)
+    for end in word.ends:
+        writer.number(end.endpoint, 4)
+        writer.number(_tenths(end.age), 2)
+
+
+def _tenths(age: float) -> int:
+    return max(0, round(age * _TENTHS))
+
+
+def _read_ending(reader: FieldReader) -> EndingWord:
+    content = f"{reader.number(_CONTENT_BYTES):0{2 * _CONTENT_BYTES}x}"
+    served = reader.number(2)
+    ends = tuple(
+        SeenEnd(reader.number(4), reader.number(2) / _TENTHS) for _ in range(reader.number(1))
+    )
+    return EndingWord(content, ends, None if served == _NEVER else served / _TENTHS)
 
 
 def _read_belief(reader: FieldReader) -> PeerBelief:
@@ -271,9 +304,9 @@
     reads = reader.number(4)
     failing = tuple(reader.text() for _ in range(reader.number(2)))
     leaving = tuple(reader.text() for _ in range(reader.number(2)))
-    return PeerBelief(
-        version, digest, None if age == _NO_AGE else age / 1000, reads, failing, leaving
-    )
+    endings = tuple(_read_ending(reader) for _ in range(reader.number(1)))
+    known_age = None if age == _NO_AGE else age / 1000
+    return PeerBelief(version, digest, known_age, reads, failing, leaving, endings)
 
 
 def _write_rows(writer: FieldWriter, rows: tuple[LoadRow, ...]) -> None:
--- a/src/brassdrum/platform/store.py
+++ b/src/brassdrum/platform/store.py
@@ -18,6 +18,7 @@
 _CONFIGURATION_KEY = "config"
 _ENDPOINT_TOPIC = "keyed.servers"
 _DAEMON_TOPIC = "keyed.brassdrum-daemons"
+_QUARANTINE_TOPIC = "keyed.brassdrum-quarantine"
 # An answer takes 4 ms, and 60 times that on a slow day.
 _CALL_SECONDS = 1.0
 _logger = logging.getLogger(__name__)
@@ -50,9 +51,15 @@
 
     def announce(self, name: str, address: DaemonAddress) -> None:
         """Tell other daemons where this one is."""
-        content = bytes([len(name)]) + name.encode() + address.encode()
-        record = len(content).to_bytes(4, "big") + content
-        self._call("POST", f"/log-append?topic={_DAEMON_TOPIC}&part=0", record)
+        self._append(_DAEMON_TOPIC, SharedRecord(name, address.encode()))
+
+    def quarantines(self) -> list[SharedRecord]:
+        """Return the records of quarantined contents that daemons have kept."""
+        return self._newest(_QUARANTINE_TOPIC)
+
+    def keep_quarantine(self, record: SharedRecord) -> None:
+        """Keep a record of a quarantined content, or drop it where the value is empty."""
+        self._append(_QUARANTINE_TOPIC, record)
 
     def decode_configuration(self, record: SharedRecord) -> FleetConfiguration:
         """Return a configuration, or raise ``InvalidDocumentError``."""
@@ -62,6 +69,12 @@
         """Return an entry of the list, or raise ``InvalidDocumentError``."""
         return decode_endpoint(record.key, record.value)
 
+    def _append(self, topic: str, record: SharedRecord) -> None:
+        key = record.key.encode()
+        content = bytes([len(key)]) + key + record.value
+        framed = len(content).to_bytes(4, "big") + content
+        self._call("POST", f"/log-append?topic={topic}&part=0", framed)
+
     def _newest(self, topic: str) -> list[SharedRecord]:
         records: list[SharedRecord] = []
         after = ""
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -151,6 +151,28 @@
     "`requests` of this daemon were there, `contents` name what they ask for, `began` had begun.",
     "Look for a content that recurs from one endpoint to the next: it may be what ends them.",
 )
+CONTENT_QUARANTINED = LOG_EVENTS.add(
+    "content quarantined",
+    Topic.LIFE,
+    "content ends first_age last_age seconds_left",
+    "Requests with this content were at `ends` endpoints that ended, seconds ago, and nothing else "
+    "explains these ends: they are refused as not run for `seconds_left`.",
+    "Find the requests by `content` in failed lines and tell their caller; mend the engine.",
+)
+CONTENT_RELEASED = LOG_EVENTS.add(
+    "content released",
+    Topic.LIFE,
+    "content ends first_age last_age seconds_left",
+    "The content is refused no more: its time is over, it was answered, or another one explains "
+    "the ends.",
+)
+QUARANTINE_NOT_KEPT = LOG_EVENTS.add(
+    "quarantine not kept",
+    Topic.LIFE,
+    "content error",
+    "The store did not take or hand out what is quarantined; daemons tell each other meanwhile.",
+    "Look at the store; after a stop of all daemons the content is found out anew.",
+)
 PEER_FOUND = LOG_EVENTS.add(
     "peer found", Topic.BELIEF, "peer host", "Another daemon was heard for the first time."
 )
@@ -178,7 +200,7 @@
     "placed",
     Topic.REQUEST,
     "request content endpoint helpers predicted_ms waited_ms harm late reason send version "
-    "list_age",
+    "list_age standing",
     "An endpoint was chosen; `helpers` read parts of the prompt.",
 )
 WAITING = LOG_EVENTS.add(
