Count the time in which a host was suspended, everywhere one clock is read

Cause: ages, leases and terms were measured by the kernel's steady clock, which leaves a suspension out. Class: a belief is taken for as young as its holder was awake. Ruled out: the time of day instead (it jumps), and comparing both clocks (one more belief for the same figure). What a kernel call waits for in its own time (a select of at most 0.2 s) is left.

--- a/src/brassdrum/clock.py
+++ b/src/brassdrum/clock.py
@@ -9,12 +9,17 @@
 
 __all__ = ["Clock", "SystemClock", "ManualClock"]
 
+# The clock since boot counts the time in which a host is suspended; the steady one does not. By the
+# steady one a host that was suspended for 5 s tells others a list of endpoints 5 s too young, and
+# acts under a lease that lapsed. Systems without it count suspensions in their steady clock.
+_STEADY_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
 
 class Clock(Protocol):
     """Tell the time and wait."""
 
     def monotonic(self) -> float:
-        """Return seconds that never go back."""
+        """Return seconds that never go back and go on while the host is suspended."""
 
     def now(self) -> datetime:
         """Return the time of day in UTC."""
@@ -28,7 +33,7 @@
 
     def monotonic(self) -> float:
         """Return seconds that never go back."""
-        return time.monotonic()
+        return time.clock_gettime(_STEADY_CLOCK)
 
     def now(self) -> datetime:
         """Return the time of day in UTC."""
--- a/src/brassdrum/daemon/core.py
+++ b/src/brassdrum/daemon/core.py
@@ -4,7 +4,6 @@
 
 import random
 import threading
-import time
 import uuid
 from dataclasses import dataclass, field
 
@@ -118,7 +117,7 @@
         arrived = self.clock.monotonic()
         seconds = _seconds(request, contract)
         trace = self.tracing.request(name, _trace_headers(request))
-        request_id = _request_id(request)
+        request_id = _request_id(request, self.clock)
         trace.set("brassdrum.request_id", request_id)
         trace.set("brassdrum.organisation", contract.organisation)
         return Scope(
@@ -176,10 +175,10 @@
     return min(longest, seconds)
 
 
-def _request_id(request: Request) -> str:
+def _request_id(request: Request, clock: Clock) -> str:
     value = request.header("Brassdrum-Request-Id") or request.header("X-Request-Id")
     if value is None:
-        return f"{time.time_ns():x}-{uuid.uuid4().hex[:12]}"
+        return f"{round(clock.now().timestamp() * 1e6):x}-{uuid.uuid4().hex[:12]}"
     if len(value) > _LONGEST_ID or not value.isprintable():
         raise InvalidRequestError("The request id is longer than 128 characters or not printable.")
     return value
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -4,7 +4,6 @@
 
 import logging
 import threading
-import time
 from contextlib import ExitStack
 
 from brassdrum.admission.lending import Census
@@ -231,7 +230,7 @@
     def stop(self) -> None:
         """Stop gracefully: the balancer notices first, then every request ends."""
         self._leave()
-        time.sleep(self.settings.shutdown.notice_seconds)
+        self._clock.sleep(self.settings.shutdown.notice_seconds)
         self._follow("drain")
         self.core.stopping.set()
         if not self.core.active.wait_idle(self.settings.shutdown.drain_seconds):
@@ -271,7 +270,7 @@
             resume_tokens=ResumeTokens(settings.resume_keys),
             watch=Watch(self._clock),
             cancels=Cancels(self._clock),
-            relay=Relay(),
+            relay=Relay(self._clock),
             groups=Groups(self._dispatcher, self._clock, settings.name),
             explanations=Explanations(self._clock),
             metrics=Metrics(settings.name),
@@ -325,7 +324,7 @@
             zone=self.settings.zone,
             peer_address=self.peer_address,
             http_address=f"{self.settings.http.host}:{self._http.port}",
-            incarnation=time.time_ns() // 1_000_000,
+            incarnation=round(self._clock.now().timestamp() * 1000),
             state=STARTING,
             revision=-1,
             through=-1,
@@ -386,7 +385,7 @@
             self.gossip.table.own.state = LEAVING
 
     def _flush(self) -> None:
-        limit = time.monotonic() + _FLUSH_SECONDS
+        limit = self._clock.monotonic() + _FLUSH_SECONDS
         for shard in self._claims.shards:
-            while shard.appender.unwritten and time.monotonic() < limit:
-                time.sleep(0.05)
+            while shard.appender.unwritten and self._clock.monotonic() < limit:
+                self._clock.sleep(0.05)
--- a/src/brassdrum/daemon/relay.py
+++ b/src/brassdrum/daemon/relay.py
@@ -6,13 +6,13 @@
 import selectors
 import socket
 import threading
-import time
 from collections import deque
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from enum import Enum, auto
 
+from brassdrum.clock import Clock
 from brassdrum.daemon.engine_run import EngineRun
 from brassdrum.errors import BrassdrumError, EndpointFailedError
 from brassdrum.outcomes.stream import CheckedEvent
@@ -122,7 +122,8 @@
     taken what waits.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         self._selector = selectors.DefaultSelector()
         self._wake_read, self._wake_write = socket.socketpair()
         self._wake_read.setblocking(False)
@@ -280,11 +281,11 @@
             self._close_caller(stream)
             return
         self._watch_caller(stream)
-        self._closing.append((time.monotonic() + _CLOSING_SECONDS, stream))
+        self._closing.append((self._clock.monotonic() + _CLOSING_SECONDS, stream))
 
     def _sweep(self) -> None:
         """Close connections whose callers do not take the end of their answers."""
-        now = time.monotonic()
+        now = self._clock.monotonic()
         while self._closing and self._closing[0][0] <= now:
             self._close_caller(self._closing.popleft()[1])
 
--- a/src/brassdrum/logservice/publish.py
+++ b/src/brassdrum/logservice/publish.py
@@ -4,10 +4,10 @@
 
 import json
 import logging
-import time
 import uuid
 from dataclasses import dataclass
 
+from brassdrum.clock import Clock, SystemClock
 from brassdrum.contracts.documents import Configuration, Contract, document_name
 from brassdrum.contracts.fold import ControlFold, DocumentKey, Judgement
 from brassdrum.contracts.records import CONTROL_STREAM, Publish, PublishedDocument
@@ -53,7 +53,8 @@
 class Publisher:
     """Append documents and read on until the log tells their judgement."""
 
-    def __init__(self, log: Log, operator: str) -> None:
+    def __init__(self, log: Log, operator: str, clock: Clock | None = None) -> None:
+        self._clock = clock or SystemClock()
         self._log = log
         self._operator = operator
 
@@ -68,18 +69,18 @@
         """
         fold = read_control(self._log)
         record = self._record(documents, fold, base)
-        limit = time.monotonic() + _LONGEST_SECONDS
+        limit = self._clock.monotonic() + _LONGEST_SECONDS
         while True:
             self._append(record)
             judgement = self._judgement(record.id, fold)
             if judgement is not None:
                 return judgement
-            if time.monotonic() > limit:
+            if self._clock.monotonic() > limit:
                 raise PlatformUnavailableError(
                     "The log did not say whether it has the documents.",
                     remedy="Run 'contracts history' later: the publish may still take effect.",
                 )
-            time.sleep(_PAUSE_SECONDS)
+            self._clock.sleep(_PAUSE_SECONDS)
 
     def _record(
         self, documents: list[Contract | Configuration], fold: ControlFold, base: int | None
