Show by a failing test that the other interface sends an ending prompt on as well

Cause looked for: the same cause elsewhere. The OpenAI-compatible daemons try a failed prompt at up to three engines, and its caller comes again at the next daemon.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -55,3 +55,11 @@
     When a request that ends its endpoint comes until it is refused
     And the store is back
     Then the store holds what is quarantined
+
+  Scenario: A prompt that ends engines is refused by the daemons of the other interface too
+    Given a site of 2 daemons and 8 engines that some prompt ends
+    When that prompt comes 5 times, each time to the next daemon
+    Then at most 6 engines have ended
+    When that prompt comes once more
+    Then it is refused with content_quarantined, a remedy and ran "no"
+    And a good request still succeeds
--- a/features/steps/crashing_steps.py
+++ b/features/steps/crashing_steps.py
@@ -2,10 +2,13 @@
 
 from behave import given, then, when
 
+from brassdrum.settings import EngineFaults
+from brassdrum.standins.site import MODEL
 from brassdrum.telemetry import log_events
 from features.gateway_world import ENDING_BODY, HOST, KEY, RunningGateway, call, free_port
 from features.steps.explaining_steps import lines
 from features.steps.gateway_steps import send, start
+from features.steps.site_steps import ENGINE, caller, start_site
 from features.support import eventually
 
 
@@ -137,3 +140,32 @@
 def step_another_served(context):
     for number in range(len(context.gateways)):
         assert send(context, "text", number).status == 200
+
+
+ENDING_PROMPT = "ends whoever reads it"
+
+
+@given("a site of {daemons:d} daemons and {engines:d} engines that some prompt ends")
+def step_site_ended(context, daemons, engines):
+    faults = EngineFaults(ends_on=ENDING_PROMPT)
+    start_site(context, daemons, engines, ENGINE.model_copy(update={"faults": faults}))
+
+
+@when("that prompt comes {times:d} times, each time to the next daemon")
+def step_prompt_times(context, times):
+    context.answers = [
+        caller(context, number % len(context.site.daemons)).complete(MODEL, ENDING_PROMPT, 8)
+        for number in range(times)
+    ]
+    assert not any(answer.whole for answer in context.answers)
+
+
+@when("that prompt comes once more")
+def step_prompt_again(context):
+    context.answer = caller(context).complete(MODEL, ENDING_PROMPT, 8)
+
+
+@then("at most {count:d} engines have ended")
+def step_engines_ended(context, count):
+    ended = [each.settings.name for each in context.site.engines if each.ended]
+    assert len(ended) <= count, ended
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -18,7 +18,7 @@
     decode_message,
     encode_message,
 )
-from brassdrum.gateway.quarantine import EndingWord, Quarantine, SeenEnd, Standing
+from brassdrum.outcomes.quarantine import EndingWord, Quarantine, SeenEnd, Standing
 from features.gateway_world import engine_entry
 
 CONTENTS = st.sampled_from([f"{number:016x}" for number in range(6)])
@@ -52,7 +52,7 @@
 def step_was_at(context, letter, numbers):
     quarantine = daemon(context).quarantine
     for number in re.findall(r"\d+", numbers):
-        quarantine.ended(content(letter), f"endpoint-{number}", context.now)
+        quarantine.ended(content(letter), int(number), context.now)
 
 
 @given("another daemon heard all")
@@ -102,7 +102,7 @@
 def step_flood(context, count):
     for number in range(count):
         name = f"{number + 1000:016x}"
-        context.daemon.quarantine.ended(name, f"endpoint-{number % 300 + 50}", context.now)
+        context.daemon.quarantine.ended(name, number % 300 + 50, context.now)
 
 
 @then("at most {count:d} contents are known")
@@ -179,8 +179,8 @@
 
 @then("in any series of ends caused by at most two contents no other one is quarantined")
 def step_healthy(context):
-    @any_of(st.integers(0, 2**32), st.integers(1, 2), st.integers(6, 24))
-    def check(seed, causes, endpoints):
+    @any_of(st.integers(0, 2**32), st.integers(1, 2))
+    def check(seed, causes):
         rng = random.Random(seed)
         quarantine = Quarantine()
         now = 100.0
@@ -193,11 +193,10 @@
             if quarantine.standing(cause, now) is Standing.QUARANTINED:
                 continue
             incarnation += 1
-            endpoint = f"endpoint-{rng.randrange(endpoints)}-{incarnation}"
             # Each healthy stream is sent again at most once, by its caller once more.
             beside = rng.sample(healthy, 5)
             for name in {cause, *beside}:
-                quarantine.ended(name, endpoint, now)
+                quarantine.ended(name, incarnation, now)
             for name in beside:
                 if rng.random() < 0.5:
                     quarantine.served(name, now + 0.1)
--- a/src/brassdrum/gateway/crash_guard.py
+++ b/src/brassdrum/gateway/crash_guard.py
@@ -11,10 +11,10 @@
 
 from brassdrum.errors import BrassdrumError
 from brassdrum.gateway.endings import Witness
-from brassdrum.gateway.load import LoadTable
+from brassdrum.gateway.load import LoadTable, endpoint_key
 from brassdrum.gateway.loop import EventLoop
 from brassdrum.gateway.model import ControlStore, EndpointEntry, SharedRecord
-from brassdrum.gateway.quarantine import (
+from brassdrum.outcomes.quarantine import (
     QUARANTINE_SECONDS,
     SETTLE_SECONDS,
     EndingWord,
@@ -137,7 +137,7 @@
         """Note which contents were at an endpoint that ended."""
         now = self._loop.now()
         for witness in witnesses:
-            self._quarantine.ended(witness.content, entry.id, now)
+            self._quarantine.ended(witness.content, endpoint_key(entry.id), now)
             self._own.add(witness.content)
         self._loop.call_later(_REVIEW_SECONDS, self._review)
 
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -9,7 +9,6 @@
 from brassdrum.gateway.endings import Witness
 from brassdrum.gateway.events import EventOrderError, EventReader
 from brassdrum.gateway.exchange_host import ExchangeHost
-from brassdrum.gateway.fingerprint import fingerprint
 from brassdrum.gateway.loop import Timer
 from brassdrum.gateway.model import (
     DeclaredRequest,
@@ -28,9 +27,10 @@
     silence_patience,
 )
 from brassdrum.gateway.placement import Need, Placement, Verdict, judge
-from brassdrum.gateway.quarantine import Standing
 from brassdrum.gateway.silence import allowed_silence, explained_silence, work_explains
 from brassdrum.gateway.upstream import Break, OutgoingRequest
+from brassdrum.outcomes.fingerprint import fingerprint
+from brassdrum.outcomes.quarantine import Standing
 from brassdrum.telemetry import log_events
 from brassdrum.telemetry.log_events import LogEvent
 
@@ -63,7 +63,13 @@
         route: Route,
         organisation: Organisation | None,
     ) -> None:
-        self.content = fingerprint(request, "" if organisation is None else organisation.name, body)
+        self.content = fingerprint(
+            "" if organisation is None else organisation.name,
+            request.method,
+            request.host.encode(),
+            request.target,
+            body,
+        )
         self.request = request
         self.route = route
         self.organisation = organisation
--- a/src/brassdrum/gateway/peer_messages.py
+++ b/src/brassdrum/gateway/peer_messages.py
@@ -8,8 +8,8 @@
 
 from brassdrum.gateway.load import LoadRow
 from brassdrum.gateway.model import DaemonAddress
-from brassdrum.gateway.quarantine import EndingWord, SeenEnd
 from brassdrum.gateway.wire import FieldReader, FieldWriter
+from brassdrum.outcomes.quarantine import EndingWord, SeenEnd
 
 __all__ = [
     "Acknowledgement",
--- a/src/brassdrum/gateway/quarantine.py
+++ b/src/brassdrum/outcomes/quarantine.py
@@ -12,8 +12,6 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
-from brassdrum.gateway.load import endpoint_key
-
 __all__ = [
     "QUARANTINE_SECONDS",
     "SETTLE_SECONDS",
@@ -109,7 +107,8 @@
 class Quarantine:
     """Keep by content at which ends it was, and decide which contents are sent on no more."""
 
-    def __init__(self) -> None:
+    def __init__(self, told_seconds: float = _TOLD_SECONDS) -> None:
+        self._told_seconds = told_seconds
         self._by_content: dict[str, _Record] = {}
         self._forgot_at = -math.inf
 
@@ -152,9 +151,9 @@
         """Return whether anything is known of a content."""
         return content in self._by_content
 
-    def ended(self, content: str, endpoint: str, now: float) -> None:
-        """Note that an endpoint ended while a request with the content was there."""
-        if self._note(content, endpoint_key(endpoint), now, now):
+    def ended(self, content: str, endpoint: int, now: float) -> None:
+        """Note that an endpoint, named by a key of 4 bytes, ended while the content was there."""
+        if self._note(content, endpoint, now, now):
             self._settle(now)
 
     def served(self, content: str, now: float) -> bool:
@@ -172,7 +171,7 @@
             self._forget(now)
         told = []
         for content, record in self._by_content.items():
-            fresh = now - record.changed_at < _TOLD_SECONDS
+            fresh = now - record.changed_at < self._told_seconds
             if not fresh and not record.charged:
                 continue
             told.append((not record.charged, -record.changed_at, content))
--- a/src/brassdrum/settings.py
+++ b/src/brassdrum/settings.py
@@ -114,7 +114,10 @@
 
 
 class EngineFaults(_Strict):
-    """Inject faults into an engine stand-in, as shares of requests from 0 to 1."""
+    """Inject faults into an engine stand-in, as shares of requests from 0 to 1.
+
+    A prompt that holds the text ``ends_on`` ends the engine.
+    """
 
     truncate: float = 0.0
     cross: float = 0.0
@@ -122,6 +125,7 @@
     drop_answer: float = 0.0
     refuse: float = 0.0
     hang: float = 0.0
+    ends_on: str = ""
 
 
 class EngineStandinSettings(_Strict):
--- a/src/brassdrum/standins/engine.py
+++ b/src/brassdrum/standins/engine.py
@@ -60,6 +60,7 @@
         self.model = EngineModel(settings)
         self.started = 0
         self.draining = False
+        self.ended = False
         self.started_at: list[float] = []
         self.started_by_id: dict[str, int] = {}
         self._faults = settings.faults
@@ -116,6 +117,8 @@
         if self._happens(self._faults.refuse):
             raise _RefusedError("The engine is full.")
         text = content.prompt_text()
+        if self._faults.ends_on and self._faults.ends_on in text:
+            self._end()
         stream = EngineStream(
             id=request.header("X-Stream-Id") or f"s{self._random.getrandbits(48):x}",
             owner=request.header("X-Owner") or "nobody",
@@ -141,6 +144,12 @@
             return self._whole(stream, content.model, chat=chat)
         return self._stream(stream, content.model, 0, chat=chat)
 
+    def _end(self) -> None:
+        """End as a process does, from a thread that the server does not wait for."""
+        self.ended = True
+        threading.Thread(target=self.close, daemon=True).start()
+        time.sleep(3600)
+
     def _whole(self, stream: EngineStream, model: str, *, chat: bool) -> Response:
         with self.model.changed:
             self.model.changed.wait_for(lambda: stream.done)
