Refuse contents that end engines at the OpenAI-compatible daemons as well

Cause: the same as at the gateway: a failed prompt is tried at up to three engines and forgotten with its request. Change: a lost answer whose host refuses a connection is an end; a guard, the same decision as the gateway's, hears of it, checks each prompt and call before it is admitted and before each attempt, and sends suspect ones alone; gossip carries its words (60 s, rounds are seconds apart in large fleets). Refused as content_quarantined, 503, ran "no", with the time. Ends are named by the endpoint's name and a time of 2 s, since engines keep their names here. Left: daemons that all start anew find such a content out again; the own log keeps nothing of it.

--- a/features/steps/endpoint_list_steps.py
+++ b/features/steps/endpoint_list_steps.py
@@ -11,6 +11,7 @@
 
 from brassdrum.bench.load.loop import SimulatedLoop
 from brassdrum.gateway.beliefs import Beliefs
+from brassdrum.gateway.crash_guard import CrashGuard
 from brassdrum.gateway.follower import Follower, Snapshot
 from brassdrum.gateway.knowledge import Knowledge
 from brassdrum.gateway.load import EndpointLoad, LoadRow, LoadTable, endpoint_key
@@ -135,7 +136,8 @@
     context.pool = EndpointPool(loop)
     context.forgotten = []
     context.pool.forget = context.forgotten.append
-    context.beliefs = Beliefs(loop, context.knowledge, context.pool, lambda: None)
+    guard = CrashGuard(loop, LoadTable())
+    context.beliefs = Beliefs(loop, context.knowledge, context.pool, lambda: None, guard)
     context.knowledge.read([entry(1)], 90.0)
     context.beliefs.endpoint_failed("engine-1@1", certain=True, detail="silent")
     context.knowledge.leaves("engine-1@1", 95.0)
--- a/src/brassdrum/daemon/attempts.py
+++ b/src/brassdrum/daemon/attempts.py
@@ -12,6 +12,7 @@
 from brassdrum.errors import (
     BrassdrumError,
     DeadlineExceededError,
+    EndpointEndedError,
     EndpointFailedError,
     NoEndpointError,
     Ran,
@@ -30,6 +31,7 @@
         self,
         core: Core,
         scope: Scope,
+        content: str,
         *,
         repeatable: bool,
         place: Callable[[Work], Placement] | None = None,
@@ -37,6 +39,7 @@
         self._place_elsewhere = place
         self._core = core
         self._scope = scope
+        self._content = content
         self._repeatable = repeatable
         self._attempt = 0
         self._may_have_run = False
@@ -55,6 +58,8 @@
             except BrassdrumError as error:
                 self._core.dispatcher.release(placement)
                 self._judge_endpoint(placement, error)
+                if isinstance(error, EndpointEndedError):
+                    self._core.guard.ended(self._content, placement.state.endpoint.name)
                 work = self._again(work, placement, error)
                 continue
             except BaseException:
@@ -65,11 +70,26 @@
 
     def _place_or_tell(self, work: Work) -> Placement:
         try:
-            return self._place(work)
+            self._core.guard.check(self._content)
+            return self._place(self._alone(work))
         except BrassdrumError as error:
             self._note_ran(error)
             raise
 
+    def _alone(self, work: Work) -> Work:
+        """Keep a request that may end its endpoint away from the streams of others."""
+        if not self._core.guard.suspect(self._content):
+            return work
+        now = self._core.clock.monotonic()
+        with self._core.dispatcher.lock:
+            states = self._core.dispatcher.fleet.states_by_target.get(work.target, [])
+            usable = [each for each in states if each.usable(now)]
+            busy = {each.endpoint.name for each in usable if each.streams(now)}
+        names = {each.endpoint.name for each in usable} - work.avoid
+        if not names - busy:
+            return work
+        return replace(work, avoid=work.avoid | busy)
+
     def _note_ran(self, error: BrassdrumError) -> None:
         """Let an error tell of all attempts: a later one that did not run hides no earlier one."""
         if error.ran is not Ran.NO:
--- a/src/brassdrum/daemon/calls.py
+++ b/src/brassdrum/daemon/calls.py
@@ -8,7 +8,7 @@
 from brassdrum.contracts.documents import Service
 from brassdrum.daemon.attempts import Attempts
 from brassdrum.daemon.claiming import claim, replay
-from brassdrum.daemon.core import Core, Scope
+from brassdrum.daemon.core import Core, Scope, content_of
 from brassdrum.daemon.dispatcher import Placement
 from brassdrum.daemon.finishing import Ending, handle
 from brassdrum.endpoints.service import ServiceAnswer, ServiceCallRequest
@@ -48,6 +48,8 @@
 
     def _run(self, scope: Scope, ending: Ending) -> Response:
         body = scope.request.body()
+        content = content_of(scope, body)
+        self._core.guard.check(content)
         name = scope.request.parameters["service"]
         path = "/" + scope.request.parameters["path"]
         with scope.trace.hop("admission"):
@@ -61,8 +63,9 @@
             return replay(ticket)
         ending.ticket = ticket
         ending.repeatable = scope.may_repeat and is_repeatable(service, scope.request.method, path)
-        attempts = Attempts(self._core, scope, repeatable=ending.repeatable)
+        attempts = Attempts(self._core, scope, content, repeatable=ending.repeatable)
         answer = attempts.run(work, lambda placement: self._send(scope, placement, path, body))
+        self._core.guard.served(content)
         ticket.finish(answer.status, answer.content_type, answer.body)
         ending.succeeded(None)
         return Response(
--- /dev/null
+++ b/src/brassdrum/daemon/content_guard.py
@@ -0,0 +1,107 @@
+"""Keep prompts and calls that end endpoints away from them; every method may run on any thread."""
+
+from __future__ import annotations
+
+import logging
+import threading
+import zlib
+from collections.abc import Iterable
+
+from brassdrum.clock import Clock
+from brassdrum.errors import ContentQuarantinedError
+from brassdrum.membership.peer_pb2 import DaemonEntry, EndedContent, SeenEndpointEnd
+from brassdrum.outcomes.quarantine import EndingWord, Quarantine, SeenEnd, Standing
+
+__all__ = ["ContentGuard"]
+
+_logger = logging.getLogger(__name__)
+# Rounds of gossip are seconds apart in large fleets (12.8 s at 320 daemons): news are told longer.
+_TOLD_SECONDS = 60.0
+# An endpoint keeps its name when it starts again. Ends that are this far apart are different ones:
+# all daemons see one end within milliseconds, and a start takes longer than two seconds.
+_SAME_END_SECONDS = 2.0
+_MS = 1000.0
+
+
+class ContentGuard:
+    """Decide on requests by what became of endpoints under their contents."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._quarantine = Quarantine(_TOLD_SECONDS)
+        self._lock = threading.Lock()
+
+    def check(self, content: str) -> None:
+        """Raise ``ContentQuarantinedError`` for a content that is refused; wait to be sure."""
+        while True:
+            with self._lock:
+                now = self._clock.monotonic()
+                standing = self._quarantine.standing(content, now)
+                wait = self._quarantine.settles_in(content, now)
+                left = self._quarantine.seconds_left(content, now)
+            if standing is not Standing.UNDECIDED:
+                break
+            self._clock.sleep(wait)
+        if standing is Standing.QUARANTINED:
+            _logger.warning(
+                "content refused", extra={"content": content, "seconds_left": round(left, 1)}
+            )
+            raise ContentQuarantinedError(
+                "Requests with this content end the endpoints that run them.", retry_after=left
+            )
+
+    def suspect(self, content: str) -> bool:
+        """Return whether a request is to be sent alone."""
+        with self._lock:
+            standing = self._quarantine.standing(content, self._clock.monotonic())
+        return standing is Standing.SUSPECT
+
+    def ended(self, content: str, endpoint: str) -> None:
+        """Note that an endpoint ended while it had a request with the content."""
+        period = int(self._clock.now().timestamp() // _SAME_END_SECONDS)
+        key = zlib.crc32(f"{endpoint}@{period}".encode())
+        with self._lock:
+            self._quarantine.ended(content, key, self._clock.monotonic())
+        _logger.warning("endpoint ended", extra={"endpoint": endpoint, "content": content})
+
+    def served(self, content: str) -> None:
+        """Note a whole answer."""
+        with self._lock:
+            cleared = self._quarantine.served(content, self._clock.monotonic())
+        if cleared:
+            _logger.info("content cleared", extra={"content": content})
+
+    def describe(self, entry: DaemonEntry) -> None:
+        """Fill in what this daemon tells of contents in a round."""
+        with self._lock:
+            words = self._quarantine.words(self._clock.monotonic())
+        del entry.ended_contents[:]
+        entry.ended_contents.extend(map(_told, words))
+
+    def take(self, entries: Iterable[DaemonEntry]) -> None:
+        """Take in what others tell."""
+        words = [_heard(each) for entry in entries for each in entry.ended_contents]
+        if not words:
+            return
+        with self._lock:
+            self._quarantine.hear(words, self._clock.monotonic())
+
+
+def _told(word: EndingWord) -> EndedContent:
+    told = EndedContent(
+        content=bytes.fromhex(word.content),
+        ends=[
+            SeenEndpointEnd(endpoint=end.endpoint, age_milliseconds=int(end.age * _MS))
+            for end in word.ends
+        ],
+    )
+    if word.served_age is not None:
+        told.served_age_milliseconds = int(word.served_age * _MS)
+    return told
+
+
+def _heard(told: EndedContent) -> EndingWord:
+    ends = tuple(SeenEnd(each.endpoint, each.age_milliseconds / _MS) for each in told.ends)
+    served = told.served_age_milliseconds / _MS
+    known = told.HasField("served_age_milliseconds")
+    return EndingWord(told.content.hex(), ends, served if known else None)
--- a/src/brassdrum/daemon/core.py
+++ b/src/brassdrum/daemon/core.py
@@ -11,6 +11,7 @@
 from brassdrum.contracts.documents import Contract
 from brassdrum.contracts.view import FleetView
 from brassdrum.daemon.cancels import Cancels
+from brassdrum.daemon.content_guard import ContentGuard
 from brassdrum.daemon.control import ControlState
 from brassdrum.daemon.dispatcher import Dispatcher
 from brassdrum.daemon.explanations import Explanations
@@ -20,6 +21,7 @@
 from brassdrum.daemon.watch import Watch
 from brassdrum.errors import InvalidRequestError, NotReadyError, UnknownKeyError
 from brassdrum.outcomes.claimer import Claims
+from brassdrum.outcomes.fingerprint import fingerprint
 from brassdrum.outcomes.resume import ResumeTokens
 from brassdrum.outcomes.retries import RetryBudget, RetryPolicy
 from brassdrum.settings import DaemonSettings
@@ -28,7 +30,7 @@
 from brassdrum.telemetry.traces import RequestTrace, Tracing
 from brassdrum.wsgi import Request
 
-__all__ = ["ActiveRequests", "Core", "Scope"]
+__all__ = ["ActiveRequests", "Core", "Scope", "content_of"]
 
 _LONGEST_KEY = 255
 _LONGEST_ID = 128
@@ -101,6 +103,7 @@
     tracing: Tracing
     retry_budget: RetryBudget
     cost: ControlCost
+    guard: ContentGuard
     retries: RetryPolicy = field(init=False)
     active: ActiveRequests = field(default_factory=ActiveRequests)
     stopping: threading.Event = field(default_factory=threading.Event)
@@ -175,6 +178,12 @@
     return min(longest, seconds)
 
 
+def content_of(scope: Scope, body: bytes) -> str:
+    """Return the name of what a request asks for, whoever handles it."""
+    request = scope.request
+    return fingerprint(scope.organisation, request.method.encode(), request.path.encode(), body)
+
+
 def _request_id(request: Request, clock: Clock) -> str:
     value = request.header("Brassdrum-Request-Id") or request.header("X-Request-Id")
     if value is None:
--- a/src/brassdrum/daemon/generation.py
+++ b/src/brassdrum/daemon/generation.py
@@ -9,7 +9,8 @@
 from brassdrum.daemon.answers import AnswerBuilder, Usage
 from brassdrum.daemon.attempts import Attempts
 from brassdrum.daemon.claiming import claim, replay
-from brassdrum.daemon.core import Core, Scope
+from brassdrum.daemon.content_guard import ContentGuard
+from brassdrum.daemon.core import Core, Scope, content_of
 from brassdrum.daemon.dispatcher import Placement
 from brassdrum.daemon.engine_run import EngineRun, RunTimes, StreamIdentity
 from brassdrum.daemon.finishing import Ending, handle
@@ -20,6 +21,7 @@
 from brassdrum.errors import (
     BrassdrumError,
     DeadlineUnreachableError,
+    EndpointEndedError,
     PromptTooLongError,
     Ran,
     UnknownModelError,
@@ -81,6 +83,8 @@
 
     def _run(self, scope: Scope, ending: Ending, *, chat: bool) -> Response:
         body = scope.request.body()
+        content = content_of(scope, body)
+        self._core.guard.check(content)
         with scope.trace.hop("admission"):
             generation = self._parse(scope, body, chat=chat)
             work = self._admit(scope, generation)
@@ -96,16 +100,20 @@
         attempts = Attempts(
             self._core,
             scope,
+            content,
             repeatable=repeatable,
             place=ending.place_group if larger else None,
         )
         if generation.stream:
             return attempts.run(
-                work, lambda placement: self._streamed(scope, generation, placement, ending)
+                work,
+                lambda placement: self._streamed(scope, generation, placement, ending, content),
             )
-        return attempts.run(
+        answer = attempts.run(
             work, lambda placement: self._whole(scope, generation, placement, ending)
         )
+        self._core.guard.served(content)
+        return answer
 
     def _parse(self, scope: Scope, body: bytes, *, chat: bool) -> Generation:
         content: ChatRequest | CompletionRequest
@@ -172,7 +180,12 @@
         )
 
     def _streamed(
-        self, scope: Scope, generation: Generation, placement: Placement, ending: Ending
+        self,
+        scope: Scope,
+        generation: Generation,
+        placement: Placement,
+        ending: Ending,
+        content: str,
     ) -> Response:
         run, ticket = self._open(scope, generation, placement, ending)
         first = self._first(scope, run, placement, generation)
@@ -181,7 +194,7 @@
             "Brassdrum-Resume-Token": self._core.resume_tokens.sign(ticket),
             "Cache-Control": "no-store",
         }
-        end = GenerationEnd(generation, placement, ending)
+        end = GenerationEnd(generation, placement, ending, self._core.guard, content)
         stream = RelayedStream(run, end, error_chunk)
         body = StreamBody(scope.request, self._core.relay, stream, end, first)
         return Response(200, body, SSE, headers)
@@ -280,7 +293,16 @@
 class GenerationEnd(StreamEnd):
     """Count what a stream used, keep a small answer for its key and end the request."""
 
-    def __init__(self, generation: Generation, placement: Placement, ending: Ending) -> None:
+    def __init__(
+        self,
+        generation: Generation,
+        placement: Placement,
+        ending: Ending,
+        guard: ContentGuard,
+        content: str,
+    ) -> None:
+        self._guard = guard
+        self._content = content
         self._generation = generation
         self._placement = placement
         self._ending = ending
@@ -298,6 +320,7 @@
 
     def finished(self) -> None:
         """End a request that was answered whole."""
+        self._guard.served(self._content)
         self._release()
         whole = self._kept_bytes <= _LARGEST_REPLAY
         body = b"".join([*self._kept, DONE]) if whole else None
@@ -306,6 +329,8 @@
 
     def failed(self, error: BrassdrumError) -> None:
         """End a request whose answer broke off."""
+        if isinstance(error, EndpointEndedError):
+            self._guard.ended(self._content, self._placement.state.endpoint.name)
         error.ran = Ran.MAYBE
         self._release()
         self._ending.failed(error)
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -15,6 +15,7 @@
 from brassdrum.daemon.admin import AdminHandler
 from brassdrum.daemon.calls import ServiceHandler
 from brassdrum.daemon.cancels import Cancels
+from brassdrum.daemon.content_guard import ContentGuard
 from brassdrum.daemon.control import ControlState
 from brassdrum.daemon.core import Core
 from brassdrum.daemon.dispatcher import Dispatcher
@@ -277,6 +278,7 @@
             tracing=Tracing(settings.telemetry, settings.name),
             retry_budget=RetryBudget(_RETRY_SHARE),
             cost=self._cost,
+            guard=ContentGuard(self._clock),
         )
 
     def _make_router(self) -> Router:
@@ -336,12 +338,14 @@
         if entry.state != LEAVING:
             entry.state = STARTING if self.not_ready() else READY
         self._sharing.describe(entry)
+        self.core.guard.describe(entry)
 
     def _merged(self, newer: list[DaemonEntry]) -> None:
         with self.gossip.lock:
             live = self.gossip.table.live_peers(self._clock.monotonic())
             long_loads = [record.entry.long_load for record in live]
         self._sharing.take(newer, long_loads)
+        self.core.guard.take(newer)
 
     def _own_leaving(self) -> set[str]:
         return self._hosts.leaving_endpoints() | self._endpoint_watch.draining
--- a/src/brassdrum/endpoints/engine.py
+++ b/src/brassdrum/endpoints/engine.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from brassdrum.endpoints.endings import lost_answer
 from brassdrum.errors import (
     BrassdrumError,
     EndpointFailedError,
@@ -140,7 +141,7 @@
         except ConnectFailedError as error:
             raise NoEndpointError(f"Endpoint {self.name} cannot be reached: {error}.") from error
         except ExchangeFailedError as error:
-            raise EndpointFailedError(f"Endpoint {self.name} did not answer: {error}.") from error
+            raise lost_answer(self.name, self._pool, error) from error
         if exchange.status == 200:
             return EngineConnection(exchange)
         raise self._refusal(exchange)
@@ -167,7 +168,7 @@
                 on_connected=on_connected,
             )
         except (ConnectFailedError, ExchangeFailedError) as error:
-            raise EndpointFailedError(f"Endpoint {self.name} did not answer: {error}.") from error
+            raise lost_answer(self.name, self._pool, error) from error
         if exchange.status == 200:
             return EngineConnection(exchange)
         exchange.drop()
--- a/src/brassdrum/endpoints/service.py
+++ b/src/brassdrum/endpoints/service.py
@@ -5,7 +5,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from brassdrum.errors import EndpointFailedError, NoEndpointError
+from brassdrum.endpoints.endings import lost_answer
+from brassdrum.errors import NoEndpointError
 from brassdrum.http_pool import ConnectFailedError, ExchangeFailedError, HttpPool
 
 __all__ = ["ServiceAnswer", "ServiceCallRequest", "ServiceClient"]
@@ -41,7 +42,8 @@
     def call(self, request: ServiceCallRequest) -> ServiceAnswer:
         """Return the answer.
 
-        Raises ``NoEndpointError`` if nothing was sent, else ``EndpointFailedError``.
+        Raises ``NoEndpointError`` if nothing was sent, else ``EndpointFailedError``, as
+        ``EndpointEndedError`` where the process has ended.
         """
         try:
             exchange = self._pool.request(
@@ -56,6 +58,6 @@
         except ConnectFailedError as error:
             raise NoEndpointError(f"Endpoint {self.name} cannot be reached: {error}.") from error
         except ExchangeFailedError as error:
-            raise EndpointFailedError(f"Endpoint {self.name} did not answer: {error}.") from error
+            raise lost_answer(self.name, self._pool, error) from error
         content_type = exchange.header("Content-Type") or "application/octet-stream"
         return ServiceAnswer(exchange.status, content_type, body)
--- a/src/brassdrum/errors.py
+++ b/src/brassdrum/errors.py
@@ -20,6 +20,8 @@
     "DeadlineExceededError",
     "NoEndpointError",
     "EndpointFailedError",
+    "EndpointEndedError",
+    "ContentQuarantinedError",
     "OutcomeUnknownError",
     "RequestInProgressError",
     "KeyReusedError",
@@ -175,6 +177,24 @@
     default_ran = Ran.MAYBE
 
 
+class EndpointEndedError(EndpointFailedError):
+    """Fail a request whose endpoint's process ended while it had the request.
+
+    Callers see the code of any failed endpoint: what they may do is the same.
+    """
+
+
+class ContentQuarantinedError(BrassdrumError):
+    """Refuse a request whose content has ended several endpoints."""
+
+    code = "content_quarantined"
+    status = 503
+    remedy = (
+        "Do not send this request again before retry_after seconds; tell the operator its id, "
+        "since it ends the endpoints that run it."
+    )
+
+
 class OutcomeUnknownError(BrassdrumError):
     """Refuse to repeat a request that may have run under the same key."""
 
--- a/src/brassdrum/http_pool.py
+++ b/src/brassdrum/http_pool.py
@@ -164,6 +164,17 @@
                 return
         connection.close()
 
+    def refuses(self, seconds: float) -> bool:
+        """Return whether the host refuses a connection: it lives, the process does not."""
+        try:
+            socket.create_connection((self._host, self._port), timeout=seconds).close()
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            # Silence or a way that is cut says nothing about the process.
+            return False
+        return False
+
     def close(self) -> None:
         """Close all idle connections."""
         with self._lock:
