Let each soak have a request that ends replicas, and callers that ask for the same

Change: beside the planned faults one caller comes again all the time with one ending request (its draws are its own, so plans of seeds stay); the replica's process ends, its link refuses, another replica comes. Two more checks: such a request does not go on after three ends, and no other caller is told to come back as late as a quarantined one. Every fourth caller asks for the same content each time: a healthy content that is at many ends. A crash now refuses connections.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -32,6 +32,8 @@
       | a taken key is served long after         | accepted changes are in force   |
       | memory stays held                        | memory is given back            |
       | a caller still waits                     | every request ends              |
+      | a request ended six replicas and went on | no request ends replicas for ever |
+      | a healthy request is told to come back in ten minutes | healthy requests are not quarantined |
 
   Scenario: The proxy harms connections as it is told
     Then a proxy passes, resets, silences and holds back answers
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -55,15 +55,20 @@
     assert promise in {violation.promise for violation in context.found}, context.found
 
 
-def result(kind="hold", status=200, body=None, key="key-1", sent_at=0.0):
+def result(kind="hold", status=200, body=None, key="key-1", sent_at=0.0, retry_after=0.0):
     body = whole_answer(kind, "a") if body is None else body
-    return Result("a", kind, "daemon-1", key, sent_at, sent_at + 0.1, status, True, body)
+    ended_at = sent_at + 0.1
+    return Result("a", kind, "daemon-1", key, sent_at, ended_at, status, True, body, retry_after)
 
 
 def run(at=0.0, organisation="org-1", request="a"):
     return Run(request, "replica-1", organisation, at, False)
 
 
+def ending(at):
+    return Run("a", "replica-1", "org-1", at, False, ending=True)
+
+
 HISTORIES = {
     "a call ran twice": History([result()], [run(), run()]),
     "a refused request ran": History([result(status=503)], [run()]),
@@ -77,6 +82,12 @@
         [result(sent_at=9.0)], [run(at=9.0)], revoked_at_by_key={"key-1": 1.0}
     ),
     "memory stays held": History([result()], [run()], held_at_end=5),
+    "a request ended six replicas and went on": History(
+        [result(kind="ending", status=502)], [ending(float(at)) for at in range(12)]
+    ),
+    "a healthy request is told to come back in ten minutes": History(
+        [result(status=503, retry_after=599.0)], []
+    ),
     "a caller still waits": History([result()], [run()], unfinished=1),
 }
 
--- a/src/brassdrum/platform/standin.py
+++ b/src/brassdrum/platform/standin.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
-from brassdrum.soak.replicas import EVENTS, ReplicaFaults, Run, event, expected
+from brassdrum.soak.replicas import ENDING_PATH, EVENTS, ReplicaFaults, Run, event, expected
 
 __all__ = ["Replica", "Store", "boot_file", "caller_headers"]
 
@@ -205,9 +205,14 @@
     """Serve requests and record each run."""
 
     def __init__(
-        self, name: str, runs: list[Run], chance: Callable[[], float], address: str | None = None
+        self,
+        name: str,
+        runs: list[Run],
+        chance: Callable[[], float],
+        on_ended: Callable[[], None] | None = None,
     ) -> None:
         self.name = name
+        self._on_ended = on_ended
         self.faults = ReplicaFaults()
         self._runs = runs
         self._chance = chance
@@ -217,7 +222,7 @@
         self._server = socket.create_server(("127.0.0.1", 0))
         self.own_address = f"127.0.0.1:{self._server.getsockname()[1]}"
         # Daemons reach a replica through a proxy, which has another address.
-        self.address = address or self.own_address
+        self.address = self.own_address
         threading.Thread(target=self._accept, daemon=True).start()
 
     def held(self) -> int:
@@ -265,11 +270,15 @@
         if self._chance() < self.faults.refuse:
             self._answer(connection, request, 503, b"", "X-Not-Executed: 1\r\n")
             return True
+        if request.path.startswith(ENDING_PATH) and self._on_ended is not None:
+            self._note(request, ending=True)
+            self._on_ended()
+            return False
         for _ in range(2 if self._chance() < self.faults.repeat else 1):
             self._note(request)
         return self._run(connection, request)
 
-    def _note(self, request: _Request) -> None:
+    def _note(self, request: _Request, *, ending: bool = False) -> None:
         headers = request.header_by_name
         run = Run(
             headers["x-attempt-id"],
@@ -277,6 +286,7 @@
             headers.get("x-tenant", ""),
             time.monotonic(),
             "last-event-id" in headers,
+            ending,
         )
         with self._lock:
             self._runs.append(run)
--- a/src/brassdrum/soak/actions.py
+++ b/src/brassdrum/soak/actions.py
@@ -89,12 +89,7 @@
 @ACTIONS.register("crash")
 def crash(soak: Soak, fault: PlannedFault) -> None:
     """Let a replica crash for good; its entry lapses and another one comes."""
-    replica = soak.pick_replica(fault)
-    soak.add_replica()
-    soak.replicas.remove(replica)
-    replica.close()
-    soak.links[replica.name].close()
-    soak.after(1.0, lambda: soak.store.remove_replica(replica.name))
+    soak.replica_ends(soak.pick_replica(fault))
 
 
 @ACTIONS.register("drain")
--- a/src/brassdrum/soak/checks.py
+++ b/src/brassdrum/soak/checks.py
@@ -12,6 +12,12 @@
 __all__ = ["CHECKS", "History", "Result", "Violation", "judge"]
 
 _PROMISED_NOT_RUN = (408, 421, 429, 503)
+# Three ends are proof; three more sends are borne after the time in which all daemons hear of it.
+_PROOF_ENDS = 3
+_MORE_SENDS = 3
+_HEARD_SECONDS = 3.0
+# Other refusals ask callers to come back within the time that they have, 6 s here.
+_QUARANTINE_SECONDS = 60.0
 # A change is in force within 2 s; the rest covers what is under way and a busy machine.
 _IN_FORCE_SECONDS = 4.5
 
@@ -29,6 +35,7 @@
     status: int
     whole: bool
     body: bytes
+    retry_after: float = 0.0
 
 
 @dataclass(slots=True)
@@ -146,6 +153,35 @@
             yield Violation("accepted changes are in force", result.request, f"{late:.1f} s late")
 
 
+@CHECKS.register("no request ends replicas for ever")
+def ending(history: History) -> Iterator[Violation]:
+    """Find sends of a request that had ended three replicas before."""
+    daemon_by_request = {result.request: result.daemon for result in history.results}
+    runs = sorted((run for run in history.runs if run.ending), key=lambda run: run.at)
+    if len(runs) <= _PROOF_ENDS:
+        return
+    proven_at = runs[_PROOF_ENDS - 1].at
+    late = [
+        run
+        for run in runs[_PROOF_ENDS:]
+        if run.at > proven_at + _HEARD_SECONDS
+        and history.calm(daemon_by_request.get(run.request, ""), run.at - _HEARD_SECONDS, run.at)
+    ]
+    if len(late) > _MORE_SENDS:
+        detail = f"{len(late)} sends after three ends, {len(runs)} ends"
+        yield Violation("no request ends replicas for ever", late[-1].request, detail)
+
+
+@CHECKS.register("healthy requests are not quarantined")
+def healthy(history: History) -> Iterator[Violation]:
+    """Find requests that ended nothing and were refused for as long as those that do."""
+    for result in history.results:
+        if result.kind == "ending" or result.retry_after < _QUARANTINE_SECONDS:
+            continue
+        detail = f"told to come back after {result.retry_after:.0f} s"
+        yield Violation("healthy requests are not quarantined", result.request, detail)
+
+
 @CHECKS.register("memory is given back")
 def memory(history: History) -> Iterator[Violation]:
     """Find memory that stays held after all requests ended."""
--- a/src/brassdrum/soak/proxy.py
+++ b/src/brassdrum/soak/proxy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 import time
@@ -39,7 +40,10 @@
                 _reset(connection)
 
     def close(self) -> None:
-        """Take no more connections and end the open ones."""
+        """Refuse connections, as a host does whose process has ended, and end the open ones."""
+        with contextlib.suppress(OSError):
+            # Wakes the thread that accepts; until then the host would go on taking connections.
+            self._server.shutdown(socket.SHUT_RDWR)
         self._server.close()
         self.set_mode("reset")
 
--- a/src/brassdrum/soak/replicas.py
+++ b/src/brassdrum/soak/replicas.py
@@ -4,21 +4,24 @@
 
 from dataclasses import dataclass
 
-__all__ = ["EVENTS", "ReplicaFaults", "Run", "event", "expected", "whole_answer"]
+__all__ = ["ENDING_PATH", "EVENTS", "ReplicaFaults", "Run", "event", "expected", "whole_answer"]
 
+# A request to a path that begins so ends each replica that runs it.
+ENDING_PATH = "/text/ends-"
 # Events of one stream: enough for a cut in the middle.
 EVENTS = 6
 
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """Hold one run of a request at a replica; ``at`` is monotonic."""
+    """Hold one run of a request at a replica; ``at`` is monotonic, ``ending`` if that ended it."""
 
     request: str
     replica: str
     organisation: str
     at: float
     resumed: bool
+    ending: bool = False
 
 
 @dataclass(slots=True)
--- a/src/brassdrum/soak/run.py
+++ b/src/brassdrum/soak/run.py
@@ -21,6 +21,7 @@
 from brassdrum.soak.checks import History, Result, Violation, judge
 from brassdrum.soak.plan import PlannedFault, draw_plan
 from brassdrum.soak.proxy import Proxy
+from brassdrum.soak.replicas import ENDING_PATH
 
 __all__ = ["Soak", "SoakReport", "SoakSize"]
 
@@ -35,6 +36,10 @@
 _GIANT_TOKENS = 150_000
 _GIANT_SHARE = 0.04
 _KINDS = ("text", "hold", "check")
+# Every fourth caller asks for the same each time, as a page that is polled does.
+_SAME_CONTENT_CALLERS = 4
+# The caller whose request ends replicas comes again after up to this.
+_ENDING_PAUSE_SECONDS = 0.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +114,16 @@
             connection.close()
 
 
+@dataclass(frozen=True, slots=True)
+class _Sending:
+    """Hold what a caller asks for, with which key."""
+
+    request: str
+    kind: str
+    key: str
+    tokens: int
+
+
 @dataclass(slots=True)
 class _Keys:
     """Hold the keys in force and give out new ones."""
@@ -153,6 +168,7 @@
                 threading.Thread(target=self._call_on, args=(number,), daemon=True)
                 for number in range(self.size.callers)
             ]
+            callers.append(threading.Thread(target=self._end_replicas, daemon=True))
             keeper = threading.Thread(target=self._keep_running, daemon=True)
             for thread in (*callers, keeper):
                 thread.start()
@@ -190,7 +206,9 @@
         """Start a replica behind a link of its own and list it."""
         self._replica_count += 1
         name = f"replica-{self.seed}-{self._replica_count}"
-        replica = Replica(name, self.history.runs, self.random.random)
+        replica = Replica(
+            name, self.history.runs, self.random.random, lambda: self.replica_ends(replica)
+        )
         link = Proxy(replica.own_address)
         replica.address = link.address
         if self._plant == "repeat":
@@ -202,6 +220,17 @@
         self.store.list_replica(replica, draining=False)
         return replica
 
+    def replica_ends(self, replica: Replica) -> None:
+        """Let a replica's process end; its entry lapses and another replica comes."""
+        with self._lock:
+            if replica not in self.replicas:
+                return
+            self.replicas.remove(replica)
+        self.links[replica.name].close()
+        replica.close()
+        self.add_replica()
+        self.after(1.0, lambda: self.store.remove_replica(replica.name))
+
     def configure(self) -> None:
         """Write the keys that are in force now."""
         self.store.configure(self.keys.by_organisation)
@@ -285,35 +314,76 @@
             usable = True
             while usable and not self._stop.is_set():
                 count += 1
-                usable = self._call(connection, daemon, rng, f"r{self.seed}-{number}-{count}")
+                request = f"r{self.seed}-{number}-{count}"
+                same = number % _SAME_CONTENT_CALLERS == 0
+                content = "x" if same else request
+                usable = self._call(connection, daemon, rng, request, content)
                 time.sleep(rng.uniform(0.0, 0.02))
             connection.close()
 
+    def _end_replicas(self) -> None:
+        """Come again and again with one request that ends each replica that runs it."""
+        rng = random.Random(f"ending {self.seed}")
+        count = 0
+        while not self._stop.wait(rng.uniform(0.0, _ENDING_PAUSE_SECONDS)):
+            count += 1
+            daemon = rng.choice(self.daemons)
+            connection = http.client.HTTPConnection(
+                daemon.host, daemon.port, timeout=_CALLER_TIMEOUT_SECONDS
+            )
+            self._send(
+                connection,
+                _Sending(f"e{self.seed}-{count}", "ending", self._ending_key(), 1000),
+                daemon,
+                f"{ENDING_PATH}{self.seed}",
+            )
+            connection.close()
+
+    def _ending_key(self) -> str:
+        # The newest key of one organisation: an older one may have been taken away.
+        return self.keys.by_organisation["org-1"][-1]
+
     def _call(
         self,
         connection: http.client.HTTPConnection,
         daemon: _DaemonProcess,
         rng: random.Random,
         request: str,
+        content: str,
     ) -> bool:
         kind = rng.choice(_KINDS)
         key = rng.choice(list(self.history.organisation_by_key))
         giant = kind == "text" and rng.random() < _GIANT_SHARE
         tokens = _GIANT_TOKENS if giant else 1000 if kind == "text" else 0
-        headers = caller_headers(request, key, _PATIENCE_SECONDS, tokens)
+        sending = _Sending(request, kind, key, tokens)
+        return self._send(connection, sending, daemon, f"/{kind}/{content}")
+
+    def _send(
+        self,
+        connection: http.client.HTTPConnection,
+        sending: _Sending,
+        daemon: _DaemonProcess,
+        path: str,
+    ) -> bool:
+        """Send a request, note what became of it; return whether the connection is of use."""
+        request, kind, key = sending.request, sending.kind, sending.key
+        headers = caller_headers(request, key, _PATIENCE_SECONDS, sending.tokens)
         sent_at = time.monotonic()
-        status, whole, body, usable = 0, False, b"", False
+        status, whole, body, usable, retry_after = 0, False, b"", False, 0.0
         try:
             method = "GET" if kind == "check" else "POST"
-            connection.request(method, f"/{kind}/x", headers=headers)
+            connection.request(method, path, headers=headers)
             response = connection.getresponse()
             status = response.status
+            retry_after = float(response.headers.get("Retry-After", "0"))
             body = response.read()
             whole, usable = True, not response.will_close
         except (OSError, http.client.HTTPException):
             usable = False
         ended_at = time.monotonic()
-        result = Result(request, kind, daemon.name, key, sent_at, ended_at, status, whole, body)
+        result = Result(
+            request, kind, daemon.name, key, sent_at, ended_at, status, whole, body, retry_after
+        )
         with self._lock:
             self.history.results.append(result)
         return usable
