--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -73,9 +73,21 @@
     When 1201 s pass
     Then nothing is known
 
+  Scenario: Many endpoints that end in one moment are no request's doing
+    Given 5 endpoints ended in one moment 3 times, each time one under content a
+    When 0.3 s pass
+    Then content a is sound
+
+  Scenario: A request whose copies end several endpoints in one moment is found
+    Given content a was at ends 1, 2 and 3
+    And content b was at ends 1
+    When 0.3 s pass
+    Then content a is quarantined
+
   Scenario: A flood of contents is kept within bounds and does not push out what is proven
     Given content a was at ends 1, 2 and 3
-    When 5000 other contents were at one end each
+    When 0.2 s pass
+    And 5000 other contents were at one end each
     Then at most 256 contents are known
     And at most 24 are told, content a first
     When 0.3 s pass
@@ -107,3 +119,6 @@
 
   Scenario: A healthy request beside ending ones is not refused
     Then in any series of ends caused by at most two contents no other one is quarantined
+
+  Scenario: A healthy request in a series of failures of many endpoints is not refused
+    Then in any series of ends of 3 and more endpoints at once no content is quarantined
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -55,6 +55,17 @@
         quarantine.ended(content(letter), int(number), context.now)
 
 
+@given("{count:d} endpoints ended in one moment {times:d} times, each time one under content a")
+def step_in_one_moment(context, count, times):
+    quarantine = daemon(context).quarantine
+    for moment in range(times):
+        context.now += 1.5
+        quarantine.ended(content("a"), 100 * moment, context.now)
+        for other in range(1, count):
+            name = f"{100 * moment + other:016x}"
+            quarantine.ended(name, 100 * moment + other, context.now + 0.002 * other)
+
+
 @given("another daemon heard all")
 @when("the other daemon hears all")
 def step_other_hears(context):
@@ -205,6 +216,25 @@
     check()
 
 
+@then("in any series of ends of 3 and more endpoints at once no content is quarantined")
+def step_waves(context):
+    @any_of(st.integers(0, 2**32), st.integers(3, 13), st.floats(0.1, 3.0))
+    def check(seed, endpoints, pause):
+        rng = random.Random(seed)
+        quarantine = Quarantine()
+        now = 100.0
+        healthy = [f"{number + 100:016x}" for number in range(40)]
+        for wave in range(8):
+            now += pause
+            streams = rng.sample(healthy, 3 * endpoints)
+            for number in range(endpoints):
+                for name in streams[3 * number : 3 * number + 3]:
+                    quarantine.ended(name, 100 * wave + number, now + rng.uniform(0.0, 0.02))
+        assert not quarantine.in_force(now + 1)
+
+    check()
+
+
 @given("a daemon before {count:d} endpoints of which the first {busy:d} have streams")
 def step_guard(context, count, busy):
     context.loop = SimulatedLoop()
