Part the watch for silence from the exchange

Change: SilenceWatch holds it; the exchange says what the endpoint has to read and whether it may be replaced.

--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -24,10 +24,9 @@
     WaitTimes,
     caller_patience,
     retry_after,
-    silence_patience,
 )
 from brassdrum.gateway.placement import Need, Placement, Verdict, judge
-from brassdrum.gateway.silence import allowed_silence, explained_silence, work_explains
+from brassdrum.gateway.silence_watch import SilenceWatch
 from brassdrum.gateway.upstream import Break, OutgoingRequest
 from brassdrum.outcomes.fingerprint import fingerprint
 from brassdrum.outcomes.quarantine import Standing
@@ -91,9 +90,8 @@
         self._done = False
         self._attempt: Attempt | None = None
         self._reader = EventReader(request.resume_after)
-        self._silence: Timer | None = None
+        self._silence = SilenceWatch(host.loop, self)
         self._held: Timer | None = None
-        self._heard_at = self.arrived
         self._waits = False
         self._waits_for_place = False
         self._deadline_timer = host.loop.call_at(
@@ -218,7 +216,7 @@
 
     def _send(self) -> None:
         """Choose endpoints and send; nothing else of this request is under way then."""
-        self._stop_silence()
+        self._silence.stop()
         standing = self._host.guard.standing(self.content)
         if standing is Standing.QUARANTINED:
             self._stop_waiting()
@@ -402,29 +400,24 @@
 
     def watch_silence(self, placement: Placement | None) -> None:
         """Give an endpoint up when it is silent for longer than its work explains."""
-        if self._silence is not None:
-            self._silence.cancel()
-        if not self._more_sends():
-            return
-        predicted_ms = None if placement is None else placement.first_event_ms
-        self._heard_at = self._host.loop.now()
-        seconds = allowed_silence(self.route, predicted_ms)
-        self._silence = self._host.loop.call_later(seconds, self._silent)
-
-    def _silent(self) -> None:
-        attempt = self._attempt
-        if attempt is None or not self._can_replace(attempt):
-            return
-        reading = self._host.table.total(attempt.endpoint).reading_ms / 1000
-        if self.route.streams:
-            silent = self._host.loop.now() - self._heard_at
-            more = explained_silence(silent, silence_patience(self.route), reading)
-            if more is not None:
-                self._silence = self._host.loop.call_later(more, self._silent)
-                return
-        attempt.cancel()
-        certain = self.route.streams and not work_explains(reading)
-        self._attempt_lost(attempt, "the endpoint is silent", certain=certain)
+        self._silence.stop()
+        if self._more_sends():
+            self._silence.begin(None if placement is None else placement.first_event_ms)
+
+    def may_replace(self) -> bool:
+        """Return whether the present attempt may be given up for another one."""
+        return self._attempt is not None and self._can_replace(self._attempt)
+
+    def reading_seconds(self) -> float:
+        """Return how long the present attempt's endpoint has to read."""
+        assert self._attempt is not None
+        return self._host.table.total(self._attempt.endpoint).reading_ms / 1000
+
+    def fell_silent(self, *, certain: bool) -> None:
+        """Send the request elsewhere when its endpoint is silent."""
+        assert self._attempt is not None
+        self._attempt.cancel()
+        self._attempt_lost(self._attempt, "the endpoint is silent", certain=certain)
 
     def attempt_unheard(self, attempt: Attempt) -> None:
         """Send the request elsewhere when its endpoint gives no sign of life."""
@@ -494,11 +487,6 @@
             self._may_have_run = self._may_have_run or self._attempt.unproven
             self._attempt.cancel()
 
-    def _stop_silence(self) -> None:
-        """Cancel what would send again: a second attempt beside the first, or after the end."""
-        if self._silence is not None:
-            self._silence.cancel()
-
     def _end(self, outcome: Outcome, status: int, detail: str) -> None:
         """Count and log the end, ahead of the answer's last byte.
 
@@ -508,7 +496,7 @@
             return
         self._done = True
         self._deadline_timer.cancel()
-        self._stop_silence()
+        self._silence.stop()
         self._stop_waiting()
         if self._held is not None:
             self._held.cancel()
--- a/src/brassdrum/platform/standin.py
+++ b/src/brassdrum/platform/standin.py
@@ -280,14 +280,9 @@
 
     def _note(self, request: _Request, *, ending: bool = False) -> None:
         headers = request.header_by_name
-        run = Run(
-            headers["x-attempt-id"],
-            self.name,
-            headers.get("x-tenant", ""),
-            time.monotonic(),
-            "last-event-id" in headers,
-            ending,
-        )
+        name, resumed = headers["x-attempt-id"], "last-event-id" in headers
+        organisation = headers.get("x-tenant", "")
+        run = Run(name, self.name, organisation, time.monotonic(), resumed, ending)
         with self._lock:
             self._runs.append(run)
 
