--- a/src/brassdrum/outcomes/quarantine.py
+++ b/src/brassdrum/outcomes/quarantine.py
@@ -51,6 +51,7 @@
 _SAME_SECONDS = 0.5
 # Bounds of what is kept and told: 256 contents of 8 ends take some 150 KB, 24 told ones 1.3 KB.
 _MOST_CONTENTS = 256
+_CONTENTS_AFTER_FLOOD = 224
 _FORGET_EACH_SECONDS = 1.0
 _MOST_ENDS = 8
 _MOST_TOLD = 24
@@ -119,10 +120,11 @@
         self._told_seconds = told_seconds
         self._by_content: dict[str, _Record] = {}
         self._forgot_at = -math.inf
+        self._stale = False
 
     def standing(self, content: str, now: float) -> Standing:
         """Return how a request with a content is treated now."""
-        record = self._by_content.get(content)
+        record = self._record(content)
         if record is None:
             return Standing.SOUND
         if self.seconds_left(content, now) > 0:
@@ -135,14 +137,14 @@
 
     def settles_in(self, content: str, now: float) -> float:
         """Return after how many seconds it is decided whether a content is quarantined."""
-        record = self._by_content.get(content)
+        record = self._record(content)
         if record is None or not record.charged:
             return 0.0
         return max(0.0, record.proven_at + SETTLE_SECONDS - now)
 
     def seconds_left(self, content: str, now: float) -> float:
         """Return for how long a content stays quarantined, 0 if it is not."""
-        record = self._by_content.get(content)
+        record = self._record(content)
         if record is None or not record.charged or self.settles_in(content, now) > 0:
             return 0.0
         return max(0.0, record.last_end + QUARANTINE_SECONDS - now)
@@ -175,6 +177,7 @@
 
     def words(self, now: float) -> tuple[EndingWord, ...]:
         """Return what other daemons are told: what is new, and what is quarantined."""
+        self._charge()
         if now - self._forgot_at > _FORGET_EACH_SECONDS:
             self._forget(now)
         told = []
@@ -235,17 +238,23 @@
         record.changed_at = now
 
     def _settle(self, now: float) -> None:
-        """Keep within the bounds, and charge the ends anew."""
-        self._forget(now)
-        excess = len(self._by_content) - _MOST_CONTENTS
-        if excess > 0:
-            by_worth = sorted(
-                self._by_content,
-                key=lambda each: self._by_content[each].worth,
-            )
-            for content in by_worth[:excess]:
+        """Keep within the bounds; the ends are charged anew when they are asked for."""
+        if now - self._forgot_at > _FORGET_EACH_SECONDS:
+            self._forget(now)
+        if len(self._by_content) > _MOST_CONTENTS:
+            self._charge()
+            by_worth = sorted(self._by_content, key=lambda each: self._by_content[each].worth)
+            # More than one goes at a time: to sort for each new one would take 0.5 ms in a flood.
+            for content in by_worth[: len(by_worth) - _CONTENTS_AFTER_FLOOD]:
                 del self._by_content[content]
-        self._charge()
+        self._stale = True
+
+    def _record(self, content: str) -> _Record | None:
+        """Return what is known of a content, with the ends charged as of now."""
+        record = self._by_content.get(content)
+        if record is not None:
+            self._charge()
+        return record
 
     def _forget(self, now: float) -> None:
         self._forgot_at = now
@@ -255,7 +264,14 @@
                 del self._by_content[content]
 
     def _charge(self) -> None:
-        """Charge the ends to the fewest contents that explain them."""
+        """Charge the ends to the fewest contents that explain them, if anything is new.
+
+        With 256 contents of 8 ends it takes some ms; a failure of many endpoints brings news by
+        the hundred, which are charged together.
+        """
+        if not self._stale:
+            return
+        self._stale = False
         self._count()
         left = {}
         for content, record in self._by_content.items():
@@ -285,16 +301,18 @@
         for record in self._by_content.values():
             for endpoint, at in record.ended_at_by_endpoint.items():
                 ended_at[endpoint] = min(at, ended_at.get(endpoint, math.inf))
-        in_order = sorted(ended_at, key=lambda endpoint: ended_at[endpoint])
-        times = [ended_at[endpoint] for endpoint in in_order]
+        times = sorted(ended_at.values())
         for record in self._by_content.values():
             record.counted = set()
+            if len(record.ended_at_by_endpoint) < _SUSPECT_ENDS:
+                continue
+            own = [ended_at[endpoint] for endpoint in record.ended_at_by_endpoint]
             for endpoint in record.ended_at_by_endpoint:
-                at = ended_at[endpoint]
-                first = bisect_left(times, at - _MOMENT_SECONDS)
-                moment = in_order[first : bisect_right(times, at + _MOMENT_SECONDS)]
-                own = sum(each in record.ended_at_by_endpoint for each in moment)
-                if len(moment) < _MANY_ENDS or 2 * own >= len(moment):
+                first = ended_at[endpoint] - _MOMENT_SECONDS
+                last = ended_at[endpoint] + _MOMENT_SECONDS
+                count = bisect_right(times, last) - bisect_left(times, first)
+                share = sum(first <= at <= last for at in own)
+                if count < _MANY_ENDS or 2 * share >= count:
                     record.counted.add(endpoint)
 
     def _unexplained(self, content: str) -> set[int]:
