Count one end of an engine that keeps its name once, however late it is noticed

Cause: on the OpenAI-compatible daemons an end was named by the engine and a period of 2 s; on a busy machine streams of one dead engine notice it over several periods, and a content that many ask for was at three ends of one engine: refused. Change: an end lasts until the engine answers again.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -122,3 +122,10 @@
 
   Scenario: A healthy request in a series of failures of many endpoints is not refused
     Then in any series of ends of 3 and more endpoints at once no content is quarantined
+
+  Scenario: One end of an engine that keeps its name counts once, however late it is noticed
+    Given a guard of a daemon whose engines keep their names
+    When requests with one content find engine-1 ended, 4 times 2.1 seconds apart
+    Then the content is not refused
+    When engine-1 answers and ends under the content, 2 times
+    Then the content is refused with the time that is left
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -8,6 +8,9 @@
 from hypothesis import strategies as st
 
 from brassdrum.bench.load.loop import SimulatedLoop
+from brassdrum.clock import ManualClock
+from brassdrum.daemon.content_guard import ContentGuard
+from brassdrum.errors import ContentQuarantinedError
 from brassdrum.gateway.crash_guard import CrashGuard
 from brassdrum.gateway.load import LoadTable, Share
 from brassdrum.gateway.model import DaemonAddress
@@ -268,3 +271,40 @@
 @when("the daemon has waited {seconds:g} seconds")
 def step_guard_waits(context, seconds):
     context.loop.advance(seconds)
+
+
+@given("a guard of a daemon whose engines keep their names")
+def step_named_guard(context):
+    context.clock = ManualClock()
+    context.named = ContentGuard(context.clock)
+
+
+@when("requests with one content find {engine} ended, {times:d} times {seconds:g} seconds apart")
+def step_found_ended(context, engine, times, seconds):
+    for _ in range(times):
+        context.named.ended(content("a"), engine)
+        context.clock.advance(seconds)
+
+
+@then("the content is not refused")
+def step_not_refused(context):
+    context.named.check(content("a"))
+
+
+@when("{engine} answers and ends under the content, {times:d} times")
+def step_answers_and_ends(context, engine, times):
+    for _ in range(times):
+        context.clock.advance(3.0)
+        context.named.answered(engine)
+        context.named.ended(content("a"), engine)
+    context.clock.advance(1.0)
+
+
+@then("the content is refused with the time that is left")
+def step_content_refused(context):
+    try:
+        context.named.check(content("a"))
+    except ContentQuarantinedError as error:
+        assert 590 < error.retry_after < 600, error.retry_after
+        return
+    raise AssertionError("the content was not refused")
--- a/src/brassdrum/daemon/attempts.py
+++ b/src/brassdrum/daemon/attempts.py
@@ -67,6 +67,7 @@
                 self._core.dispatcher.release(placement)
                 raise
             placement.state.breaker.succeeded()
+            self._core.guard.answered(placement.state.endpoint.name)
             return answer
 
     def _place_or_tell(self, work: Work) -> Placement:
--- a/src/brassdrum/daemon/content_guard.py
+++ b/src/brassdrum/daemon/content_guard.py
@@ -17,9 +17,11 @@
 _logger = logging.getLogger(__name__)
 # Rounds of gossip are seconds apart in large fleets (12.8 s at 320 daemons): news are told longer.
 _TOLD_SECONDS = 60.0
-# An endpoint keeps its name when it starts again. Ends that are this far apart are different ones:
-# all daemons see one end within milliseconds, and a start takes longer than two seconds.
+# An endpoint keeps its name when it starts again. An end is named by it and by the time of its first
+# sign, in steps of this, so that all daemons name it alike; it lasts until an answer comes.
 _SAME_END_SECONDS = 2.0
+# Twice the endpoints of the largest fleet that is planned for.
+_MOST_ENDED = 1200
 _MS = 1000.0
 
 
@@ -30,6 +32,7 @@
         self._clock = clock
         self._quarantine = Quarantine(_TOLD_SECONDS)
         self._lock = threading.Lock()
+        self._end_by_endpoint: dict[str, int] = {}
 
     def check(self, content: str) -> None:
         """Raise ``ContentQuarantinedError`` for a content that is refused; wait to be sure."""
@@ -58,12 +61,22 @@
 
     def ended(self, content: str, endpoint: str) -> None:
         """Note that an endpoint ended while it had a request with the content."""
-        period = int(self._clock.now().timestamp() // _SAME_END_SECONDS)
-        key = zlib.crc32(f"{endpoint}@{period}".encode())
         with self._lock:
+            key = self._end_by_endpoint.get(endpoint)
+            if key is None:
+                period = int(self._clock.now().timestamp() // _SAME_END_SECONDS)
+                key = zlib.crc32(f"{endpoint}@{period}".encode())
+                self._end_by_endpoint[endpoint] = key
+                while len(self._end_by_endpoint) > _MOST_ENDED:
+                    del self._end_by_endpoint[next(iter(self._end_by_endpoint))]
             self._quarantine.ended(content, key, self._clock.monotonic())
         _logger.warning("endpoint ended", extra={"endpoint": endpoint, "content": content})
 
+    def answered(self, endpoint: str) -> None:
+        """Note that an endpoint answers: what comes next is another end."""
+        with self._lock:
+            self._end_by_endpoint.pop(endpoint, None)
+
     def served(self, content: str) -> None:
         """Note a whole answer."""
         with self._lock:
