--- a/src/brassdrum/daemon/content_guard.py
+++ b/src/brassdrum/daemon/content_guard.py
@@ -17,7 +17,7 @@
 _logger = logging.getLogger(__name__)
 # Rounds of gossip are seconds apart in large fleets (12.8 s at 320 daemons): news are told longer.
 _TOLD_SECONDS = 60.0
-# An endpoint keeps its name when it starts again. An end is named by it and by the time of its first
+# An endpoint keeps its name when it starts again. An end is named by it and the time of its first
 # sign, in steps of this, so that all daemons name it alike; it lasts until an answer comes.
 _SAME_END_SECONDS = 2.0
 # Twice the endpoints of the largest fleet that is planned for.
