Send no suspect request to an idle endpoint that fails

Change: idle and not avoided. Also: ends that are forgotten for their age are charged anew at once, not with the next news (a charged content with some ends too old was suspect until then).

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -101,6 +101,11 @@
     When the daemon has waited 1.1 seconds
     Then another request may be sent to endpoints 1, 2, 3 and 4
 
+  Scenario: A suspect request is not sent to an idle endpoint that fails
+    Given a daemon before 4 endpoints of which the first 2 have streams
+    And endpoint 3 is avoided
+    Then a suspect request may be sent to endpoints 4
+
   Scenario: Where every endpoint has streams a suspect request is not refused
     Given a daemon before 2 endpoints of which the first 2 have streams
     Then a suspect request may be sent to endpoints 1 and 2
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -248,6 +248,11 @@
         table.start(entry.id, [Share(entry.id, 10.0, 100, 250)], 0.0, 10.0)
 
 
+@given("endpoint {number:d} is avoided")
+def step_avoided(context, number):
+    context.avoided = {f"engine-{number}"}
+
+
 @then("a suspect request may be sent to endpoints {numbers}")
 def step_suspect_choices(context, numbers):
     assert_choices(context, Standing.SUSPECT, numbers)
@@ -259,7 +264,9 @@
 
 
 def assert_choices(context, standing, numbers):
-    found = [entry.name for entry in context.guard.choices(standing, context.entries)]
+    avoided = getattr(context, "avoided", set())
+    choices = context.guard.choices(standing, context.entries, lambda name: name in avoided)
+    found = [entry.name for entry in choices]
     assert found == [f"engine-{number}" for number in re.findall(r"\d+", numbers)], found
 
 
--- a/src/brassdrum/gateway/crash_guard.py
+++ b/src/brassdrum/gateway/crash_guard.py
@@ -111,15 +111,25 @@
         """Return for how long a content stays quarantined."""
         return self._quarantine.seconds_left(content, self._loop.now())
 
-    def choices(self, standing: Standing, entries: Sequence[EndpointEntry]) -> list[EndpointEntry]:
+    def choices(
+        self,
+        standing: Standing,
+        entries: Sequence[EndpointEntry],
+        avoided: Callable[[str], bool],
+    ) -> list[EndpointEntry]:
         """Return where a request may be sent: a suspect one alone, others not beside it.
 
-        Where nothing else is left all are: a suspect request may be a healthy one.
+        ``avoided`` says which endpoints fail: those that have ended look idle. Where nothing else
+        is left all are: a suspect request may be a healthy one.
         """
         now = self._loop.now()
         if standing is Standing.SUSPECT:
-            idle = [entry for entry in entries if self._table.total(entry.id).empty()]
-            return idle or list(entries)
+            alone = [
+                entry
+                for entry in entries
+                if self._table.total(entry.id).empty() and not avoided(entry.id)
+            ]
+            return alone or list(entries)
         if not self._alone_until_by_endpoint:
             return list(entries)
         for endpoint, until in list(self._alone_until_by_endpoint.items()):
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -250,7 +250,9 @@
         """Return where to send a request now."""
         now = self.loop.now()
         usable = self.guard.choices(
-            self.guard.standing(exchange.content), self.knowledge.usable(exchange.service)
+            self.guard.standing(exchange.content),
+            self.knowledge.usable(exchange.service),
+            self.beliefs.suspect,
         )
         return self._chooser.choose(
             self._policy,
--- a/src/brassdrum/outcomes/quarantine.py
+++ b/src/brassdrum/outcomes/quarantine.py
@@ -49,9 +49,11 @@
 _TOLD_SECONDS = 2.5
 # The time on the way of a word; a difference below it is no news.
 _SAME_SECONDS = 0.5
-# Bounds of what is kept and told: 256 contents of 8 ends take some 150 KB, 24 told ones 1.3 KB.
+# Bounds of what is kept and told: 256 contents of 8 ends take 0.4 MB, 24 told ones of three ends
+# 0.8 KB. A flood of new contents is cut to a few less at once.
 _MOST_CONTENTS = 256
 _CONTENTS_AFTER_FLOOD = 224
+# Old ends are looked for this often; a minute's delay would do no harm.
 _FORGET_EACH_SECONDS = 1.0
 _MOST_ENDS = 8
 _MOST_TOLD = 24
@@ -106,11 +108,13 @@
         """Return what sorts the records that are forgotten last, last."""
         return self.charged, len(self.ended_at_by_endpoint), self.last_end
 
-    def drop_until(self, time: float) -> None:
-        for endpoint, ended_at in list(self.ended_at_by_endpoint.items()):
-            if ended_at <= time:
-                del self.ended_at_by_endpoint[endpoint]
-                self.counted.discard(endpoint)
+    def drop_until(self, time: float) -> bool:
+        """Forget the ends up to a time; return whether there were any."""
+        old = [each for each, ended_at in self.ended_at_by_endpoint.items() if ended_at <= time]
+        for endpoint in old:
+            del self.ended_at_by_endpoint[endpoint]
+            self.counted.discard(endpoint)
+        return bool(old)
 
 
 class Quarantine:
@@ -259,7 +263,8 @@
     def _forget(self, now: float) -> None:
         self._forgot_at = now
         for content, record in list(self._by_content.items()):
-            record.drop_until(now - _EVIDENCE_SECONDS)
+            if record.drop_until(now - _EVIDENCE_SECONDS):
+                self._stale = True
             if not record.ended_at_by_endpoint and record.served_at < now - _SERVED_KEPT_SECONDS:
                 del self._by_content[content]
 
