--- a/features/load.feature
+++ b/features/load.feature
@@ -4,7 +4,7 @@
   The mix is that of a fleet whose load swings between short questions and long audits: 21 engines of
   8 places, 7 daemons, three in four requests short, nine in ten tokens long. Each scenario plays the
   same seeds with and without one decision; bounds lie between the figures of both on five seeds. Counts
-  of rare events vary more: on three seeds of one code from 1.3 to 1.7 times, and 1 to 6 in 1000.
+  of rare events vary more, 1.3 to 1.7 times on three seeds: that scenario plays 24, on which it is 1.59.
 
   Scenario: Short prompts wait at their daemon for a place, not inside an engine
     Given a short burst at 2.0 times the usual load for 6 seconds
@@ -14,10 +14,10 @@
     And first events come within twice their prediction for 0.8 with all decisions and for less without
 
   Scenario: Daemons take the places that others have freed in turns
-    Given a short burst at 2.0 times the usual load for 6 seconds on 8 seeds
+    Given a short burst at 2.0 times the usual load for 6 seconds on 24 seeds
     When it is played with all decisions
     And it is played with freed places open to all at once
-    Then at least 1.25 times as many requests find their engine full without the decision
+    Then at least 1.5 times as many requests find their engine full without the decision
 
   Scenario: Many daemons do not all pack the same engine in one moment
     Given a short burst at 1.0 times the usual load for 3 seconds
