--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -78,7 +78,9 @@
 @variants.register("silence given up at once")
 def without_explanation():
     """Give a silent engine up whatever it has to read."""
-    return Variant(replaced=(("brassdrum.gateway.silence_watch.explained_silence", lambda *_: None),))
+    return Variant(
+        replaced=(("brassdrum.gateway.silence_watch.explained_silence", lambda *_: None),)
+    )
 
 
 @variants.register("late requests kept waiting")
