Show by failing tests that saturation and a burst at a newcomer leave daemons without places

Cause sought: the same fault looked for elsewhere in the limits. A daemon tells its lender what its callers want; the lender counts that as what runs there. With ten times as many callers as places the others' wants exceed the limit, and nothing is left to lend. And a daemon's slice follows its callers by one renewal a doubling, however much of the limit is free. Ruled out: a fault of the test's joins in memory: in the pure lender alone, limit 30, three daemons with ten times the callers hold 20, 0, 0 for good. Figures on untouched code: 0 of 10 places at times at each of three daemons; 198 of 200 callers refused at a newcomer with 400 of 1000 places free.

--- a/features/lending.feature
+++ b/features/lending.feature
@@ -64,3 +64,18 @@
   Scenario: A daemon serves its first request when it has heard another daemon
     Given a daemon whose host list names another one that it has not heard
     Then it is not ready until it hears it, or until silence counts as being cut off
+
+  Scenario: Callers beyond the limit leave no daemon without places
+    # What callers want counted as what runs, so that two of three daemons got 0 of 30 for good.
+    Given 3 daemons share a limit of 30 concurrent requests
+    When ten times as many callers come to each of them for 10 seconds
+    Then each daemon ran 9 requests or more at once all the while after the first 4 seconds
+    And never more than 30 ran in all
+
+  Scenario: A daemon asks for more room before it refuses a caller
+    # A newcomer's slice followed its callers by one renewal a doubling: seconds of refusals.
+    Given 4 daemons share a limit of 1000 concurrent requests
+    When 200 requests run at each of the first three
+    And 200 callers come to the fourth in one moment
+    Then none of them is refused
+    And never more than 1000 ran in all
