Leave no daemon without a slice while a limit has room: lender, what runs, slices given back

Symptom: callers get 429 "The contract's concurrency is used up" with 8 of 1000 requests running, while daemons are replaced (known red "Three daemons are replaced..."), when a daemon comes to a limit of up to 32, when more daemons than places ask, and under saturation for good. Change: admission/shares.py decides one limit: what unheard daemons hold is in the part kept back for them; half of what is free may be taken even where less than the newcomers' part is left; half of what is shared of the unasked is shared evenly; one place at least while any is free, and one kept back from two places on; first terms leave half of what is not asked for. A lender's first term keeps within the limit, too. Daemons tell what runs apart from what callers want, as the most since they last told it, give slices back when they have stopped, and ask once more before they refuse. Refusals and short slices are logged with what they rest on. Ruled out: a larger reserve alone (three newcomers within a renewal take any reserve that is given whole); shorter terms (more calls). Test steps changed: the played daemons tell what runs apart from what they want, which the lender now asks for; what is cut while the stage is set is not counted. No bound changed.

--- a/features/steps/lending_steps.py
+++ b/features/steps/lending_steps.py
@@ -25,9 +25,10 @@
 class LentLimit:
     """Play daemons that renew their slices, come, leave and are killed, before one lender."""
 
-    def __init__(self, limit, running_by_daemon, started=-100.0):
+    def __init__(self, limit, running_by_daemon, started=-100.0, wanted=1):
         self.limit = limit
         self.now = 0.0
+        self.wanted = wanted
         self.running = dict(running_by_daemon)
         self.left = set()
         self.silent = set()
@@ -44,7 +45,8 @@
 
     def renew(self, daemon):
         """Let a daemon ask; return for how many requests at once it has room."""
-        asked = BorrowerDemand(50.0, 5e3, max(1, self.running[daemon]))
+        running = self.running[daemon]
+        asked = BorrowerDemand(50.0, 5e3, max(self.wanted, running), running)
         grant = self._lender.lend(daemon, asked, self.census(), self.now)
         self._grants[daemon] = grant
         live = [each for each in self._grants.values() if each.expires > self.now]
@@ -99,12 +101,15 @@
     context.lent = LentLimit(limit, context.daemons)
     for _ in range(15):
         context.lent.round()
+    # What counts is what happens from here on: the first to ask is lent what others ask for later.
+    context.lent.cut.clear()
 
 
 @given("their lender began {seconds:d} second before")
 def step_began(context, seconds):
     context.lent = LentLimit(context.lent.limit, context.daemons, started=RENEWAL - seconds)
     context.lent.round()
+    context.lent.cut.clear()
 
 
 @when("they are replaced in turn, 0.3 seconds apart, and their callers move to the newcomers")
@@ -152,7 +157,7 @@
 
 @given("a limit of {limit:d} concurrent requests and {count:d} daemons with callers of their own")
 def step_more_daemons(context, limit, count):
-    context.lent = LentLimit(limit, _even(count, 3 * count), started=0.0)
+    context.lent = LentLimit(limit, _even(count, 0), started=0.0, wanted=3)
 
 
 @when("they have asked for slices over {terms:d} terms")
--- a/src/brassdrum/admission/lending.py
+++ b/src/brassdrum/admission/lending.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import xxhash
 
 from brassdrum.admission.limits import Allowance
+from brassdrum.admission.shares import NEXT_CALLER, LimitState, first_share, place_share, rate_share
 
-__all__ = ["BorrowerDemand", "Census", "Grant", "Lender", "lender_of", "static_slice", "water_fill"]
+__all__ = ["BorrowerDemand", "Census", "Grant", "Lender", "lender_of", "static_slice"]
 
+# Rates are lent with a quarter more than was asked for lately, for what comes before the renewal.
 _HEADROOM = 1.25
-_RESERVE = 0.02
-_NEWCOMERS_PART = 0.03
 
 
 def _weight(organisation: str, daemon: str) -> int:
@@ -52,14 +52,32 @@
         known = {*self.known, *self.live}
         return len(set(self.live)) / len(known) if known else 1.0
 
+    @property
+    def unheard(self) -> set[str]:
+        """Return the known daemons that are not heard."""
+        return set(self.known) - set(self.live)
+
 
 @dataclass(frozen=True, slots=True)
 class BorrowerDemand:
-    """Tell what one daemon's callers ask for."""
+    """Tell what one daemon's callers ask for and how many of their requests run there.
+
+    ``concurrency`` counts refused callers too, so it is no measure of what runs.
+    """
 
     requests_per_second: float
     tokens_per_second: float
     concurrency: int
+    running: int | None = None
+
+    def in_use(self, held: float | None) -> int:
+        """Return how many places are in use at most by a daemon that held some until now.
+
+        Where ``running`` is not told, all that callers want counts, up to what the daemon held.
+        """
+        if self.running is not None:
+            return self.running
+        return self.concurrency if held is None else min(self.concurrency, math.floor(held))
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,41 +99,26 @@
         )
 
 
-def water_fill(limit: float, demands: Mapping[str, float]) -> dict[str, float]:
-    """Share a limit: small demands are met, larger ones get equal parts of what is left.
+@dataclass(frozen=True, slots=True)
+class _Resource:
+    """Read one limit from allowances and demands."""
+
+    lent: Callable[[Allowance], float]
+    asked: Callable[[BorrowerDemand], float]
 
-    Half of what nobody asks for is shared too, by demand; the other half waits for newcomers.
-    """
-    shares: dict[str, float] = {}
-    left = limit
-    ordered = sorted(demands.items(), key=lambda item: (item[1], item[0]))
-    for position, (name, demand) in enumerate(ordered):
-        share = min(demand, left / (len(ordered) - position))
-        shares[name] = share
-        left -= share
-    if demands and left > 0:
-        total = sum(demands.values()) + _RESERVE * len(demands)
-        for name, demand in demands.items():
-            shares[name] += left / 2 * (demand + _RESERVE) / total
-    return shares
-
-
-def _kept_back(limit: float) -> int:
-    """Return what serves a daemon that comes new while the others hold their slices."""
-    return math.floor(limit * _NEWCOMERS_PART)
-
-
-def _lendable(limits: Allowance) -> Allowance:
-    """Return what may be lent to daemons that are known already.
-
-    Without it static slices of the first term take up the whole limit, and a daemon that comes
-    within the next term gets nothing for up to that term: it refuses all its callers.
-    """
-    return Allowance(
-        limits.requests_per_second - _kept_back(limits.requests_per_second),
-        limits.tokens_per_second - _kept_back(limits.tokens_per_second),
-        limits.concurrency - _kept_back(limits.concurrency),
-    )
+
+_REQUESTS = _Resource(
+    lambda allowance: allowance.requests_per_second,
+    lambda demand: demand.requests_per_second * _HEADROOM,
+)
+_TOKENS = _Resource(
+    lambda allowance: allowance.tokens_per_second,
+    lambda demand: demand.tokens_per_second * _HEADROOM,
+)
+_PLACES = _Resource(
+    lambda allowance: allowance.concurrency,
+    lambda demand: demand.concurrency + NEXT_CALLER,
+)
 
 
 class Lender:
@@ -127,11 +130,17 @@
         self._started = started
         self._demands_by_daemon: dict[str, tuple[float, BorrowerDemand]] = {}
         self._grants_by_daemon: dict[str, Grant] = {}
+        self._in_use_by_daemon: dict[str, int] = {}
 
     def set_limits(self, limits: Allowance) -> None:
         """Change the limits that are lent from now on."""
         self._limits = limits
 
+    def holders(self, now: float) -> dict[str, Allowance]:
+        """Return what is lent now, by daemon."""
+        self._forget(now)
+        return {name: grant.allowance for name, grant in self._grants_by_daemon.items()}
+
     def lend(self, daemon: str, demand: BorrowerDemand, census: Census, now: float) -> Grant:
         """Return the slice of a daemon for one term.
 
@@ -140,73 +149,72 @@
         may be on the other side of a partition, with a lender of their own.
         """
         self._forget(now)
-        self._demands_by_daemon[daemon] = (now, demand)
+        self._take_demand(daemon, demand, now)
+        slice_ = self._allocate(daemon, census)
         if now - self._started < self._term:
-            slice_ = self._first_slice(daemon, census)
-        else:
-            slice_ = self._allocate(daemon, self._limits.scaled(census.part_heard))
+            slice_ = self._first_slice(daemon, slice_, census)
         grant = Grant(slice_, now + self._term)
         self._grants_by_daemon[daemon] = grant
         return grant
 
-    def _first_slice(self, daemon: str, census: Census) -> Allowance:
-        part = static_slice(_lendable(self._limits), daemon, census.known)
-        running = sum(
-            demand.concurrency
-            for name, (_, demand) in self._demands_by_daemon.items()
-            if name != daemon
+    def give_back(self, daemon: str) -> None:
+        """Take a slice back from a daemon that uses nothing any more."""
+        self._demands_by_daemon.pop(daemon, None)
+        self._in_use_by_daemon.pop(daemon, None)
+        self._grants_by_daemon.pop(daemon, None)
+
+    def _take_demand(self, daemon: str, demand: BorrowerDemand, now: float) -> None:
+        held = self._held(daemon, _PLACES) if daemon in self._grants_by_daemon else None
+        self._in_use_by_daemon[daemon] = demand.in_use(held)
+        self._demands_by_daemon[daemon] = (now, demand)
+
+    def _first_slice(self, daemon: str, most: Allowance, census: Census) -> Allowance:
+        """Return a static slice, less where the daemon asks for less, and at most ``most``."""
+        static = static_slice(self._limits, daemon, census.known)
+        _, demand = self._demands_by_daemon[daemon]
+        requests = first_share(static.requests_per_second, _REQUESTS.asked(demand))
+        tokens = first_share(static.tokens_per_second, _TOKENS.asked(demand))
+        places = first_share(static.concurrency, demand.concurrency)
+        return Allowance(
+            min(requests, most.requests_per_second),
+            min(tokens, most.tokens_per_second),
+            min(math.ceil(places), most.concurrency),
         )
-        # What runs on others under slices of the lender before still counts.
-        room = max(0, self._limits.concurrency - running)
+
+    def _allocate(self, daemon: str, census: Census) -> Allowance:
         return Allowance(
-            part.requests_per_second, part.tokens_per_second, min(part.concurrency, room)
+            rate_share(daemon, self._state(daemon, census, _REQUESTS)),
+            rate_share(daemon, self._state(daemon, census, _TOKENS)),
+            place_share(daemon, self._state(daemon, census, _PLACES)),
+        )
+
+    def _state(self, daemon: str, census: Census, resource: _Resource) -> LimitState:
+        unheard = census.unheard - {daemon}
+        asked = {
+            name: resource.asked(demand)
+            for name, (_, demand) in self._demands_by_daemon.items()
+            if name not in unheard
+        }
+        held = {name: self._held(name, resource) for name in self._grants_by_daemon}
+        held.pop(daemon, None)
+        return LimitState(
+            limit=resource.lent(self._limits),
+            heard=census.part_heard,
+            asked=asked,
+            held_by_others=sum(held.values()),
+            held_unheard=sum(held[name] for name in unheard & held.keys()),
         )
 
+    def _held(self, daemon: str, resource: _Resource) -> float:
+        """Return what a daemon may use, or uses still where its slice was cut below that."""
+        lent = resource.lent(self._grants_by_daemon[daemon].allowance)
+        return max(lent, self._in_use_by_daemon[daemon]) if resource is _PLACES else lent
+
     def _forget(self, now: float) -> None:
         for name, (at, _) in list(self._demands_by_daemon.items()):
             if now - at > 2 * self._term:
                 del self._demands_by_daemon[name]
+                del self._in_use_by_daemon[name]
         for name, grant in list(self._grants_by_daemon.items()):
             if grant.expires <= now:
                 del self._grants_by_daemon[name]
-
-    def _allocate(self, daemon: str, limits: Allowance) -> Allowance:
-        demands = {name: demand for name, (_, demand) in self._demands_by_daemon.items()}
-        requests = self._share(
-            daemon,
-            limits.requests_per_second,
-            {name: demand.requests_per_second * _HEADROOM for name, demand in demands.items()},
-            {name: g.allowance.requests_per_second for name, g in self._grants_by_daemon.items()},
-        )
-        tokens = self._share(
-            daemon,
-            limits.tokens_per_second,
-            {name: demand.tokens_per_second * _HEADROOM for name, demand in demands.items()},
-            {name: g.allowance.tokens_per_second for name, g in self._grants_by_daemon.items()},
-        )
-        held = {
-            name: max(grant.allowance.concurrency, self._running(name))
-            for name, grant in self._grants_by_daemon.items()
-        }
-        concurrency = self._share(
-            daemon,
-            limits.concurrency,
-            {name: float(demand.concurrency + 1) for name, demand in demands.items()},
-            held,
-        )
-        return Allowance(requests, tokens, max(0, math.floor(concurrency + 1e-9)))
-
-    def _running(self, daemon: str) -> int:
-        known = self._demands_by_daemon.get(daemon)
-        return 0 if known is None else known[1].concurrency
-
-    @staticmethod
-    def _share(
-        daemon: str, limit: float, demands: Mapping[str, float], granted: Mapping[str, float]
-    ) -> float:
-        # What is kept back serves a daemon that comes new while the others hold their slices.
-        lendable = limit - _kept_back(limit)
-        target = water_fill(lendable, demands)[daemon]
-        others = sum(amount for name, amount in granted.items() if name != daemon)
-        room = lendable if daemon in granted else limit
-        return max(0.0, min(target, room - others))
--- a/src/brassdrum/admission/limits.py
+++ b/src/brassdrum/admission/limits.py
@@ -110,6 +110,7 @@
         self._tokens = TokenBucket(allowance.tokens_per_second, now)
         self.demand = DemandMeter(now)
         self.in_flight = 0
+        self.most_in_flight = 0
         self.refused_for_concurrency = 0
 
     @property
@@ -128,6 +129,10 @@
     def acquire(self, tokens: int, now: float) -> Refusal | None:
         """Take room for a request, or return why there is none."""
         self.demand.add(tokens, now)
+        return self.acquire_again(tokens, now)
+
+    def acquire_again(self, tokens: int, now: float) -> Refusal | None:
+        """Try once more for a request that is counted as demand already."""
         if self.in_flight >= self._allowance.concurrency:
             self.refused_for_concurrency += 1
             return Refusal("concurrency", 1.0)
@@ -140,6 +145,7 @@
         self._requests.take(1.0, now)
         self._tokens.take(tokens, now)
         self.in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
         return None
 
     def release(self, estimated_tokens: int, real_tokens: int, now: float) -> None:
@@ -148,7 +154,12 @@
         self._tokens.take(real_tokens - estimated_tokens, now)
 
     def wanted_concurrency(self) -> int:
-        """Return how many requests would run at once if nothing held them."""
-        wanted = self.in_flight + min(self.refused_for_concurrency, self.in_flight + 1)
+        """Return how many requests would have run at once, since last asked, if nothing held them.
+
+        The most that ran counts, not what runs now: a daemon that asked between two requests was
+        lent 8 places of 30 where the two others, as busy, got 9 and 11.
+        """
+        wanted = self.most_in_flight + min(self.refused_for_concurrency, self.most_in_flight + 1)
         self.refused_for_concurrency = 0
+        self.most_in_flight = self.in_flight
         return wanted
--- /dev/null
+++ b/src/brassdrum/admission/shares.py
@@ -0,0 +1,119 @@
+"""Share one limit between the daemons that ask for parts of it; pure, all amounts are arguments."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+__all__ = [
+    "NEXT_CALLER",
+    "LimitState",
+    "first_share",
+    "place_share",
+    "places_kept_back",
+    "rate_share",
+    "water_fill",
+]
+
+# Part of a limit that daemons which are known do not get, so that one that comes new finds some.
+_NEWCOMERS_PART = 0.03
+# What nobody asks for: this part is lent by need, this part evenly, the rest waits. Lent by need
+# alone, a newcomer got 2 of 1000 places beside three daemons that ran 200 each, 400 free.
+_UNASKED_BY_NEED = 0.25
+_UNASKED_EVENLY = 0.25
+# Weight of a daemon that asks for nothing in what is lent by need, so that the sum is above 0.
+_LEAST_NEED = 0.02
+# A daemon may take this part of what is free even if less than the newcomers' part is left: the
+# next one then finds some too, where all of it would leave nothing for up to a term.
+_PART_OF_FREE = 0.5
+# What a daemon asks for beyond the places that its callers want: room for the next one.
+NEXT_CALLER = 1.0
+_ROUNDING = 1e-9
+
+
+@dataclass(frozen=True, slots=True)
+class LimitState:
+    """Hold what a lender knows of one limit when a daemon asks for its part.
+
+    ``asked`` is what daemons that are heard ask for, by name. ``held_by_others`` is what all but
+    the asking daemon may still use, ``held_unheard`` the part of it at daemons that are not heard.
+    ``heard`` is the part of the known daemons that is heard, above 0 and at most 1.
+    """
+
+    limit: float
+    heard: float
+    asked: Mapping[str, float]
+    held_by_others: float
+    held_unheard: float
+
+    @property
+    def free(self) -> float:
+        """Return what may be lent without exceeding the limit, whatever the others still use.
+
+        Daemons that are not heard may have a lender of their own, so their part is kept back. What
+        they hold of this lender is in that part: counted besides, it cut the survivor of three
+        daemons that were killed at once to nothing for a term.
+        """
+        kept_for_unheard = max(self.limit * (1.0 - self.heard), self.held_unheard)
+        held_by_heard = self.held_by_others - self.held_unheard
+        return max(0.0, self.limit - kept_for_unheard - held_by_heard)
+
+
+def water_fill(limit: float, demands: Mapping[str, float]) -> dict[str, float]:
+    """Share a limit: small demands are met, larger ones get equal parts of what is left.
+
+    Half of what nobody asks for is shared too; the other half waits for newcomers.
+    """
+    shares: dict[str, float] = {}
+    left = limit
+    ordered = sorted(demands.items(), key=lambda item: (item[1], item[0]))
+    for position, (name, demand) in enumerate(ordered):
+        share = min(demand, left / (len(ordered) - position))
+        shares[name] = share
+        left -= share
+    if demands and left > 0:
+        total = sum(demands.values()) + _LEAST_NEED * len(demands)
+        evenly = left * _UNASKED_EVENLY / len(demands)
+        for name, demand in demands.items():
+            shares[name] += left * _UNASKED_BY_NEED * (demand + _LEAST_NEED) / total + evenly
+    return shares
+
+
+def rate_share(daemon: str, state: LimitState) -> float:
+    """Return a daemon's part of a rate."""
+    heard_limit = state.limit * state.heard
+    kept_back = heard_limit * _NEWCOMERS_PART
+    fair = water_fill(heard_limit - kept_back, state.asked)[daemon]
+    return min(fair, max(state.free - kept_back, state.free * _PART_OF_FREE))
+
+
+def place_share(daemon: str, state: LimitState) -> int:
+    """Return a daemon's part of a number of places; one that asks gets one while any is free."""
+    heard_limit = math.floor(state.limit * state.heard + _ROUNDING)
+    kept_back = places_kept_back(heard_limit)
+    fair = math.floor(water_fill(heard_limit - kept_back, state.asked)[daemon] + _ROUNDING)
+    free = math.floor(state.free + _ROUNDING)
+    most = max(free - kept_back, math.ceil(free * _PART_OF_FREE))
+    # Parts below one place would leave all places unused: the first that asks get one each.
+    return min(max(fair, _least_places(state.asked[daemon])), most)
+
+
+def places_kept_back(limit: int) -> int:
+    """Return how many places wait for newcomers; at least one of two and more."""
+    if limit < 2:
+        return 0
+    return max(1, math.floor(limit * _NEWCOMERS_PART))
+
+
+def first_share(static: float, asked: float) -> float:
+    """Return a daemon's part in a lender's first term: static, or less if it asks for less.
+
+    Half of what it does not ask for waits: static parts of all would take up the whole limit, and
+    a daemon that came within a term after them got nothing.
+    """
+    return static if asked >= static else (static + asked) / 2.0
+
+
+def _least_places(asked: float) -> int:
+    return 1 if asked > NEXT_CALLER else 0
--- a/src/brassdrum/daemon/limits.py
+++ b/src/brassdrum/daemon/limits.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import logging
 import threading
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 
 import grpc
@@ -15,7 +17,7 @@
     lender_of,
     static_slice,
 )
-from brassdrum.admission.limits import Allowance, LocalLimiter
+from brassdrum.admission.limits import Allowance, LocalLimiter, Refusal
 from brassdrum.clock import Clock
 from brassdrum.contracts.documents import Contract
 from brassdrum.errors import LimitExceededError
@@ -25,12 +27,16 @@
 
 __all__ = ["LimitBook"]
 
+_logger = logging.getLogger(__name__)
 _TERM_SECONDS = 2.0
 _CALL_SECONDS = 0.5
 _ACTIVE_RATE = 0.01
 _ASK_AGAIN_SECONDS = 0.5
 _FIRST_CALL_SECONDS = 0.1
 _LAPSED_TERMS = 5.0
+# After a lender had no more to lend, a daemon does not ask it before a refusal for this long: what
+# others hold is free after a term at the latest.
+_SHORT_SECONDS = _TERM_SECONDS
 
 
 def _allowance(contract: Contract) -> Allowance:
@@ -64,6 +70,10 @@
         self._asked_by_organisation: dict[str, float] = {}
         self._grants_by_organisation: dict[str, Grant] = {}
         self._lenders_by_organisation: dict[str, Lender] = {}
+        self._asking_by_organisation: defaultdict[str, threading.Lock] = defaultdict(threading.Lock)
+        self._short_until_by_organisation: dict[str, float] = {}
+        self._short_borrowers: set[tuple[str, str]] = set()
+        self._stopped = False
 
     def configure(self, contracts: Iterable[Contract]) -> None:
         """Take over the limits of the contracts in force."""
@@ -79,16 +89,16 @@
     def acquire(self, organisation: str, tokens: int) -> None:
         """Take room for a request, or raise ``LimitExceededError``; it did not run then."""
         self._borrow_first(organisation, tokens)
-        now = self._clock.monotonic()
-        with self._lock:
-            limiter = self._limiter(organisation, now)
-            limiter.set_allowance(self._slice(organisation, now), now)
-            refusal = limiter.acquire(tokens, now)
-        if refusal is not None:
-            raise LimitExceededError(
-                f"The contract's {refusal.limit} is used up.",
-                retry_after=min(60.0, max(0.05, refusal.retry_after)),
-            )
+        refusal = self._try(organisation, tokens, LocalLimiter.acquire)
+        while refusal is not None and self._borrow_more(organisation, refusal):
+            refusal = self._try(organisation, tokens, LocalLimiter.acquire_again)
+        if refusal is None:
+            return
+        self._tell_refusal(organisation, refusal)
+        raise LimitExceededError(
+            f"The contract's {refusal.limit} is used up.",
+            retry_after=min(60.0, max(0.05, refusal.retry_after)),
+        )
 
     def release(self, organisation: str, estimated_tokens: int, real_tokens: int) -> None:
         """Give a request's place back and correct its tokens."""
@@ -107,8 +117,45 @@
         with self._lock:
             return self._slice(organisation, self._clock.monotonic())
 
+    def lent(self, organisation: str) -> dict[str, Allowance]:
+        """Return what is lent from here, by daemon; nothing where another one lends."""
+        with self._lock:
+            lender = self._lenders_by_organisation.get(organisation)
+            return {} if lender is None else lender.holders(self._clock.monotonic())
+
+    def give_back(self) -> None:
+        """Tell the lenders, once nothing runs here any more, that they may lend our slices anew.
+
+        Kept till the end of its term, the slice of each daemon that had gone took up to a third of
+        a limit from those that came in its place.
+        """
+        with self._lock:
+            self._stopped = True
+            organisations = list(self._grants_by_organisation)
+        daemons = self._census().live
+        demands_by_lender: dict[str, list[Demand]] = {}
+        for organisation in organisations:
+            lender = lender_of(organisation, daemons)
+            if lender is not None and lender != self._name:
+                demand = Demand(organisation=organisation)
+                demands_by_lender.setdefault(lender, []).append(demand)
+        calls = []
+        for lender, demands in demands_by_lender.items():
+            address = self._address_of(lender)
+            if address is None:
+                continue
+            request = LendRequest(borrower=self._name, demands=demands, gives_back=True)
+            call = self._clients.stub(address).Lend.future(request, timeout=_FIRST_CALL_SECONDS)
+            calls.append((lender, call))
+        for lender, call in calls:
+            error = call.exception()
+            if error is not None:
+                _logger.info("slices not given back", extra={"lender": lender, "error": str(error)})
+
     def borrow(self) -> None:
         """Ask the lenders of all active organisations for slices of the next term."""
+        if self._stopped:
+            return
         daemons = self._census().live
         demands_by_lender: dict[str, list[Demand]] = {}
         for demand in self._demands():
@@ -142,13 +189,32 @@
                 if lender is None:
                     lender = Lender(limits, self._term, now)
                     self._lenders_by_organisation[demand.organisation] = lender
+                if request.gives_back:
+                    lender.give_back(request.borrower)
+                    continue
                 asked = BorrowerDemand(
-                    demand.requests_per_second, demand.tokens_per_second, demand.concurrency
+                    demand.requests_per_second,
+                    demand.tokens_per_second,
+                    demand.concurrency,
+                    demand.running if demand.HasField("running") else None,
                 )
                 grant = lender.lend(request.borrower, asked, census, now)
+                self._note_short(demand, request.borrower, grant, census)
                 reply.slices.append(_slice(demand.organisation, grant, now))
         return reply
 
+    def _try(
+        self,
+        organisation: str,
+        tokens: int,
+        acquire: Callable[[LocalLimiter, int, float], Refusal | None],
+    ) -> Refusal | None:
+        now = self._clock.monotonic()
+        with self._lock:
+            limiter = self._limiter(organisation, now)
+            limiter.set_allowance(self._slice(organisation, now), now)
+            return acquire(limiter, tokens, now)
+
     def _borrow_first(self, organisation: str, tokens: int) -> None:
         """Ask the lender at once when an organisation that was idle here sends a request."""
         now = self._clock.monotonic()
@@ -158,13 +224,56 @@
             if (grant is not None and grant.expires > now) or now - asked < _ASK_AGAIN_SECONDS:
                 return
             self._asked_by_organisation[organisation] = now
-        lender = lender_of(organisation, self._census().live)
-        demand = Demand(
-            organisation=organisation,
-            requests_per_second=1.0,
-            tokens_per_second=tokens,
-            concurrency=self.in_flight(organisation) + 1,
+        running = self.in_flight(organisation)
+        self._ask(
+            Demand(
+                organisation=organisation,
+                requests_per_second=1.0,
+                tokens_per_second=tokens,
+                concurrency=running + 1,
+                running=running,
+            )
         )
+
+    def _borrow_more(self, organisation: str, refusal: Refusal) -> bool:
+        """Ask for twice the places in use before a caller is refused; return whether one is free.
+
+        The slice follows its callers by one renewal a doubling otherwise: a newcomer refused most
+        of the callers that moved to it for a second or more while 400 of 1000 places were free.
+        """
+        if refusal.limit != "concurrency":
+            return False
+        with self._asking_by_organisation[organisation]:
+            now = self._clock.monotonic()
+            with self._lock:
+                limiter = self._limiter(organisation, now)
+                if limiter.in_flight < self._slice(organisation, now).concurrency:
+                    # Another thread that waited for the same answer has asked.
+                    return True
+                if now < self._short_until_by_organisation.get(organisation, float("-inf")):
+                    return False
+                requests, tokens = limiter.demand.rates(now)
+                running = limiter.in_flight
+            self._ask(
+                Demand(
+                    organisation=organisation,
+                    requests_per_second=requests,
+                    tokens_per_second=tokens,
+                    concurrency=2 * running + 1,
+                    running=running,
+                )
+            )
+            with self._lock:
+                now = self._clock.monotonic()
+                limiter = self._limiter(organisation, now)
+                if limiter.in_flight < self._slice(organisation, now).concurrency:
+                    return True
+                self._short_until_by_organisation[organisation] = now + _SHORT_SECONDS
+                return False
+
+    def _ask(self, demand: Demand) -> None:
+        """Ask the lender of an organisation for a slice and wait shortly for its answer."""
+        lender = lender_of(demand.organisation, self._census().live)
         request = LendRequest(borrower=self._name, demands=[demand])
         if lender == self._name:
             self._take(self.lend(request))
@@ -174,8 +283,61 @@
             return
         try:
             self._take(self._clients.stub(address).Lend(request, timeout=_FIRST_CALL_SECONDS))
-        except grpc.RpcError:
+        except grpc.RpcError as error:
+            # The slice at hand, or the static one, decides; the next renewal asks again.
+            _logger.info(
+                "lender did not answer",
+                extra={"organisation": demand.organisation, "lender": lender, "error": str(error)},
+            )
+
+    def _tell_refusal(self, organisation: str, refusal: Refusal) -> None:
+        """Log what a refusal rests on: the slice, where it came from, its age, who lends."""
+        now = self._clock.monotonic()
+        with self._lock:
+            grant = self._grants_by_organisation.get(organisation)
+            slice_ = self._slice(organisation, now)
+            running = self._limiter(organisation, now).in_flight
+        source = "static" if grant is None else "lent" if grant.expires > now else "lapsed"
+        age = None if grant is None else round(now - grant.expires + self._term, 3)
+        census = self._census()
+        _logger.info(
+            "limit refused",
+            extra={
+                "organisation": organisation,
+                "limit": refusal.limit,
+                "running": running,
+                "places": slice_.concurrency,
+                "requests_per_second": round(slice_.requests_per_second, 3),
+                "source": source,
+                "age_seconds": age,
+                "lender": lender_of(organisation, census.live),
+                "heard": len(census.live),
+                "known": len(census.known),
+            },
+        )
+
+    def _note_short(self, demand: Demand, borrower: str, grant: Grant, census: Census) -> None:
+        """Log when a borrower begins or ceases to be lent fewer places than it asks for."""
+        key = (demand.organisation, borrower)
+        short = grant.allowance.concurrency < demand.concurrency
+        if short == (key in self._short_borrowers):
             return
+        if short:
+            self._short_borrowers.add(key)
+        else:
+            self._short_borrowers.discard(key)
+        _logger.info(
+            "slice short" if short else "slice whole",
+            extra={
+                "organisation": demand.organisation,
+                "borrower": borrower,
+                "asked": demand.concurrency,
+                "running": demand.running,
+                "lent": grant.allowance.concurrency,
+                "heard": len(census.live),
+                "known": len(census.known),
+            },
+        )
 
     def _limiter(self, organisation: str, now: float) -> LocalLimiter:
         limiter = self._limiters_by_organisation.get(organisation)
@@ -209,6 +371,7 @@
                         requests_per_second=requests,
                         tokens_per_second=tokens,
                         concurrency=wanted,
+                        running=limiter.in_flight,
                     )
                 )
         return demands
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -7,6 +7,7 @@
 from contextlib import ExitStack
 
 from brassdrum.admission.lending import Census
+from brassdrum.admission.limits import Allowance
 from brassdrum.charts import load_chart
 from brassdrum.clock import Clock, SystemClock
 from brassdrum.contracts.checkpoints import CheckpointWriter
@@ -204,6 +205,10 @@
     def _age(self) -> float:
         return self._clock.monotonic() - self._made_at
 
+    def slices_lent(self, organisation: str) -> dict[str, Allowance]:
+        """Return what this daemon, as the lender of an organisation's limits, lends to whom."""
+        return self._limits.lent(organisation)
+
     def start(self) -> None:
         """Begin to serve and to follow the platform."""
         self._peer_server.start(self.gossip.answer, self._control.snapshot, self._limits.lend)
@@ -239,6 +244,7 @@
                 "requests cut at the drain limit", extra={"left": len(self.core.active)}
             )
         self._duty.release()
+        self._limits.give_back()
         self._flush()
         self.close()
 
