Take a daemon that was just put on the host list for one that starts, not for one that is cut off

Symptom: the same 429; each newcomer took its part of every limit, a quarter among three, from those that serve, until gossip brought its first word. Cause: the host list names a daemon before it can be heard, and a listed daemon that is not heard counted as cut off at once (recorded: "live 2 known 3" lent 0 of 667, "live 1 known 4" 0 of 250). A daemon that starts is not ready before it hears one of those on its list, or for as long: so the two sides of a partition do not both lend its part. Ruled out: leaving it to the lender's halves alone: with two newcomers listed a third to three quarters stay kept back.

--- a/src/brassdrum/daemon/endpoint_watch.py
+++ b/src/brassdrum/daemon/endpoint_watch.py
@@ -110,30 +110,54 @@
 class HostWatch:
     """Read the platform's host list; when it does not answer, the last list holds."""
 
-    def __init__(self, hosts: HostList) -> None:
+    def __init__(self, hosts: HostList, clock: Clock, silent_seconds: Callable[[], float]) -> None:
         self._hosts = hosts
+        self._clock = clock
+        self._silent_seconds = silent_seconds
         self._last: list[Host] = []
+        self._listed_at_by_name: dict[str, float] = {}
         self.answers = False
         self.read_once = False
 
     def step(self) -> None:
         """Read the list once."""
         try:
-            self._last = self._hosts.read()
-            self.answers = True
-            self.read_once = True
+            self._take(self._hosts.read())
         except PlatformUnavailableError as error:
             if self.answers:
                 _logger.warning("host list not readable", extra={"reason": str(error)})
             self.answers = False
 
+    def _take(self, hosts: list[Host]) -> None:
+        # Those of the first list may have been silent for long: they count from the start.
+        listed_at = self._clock.monotonic() if self.read_once else float("-inf")
+        known = self._listed_at_by_name
+        self._listed_at_by_name = {
+            host.name: known.get(host.name, listed_at) for host in hosts if host.role == "daemon"
+        }
+        self._last = hosts
+        self.answers = True
+        self.read_once = True
+
     def leaving_endpoints(self) -> set[str]:
         """Return the endpoints that the list says are leaving."""
         return {host.name for host in self._last if host.role == "endpoint" and host.leaving}
 
     def daemon_names(self) -> list[str]:
-        """Return the names of the daemons on the list that are not leaving."""
-        return [host.name for host in self._last if host.role == "daemon" and not host.leaving]
+        """Return the daemons on the list that are not leaving and would have been heard by now.
+
+        One that was just listed has not been cut off: counted as such, each newcomer took its part
+        of every limit, a quarter among three, from those that serve. It takes no requests either
+        before it hears another daemon, or for as long as silence is borne.
+        """
+        latest = self._clock.monotonic() - self._silent_seconds()
+        return [
+            host.name
+            for host in self._last
+            if host.role == "daemon"
+            and not host.leaving
+            and self._listed_at_by_name[host.name] <= latest
+        ]
 
     def daemon_addresses(self) -> list[str]:
         """Return the peer addresses of the daemons on the list."""
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -102,7 +102,9 @@
                 settings.platform.url,
                 settings.platform.timeout_seconds,
                 lambda size: self._cost.add("hosts", size),
-            )
+            ),
+            self._clock,
+            lambda: self.gossip.table.silent_seconds,
         )
         self._sharing = EndpointSharing(
             settings.name,
@@ -176,6 +178,8 @@
             return f"a peer holds revision {newest}; this daemon {self._control.revision}"
         if newest < 0 and not self._hosts.read_once and self._age() < _LONELY_SECONDS:
             return "neither the host list nor a peer has been heard yet"
+        if self._alone(now):
+            return "no other daemon on the host list has been heard yet"
         # What is leaving has to be known before the first request, not at the next round.
         self._sharing.mark_leaving()
         with self._state_lock:
@@ -183,6 +187,17 @@
                 self._state = _CHART.next(self._state, "become_ready")
         return None
 
+    def _alone(self, now: float) -> bool:
+        """Return whether others are listed and none was heard, while that may be our own start.
+
+        The others do not yet count us as cut off: to lend ourselves a part of the limits now would
+        add to the whole that they lend.
+        """
+        others = set(self._hosts.daemon_names()) - {self.settings.name}
+        with self.gossip.lock:
+            table = self.gossip.table
+            return bool(others and not table.live_peers(now) and self._age() < table.silent_seconds)
+
     def _read_hosts(self) -> None:
         self._hosts.step()
         self._sharing.mark_leaving()
--- a/src/brassdrum/membership/peers.py
+++ b/src/brassdrum/membership/peers.py
@@ -47,6 +47,11 @@
         """Return the seconds between rounds at the present size."""
         return gossip_period(self._base_period, len(self._records_by_name) + 1)
 
+    @property
+    def silent_seconds(self) -> float:
+        """Return after how many seconds without news a daemon counts as not heard."""
+        return _SUSPECT_PERIODS * self.period
+
     def advance(self) -> None:
         """Begin a round: our own entry gets a new version."""
         self.own.version += 1
@@ -106,7 +111,7 @@
 
     def live_peers(self, now: float) -> list[PeerRecord]:
         """Return the other daemons heard of lately, leaving ones included."""
-        limit = _SUSPECT_PERIODS * self.period
+        limit = self.silent_seconds
         return [record for record in self._records_by_name.values() if now - record.heard <= limit]
 
     def serving(self, now: float) -> list[str]:
