--- a/src/brassdrum/daemon/limits.py
+++ b/src/brassdrum/daemon/limits.py
@@ -1,4 +1,4 @@
-"""Hold contracts' limits over all daemons: borrow slices, lend them, fall back to static ones."""
+"""Hold contracts' limits over all daemons: borrow slices, or fall back to static ones."""
 
 from __future__ import annotations
 
@@ -9,20 +9,14 @@
 
 import grpc
 
-from brassdrum.admission.lending import (
-    BorrowerDemand,
-    Census,
-    Grant,
-    Lender,
-    lender_of,
-    static_slice,
-)
+from brassdrum.admission.lending import Census, Grant, lender_of, static_slice
 from brassdrum.admission.limits import Allowance, LocalLimiter, Refusal
 from brassdrum.clock import Clock
 from brassdrum.contracts.documents import Contract
+from brassdrum.daemon.lenders import LendersHere
 from brassdrum.errors import LimitExceededError
 from brassdrum.membership.gossip import PeerClients
-from brassdrum.membership.peer_pb2 import Demand, LendReply, LendRequest, Slice
+from brassdrum.membership.peer_pb2 import Demand, LendReply, LendRequest
 from brassdrum.telemetry.control_cost import ControlCost
 
 __all__ = ["LimitBook"]
@@ -34,6 +28,8 @@
 _ASK_AGAIN_SECONDS = 0.5
 _FIRST_CALL_SECONDS = 0.1
 _LAPSED_TERMS = 5.0
+# From one place to a thousand are ten doublings; room that other threads take counts too.
+_MOST_DOUBLINGS = 16
 # After a lender had no more to lend, a daemon does not ask it before a refusal for this long: what
 # others hold is free after a term at the latest.
 _SHORT_SECONDS = _TERM_SECONDS
@@ -69,10 +65,9 @@
         self._limiters_by_organisation: dict[str, LocalLimiter] = {}
         self._asked_by_organisation: dict[str, float] = {}
         self._grants_by_organisation: dict[str, Grant] = {}
-        self._lenders_by_organisation: dict[str, Lender] = {}
+        self._lenders = LendersHere(name, clock, census, cost, term_seconds)
         self._asking_by_organisation: defaultdict[str, threading.Lock] = defaultdict(threading.Lock)
         self._short_until_by_organisation: dict[str, float] = {}
-        self._short_borrowers: set[tuple[str, str]] = set()
         self._stopped = False
 
     def configure(self, contracts: Iterable[Contract]) -> None:
@@ -81,16 +76,17 @@
             self._limits_by_organisation = {
                 contract.organisation: _allowance(contract) for contract in contracts
             }
-            for organisation, limits in self._limits_by_organisation.items():
-                lender = self._lenders_by_organisation.get(organisation)
-                if lender is not None:
-                    lender.set_limits(limits)
+            self._lenders.configure(self._limits_by_organisation)
 
     def acquire(self, organisation: str, tokens: int) -> None:
         """Take room for a request, or raise ``LimitExceededError``; it did not run then."""
         self._borrow_first(organisation, tokens)
         refusal = self._try(organisation, tokens, LocalLimiter.acquire)
-        while refusal is not None and self._borrow_more(organisation, refusal):
+        for _ in range(_MOST_DOUBLINGS):
+            if refusal is None:
+                return
+            if not self._borrow_more(organisation, refusal):
+                break
             refusal = self._try(organisation, tokens, LocalLimiter.acquire_again)
         if refusal is None:
             return
@@ -119,9 +115,7 @@
 
     def lent(self, organisation: str) -> dict[str, Allowance]:
         """Return what is lent from here, by daemon; nothing where another one lends."""
-        with self._lock:
-            lender = self._lenders_by_organisation.get(organisation)
-            return {} if lender is None else lender.holders(self._clock.monotonic())
+        return self._lenders.lent(organisation)
 
     def give_back(self) -> None:
         """Tell the lenders, once nothing runs here any more, that they may lend our slices anew.
@@ -175,33 +169,7 @@
 
     def lend(self, request: LendRequest) -> LendReply:
         """Return slices for a borrower."""
-        now = self._clock.monotonic()
-        census = self._census()
-        reply = LendReply()
-        if request.borrower != self._name:
-            self._cost.add("limits", request.ByteSize())
-        with self._lock:
-            for demand in request.demands:
-                limits = self._limits_by_organisation.get(demand.organisation)
-                if limits is None:
-                    continue
-                lender = self._lenders_by_organisation.get(demand.organisation)
-                if lender is None:
-                    lender = Lender(limits, self._term, now)
-                    self._lenders_by_organisation[demand.organisation] = lender
-                if request.gives_back:
-                    lender.give_back(request.borrower)
-                    continue
-                asked = BorrowerDemand(
-                    demand.requests_per_second,
-                    demand.tokens_per_second,
-                    demand.concurrency,
-                    demand.running if demand.HasField("running") else None,
-                )
-                grant = lender.lend(request.borrower, asked, census, now)
-                self._note_short(demand, request.borrower, grant, census)
-                reply.slices.append(_slice(demand.organisation, grant, now))
-        return reply
+        return self._lenders.lend(request)
 
     def _try(
         self,
@@ -325,29 +293,6 @@
             },
         )
 
-    def _note_short(self, demand: Demand, borrower: str, grant: Grant, census: Census) -> None:
-        """Log when a borrower begins or ceases to be lent fewer places than it asks for."""
-        key = (demand.organisation, borrower)
-        short = grant.allowance.concurrency < demand.concurrency
-        if short == (key in self._short_borrowers):
-            return
-        if short:
-            self._short_borrowers.add(key)
-        else:
-            self._short_borrowers.discard(key)
-        _logger.info(
-            "slice short" if short else "slice whole",
-            extra={
-                "organisation": demand.organisation,
-                "borrower": borrower,
-                "asked": demand.concurrency,
-                "running": demand.running,
-                "lent": grant.allowance.concurrency,
-                "heard": len(census.live),
-                "known": len(census.known),
-            },
-        )
-
     def _limiter(self, organisation: str, now: float) -> LocalLimiter:
         limiter = self._limiters_by_organisation.get(organisation)
         if limiter is None:
@@ -403,15 +348,3 @@
                 limiter = self._limiter(lent.organisation, now)
                 limiter.set_allowance(allowance, now)
                 limiter.add_burst(lent.burst_requests, lent.burst_tokens, now)
-
-
-def _slice(organisation: str, grant: Grant, now: float) -> Slice:
-    return Slice(
-        organisation=organisation,
-        requests_per_second=grant.allowance.requests_per_second,
-        tokens_per_second=grant.allowance.tokens_per_second,
-        concurrency=grant.allowance.concurrency,
-        term_seconds=grant.expires - now,
-        burst_requests=grant.burst_requests,
-        burst_tokens=grant.burst_tokens,
-    )
