Look through demands and grants once a slice, not once a limit

Cause: each of the three limits of a slice built the sets of who is heard anew. Change: who is heard, and who holds, are found once a slice. Ruled out: keeping sums between slices: they would have to follow each lapse, for 0.3 ms a slice at 320 daemons.

--- a/src/brassdrum/admission/lending.py
+++ b/src/brassdrum/admission/lending.py
@@ -207,27 +207,29 @@
         )
 
     def _allocate(self, daemon: str, census: Census) -> Allowance:
-        return Allowance(
-            rate_share(daemon, self._state(daemon, census, _REQUESTS)),
-            rate_share(daemon, self._state(daemon, census, _TOKENS)),
-            place_share(daemon, self._state(daemon, census, _PLACES)),
-        )
-
-    def _state(self, daemon: str, census: Census, resource: _Resource) -> LimitState:
         unheard = census.unheard - {daemon}
-        asked = {
-            name: resource.asked(demand)
+        heard_demands = {
+            name: demand
             for name, (_, demand) in self._demands_by_daemon.items()
             if name not in unheard
         }
-        held = {name: self._held(name, resource) for name in self._grants_by_daemon}
-        held.pop(daemon, None)
-        return LimitState(
-            limit=resource.lent(self._limits),
-            heard=census.part_heard,
-            asked=asked,
-            held_by_others=sum(held.values()),
-            held_unheard=sum(held[name] for name in unheard & held.keys()),
+        others = [name for name in self._grants_by_daemon if name != daemon]
+        unheard_others = [name for name in others if name in unheard]
+        part_heard = census.part_heard
+
+        def state(resource: _Resource) -> LimitState:
+            return LimitState(
+                limit=resource.lent(self._limits),
+                heard=part_heard,
+                asked={name: resource.asked(each) for name, each in heard_demands.items()},
+                held_by_others=sum(self._held(name, resource) for name in others),
+                held_unheard=sum(self._held(name, resource) for name in unheard_others),
+            )
+
+        return Allowance(
+            rate_share(daemon, state(_REQUESTS)),
+            rate_share(daemon, state(_TOKENS)),
+            place_share(daemon, state(_PLACES)),
         )
 
     def _held(self, daemon: str, resource: _Resource) -> float:
