Play the decision on contents that end endpoints over daemons that lose words

Cause: the quarantine was judged by rows of scenarios on one decision; what several guilty contents cost over daemons was not known.

--- /dev/null
+++ b/src/brassdrum/bench/endings.py
@@ -0,0 +1,302 @@
+"""Play the decision on requests that end endpoints, over daemons with lost words.
+
+All times are simulated.
+
+Daemons before endpoints serve healthy callers; some contents end each endpoint that begins to run
+them, and their callers come again at another daemon. A play counts what that costs: endpoints
+ended for each such content, healthy contents refused, healthy streams broken.
+"""
+
+from __future__ import annotations
+
+import random
+import statistics
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from brassdrum.bench.load.loop import SimulatedLoop
+from brassdrum.outcomes.quarantine import Quarantine, Standing
+
+__all__ = [
+    "EndingPlan",
+    "EndingPoint",
+    "EndingResult",
+    "measure_endings",
+    "play_endings",
+    "plans",
+]
+
+_WORDS_EACH_SECONDS = 0.1
+_WORD_SECONDS = 0.002
+_BACK_SECONDS = 3.3
+# From the start of a guilty request to its endpoint's end, least and most, as seen on engines.
+_END_SECONDS = (0.05, 0.4)
+# How far apart daemons see one end.
+_SEEN_WITHIN_SECONDS = 0.02
+_STREAM_SECONDS = (0.5, 2.0)
+_HEALTHY_EACH_SECONDS = 2.0
+_SENDS = 2
+_TRIES = 3
+_RETRY_SECONDS = 1.0
+_ALONE_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class EndingPlan:
+    """Say what is played; times are simulated seconds.
+
+    ``every`` parts the attempts of a guilty content's caller, ``apart`` the first attempts of the
+    guilty contents. ``at_once`` daemons get the first attempt of each in one moment. ``failures``
+    times a number of endpoints ends in one moment for reasons of its own.
+    """
+
+    guilty: int
+    every: float
+    apart: float = 0.0
+    at_once: int = 1
+    failures: int = 0
+    failed_together: int = 0
+    seconds: float = 25.0
+    daemons: int = 12
+    endpoints: int = 40
+    callers: int = 120
+    words_lost: float = 0.1
+
+    @property
+    def label(self) -> str:
+        """Return a short name for tables."""
+        if self.failures:
+            return f"{self.failures} failures of {self.failed_together} endpoints at once"
+        where = f" at {self.at_once} daemons at once" if self.at_once > 1 else ""
+        begun = f", begun {self.apart} s apart" if self.apart else ""
+        return f"{self.guilty} guilty{where}{begun}, back every {self.every} s"
+
+
+@dataclass(frozen=True, slots=True)
+class EndingResult:
+    """Count what a play cost; ``ended`` holds the endpoints that each guilty content ended."""
+
+    ended: tuple[int, ...]
+    healthy_refused: int
+    streams_broken: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndingPoint:
+    """Sum up the plays of a plan over seeds."""
+
+    plan: str
+    seeds: int
+    middle: float
+    worst: int
+    over_three: int
+    healthy_refused: int
+    streams_broken: int
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """Hold one request of a caller while it is sent, twice at most."""
+
+    content: str
+    daemon: int
+    guilty: int | None
+    tries: int
+    sends: int = 0
+    was_at: set[int] = field(default_factory=set)
+
+
+class _Endpoint:
+    """Hold one place of the fleet; each start there is another endpoint with a key of its own."""
+
+    def __init__(self, key: int) -> None:
+        self.key = key
+        self.up = True
+        self.attempts: list[_Attempt] = []
+
+
+def play_endings(plan: EndingPlan, seed: int) -> EndingResult:
+    """Play a plan once."""
+    return _Play(plan, seed).run()
+
+
+def measure_endings(plan: EndingPlan, seeds: Iterable[int]) -> EndingPoint:
+    """Play a plan with each seed and sum up."""
+    results = [play_endings(plan, seed) for seed in seeds]
+    ended = [count for result in results for count in result.ended] or [0]
+    return EndingPoint(
+        plan=plan.label,
+        seeds=len(results),
+        middle=statistics.median(ended),
+        worst=max(ended),
+        over_three=sum(count > 3 for count in ended),
+        healthy_refused=sum(result.healthy_refused for result in results),
+        streams_broken=sum(result.streams_broken for result in results),
+    )
+
+
+class _Play:
+    def __init__(self, plan: EndingPlan, seed: int) -> None:
+        self._plan = plan
+        self._random = random.Random(seed)
+        self._loop = SimulatedLoop()
+        self._daemons = [Quarantine() for _ in range(plan.daemons)]
+        self._endpoints = [self._new_endpoint() for _ in range(plan.endpoints)]
+        self._alone_until: dict[tuple[int, int], float] = {}
+        self._ended = [0] * plan.guilty
+        self._refused_guilty: set[int] = set()
+        self._healthy_refused: set[str] = set()
+        self._broken = 0
+        self._contents = 0
+
+    def run(self) -> EndingResult:
+        plan = self._plan
+        for daemon in range(plan.daemons):
+            self._loop.call_later(
+                self._random.uniform(0.0, _WORDS_EACH_SECONDS), lambda d=daemon: self._tell(d)
+            )
+        for _ in range(plan.callers):
+            start = self._random.uniform(0.0, _HEALTHY_EACH_SECONDS)
+            self._loop.call_later(start, self._healthy)
+        for guilty in range(plan.guilty):
+            start = _HEALTHY_EACH_SECONDS + guilty * plan.apart + self._random.uniform(0.0, 0.05)
+            self._loop.call_later(start, lambda g=guilty: self._first_attempts(g))
+        for number in range(plan.failures):
+            start = _HEALTHY_EACH_SECONDS + number * plan.seconds / (plan.failures + 1)
+            self._loop.call_later(start, self._fail_together)
+        self._loop.advance(plan.seconds)
+        return EndingResult(tuple(self._ended), len(self._healthy_refused), self._broken)
+
+    # Callers.
+
+    def _healthy(self) -> None:
+        self._contents += 1
+        daemon = self._random.randrange(self._plan.daemons)
+        self._begin(_Attempt(self._content(self._contents), daemon, None, 1))
+        self._loop.call_later(_HEALTHY_EACH_SECONDS, self._healthy)
+
+    def _first_attempts(self, guilty: int) -> None:
+        daemons = self._random.sample(range(self._plan.daemons), self._plan.at_once)
+        for daemon in daemons:
+            self._begin(_Attempt(self._content(-guilty - 1), daemon, guilty, 1))
+
+    def _come_again(self, attempt: _Attempt) -> None:
+        """Let the caller of a request that was not served come to another daemon."""
+        if attempt.guilty is None and attempt.tries >= _TRIES:
+            return
+        pause = _RETRY_SECONDS if attempt.guilty is None else self._plan.every
+        others = [n for n in range(self._plan.daemons) if n != attempt.daemon]
+        again = _Attempt(
+            attempt.content, self._random.choice(others), attempt.guilty, attempt.tries + 1
+        )
+        self._loop.call_later(pause, lambda: self._begin(again))
+
+    # Daemons.
+
+    def _begin(self, attempt: _Attempt) -> None:
+        """Send a request, wait until its content is decided on, or refuse it."""
+        now = self._loop.now()
+        decision = self._daemons[attempt.daemon]
+        standing = decision.standing(attempt.content, now)
+        if standing is Standing.UNDECIDED:
+            wait = decision.settles_in(attempt.content, now)
+            self._loop.call_later(max(wait, 1e-3), lambda: self._begin(attempt))
+            return
+        if standing is Standing.QUARANTINED:
+            if attempt.guilty is None:
+                self._healthy_refused.add(attempt.content)
+            return
+        endpoint = self._choose(attempt, standing)
+        if endpoint is None or attempt.sends >= _SENDS:
+            self._come_again(attempt)
+            return
+        self._send(attempt, endpoint)
+
+    def _choose(self, attempt: _Attempt, standing: Standing) -> int | None:
+        up = [n for n, each in enumerate(self._endpoints) if each.up]
+        fresh = [n for n in up if self._endpoints[n].key not in attempt.was_at]
+        now = self._loop.now()
+        if standing is Standing.SUSPECT:
+            idle = [n for n in fresh if not self._endpoints[n].attempts]
+            chosen = self._random.choice(idle or fresh) if fresh else None
+            if chosen is not None:
+                self._alone_until[attempt.daemon, chosen] = now + _ALONE_SECONDS
+            return chosen
+        free = [n for n in fresh if self._alone_until.get((attempt.daemon, n), 0.0) <= now]
+        candidates = free or fresh
+        return self._random.choice(candidates) if candidates else None
+
+    def _send(self, attempt: _Attempt, number: int) -> None:
+        endpoint = self._endpoints[number]
+        attempt.sends += 1
+        attempt.was_at.add(endpoint.key)
+        endpoint.attempts.append(attempt)
+        if attempt.guilty is not None:
+            left = self._random.uniform(*_END_SECONDS)
+            self._loop.call_later(left, lambda: self._end(number, endpoint, attempt))
+            return
+        left = self._random.uniform(*_STREAM_SECONDS)
+        self._loop.call_later(left, lambda: self._finish(endpoint, attempt))
+
+    def _finish(self, endpoint: _Endpoint, attempt: _Attempt) -> None:
+        if attempt not in endpoint.attempts:
+            return
+        endpoint.attempts.remove(attempt)
+        self._daemons[attempt.daemon].served(attempt.content, self._loop.now())
+
+    def _tell(self, daemon: int) -> None:
+        words = self._daemons[daemon].words(self._loop.now())
+        for other in range(self._plan.daemons):
+            if other == daemon or not words or self._random.random() < self._plan.words_lost:
+                continue
+            self._loop.call_later(
+                _WORD_SECONDS, lambda o=other: self._daemons[o].hear(words, self._loop.now())
+            )
+        self._loop.call_later(_WORDS_EACH_SECONDS, lambda: self._tell(daemon))
+
+    # Endpoints.
+
+    def _fail_together(self) -> None:
+        up = [n for n, each in enumerate(self._endpoints) if each.up]
+        for number in self._random.sample(up, min(len(up), self._plan.failed_together)):
+            self._end(number, self._endpoints[number], None)
+
+    def _end(self, number: int, endpoint: _Endpoint, cause: _Attempt | None) -> None:
+        if not endpoint.up:
+            return
+        endpoint.up = False
+        if cause is not None and cause.guilty is not None:
+            self._ended[cause.guilty] += 1
+        lost, endpoint.attempts = endpoint.attempts, []
+        for attempt in lost:
+            self._broken += attempt.guilty is None
+            seen = self._random.uniform(0.0, _SEEN_WITHIN_SECONDS)
+            self._loop.call_later(seen, lambda a=attempt: self._lose(a, endpoint.key))
+        self._loop.call_later(_BACK_SECONDS, lambda: self._start_again(number))
+
+    def _lose(self, attempt: _Attempt, key: int) -> None:
+        self._daemons[attempt.daemon].ended(attempt.content, key, self._loop.now())
+        self._begin(attempt)
+
+    def _start_again(self, number: int) -> None:
+        self._endpoints[number] = self._new_endpoint()
+
+    def _new_endpoint(self) -> _Endpoint:
+        return _Endpoint(self._random.getrandbits(32))
+
+    def _content(self, number: int) -> str:
+        return (number & (2**64 - 1)).to_bytes(8, "big").hex()
+
+
+def plans() -> Iterator[EndingPlan]:
+    """Yield what the command plays: series of guilty contents, and failures without any."""
+    yield EndingPlan(1, 1.0)
+    yield EndingPlan(2, 1.0)
+    yield EndingPlan(3, 1.0)
+    yield EndingPlan(4, 0.5)
+    yield EndingPlan(6, 1.0)
+    yield EndingPlan(6, 1.0, apart=0.5)
+    yield EndingPlan(8, 0.3)
+    yield EndingPlan(1, 1.0, at_once=6)
+    yield EndingPlan(0, 1.0, failures=5, failed_together=8)
+    yield EndingPlan(0, 1.0, failures=20, failed_together=2)
--- a/src/brassdrum/cli/bench.py
+++ b/src/brassdrum/cli/bench.py
@@ -91,6 +91,18 @@
     return 0
 
 
+def _run_endings(options: argparse.Namespace) -> int:
+    from brassdrum.bench.endings import measure_endings, plans
+
+    seeds = range(1, options.seeds + 1)
+    points = [asdict(measure_endings(plan, seeds)) for plan in plans()]
+    if options.json:
+        print_json(points)
+        return 0
+    print_rows(tuple(points[0]), [list(point.values()) for point in points])
+    return 0
+
+
 def _run_source(options: argparse.Namespace) -> int:
     from brassdrum.bench.source import PacedSource, PacedSourceSettings
 
@@ -137,6 +149,10 @@
     load.add_argument("--engines", type=int, default=21)
     load.add_argument("--json", action="store_true", help="print JSON")
     load.set_defaults(run=_run_load)
+    endings = actions.add_parser("endings", help="requests that end endpoints, simulated")
+    endings.add_argument("--seeds", type=int, default=4)
+    endings.add_argument("--json", action="store_true", help="print JSON")
+    endings.set_defaults(run=_run_endings)
     run = actions.add_parser("run", help="compare routing policies on a seeded workload")
     run.add_argument("experiment", type=Path, metavar="EXPERIMENT.json")
     run.add_argument("--output", type=Path, help="write one JSON line a run")
