--- a/features/lending.feature
+++ b/features/lending.feature
@@ -55,6 +55,11 @@
     Then it counts as cut off only when it was silent as long as any other has to be
     And a daemon that starts counts all that its first list names
 
+  Scenario: The host list may change while it is asked
+    Given a host list on which a fourth daemon comes and goes
+    When it is read 2000 times while another thread asks which daemons count
+    Then each answer names the three that stay
+
   Scenario: A daemon that stops gives its slices back
     Given a site of 3 daemons and 1 engine
     And every daemon holds a slice
--- a/features/steps/lending_steps.py
+++ b/features/steps/lending_steps.py
@@ -1,5 +1,9 @@
 """Steps on slices of limits while daemons come and go: a pure lender, and daemons around it."""
 
+import sys
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
 from behave import given, then, when
 from hypothesis import given as given_examples
 from hypothesis import settings
@@ -240,6 +244,43 @@
     assert watch.daemon_names() == ["d1", "d2", "d3", "d4"]
 
 
+@given("a host list on which a fourth daemon comes and goes")
+def step_flapping(context):
+    context.clock = ManualClock()
+    context.hosts = ListedHosts(["d1", "d2", "d3"])
+    context.watch = _watch(context, context.hosts)
+    context.watch.step()
+
+
+@when("it is read {times:d} times while another thread asks which daemons count")
+def step_read_often(context, times):
+    # Threads take turns as often as they can, so that one meets the other in the midst of a step.
+    interval = sys.getswitchinterval()
+    context.stack.push(lambda: sys.setswitchinterval(interval))
+    sys.setswitchinterval(1e-6)
+    done = threading.Event()
+
+    def ask():
+        answers = []
+        while not done.is_set():
+            answers.append(context.watch.daemon_names())
+        return answers
+
+    with ThreadPoolExecutor(1) as executor:
+        asking = executor.submit(ask)
+        for number in range(times):
+            context.hosts.names[3:] = ["d4"] if number % 2 else []
+            context.watch.step()
+        done.set()
+        context.answers = asking.result()
+
+
+@then("each answer names the three that stay")
+def step_three(context):
+    assert context.answers
+    assert all(answer[:3] == ["d1", "d2", "d3"] for answer in context.answers)
+
+
 @given("every daemon holds a slice")
 def step_slices(context):
     for daemon in context.site.daemons:
