Keep the host list and the times of its names in one value

Cause: the list and the times of its names were two attributes, set one after the other. Change: one tuple of hosts with their times, replaced whole. The lock by which threads wait for one lender's answer is made under the book's lock, so that two threads never make two. Ruled out: a default for names without a time: it hides the half-read state.

--- a/src/brassdrum/daemon/endpoint_watch.py
+++ b/src/brassdrum/daemon/endpoint_watch.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 
 from brassdrum.clock import Clock
 from brassdrum.daemon.dispatcher import Dispatcher
@@ -107,6 +108,14 @@
         self._last_event_by_endpoint[engine.name] = last
 
 
+@dataclass(frozen=True, slots=True)
+class _Listed:
+    """Hold a host and since when it is on the list, on our clock."""
+
+    host: Host
+    since: float
+
+
 class HostWatch:
     """Read the platform's host list; when it does not answer, the last list holds."""
 
@@ -114,8 +123,7 @@
         self._hosts = hosts
         self._clock = clock
         self._silent_seconds = silent_seconds
-        self._last: list[Host] = []
-        self._listed_at_by_name: dict[str, float] = {}
+        self._listed: tuple[_Listed, ...] = ()
         self.answers = False
         self.read_once = False
 
@@ -130,18 +138,19 @@
 
     def _take(self, hosts: list[Host]) -> None:
         # Those of the first list may have been silent for long: they count from the start.
-        listed_at = self._clock.monotonic() if self.read_once else float("-inf")
-        known = self._listed_at_by_name
-        self._listed_at_by_name = {
-            host.name: known.get(host.name, listed_at) for host in hosts if host.role == "daemon"
-        }
-        self._last = hosts
+        now = self._clock.monotonic() if self.read_once else float("-inf")
+        since_by_name = {each.host.name: each.since for each in self._listed}
+        self._listed = tuple(_Listed(host, since_by_name.get(host.name, now)) for host in hosts)
         self.answers = True
         self.read_once = True
 
     def leaving_endpoints(self) -> set[str]:
         """Return the endpoints that the list says are leaving."""
-        return {host.name for host in self._last if host.role == "endpoint" and host.leaving}
+        return {
+            each.host.name
+            for each in self._listed
+            if each.host.role == "endpoint" and each.host.leaving
+        }
 
     def daemon_names(self) -> list[str]:
         """Return the daemons on the list that are not leaving and would have been heard by now.
@@ -152,13 +161,11 @@
         """
         latest = self._clock.monotonic() - self._silent_seconds()
         return [
-            host.name
-            for host in self._last
-            if host.role == "daemon"
-            and not host.leaving
-            and self._listed_at_by_name[host.name] <= latest
+            each.host.name
+            for each in self._listed
+            if each.host.role == "daemon" and not each.host.leaving and each.since <= latest
         ]
 
     def daemon_addresses(self) -> list[str]:
         """Return the peer addresses of the daemons on the list."""
-        return [host.peer_address for host in self._last if host.role == "daemon"]
+        return [each.host.peer_address for each in self._listed if each.host.role == "daemon"]
--- a/src/brassdrum/daemon/limits.py
+++ b/src/brassdrum/daemon/limits.py
@@ -209,7 +209,9 @@
         The slice follows its callers by one renewal a doubling otherwise: a newcomer refused most
         of the callers that moved to it for a second or more while 400 of 1000 places were free.
         """
-        with self._asking_by_organisation[organisation]:
+        with self._lock:
+            asking = self._asking_by_organisation[organisation]
+        with asking:
             if self._has_room(organisation):
                 # Another thread that waited for the same answer has asked.
                 return True
