Add failing scenarios on contents that end endpoints at once, or share blame

Logs: the ending content was sent to replicas 3, 2, 1 and 4 within 86 ms; at 1 and 4 it had been there for under 5 ms on a kept connection and was not noted as a possible cause, so it had two ends. The shared content had three (3, 1, 4) and was quarantined at all three daemons for 70 ms, until two more ends were charged to the other. It had been answered whole 0.1 s before the first of them, which nobody remembered: a whole answer is noted only of contents with known ends.

Conclusion: the decision counts ends only; it needs what else is known of them.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -134,3 +134,54 @@
     Then the content is not refused
     When engine-1 answers and ends under the content, 2 times
     Then the content is refused with the time that is left
+
+  Scenario: What is quarantined is on its way to the store before anybody is refused for it
+    A daemon refused with 600 s and was replaced 10 ms later, before its next review: the store held
+    nothing, and the new daemons sent the request on.
+    Given a guard of a daemon with a store
+    When endpoints 1, 2 and 3 end under content a
+    And the first request with content a is refused there
+    Then the store is told of content a
+
+  Scenario: What a daemon only heard of is kept by the first of the fleet
+    Those who saw the ends may be gone before they can keep them.
+    Given a guard of a daemon with a store
+    When it hears that content a was at ends 1, 2 and 3
+    And the first request with content a is refused there
+    Then the store is told of content a
+
+  Scenario: A request that ends its endpoint the moment it is sent does not put the blame on others
+    What was seen: content b, which callers share, was told to come back in 600 s. Logs: content a was
+    sent to four endpoints and b to three of them; two broke within 4 ms after a was sent on a kept
+    connection. Those two were not held against a, so b had three ends and a had two.
+    Given a guard of a daemon with a store
+    When endpoint 1 ends under contents a and b
+    And endpoint 2 ends under contents a
+    And endpoint 3 ends under contents b, and a was sent there in that moment
+    And endpoint 4 ends under contents b, and a was sent there in that moment
+    Then no request with content b is refused
+
+  Scenario: A request that ends every endpoint the moment it is sent is found
+    Given a guard of a daemon with a store
+    When 6 endpoints end one after the other, and content a was sent there in that moment
+    Then a request with content a is refused
+
+  Scenario: A content that was answered a moment ago is not refused for three ends
+    Callers share it, so it is at nearly every end. In the same run it was answered whole 0.1 s before
+    the first end, and nobody remembered: only contents with known ends were cleared.
+    Given content b is answered whole all the time
+    And content b was at ends 1, 2 and 3
+    When 0.3 s pass
+    Then content b is suspect
+
+  Scenario: A content that was answered a moment ago and now ends its endpoints is found
+    Given content b is answered whole all the time
+    When each 0.5 s an endpoint ends under content b, 6 times
+    And 0.3 s pass
+    Then content b is quarantined
+
+  Scenario: A content that runs at most endpoints is not refused when a rack fails
+    Given content b is answered whole all the time
+    And content b is at 8 of 12 endpoints that end in one moment
+    When 0.3 s pass
+    Then content b is sound
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -12,6 +12,7 @@
 from brassdrum.daemon.content_guard import ContentGuard
 from brassdrum.errors import ContentQuarantinedError
 from brassdrum.gateway.crash_guard import CrashGuard
+from brassdrum.gateway.endings import Witness
 from brassdrum.gateway.load import LoadTable, Share
 from brassdrum.gateway.model import DaemonAddress
 from brassdrum.gateway.peer_messages import (
@@ -315,3 +316,106 @@
         assert 590 < error.retry_after < 600, error.retry_after
         return
     raise AssertionError("the content was not refused")
+
+
+class FirstOfFleet:
+    """Take what a guard submits to the store, as the first daemon of the fleet."""
+
+    def __init__(self):
+        self.records = []
+
+    def quarantines(self):
+        """Return that nothing is kept."""
+        return []
+
+    def keep_quarantine(self, record):
+        """Note a record."""
+        self.records.append(record)
+
+
+@given("a guard of a daemon with a store")
+def step_guard_with_store(context):
+    context.loop = SimulatedLoop()
+    context.guard = CrashGuard(context.loop, LoadTable())
+    context.kept = FirstOfFleet()
+    context.guard.start(context.kept, lambda work, done: work(), lambda: True)
+
+
+def end_endpoint(context, number, letters, in_passing=""):
+    witnesses = [Witness("r", content(letter), False, True) for letter in letters]
+    witnesses += [Witness("r", content(letter), False, False) for letter in in_passing]
+    context.guard.endpoint_ended(engine_entry(number), witnesses)
+    context.loop.advance(0.06)
+
+
+@when("endpoints {numbers} end under content {letter:w}")
+def step_ends_under(context, numbers, letter):
+    for number in re.findall(r"\d+", numbers):
+        end_endpoint(context, int(number), letter)
+
+
+@when("endpoint {number:d} ends under contents {letters}")
+def step_endpoint_ends(context, number, letters):
+    beside, _, passing = letters.partition(", and ")
+    end_endpoint(context, number, re.findall(r"\b[ab]\b", beside), passing[:1])
+
+
+@when("{count:d} endpoints end one after the other, and content a was sent there in that moment")
+def step_ends_in_passing(context, count):
+    for number in range(1, count + 1):
+        end_endpoint(context, number, "", "a")
+
+
+@when("it hears that content a was at ends 1, 2 and 3")
+def step_guard_hears(context):
+    context.guard.hear((EndingWord(content("a"), tuple(SeenEnd(n, 0.0) for n in (1, 2, 3))),))
+
+
+@when("the first request with content {letter:w} is refused there")
+def step_first_refused(context, letter):
+    while context.guard.standing(content(letter)) is not Standing.QUARANTINED:
+        assert context.guard.settles_in(content(letter)) > 0
+        context.loop.advance(context.guard.settles_in(content(letter)))
+
+
+@then("the store is told of content {letter:w}")
+def step_store_told(context, letter):
+    assert [record.key for record in context.kept.records] == [content(letter)]
+
+
+@then("a request with content {letter:w} is refused")
+def step_refused_there(context, letter):
+    context.loop.advance(0.3)
+    assert context.guard.standing(content(letter)) is Standing.QUARANTINED
+
+
+@then("no request with content {letter:w} is refused")
+def step_not_refused_there(context, letter):
+    for _ in range(30):
+        context.loop.advance(0.01)
+        assert context.guard.standing(content(letter)) is not Standing.QUARANTINED
+
+
+@given("content {letter:w} is answered whole all the time")
+def step_answered(context, letter):
+    quarantine = daemon(context).quarantine
+    for _ in range(20):
+        context.now += 0.1
+        quarantine.served(content(letter), context.now)
+    context.now += 0.1
+
+
+@when("each {pause:g} s an endpoint ends under content {letter:w}, {times:d} times")
+def step_ends_apart(context, pause, letter, times):
+    for number in range(times):
+        context.now += pause
+        context.daemon.quarantine.ended(content(letter), number, context.now)
+
+
+@given("content {letter:w} is at {share:d} of {count:d} endpoints that end in one moment")
+def step_rack(context, letter, share, count):
+    for number in range(count):
+        at = context.now + 0.001 * number
+        context.daemon.quarantine.ended(f"{900 + number:016x}", number, at)
+        if number < share:
+            context.daemon.quarantine.ended(content(letter), number, at)
--- a/src/brassdrum/bench/endings.py
+++ b/src/brassdrum/bench/endings.py
@@ -35,6 +35,8 @@
 _SEEN_WITHIN_SECONDS = 0.02
 _STREAM_SECONDS = (0.5, 2.0)
 _HEALTHY_EACH_SECONDS = 2.0
+# A page that is polled: the next request comes within this of the one before.
+_POPULAR_EACH_SECONDS = (0.1, 0.5)
 _SENDS = 2
 _TRIES = 3
 _RETRY_SECONDS = 1.0
@@ -47,7 +49,8 @@
 
     ``every`` parts the attempts of a guilty content's caller, ``apart`` the first attempts of the
     guilty contents. ``at_once`` daemons get the first attempt of each in one moment. ``failures``
-    times a number of endpoints ends in one moment for reasons of its own.
+    times a number of endpoints ends in one moment for reasons of its own. Besides the
+    ``callers``, so many as are ``popular`` ask for one healthy content again and again.
     """
 
     guilty: int
@@ -60,6 +63,7 @@
     daemons: int = 12
     endpoints: int = 40
     callers: int = 120
+    popular: int = 0
     words_lost: float = 0.1
 
     @property
@@ -69,7 +73,12 @@
             return f"{self.failures} failures of {self.failed_together} endpoints at once"
         where = f" at {self.at_once} daemons at once" if self.at_once > 1 else ""
         begun = f", begun {self.apart} s apart" if self.apart else ""
-        return f"{self.guilty} guilty{where}{begun}, back every {self.every} s"
+        beside = (
+            f", {self.popular} callers of one healthy content, {self.endpoints} endpoints"
+            if self.popular
+            else ""
+        )
+        return f"{self.guilty} guilty{where}{begun}, back every {self.every} s{beside}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +167,9 @@
         for _ in range(plan.callers):
             start = self._random.uniform(0.0, _HEALTHY_EACH_SECONDS)
             self._loop.call_later(start, self._healthy)
+        for _ in range(plan.popular):
+            start = self._random.uniform(0.0, _HEALTHY_EACH_SECONDS)
+            self._loop.call_later(start, self._popular)
         for guilty in range(plan.guilty):
             start = _HEALTHY_EACH_SECONDS + guilty * plan.apart + self._random.uniform(0.0, 0.05)
             self._loop.call_later(start, lambda g=guilty: self._first_attempts(g))
@@ -175,6 +187,11 @@
         self._begin(_Attempt(self._content(self._contents), daemon, None, 1))
         self._loop.call_later(_HEALTHY_EACH_SECONDS, self._healthy)
 
+    def _popular(self) -> None:
+        daemon = self._random.randrange(self._plan.daemons)
+        self._begin(_Attempt(self._content(0), daemon, None, 1))
+        self._loop.call_later(self._random.uniform(*_POPULAR_EACH_SECONDS), self._popular)
+
     def _first_attempts(self, guilty: int) -> None:
         daemons = self._random.sample(range(self._plan.daemons), self._plan.at_once)
         for daemon in daemons:
