Weigh how a content was at each end, and what was answered before

Cause: the decision counted ends. It did not know (1) that the guilty request was there when it had been sent within 5 ms of the end, so a bystander had more ends than the culprit; (2) that the bystander had been answered whole 0.1 s before, for answers were noted only of contents with known ends; (3) how soon an end came after a request was sent, so that ends of several guilty contents within 0.05 s looked like a rack's failure.

Mend: an end in passing weighs half instead of nothing. A content that was answered whole in the last ten minutes needs twice the proof, and ends of three and more endpoints at once say nothing of it. In such a moment a content counts that was at half of the ends, as before, or all of whose ends came within 0.5 s after it was sent. One end of a pair weighs half. Two foremost contents that share an end no longer wait when each is the only suspect one at two others.

The step that counts marks on the wire checks both new ones.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -170,8 +170,8 @@
     Callers share it, so it is at nearly every end. In the same run it was answered whole 0.1 s before
     the first end, and nobody remembered: only contents with known ends were cleared.
     Given content b is answered whole all the time
-    And content b was at ends 1, 2 and 3
-    When 0.3 s pass
+    When each 0.1 s an endpoint ends under content b, 3 times
+    And 0.3 s pass
     Then content b is suspect
 
   Scenario: A content that was answered a moment ago and now ends its endpoints is found
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -157,7 +157,8 @@
 @then("any words are the same after encoding, ages to a millisecond")
 def step_wire(context):
     ages = st.floats(0, 1200)
-    ends = st.lists(st.builds(SeenEnd, st.integers(0, 2**32 - 1), ages), max_size=8).map(tuple)
+    end = st.builds(SeenEnd, st.integers(0, 2**32 - 1), ages, st.booleans(), st.booleans())
+    ends = st.lists(end, max_size=12).map(tuple)
     words = st.lists(
         st.builds(EndingWord, CONTENTS, ends, st.none() | st.floats(0, 1200)), max_size=24
     )
@@ -171,6 +172,7 @@
             assert [end.endpoint for end in got.ends] == [end.endpoint for end in sent.ends]
             for mine, theirs in zip(sent.ends, got.ends, strict=True):
                 assert abs(mine.age - theirs.age) <= 0.000501
+                assert (mine.soon, mine.lived) == (theirs.soon, theirs.lived)
             assert (got.served_age is None) == (sent.served_age is None)
 
     check()
@@ -336,6 +338,7 @@
 @given("a guard of a daemon with a store")
 def step_guard_with_store(context):
     context.loop = SimulatedLoop()
+    context.loop.clock = ManualClock()
     context.guard = CrashGuard(context.loop, LoadTable())
     context.kept = FirstOfFleet()
     context.guard.start(context.kept, lambda work, done: work(), lambda: True)
--- a/src/brassdrum/bench/endings.py
+++ b/src/brassdrum/bench/endings.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 
 from brassdrum.bench.load.loop import SimulatedLoop
+from brassdrum.outcomes.charging import SOON_SECONDS
 from brassdrum.outcomes.quarantine import Quarantine, Standing
 
 __all__ = [
@@ -65,6 +66,7 @@
     callers: int = 120
     popular: int = 0
     words_lost: float = 0.1
+    ends_after: tuple[float, float] = _END_SECONDS
 
     @property
     def label(self) -> str:
@@ -78,7 +80,9 @@
             if self.popular
             else ""
         )
-        return f"{self.guilty} guilty{where}{begun}, back every {self.every} s{beside}"
+        least, most = self.ends_after
+        after = f", each end after {least} to {most} s" if self.ends_after != _END_SECONDS else ""
+        return f"{self.guilty} guilty{where}{begun}{after}, back every {self.every} s{beside}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +116,7 @@
     guilty: int | None
     tries: int
     sends: int = 0
+    sent_at: float = 0.0
     was_at: set[int] = field(default_factory=set)
 
 
@@ -246,10 +251,11 @@
     def _send(self, attempt: _Attempt, number: int) -> None:
         endpoint = self._endpoints[number]
         attempt.sends += 1
+        attempt.sent_at = self._loop.now()
         attempt.was_at.add(endpoint.key)
         endpoint.attempts.append(attempt)
         if attempt.guilty is not None:
-            left = self._random.uniform(*_END_SECONDS)
+            left = self._random.uniform(*self._plan.ends_after)
             self._loop.call_later(left, lambda: self._end(number, endpoint, attempt))
             return
         left = self._random.uniform(*_STREAM_SECONDS)
@@ -288,11 +294,12 @@
         for attempt in lost:
             self._broken += attempt.guilty is None
             seen = self._random.uniform(0.0, _SEEN_WITHIN_SECONDS)
-            self._loop.call_later(seen, lambda a=attempt: self._lose(a, endpoint.key))
+            soon = self._loop.now() - attempt.sent_at < SOON_SECONDS
+            self._loop.call_later(seen, lambda a=attempt, s=soon: self._lose(a, endpoint.key, s))
         self._loop.call_later(_BACK_SECONDS, lambda: self._start_again(number))
 
-    def _lose(self, attempt: _Attempt, key: int) -> None:
-        self._daemons[attempt.daemon].ended(attempt.content, key, self._loop.now())
+    def _lose(self, attempt: _Attempt, key: int, soon: bool) -> None:
+        self._daemons[attempt.daemon].ended(attempt.content, key, self._loop.now(), soon=soon)
         self._begin(attempt)
 
     def _start_again(self, number: int) -> None:
--- a/src/brassdrum/daemon/attempts.py
+++ b/src/brassdrum/daemon/attempts.py
@@ -60,7 +60,9 @@
                 self._core.dispatcher.release(placement)
                 self._judge_endpoint(placement, error)
                 if isinstance(error, EndpointEndedError):
-                    self._core.guard.ended(self._content, placement.state.endpoint.name)
+                    self._core.guard.ended(
+                        self._content, placement.state.endpoint.name, placement.own.dispatched
+                    )
                 work = self._again(work, placement, error)
                 continue
             except BaseException:
--- a/src/brassdrum/daemon/content_guard.py
+++ b/src/brassdrum/daemon/content_guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import threading
 import zlib
 from collections.abc import Iterable
@@ -10,6 +11,7 @@
 from brassdrum.clock import Clock
 from brassdrum.errors import ContentQuarantinedError
 from brassdrum.membership.peer_pb2 import DaemonEntry, EndedContent, SeenEndpointEnd
+from brassdrum.outcomes.charging import SOON_SECONDS
 from brassdrum.outcomes.quarantine import EndingWord, Quarantine, SeenEnd, Standing
 
 __all__ = ["ContentGuard"]
@@ -59,9 +61,10 @@
             standing = self._quarantine.standing(content, self._clock.monotonic())
         return standing is Standing.SUSPECT
 
-    def ended(self, content: str, endpoint: str) -> None:
+    def ended(self, content: str, endpoint: str, placed_at: float = -math.inf) -> None:
         """Note that an endpoint ended while it had a request with the content."""
         with self._lock:
+            now = self._clock.monotonic()
             key = self._end_by_endpoint.get(endpoint)
             if key is None:
                 period = int(self._clock.now().timestamp() // _SAME_END_SECONDS)
@@ -69,7 +72,7 @@
                 self._end_by_endpoint[endpoint] = key
                 while len(self._end_by_endpoint) > _MOST_ENDED:
                     del self._end_by_endpoint[next(iter(self._end_by_endpoint))]
-            self._quarantine.ended(content, key, self._clock.monotonic())
+            self._quarantine.ended(content, key, now, soon=now - placed_at < SOON_SECONDS)
         _logger.warning("endpoint ended", extra={"endpoint": endpoint, "content": content})
 
     def answered(self, endpoint: str) -> None:
@@ -104,7 +107,9 @@
     told = EndedContent(
         content=bytes.fromhex(word.content),
         ends=[
-            SeenEndpointEnd(endpoint=end.endpoint, age_milliseconds=int(end.age * _MS))
+            SeenEndpointEnd(
+                endpoint=end.endpoint, age_milliseconds=int(end.age * _MS), soon=end.soon
+            )
             for end in word.ends
         ],
     )
@@ -114,7 +119,9 @@
 
 
 def _heard(told: EndedContent) -> EndingWord:
-    ends = tuple(SeenEnd(each.endpoint, each.age_milliseconds / _MS) for each in told.ends)
+    ends = tuple(
+        SeenEnd(each.endpoint, each.age_milliseconds / _MS, each.soon) for each in told.ends
+    )
     served = told.served_age_milliseconds / _MS
     known = told.HasField("served_age_milliseconds")
     return EndingWord(told.content.hex(), ends, served if known else None)
--- a/src/brassdrum/daemon/generation.py
+++ b/src/brassdrum/daemon/generation.py
@@ -330,7 +330,11 @@
     def failed(self, error: BrassdrumError) -> None:
         """End a request whose answer broke off."""
         if isinstance(error, EndpointEndedError):
-            self._guard.ended(self._content, self._placement.state.endpoint.name)
+            self._guard.ended(
+                self._content,
+                self._placement.state.endpoint.name,
+                self._placement.own.dispatched,
+            )
         error.ran = Ran.MAYBE
         self._release()
         self._ending.failed(error)
--- a/src/brassdrum/gateway/crash_guard.py
+++ b/src/brassdrum/gateway/crash_guard.py
@@ -43,16 +43,25 @@
 Submit = Callable[[Callable[[], object], Callable[[Future], None]], None]
 
 
+@dataclass(frozen=True, slots=True)
+class KeptEnd:
+    """Hold an end as the store keeps it, at a time in Unix seconds; ``soon`` as in ``SeenEnd``."""
+
+    endpoint: int
+    at: float
+    soon: bool
+
+
 @dataclass(frozen=True, slots=True)
 class QuarantineRecord:
     """Hold what lies in the store of one quarantined content; times in Unix seconds."""
 
     content: str
-    ended_at_by_endpoint: dict[int, float]
+    ends: tuple[KeptEnd, ...]
 
     def encode(self) -> SharedRecord:
         """Return the form that lies in the store."""
-        ends = [[endpoint, round(at, 1)] for endpoint, at in self.ended_at_by_endpoint.items()]
+        ends = [[end.endpoint, round(end.at, 1), int(end.soon)] for end in self.ends]
         return SharedRecord(self.content, json.dumps({"ends": ends}).encode())
 
     @classmethod
@@ -60,7 +69,10 @@
         """Return a record, or raise ``ValueError``."""
         try:
             bytes.fromhex(record.key)
-            ends = {int(endpoint): float(at) for endpoint, at in json.loads(record.value)["ends"]}
+            ends = tuple(
+                KeptEnd(int(endpoint), float(at), any(soon))
+                for endpoint, at, *soon in json.loads(record.value)["ends"]
+            )
         except (KeyError, TypeError, ValueError) as error:
             raise ValueError(
                 f"quarantine record {record.key[:40]!r} is damaged: {error}"
@@ -69,8 +81,10 @@
 
     def word(self, now: float) -> EndingWord:
         """Return it as another daemon would tell it; a clock that stepped makes no end newer."""
-        ends = ((key, max(0.0, now - at)) for key, at in self.ended_at_by_endpoint.items())
-        return EndingWord(self.content, tuple(SeenEnd(key, age) for key, age in ends))
+        return EndingWord(
+            self.content,
+            tuple(SeenEnd(end.endpoint, max(0.0, now - end.at), end.soon) for end in self.ends),
+        )
 
 
 class CrashGuard:
@@ -82,6 +96,7 @@
         self._table = table
         self._quarantine = Quarantine()
         self._submit: Submit | None = None
+        self._first: Callable[[], bool] = lambda: False
         self._alone_until_by_endpoint: dict[str, float] = {}
         self._in_force: set[str] = set()
         self._own: set[str] = set()
@@ -92,7 +107,8 @@
         """Begin to use the store through ``submit``; ``first`` says who asks it for the fleet."""
         self._store = store
         self._submit = submit
-        self._loop.call_later(_LOAD_SECONDS, lambda: self._load(first))
+        self._first = first
+        self._loop.call_later(_LOAD_SECONDS, self._load)
 
     @property
     def quarantined(self) -> int:
@@ -147,9 +163,13 @@
         """Note which contents were at an endpoint that ended."""
         now = self._loop.now()
         for witness in witnesses:
-            if not witness.may_be_cause:
-                continue
-            self._quarantine.ended(witness.content, endpoint_key(entry.id), now)
+            self._quarantine.ended(
+                witness.content,
+                endpoint_key(entry.id),
+                now,
+                soon=witness.soon,
+                lived=witness.lived,
+            )
             self._own.add(witness.content)
         self._loop.call_later(_REVIEW_SECONDS, self._review)
 
@@ -199,10 +219,11 @@
     def _record(self, content: str) -> SharedRecord:
         wall = self._loop.clock.now()
         word = self._quarantine.word(content, self._loop.now())
-        ended_at = {
-            end.endpoint: (wall - timedelta(seconds=end.age)).timestamp() for end in word.ends
-        }
-        return QuarantineRecord(content, ended_at).encode()
+        ends = tuple(
+            KeptEnd(end.endpoint, (wall - timedelta(seconds=end.age)).timestamp(), end.soon)
+            for end in word.ends
+        )
+        return QuarantineRecord(content, ends).encode()
 
     def _keep(self, record: SharedRecord) -> None:
         self._to_write[record.key] = record
@@ -231,17 +252,17 @@
         log_events.QUARANTINE_NOT_KEPT.write(_logger, content=record.key, error=error.message)
         self._loop.call_later(_STORE_AGAIN_SECONDS, self._write)
 
-    def _load(self, first: Callable[[], bool]) -> None:
-        if not first():
+    def _load(self) -> None:
+        if not self._first():
             return
         assert self._submit is not None and self._store is not None
-        self._submit(self._store.quarantines, lambda future: self._loaded(first, future))
+        self._submit(self._store.quarantines, self._loaded)
 
-    def _loaded(self, first: Callable[[], bool], future: Future[list[SharedRecord]]) -> None:
+    def _loaded(self, future: Future[list[SharedRecord]]) -> None:
         error = future.exception()
         if isinstance(error, BrassdrumError):
             log_events.QUARANTINE_NOT_KEPT.write(_logger, content=None, error=error.message)
-            self._loop.call_later(_STORE_AGAIN_SECONDS, lambda: self._load(first))
+            self._loop.call_later(_STORE_AGAIN_SECONDS, self._load)
             return
         wall = self._loop.clock.now().timestamp()
         for record in future.result():
--- a/src/brassdrum/gateway/endings.py
+++ b/src/brassdrum/gateway/endings.py
@@ -10,6 +10,7 @@
 from brassdrum.gateway.loop import EventLoop, Timer
 from brassdrum.gateway.model import EndpointEntry
 from brassdrum.gateway.transport import Transport
+from brassdrum.outcomes.charging import SOON_SECONDS
 
 __all__ = ["EndingChecks", "LostRequest", "Witness"]
 
@@ -43,13 +44,15 @@
 class Witness:
     """Name a request that an endpoint had when its answer broke; ``began`` if it had begun.
 
-    ``may_be_cause`` says that the endpoint still lived when the request was sent.
+    ``lived`` says that the endpoint is known to have lived when the request was sent, ``soon`` that
+    it ended within a moment after that.
     """
 
     request: str
     content: str
     began: bool
-    may_be_cause: bool
+    lived: bool
+    soon: bool = False
 
 
 class EndingChecks:
@@ -67,8 +70,11 @@
     def answer_broke(self, entry: EndpointEntry, request: LostRequest) -> None:
         """Take that the answer to a request broke off without the endpoint saying why."""
         broke_at = self._first_sign(entry.id)
-        lived = request.reached or broke_at - request.sent_at >= _LEAST_HELD_SECONDS
-        witness = Witness(request.request, request.content, request.began, lived)
+        held = broke_at - request.sent_at
+        lived = request.reached or held >= _LEAST_HELD_SECONDS
+        witness = Witness(
+            request.request, request.content, request.began, lived, held < SOON_SECONDS
+        )
         ended_at = self._ended_at_by_endpoint.get(entry.id)
         if ended_at is not None and self._loop.now() - ended_at < _ENDED_KEPT_SECONDS:
             self._on_ended(entry, [witness])
--- a/src/brassdrum/gateway/peer_messages.py
+++ b/src/brassdrum/gateway/peer_messages.py
@@ -24,13 +24,15 @@
     "encode_message",
 ]
 
-_FORMAT = 6
+_FORMAT = 7
 # Ages are told in ms; None before the first read of the store.
 _NO_AGE = 0xFFFFFFFF
 # Ages of ends are told in ms, so that ends of one moment are known as such; a content is 8 bytes.
 _AGE_BYTES = 3
 _NEVER = 0xFFFFFF
 _CONTENT_BYTES = 8
+# A bit for each of the 12 ends that are kept of a content.
+_MARK_BYTES = 2
 # Flags of a digest.
 _ROLL, _ENDS, _FLEET = 1, 2, 4
 
@@ -274,16 +276,22 @@
 
 
 def _write_ending(writer: FieldWriter, word: EndingWord) -> None:
-    """Append what is known of a content; one of three ends takes 33 bytes."""
+    """Append what is known of a content; one of three ends takes 37 bytes."""
     writer.number(int(word.content, 16), _CONTENT_BYTES)
     served = _NEVER if word.served_age is None else min(_NEVER - 1, _age_ms(word.served_age))
     writer.number(served, _AGE_BYTES)
     writer.number(len(word.ends), 1)
+    writer.number(_marks(end.soon for end in word.ends), _MARK_BYTES)
+    writer.number(_marks(end.lived for end in word.ends), _MARK_BYTES)
     for end in word.ends:
         writer.number(end.endpoint, 4)
         writer.number(_age_ms(end.age), _AGE_BYTES)
 
 
+def _marks(values: Iterable[bool]) -> int:
+    return sum(value << place for place, value in enumerate(values))
+
+
 def _age_ms(age: float) -> int:
     return max(0, round(age * 1000))
 
@@ -291,8 +299,16 @@
 def _read_ending(reader: FieldReader) -> EndingWord:
     content = f"{reader.number(_CONTENT_BYTES):0{2 * _CONTENT_BYTES}x}"
     served = reader.number(_AGE_BYTES)
+    count = reader.number(1)
+    soon, lived = reader.number(_MARK_BYTES), reader.number(_MARK_BYTES)
     ends = tuple(
-        SeenEnd(reader.number(4), reader.number(_AGE_BYTES) / 1000) for _ in range(reader.number(1))
+        SeenEnd(
+            reader.number(4),
+            reader.number(_AGE_BYTES) / 1000,
+            bool(soon >> place & 1),
+            bool(lived >> place & 1),
+        )
+        for place in range(count)
     )
     return EndingWord(content, ends, None if served == _NEVER else served / 1000)
 
--- a/src/brassdrum/outcomes/quarantine.py
+++ b/src/brassdrum/outcomes/quarantine.py
@@ -1,19 +1,25 @@
 """Find requests that end the endpoints that run them; pure decisions, the time is an argument.
 
-An endpoint that ends takes all its requests with it, and only one of them may be the cause. What
-each content was present at is added up over all daemons, and the ends are charged to the fewest
-contents that explain them: the one with most ends first, then the one with most of what is left.
-Where many endpoints end in one moment, only a content that was at half of them may be the cause.
+What each content was present at is added up over all daemons; ``charging`` says which contents are
+the cause. This keeps what is known within bounds, tells it, and says what follows for a request.
 """
 
 from __future__ import annotations
 
 import math
-from bisect import bisect_left, bisect_right
+from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum, auto
 
+from brassdrum.outcomes.charging import (
+    PROOF_ENDS,
+    SUSPECT_WEIGHT,
+    Case,
+    End,
+    charge,
+)
+
 __all__ = [
     "QUARANTINE_SECONDS",
     "SETTLE_SECONDS",
@@ -23,24 +29,14 @@
     "Standing",
 ]
 
-# The operator's contract takes three ends for proof; until then the request is sent on.
-_PROOF_ENDS = 3
-# From here on a request is sent alone where it can be: its end then costs nobody else a stream, and
-# those who were beside it before are cleared.
-_SUSPECT_ENDS = 2
-# Two contents that were at the same ends are told apart by the next one; beyond this many both are
-# charged. Streams are spread over a dozen engines: to be at five ends of another is one in 20,000.
-_CERTAIN_ENDS = 5
-# Endpoints that end within this of each other end in one moment: daemons see one failure within
-# 0.02 s. From this many on a host, a rack or a network is the cause, unless a content was at half.
-_MOMENT_SECONDS = 0.05
-_MANY_ENDS = 3
 # What other daemons saw at the same end is here after two pauses between datagrams (0.08 s at
 # most) and a round trip; a content is charged after all were heard.
 SETTLE_SECONDS = 0.25
 # A request stays quarantined this long after its last end; callers' series last for seconds to
 # minutes. Then one is sent alone again: engines may have been mended.
 QUARANTINE_SECONDS = 600.0
+# Contents whose last whole answer is remembered; those that many ask for are always among the last.
+_MOST_SERVED = 1024
 # What was seen of a content is forgotten after this, so that a mended engine starts from nothing.
 _EVIDENCE_SECONDS = 2 * QUARANTINE_SECONDS
 # A whole answer is remembered for longer than late words of earlier ends are under way.
@@ -49,13 +45,13 @@
 _TOLD_SECONDS = 2.5
 # The time on the way of a word; a difference below it is no news.
 _SAME_SECONDS = 0.5
-# Bounds of what is kept and told: 256 contents of 8 ends take 0.4 MB, 24 told ones of three ends
+# Bounds of what is kept and told: 256 contents of 12 ends take 0.4 MB, 24 told ones of three ends
 # 0.8 KB. A flood of new contents is cut to a few less at once.
 _MOST_CONTENTS = 256
 _CONTENTS_AFTER_FLOOD = 224
 # Old ends are looked for this often; a minute's delay would do no harm.
 _FORGET_EACH_SECONDS = 1.0
-_MOST_ENDS = 8
+_MOST_ENDS = 12
 _MOST_TOLD = 24
 
 
@@ -70,10 +66,16 @@
 
 @dataclass(frozen=True, slots=True)
 class SeenEnd:
-    """Say that an endpoint, named by its key, ended ``age`` seconds ago."""
+    """Say that an endpoint, named by its key, ended ``age`` seconds ago.
+
+    ``soon`` says that a request with the content was sent there within half a second before it,
+    ``lived`` that the endpoint is known to have lived then.
+    """
 
     endpoint: int
     age: float
+    soon: bool = False
+    lived: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,34 +88,23 @@
 
 
 @dataclass(slots=True)
-class _Record:
-    ended_at_by_endpoint: dict[int, float] = field(default_factory=dict)
-    served_at: float = -math.inf
+class _Record(Case):
     changed_at: float = -math.inf
-    charged: bool = False
-    counted: set[int] = field(default_factory=set)
 
     @property
     def last_end(self) -> float:
-        return max(self.ended_at_by_endpoint.values(), default=-math.inf)
-
-    @property
-    def proven_at(self) -> float:
-        """Return when the content was at enough ends, or infinity."""
-        times = sorted(self.ended_at_by_endpoint[endpoint] for endpoint in self.counted)
-        return times[_PROOF_ENDS - 1] if len(times) >= _PROOF_ENDS else math.inf
+        return max((end.at for end in self.end_by_endpoint.values()), default=-math.inf)
 
     @property
     def worth(self) -> tuple[bool, int, float]:
         """Return what sorts the records that are forgotten last, last."""
-        return self.charged, len(self.ended_at_by_endpoint), self.last_end
+        return self.charged, len(self.end_by_endpoint), self.last_end
 
     def drop_until(self, time: float) -> bool:
         """Forget the ends up to a time; return whether there were any."""
-        old = [each for each, ended_at in self.ended_at_by_endpoint.items() if ended_at <= time]
+        old = [each for each, end in self.end_by_endpoint.items() if end.at <= time]
         for endpoint in old:
-            del self.ended_at_by_endpoint[endpoint]
-            self.counted.discard(endpoint)
+            self.forget(endpoint)
         return bool(old)
 
 
@@ -123,6 +114,7 @@
     def __init__(self, told_seconds: float = _TOLD_SECONDS) -> None:
         self._told_seconds = told_seconds
         self._by_content: dict[str, _Record] = {}
+        self._served_at_by_content: OrderedDict[str, float] = OrderedDict()
         self._forgot_at = -math.inf
         self._stale = False
 
@@ -135,7 +127,7 @@
             return Standing.QUARANTINED
         if self.settles_in(content, now) > 0:
             return Standing.UNDECIDED
-        if record.charged or len(self._unexplained(content)) >= _SUSPECT_ENDS:
+        if record.charged or record.weight(self._unexplained(content)) >= SUSPECT_WEIGHT:
             return Standing.SUSPECT
         return Standing.SOUND
 
@@ -165,13 +157,22 @@
         """Return whether anything is known of a content."""
         return content in self._by_content
 
-    def ended(self, content: str, endpoint: int, now: float) -> None:
-        """Note that an endpoint, named by a key of 4 bytes, ended while the content was there."""
-        if self._note(content, endpoint, now, now):
+    def ended(
+        self, content: str, endpoint: int, now: float, *, soon: bool = False, lived: bool = True
+    ) -> None:
+        """Note that an endpoint, named by a key of 4 bytes, ended while the content was there.
+
+        ``soon`` and ``lived`` as in ``SeenEnd``.
+        """
+        if self._note(content, SeenEnd(endpoint, 0.0, soon, lived), now):
             self._settle(now)
 
     def served(self, content: str, now: float) -> bool:
         """Note a whole answer, which clears a content; return whether anything was known of it."""
+        self._served_at_by_content[content] = now
+        self._served_at_by_content.move_to_end(content)
+        if len(self._served_at_by_content) > _MOST_SERVED:
+            self._served_at_by_content.popitem(last=False)
         record = self._by_content.get(content)
         if record is None:
             return False
@@ -196,7 +197,8 @@
         """Return what is known of one content."""
         record = self._by_content.get(content, _Record())
         ends = tuple(
-            SeenEnd(endpoint, now - at) for endpoint, at in record.ended_at_by_endpoint.items()
+            SeenEnd(endpoint, now - end.at, end.soon, end.lived)
+            for endpoint, end in record.end_by_endpoint.items()
         )
         known = math.isfinite(record.served_at)
         return EndingWord(content, ends, now - record.served_at if known else None)
@@ -212,28 +214,30 @@
                 news = True
             for end in word.ends:
                 if now - end.age > served_at:
-                    news |= self._note(word.content, end.endpoint, now - end.age, now)
+                    news |= self._note(word.content, end, now, served_at)
         if news:
             self._settle(now)
         return news
 
-    def _note(self, content: str, endpoint: int, ended_at: float, now: float) -> bool:
-        """Take one end; return whether it is new."""
-        record = self._by_content.get(content, _Record())
-        known = record.ended_at_by_endpoint.get(endpoint)
+    def _note(self, content: str, seen: SeenEnd, now: float, served_at: float = -math.inf) -> bool:
+        """Take one end, and the last whole answer that is known; return whether it is new."""
+        record = self._by_content.get(content)
+        if record is None:
+            own = self._served_at_by_content.get(content, -math.inf)
+            record = _Record(served_at=max(own, served_at))
+        ended_at = now - seen.age
+        known = record.end_by_endpoint.get(seen.endpoint)
         if known is not None:
-            # Told ages round and lag: the earliest stays, or a word told to and fro grows younger.
-            record.ended_at_by_endpoint[endpoint] = min(known, ended_at)
-            return False
+            return _merge(known, seen, ended_at)
         if ended_at <= record.served_at or ended_at <= now - _EVIDENCE_SECONDS:
             return False
         self._by_content[content] = record
-        record.ended_at_by_endpoint[endpoint] = ended_at
+        record.end_by_endpoint[seen.endpoint] = End(ended_at, seen.soon, seen.lived)
         record.changed_at = now
-        while len(record.ended_at_by_endpoint) > _MOST_ENDS:
+        while len(record.end_by_endpoint) > _MOST_ENDS:
             # The first ends say since when the proof stands; the last ones how long it holds.
-            dropped = list(record.ended_at_by_endpoint)[_PROOF_ENDS]
-            del record.ended_at_by_endpoint[dropped]
+            dropped = list(record.end_by_endpoint)[PROOF_ENDS]
+            record.forget(dropped)
         return True
 
     def _clear(self, record: _Record, served_at: float, now: float) -> None:
@@ -265,7 +269,7 @@
         for content, record in list(self._by_content.items()):
             if record.drop_until(now - _EVIDENCE_SECONDS):
                 self._stale = True
-            if not record.ended_at_by_endpoint and record.served_at < now - _SERVED_KEPT_SECONDS:
+            if not record.end_by_endpoint and record.served_at < now - _SERVED_KEPT_SECONDS:
                 del self._by_content[content]
 
     def _charge(self) -> None:
@@ -274,61 +278,24 @@
         With 256 contents of 8 ends it takes some ms; a failure of many endpoints brings news by
         the hundred, which are charged together.
         """
-        if not self._stale:
-            return
-        self._stale = False
-        self._count()
-        left = {}
-        for content, record in self._by_content.items():
-            record.charged = False
-            if len(record.counted) >= _PROOF_ENDS:
-                left[content] = set(record.counted)
-        while True:
-            most = max((len(ends) for ends in left.values()), default=0)
-            if most < _PROOF_ENDS:
-                return
-            foremost = {content: ends for content, ends in left.items() if len(ends) == most}
-            clear = [
-                content
-                for content, ends in foremost.items()
-                if most >= _CERTAIN_ENDS or not _shared(content, ends, foremost)
-            ]
-            if not clear:
-                return
-            for content in clear:
-                self._by_content[content].charged = True
-            explained = set().union(*(left.pop(content) for content in clear))
-            left = {content: ends - explained for content, ends in left.items()}
-
-    def _count(self) -> None:
-        """Find the ends that speak against each content: not those of many endpoints at once."""
-        ended_at: dict[int, float] = {}
-        for record in self._by_content.values():
-            for endpoint, at in record.ended_at_by_endpoint.items():
-                ended_at[endpoint] = min(at, ended_at.get(endpoint, math.inf))
-        times = sorted(ended_at.values())
-        for record in self._by_content.values():
-            record.counted = set()
-            if len(record.ended_at_by_endpoint) < _SUSPECT_ENDS:
-                continue
-            own = [ended_at[endpoint] for endpoint in record.ended_at_by_endpoint]
-            for endpoint in record.ended_at_by_endpoint:
-                first = ended_at[endpoint] - _MOMENT_SECONDS
-                last = ended_at[endpoint] + _MOMENT_SECONDS
-                count = bisect_right(times, last) - bisect_left(times, first)
-                share = sum(first <= at <= last for at in own)
-                if count < _MANY_ENDS or 2 * share >= count:
-                    record.counted.add(endpoint)
+        if self._stale:
+            self._stale = False
+            charge(self._by_content)
 
     def _unexplained(self, content: str) -> set[int]:
         """Return the ends of a content that no other one is charged with."""
-        ends = set(self._by_content[content].counted)
+        ends = set(self._by_content[content].weight_by_endpoint)
         for other, record in self._by_content.items():
             if other != content and record.charged:
-                ends -= record.ended_at_by_endpoint.keys()
+                ends -= record.end_by_endpoint.keys()
         return ends
 
 
-def _shared(content: str, ends: set[int], foremost: dict[str, set[int]]) -> bool:
-    """Return whether another content with as many ends was at one of these."""
-    return any(other != content and ends & theirs for other, theirs in foremost.items())
+def _merge(known: End, seen: SeenEnd, ended_at: float) -> bool:
+    """Take what else is said of a known end; return whether that is new."""
+    # Told ages round and lag: the earliest stays, or a word told to and fro grows younger.
+    known.at = min(known.at, ended_at)
+    news = (seen.soon and not known.soon) or (seen.lived and not known.lived)
+    known.soon |= seen.soon
+    known.lived |= seen.lived
+    return news
