Tell the store of a quarantined content before anybody is refused for it

Ruled out: that no new daemon read the store (the first of them did). Mend: whoever finds a content quarantined reviews first, so that the record is on its way before the answer. What waits for a thread of the store's is done yet when the daemon stops. Same fault elsewhere: only daemons that saw an end kept the record; the first of the fleet does now, too.

--- a/src/brassdrum/gateway/crash_guard.py
+++ b/src/brassdrum/gateway/crash_guard.py
@@ -117,7 +117,12 @@
 
     def standing(self, content: str) -> Standing:
         """Return how a request is treated now."""
-        return self._quarantine.standing(content, self._loop.now())
+        standing = self._quarantine.standing(content, self._loop.now())
+        if standing is Standing.QUARANTINED and content not in self._in_force:
+            # The record is on its way before a caller hears of it: a daemon that was replaced in
+            # the 0.01 s until its next review had refused for ten minutes and left no trace.
+            self._review()
+        return standing
 
     def settles_in(self, content: str) -> float:
         """Return after how many seconds it is decided whether a content is quarantined."""
@@ -194,15 +199,22 @@
         for content in sorted(in_force - self._in_force):
             self._log(log_events.CONTENT_QUARANTINED, content)
             self._loop.call_later(QUARANTINE_SECONDS, self._review)
-            if content in self._own:
+            if self._keeps(content):
                 self._keep(self._record(content))
         for content in sorted(self._in_force - in_force):
             self._log(log_events.CONTENT_RELEASED, content)
-            if content in self._own:
+            if self._keeps(content):
                 self._keep(SharedRecord(content, b""))
         self._in_force = in_force
         self._own &= set(self._quarantine.contents())
 
+    def _keeps(self, content: str) -> bool:
+        """Return whether this daemon writes to the store what becomes of a content.
+
+        Those do that saw an end, and the first of the fleet: the others may be gone by now.
+        """
+        return content in self._own or self._first()
+
     def _log(self, event: log_events.LogEvent, content: str) -> None:
         word = self._quarantine.word(content, self._loop.now())
         event.write(
--- a/src/brassdrum/gateway/follower.py
+++ b/src/brassdrum/gateway/follower.py
@@ -144,7 +144,8 @@
         """Stop following."""
         if self._timer is not None:
             self._timer.cancel()
-        self._executor.shutdown(wait=False, cancel_futures=True)
+        # What waits for a thread is done yet: a record of a quarantined content may be among it.
+        self._executor.shutdown(wait=False)
 
     def snapshot(self) -> bytes:
         """Return what this daemon knows, for peers; it is packed once for all that ask."""
