--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -143,6 +143,12 @@
     And the first request with content a is refused there
     Then the store is told of content a
 
+  Scenario: A daemon that only heard of ends tells the store before it refuses
+    Given a guard of a daemon with a store, which is not the first of the fleet
+    When it hears that content a was at ends 1, 2 and 3
+    And the first request with content a is refused there
+    Then the store is told of content a
+
   Scenario: What a daemon only heard of is kept by the first of the fleet
     Those who saw the ends may be gone before they can keep them.
     Given a guard of a daemon with a store
@@ -150,6 +156,12 @@
     And the first request with content a is refused there
     Then the store is told of content a
 
+  Scenario: The first of the fleet keeps what it only heard of also without a request
+    Given a guard of a daemon with a store
+    When it hears that content a was at ends 1, 2 and 3
+    And the daemon has waited 0.3 seconds
+    Then the store is told of content a
+
   Scenario: A request that ends its endpoint the moment it is sent does not put the blame on others
     What was seen: content b, which callers share, was told to come back in 600 s. Logs: content a was
     sent to four endpoints and b to three of them; two broke within 4 ms after a was sent on a kept
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -337,11 +337,20 @@
 
 @given("a guard of a daemon with a store")
 def step_guard_with_store(context):
+    start_guard(context, first=True)
+
+
+@given("a guard of a daemon with a store, which is not the first of the fleet")
+def step_guard_not_first(context):
+    start_guard(context, first=False)
+
+
+def start_guard(context, first):
     context.loop = SimulatedLoop()
     context.loop.clock = ManualClock()
     context.guard = CrashGuard(context.loop, LoadTable())
     context.kept = FirstOfFleet()
-    context.guard.start(context.kept, lambda work, done: work(), lambda: True)
+    context.guard.start(context.kept, lambda work, done: work(), lambda: first)
 
 
 def end_endpoint(context, number, letters, in_passing=""):
--- a/src/brassdrum/gateway/crash_guard.py
+++ b/src/brassdrum/gateway/crash_guard.py
@@ -121,6 +121,7 @@
         if standing is Standing.QUARANTINED and content not in self._in_force:
             # The record is on its way before a caller hears of it: a daemon that was replaced in
             # the 0.01 s until its next review had refused for ten minutes and left no trace.
+            self._own.add(content)
             self._review()
         return standing
 
@@ -211,7 +212,8 @@
     def _keeps(self, content: str) -> bool:
         """Return whether this daemon writes to the store what becomes of a content.
 
-        Those do that saw an end, and the first of the fleet: the others may be gone by now.
+        Those do that saw an end or refuse a request for it before their review, and the first of
+        the fleet: the others may be gone by now.
         """
         return content in self._own or self._first()
 
