--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -23,6 +23,7 @@
 )
 from brassdrum.platform.dialect import PlatformDialect
 from brassdrum.registry import Registry
+from brassdrum.standins.ports import free_port
 
 HOST = "shop.example"
 SERVICE = "pool"
@@ -443,13 +444,6 @@
     )
 
 
-def free_port():
-    """Return a port that was free a moment ago on the loopback addresses."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class RunningGateway:
     """Run a daemon in a thread."""
 
--- a/features/steps/crashing_steps.py
+++ b/features/steps/crashing_steps.py
@@ -3,9 +3,10 @@
 from behave import given, then, when
 
 from brassdrum.settings import EngineFaults
+from brassdrum.standins.ports import free_port
 from brassdrum.standins.site import MODEL
 from brassdrum.telemetry import log_events
-from features.gateway_world import ENDING_BODY, HOST, KEY, RunningGateway, call, free_port
+from features.gateway_world import ENDING_BODY, HOST, KEY, RunningGateway, call
 from features.steps.explaining_steps import lines
 from features.steps.gateway_steps import send, start
 from features.steps.site_steps import ENGINE, caller, start_site
--- a/src/brassdrum/soak/run.py
+++ b/src/brassdrum/soak/run.py
@@ -6,7 +6,6 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -22,6 +21,7 @@
 from brassdrum.soak.plan import PlannedFault, draw_plan
 from brassdrum.soak.proxy import Proxy
 from brassdrum.soak.replicas import ENDING_PATH
+from brassdrum.standins.ports import free_port
 
 __all__ = ["Soak", "SoakReport", "SoakSize"]
 
@@ -250,7 +250,7 @@
         self.configure()
         for _ in range(self.size.replicas):
             self.add_replica()
-        peer_port = _free_port()
+        peer_port = free_port()
         for number in range(1, self.size.daemons + 1):
             self.daemons.append(self._make_daemon(number, peer_port))
         for daemon in self.daemons:
@@ -268,7 +268,7 @@
         link = Proxy(self.store.address)
         self.store_links.append(link)
         boot = self._folder / f"{name}.json"
-        ports = (_free_port(), _free_port())
+        ports = (free_port(), free_port())
         daemon = _DaemonProcess(name, host, boot, self._folder / f"{name}.log", ports)
         boot_file(boot, name, daemon.host, (*ports, peer_port), link.address)
         return daemon
@@ -387,10 +387,3 @@
         with self._lock:
             self.history.results.append(result)
         return usable
-
-
-def _free_port() -> int:
-    """Return a port that was free a moment ago on the loopback addresses."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
