Do not call the empty record of a released content damaged

Cause: a release appends an empty record, and the store hands it out until it tidies up; it was decoded like any other. The scenario fails without the mend.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -197,3 +197,10 @@
     And content b is at 8 of 12 endpoints that end in one moment
     When 0.3 s pass
     Then content b is sound
+
+  Scenario: The record of a released content is no damaged one
+    Logs of a soak: "quarantine not kept", damaged, of a content that had been released before.
+    Given a guard of a daemon with a store
+    And the store holds the empty record of a released content
+    When the daemon has waited 2 seconds
+    Then no record is called damaged
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -1,7 +1,9 @@
 """Steps on the decisions about requests that end endpoints."""
 
+import logging
 import random
 import re
+from concurrent.futures import Future
 
 from behave import given, then, when
 from hypothesis import given as any_of
@@ -14,7 +16,7 @@
 from brassdrum.gateway.crash_guard import CrashGuard
 from brassdrum.gateway.endings import Witness
 from brassdrum.gateway.load import LoadTable, Share
-from brassdrum.gateway.model import DaemonAddress
+from brassdrum.gateway.model import DaemonAddress, SharedRecord
 from brassdrum.gateway.peer_messages import (
     PeerBelief,
     Report,
@@ -23,6 +25,7 @@
     encode_message,
 )
 from brassdrum.outcomes.quarantine import EndingWord, Quarantine, SeenEnd, Standing
+from brassdrum.telemetry.log_events import QUARANTINE_NOT_KEPT
 from features.gateway_world import engine_entry
 
 CONTENTS = st.sampled_from([f"{number:016x}" for number in range(6)])
@@ -325,10 +328,11 @@
 
     def __init__(self):
         self.records = []
+        self.listed = []
 
     def quarantines(self):
-        """Return that nothing is kept."""
-        return []
+        """Return what is kept."""
+        return self.listed
 
     def keep_quarantine(self, record):
         """Note a record."""
@@ -350,7 +354,13 @@
     context.loop.clock = ManualClock()
     context.guard = CrashGuard(context.loop, LoadTable())
     context.kept = FirstOfFleet()
-    context.guard.start(context.kept, lambda work, done: work(), lambda: first)
+
+    def submit(work, done):
+        future = Future()
+        future.set_result(work())
+        context.loop.call_later(0.001, lambda: done(future))
+
+    context.guard.start(context.kept, submit, lambda: first)
 
 
 def end_endpoint(context, number, letters, in_passing=""):
@@ -431,3 +441,33 @@
         context.daemon.quarantine.ended(f"{900 + number:016x}", number, at)
         if number < share:
             context.daemon.quarantine.ended(content(letter), number, at)
+
+
+class KeptMessages(logging.Handler):
+    """Keep what is logged."""
+
+    def __init__(self):
+        super().__init__()
+        self.messages = []
+
+    def emit(self, record):
+        """Keep one message."""
+        self.messages.append(record.getMessage())
+
+
+@given("the store holds the empty record of a released content")
+def step_released_record(context):
+    context.kept.listed = [SharedRecord(content("a"), b"")]
+    context.logged = KeptMessages()
+    logger = logging.getLogger("brassdrum.gateway.crash_guard")
+    logger.addHandler(context.logged)
+    logger.setLevel(logging.INFO)
+    logging.disable(logging.NOTSET)
+    context.stack.push(lambda: logger.setLevel(logging.NOTSET))
+    context.stack.push(lambda: logger.removeHandler(context.logged))
+
+
+@then("no record is called damaged")
+def step_none_damaged(context):
+    assert QUARANTINE_NOT_KEPT.name not in context.logged.messages, context.logged.messages
+    assert context.guard.quarantined == 0
--- a/src/brassdrum/bench/endings.py
+++ b/src/brassdrum/bench/endings.py
@@ -71,15 +71,11 @@
     @property
     def label(self) -> str:
         """Return a short name for tables."""
+        beside = f", beside {self.popular} callers of one healthy content" if self.popular else ""
         if self.failures:
-            return f"{self.failures} failures of {self.failed_together} endpoints at once"
+            return f"{self.failures} failures of {self.failed_together} endpoints at once{beside}"
         where = f" at {self.at_once} daemons at once" if self.at_once > 1 else ""
         begun = f", begun {self.apart} s apart" if self.apart else ""
-        beside = (
-            f", {self.popular} callers of one healthy content, {self.endpoints} endpoints"
-            if self.popular
-            else ""
-        )
         least, most = self.ends_after
         after = f", each end after {least} to {most} s" if self.ends_after != _END_SECONDS else ""
         return f"{self.guilty} guilty{where}{begun}{after}, back every {self.every} s{beside}"
@@ -324,3 +320,7 @@
     yield EndingPlan(1, 1.0, at_once=6)
     yield EndingPlan(0, 1.0, failures=5, failed_together=8)
     yield EndingPlan(0, 1.0, failures=20, failed_together=2)
+    yield EndingPlan(0, 1.0, failures=20, failed_together=8)
+    yield EndingPlan(0, 1.0, failures=4, failed_together=20, popular=10)
+    yield EndingPlan(2, 0.5, popular=20)
+    yield EndingPlan(4, 0.5, ends_after=(0.5, 1.5))
--- a/src/brassdrum/gateway/crash_guard.py
+++ b/src/brassdrum/gateway/crash_guard.py
@@ -280,6 +280,9 @@
             return
         wall = self._loop.clock.now().timestamp()
         for record in future.result():
+            if not record.value:
+                # Released: the store hands out the empty record until it has tidied up.
+                continue
             try:
                 kept = QuarantineRecord.decode(record)
             except ValueError as damage:
