--- /dev/null
+++ b/features/steps/guard_steps.py
@@ -0,0 +1,224 @@
+"""Steps on the guards that keep requests which end endpoints away from them."""
+
+import logging
+import re
+from concurrent.futures import Future
+
+from behave import given, then, when
+
+from brassdrum.bench.load.loop import SimulatedLoop
+from brassdrum.clock import ManualClock
+from brassdrum.daemon.content_guard import ContentGuard
+from brassdrum.errors import ContentQuarantinedError
+from brassdrum.gateway.crash_guard import CrashGuard
+from brassdrum.gateway.endings import Witness
+from brassdrum.gateway.load import LoadTable, Share
+from brassdrum.gateway.model import SharedRecord
+from brassdrum.outcomes.quarantine import EndingWord, SeenEnd, Standing
+from brassdrum.telemetry.log_events import QUARANTINE_NOT_KEPT
+from features.gateway_world import engine_entry
+from features.steps.quarantine_steps import content
+
+
+@given("a daemon before {count:d} endpoints of which the first {busy:d} have streams")
+def step_guard(context, count, busy):
+    context.loop = SimulatedLoop()
+    table = LoadTable()
+    context.guard = CrashGuard(context.loop, table)
+    context.entries = [engine_entry(number + 1) for number in range(count)]
+    for entry in context.entries[:busy]:
+        table.start(entry.id, [Share(entry.id, 10.0, 100, 250)], 0.0, 10.0)
+
+
+@given("endpoint {number:d} is avoided")
+def step_avoided(context, number):
+    context.avoided = {f"engine-{number}"}
+
+
+@then("a suspect request may be sent to endpoints {numbers}")
+def step_suspect_choices(context, numbers):
+    assert_choices(context, Standing.SUSPECT, numbers)
+
+
+@then("another request may be sent to endpoints {numbers}")
+def step_other_choices(context, numbers):
+    assert_choices(context, Standing.SOUND, numbers)
+
+
+def assert_choices(context, standing, numbers):
+    avoided = getattr(context, "avoided", set())
+    choices = context.guard.choices(standing, context.entries, lambda name: name in avoided)
+    found = [entry.name for entry in choices]
+    assert found == [f"engine-{number}" for number in re.findall(r"\d+", numbers)], found
+
+
+@when("a suspect request is sent to endpoint {number:d}")
+def step_suspect_sent(context, number):
+    context.guard.sent(Standing.SUSPECT, f"engine-{number}")
+
+
+@when("the daemon has waited {seconds:g} seconds")
+def step_guard_waits(context, seconds):
+    context.loop.advance(seconds)
+
+
+@given("a guard of a daemon whose engines keep their names")
+def step_named_guard(context):
+    context.clock = ManualClock()
+    context.named = ContentGuard(context.clock)
+
+
+@when("requests with one content find {engine} ended, {times:d} times {seconds:g} seconds apart")
+def step_found_ended(context, engine, times, seconds):
+    for _ in range(times):
+        context.named.ended(content("a"), engine)
+        context.clock.advance(seconds)
+
+
+@then("the content is not refused")
+def step_not_refused(context):
+    context.named.check(content("a"))
+
+
+@when("{engine} answers and ends under the content, {times:d} times")
+def step_answers_and_ends(context, engine, times):
+    for _ in range(times):
+        context.clock.advance(3.0)
+        context.named.answered(engine)
+        context.named.ended(content("a"), engine)
+    context.clock.advance(1.0)
+
+
+@then("the content is refused with the time that is left")
+def step_content_refused(context):
+    try:
+        context.named.check(content("a"))
+    except ContentQuarantinedError as error:
+        assert 590 < error.retry_after < 600, error.retry_after
+        return
+    raise AssertionError("the content was not refused")
+
+
+class FirstOfFleet:
+    """Take what a guard submits to the store, as the first daemon of the fleet."""
+
+    def __init__(self):
+        self.records = []
+        self.listed = []
+
+    def quarantines(self):
+        """Return what is kept."""
+        return self.listed
+
+    def keep_quarantine(self, record):
+        """Note a record."""
+        self.records.append(record)
+
+
+@given("a guard of a daemon with a store")
+def step_guard_with_store(context):
+    start_guard(context, first=True)
+
+
+@given("a guard of a daemon with a store, which is not the first of the fleet")
+def step_guard_not_first(context):
+    start_guard(context, first=False)
+
+
+def start_guard(context, first):
+    context.loop = SimulatedLoop()
+    context.loop.clock = ManualClock()
+    context.guard = CrashGuard(context.loop, LoadTable())
+    context.kept = FirstOfFleet()
+
+    def submit(work, done):
+        future = Future()
+        future.set_result(work())
+        context.loop.call_later(0.001, lambda: done(future))
+
+    context.guard.start(context.kept, submit, lambda: first)
+
+
+def end_endpoint(context, number, letters, in_passing=""):
+    witnesses = [Witness("r", content(letter), False, True) for letter in letters]
+    witnesses += [Witness("r", content(letter), False, False) for letter in in_passing]
+    context.guard.endpoint_ended(engine_entry(number), witnesses)
+    context.loop.advance(0.06)
+
+
+@when("endpoints {numbers} end under content {letter:w}")
+def step_ends_under(context, numbers, letter):
+    for number in re.findall(r"\d+", numbers):
+        end_endpoint(context, int(number), letter)
+
+
+@when("endpoint {number:d} ends under contents {letters}")
+def step_endpoint_ends(context, number, letters):
+    beside, _, passing = letters.partition(", and ")
+    end_endpoint(context, number, re.findall(r"\b[ab]\b", beside), passing[:1])
+
+
+@when("{count:d} endpoints end one after the other, and content a was sent there in that moment")
+def step_ends_in_passing(context, count):
+    for number in range(1, count + 1):
+        end_endpoint(context, number, "", "a")
+
+
+@when("it hears that content a was at ends 1, 2 and 3")
+def step_guard_hears(context):
+    context.guard.hear((EndingWord(content("a"), tuple(SeenEnd(n, 0.0) for n in (1, 2, 3))),))
+
+
+@when("the first request with content {letter:w} is refused there")
+def step_first_refused(context, letter):
+    while context.guard.standing(content(letter)) is not Standing.QUARANTINED:
+        assert context.guard.settles_in(content(letter)) > 0
+        context.loop.advance(context.guard.settles_in(content(letter)))
+
+
+@then("the store is told of content {letter:w}")
+def step_store_told(context, letter):
+    assert [record.key for record in context.kept.records] == [content(letter)]
+
+
+@then("a request with content {letter:w} is refused")
+def step_refused_there(context, letter):
+    context.loop.advance(0.3)
+    assert context.guard.standing(content(letter)) is Standing.QUARANTINED
+
+
+@then("no request with content {letter:w} is refused")
+def step_not_refused_there(context, letter):
+    for _ in range(30):
+        context.loop.advance(0.01)
+        assert context.guard.standing(content(letter)) is not Standing.QUARANTINED
+
+
+class KeptMessages(logging.Handler):
+    """Keep what is logged."""
+
+    def __init__(self):
+        super().__init__()
+        self.messages = []
+
+    def emit(self, record):
+        """Keep one message."""
+        self.messages.append(record.getMessage())
+
+
+@given("the store holds the empty record of a released content")
+def step_released_record(context):
+    context.kept.listed = [SharedRecord(content("a"), b"")]
+    context.logged = KeptMessages()
+    logger = logging.getLogger("brassdrum.gateway.crash_guard")
+    logger.addHandler(context.logged)
+    logger.setLevel(logging.INFO)
+    logging.disable(logging.NOTSET)
+    context.stack.push(lambda: logger.setLevel(logging.NOTSET))
+    context.stack.push(lambda: logger.removeHandler(context.logged))
+
+
+@then("no record is called damaged")
+def step_none_damaged(context):
+    assert QUARANTINE_NOT_KEPT.name not in context.logged.messages, context.logged.messages
+    assert context.guard.quarantined == 0
