--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -13,8 +13,6 @@
 from brassdrum.contracts.checkpoints import CheckpointWriter
 from brassdrum.contracts.records import CLAIM_SHARDS
 from brassdrum.contracts.view import FleetView
-from brassdrum.daemon.admin import AdminHandler
-from brassdrum.daemon.calls import ServiceHandler
 from brassdrum.daemon.cancels import Cancels
 from brassdrum.daemon.content_guard import ContentGuard
 from brassdrum.daemon.control import ControlState
@@ -23,11 +21,10 @@
 from brassdrum.daemon.endpoint_watch import EndpointWatch, HostWatch
 from brassdrum.daemon.explanations import Explanations
 from brassdrum.daemon.fleet import Fleet
-from brassdrum.daemon.generation import GenerationHandler
 from brassdrum.daemon.groups import Groups
 from brassdrum.daemon.limits import LimitBook
 from brassdrum.daemon.relay import Relay
-from brassdrum.daemon.resuming import ResumeHandler
+from brassdrum.daemon.routes import make_router
 from brassdrum.daemon.sharing import EndpointSharing
 from brassdrum.daemon.watch import Watch
 from brassdrum.leadership.holder import DutyHolder
@@ -45,7 +42,7 @@
 from brassdrum.telemetry.control_cost import ControlCost
 from brassdrum.telemetry.metrics import Metrics
 from brassdrum.telemetry.traces import Tracing
-from brassdrum.wsgi import HttpServer, Request, Response, Router, json_response
+from brassdrum.wsgi import HttpServer
 
 __all__ = ["Daemon"]
 
@@ -132,7 +129,7 @@
             self._merged,
             self._cost,
         )
-        self._router = self._make_router()
+        self._router = make_router(self.core, self.gossip, self.not_ready)
         self._duty = DutyHolder(
             _CHECKPOINT_DUTY,
             settings.name,
@@ -302,39 +299,10 @@
             guard=ContentGuard(self._clock),
         )
 
-    def _make_router(self) -> Router:
-        generation = GenerationHandler(self.core)
-        services = ServiceHandler(self.core)
-        admin = AdminHandler(self.core, self.gossip, self.not_ready)
-        router = Router()
-        router.add("POST", "/v1/completions", generation.completions)
-        router.add("POST", "/v1/chat/completions", generation.chat)
-        router.add("GET", "/v1/models", self._models)
-        router.add("GET", "/v1/resume", ResumeHandler(self.core).handle)
-        router.add("*", "/services/{service}/{path*}", services.handle)
-        router.add("GET", "/-/health", admin.health)
-        router.add("GET", "/-/ready", admin.ready)
-        router.add("GET", "/-/metrics", admin.metrics)
-        router.add("GET", "/-/status", admin.status)
-        router.add("GET", "/-/held", admin.held)
-        router.add("GET", "/-/documents", admin.documents)
-        router.add("GET", "/-/explain", admin.explain)
-        return router
-
     def _router_placeholder(self, environ, start_response):
         # The server is made first, because gossip tells others the port that it got.
         return self._router(environ, start_response)
 
-    def _models(self, request: Request) -> Response:
-        scope = self.core.scope(request, "caller")
-        data = [
-            {"id": name, "object": "model", "created": 0, "owned_by": "brassdrum"}
-            for name in scope.contract.models
-            if name in scope.view.models_by_name
-        ]
-        scope.trace.end()
-        return json_response({"object": "list", "data": data})
-
     def _configure(self, view: FleetView) -> None:
         with self._dispatcher.lock:
             self._dispatcher.fleet.configure(view.configuration)
