--- a/src/brassdrum/outcomes/quarantine.py
+++ b/src/brassdrum/outcomes/quarantine.py
@@ -35,7 +35,8 @@
 # A request stays quarantined this long after its last end; callers' series last for seconds to
 # minutes. Then one is sent alone again: engines may have been mended.
 QUARANTINE_SECONDS = 600.0
-# Contents whose last whole answer is remembered; those that many ask for are always among the last.
+# Contents whose last whole answer is remembered, 0.1 MB; those that many ask for are always among
+# the last.
 _MOST_SERVED = 1024
 # What was seen of a content is forgotten after this, so that a mended engine starts from nothing.
 _EVIDENCE_SECONDS = 2 * QUARANTINE_SECONDS
@@ -45,8 +46,8 @@
 _TOLD_SECONDS = 2.5
 # The time on the way of a word; a difference below it is no news.
 _SAME_SECONDS = 0.5
-# Bounds of what is kept and told: 256 contents of 12 ends take 0.4 MB, 24 told ones of three ends
-# 0.8 KB. A flood of new contents is cut to a few less at once.
+# Bounds of what is kept and told: 256 contents of 12 ends take 0.6 MB, 24 told ones of three ends
+# 0.9 KB. A flood of new contents is cut to a few less at once.
 _MOST_CONTENTS = 256
 _CONTENTS_AFTER_FLOOD = 224
 # Old ends are looked for this often; a minute's delay would do no harm.
