Let the first that sees an end send again, and hold the same content back elsewhere

Cause: each of the six sent its request on once its own endpoint had ended; one end is no suspicion, and words came 0.1 s later. Ruled out: a late proof (it stood 0.25 s after the third end); waits of all second sends, which healthy streams would pay. Weighed: a turn given by one daemon (a message there and back, and a bound). The words that are told anyway do the same. Change: an end that came soon under ANOTHER request of an unanswered content holds a request back for 0.5 s, an own end does not; an end is told with the next change of load.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -204,3 +204,23 @@
     And the store holds the empty record of a released content
     When the daemon has waited 2 seconds
     Then no record is called damaged
+
+  Scenario: A content that came to many daemons in one moment is sent again by the first that saw an end
+    Given content a was at end 1 soon after it was sent
+    And another daemon heard all
+    Then content a is sound for the request that was at end 1
+    And content a is undecided there for the request that was at end 2
+    And content a is undecided there
+    When 0.5 s pass
+    Then content a is sound there
+
+  Scenario: What was answered whole a moment ago is not held back for an end under another request
+    Given content a was answered whole before any end
+    And content a was at end 1 soon after it was sent
+    Then content a is sound for the request that was at end 2
+
+  Scenario: A daemon of the gateway holds back a content that has just ended an endpoint elsewhere
+    Given a guard of a daemon with a store, which is not the first of the fleet
+    When it hears that endpoint 1 ended soon after content a was sent there
+    Then a request with content a that was sent to endpoint 1 may be sent again at once
+    And one that was sent to endpoint 2 waits for half a second at most
--- a/features/steps/guard_steps.py
+++ b/features/steps/guard_steps.py
@@ -12,7 +12,7 @@
 from brassdrum.errors import ContentQuarantinedError
 from brassdrum.gateway.crash_guard import CrashGuard
 from brassdrum.gateway.endings import Witness
-from brassdrum.gateway.load import LoadTable, Share
+from brassdrum.gateway.load import LoadTable, Share, endpoint_key
 from brassdrum.gateway.model import SharedRecord
 from brassdrum.outcomes.quarantine import EndingWord, SeenEnd, Standing
 from brassdrum.telemetry.log_events import QUARANTINE_NOT_KEPT
@@ -169,6 +169,28 @@
     context.guard.hear((EndingWord(content("a"), tuple(SeenEnd(n, 0.0) for n in (1, 2, 3))),))
 
 
+@when("it hears that endpoint {number:d} ended soon after content a was sent there")
+def step_guard_hears_soon(context, number):
+    end = SeenEnd(endpoint_key(engine_entry(number).id), 0.0, soon=True)
+    context.guard.hear((EndingWord(content("a"), (end,)),))
+
+
+@then("a request with content a that was sent to endpoint {number:d} may be sent again at once")
+def step_sent_again(context, number):
+    tried = {engine_entry(number).id}
+    assert context.guard.standing(content("a"), tried) is Standing.SOUND
+    assert context.guard.settles_in(content("a"), tried) == 0
+
+
+@then("one that was sent to endpoint {number:d} waits for half a second at most")
+def step_waits(context, number):
+    tried = {engine_entry(number).id}
+    assert context.guard.standing(content("a"), tried) is Standing.UNDECIDED
+    assert 0 < context.guard.settles_in(content("a"), tried) <= 0.5
+    context.loop.advance(context.guard.settles_in(content("a"), tried))
+    assert context.guard.standing(content("a"), tried) is Standing.SOUND
+
+
 @when("the first request with content {letter:w} is refused there")
 def step_first_refused(context, letter):
     while context.guard.standing(content(letter)) is not Standing.QUARANTINED:
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -39,8 +39,9 @@
     return context.daemon
 
 
-def standing(context, letter, where=None):
-    return (where or daemon(context)).quarantine.standing(content(letter), context.now)
+def standing(context, letter, where=None, own_ends=()):
+    decision = (where or daemon(context)).quarantine
+    return decision.standing(content(letter), context.now, own_ends)
 
 
 @given("content {letter} was at ends {numbers}")
@@ -51,6 +52,17 @@
         quarantine.ended(content(letter), int(number), context.now)
 
 
+@given("content {letter} was at end {number:d} soon after it was sent")
+def step_was_at_soon(context, letter, number):
+    daemon(context).quarantine.ended(content(letter), number, context.now, soon=True)
+
+
+@given("content {letter} was answered whole before any end")
+def step_served_before(context, letter):
+    daemon(context).quarantine.served(content(letter), context.now)
+    context.now += 0.2
+
+
 @given("{count:d} endpoints ended in one moment {times:d} times, each time one under content a")
 def step_in_one_moment(context, count, times):
     quarantine = daemon(context).quarantine
@@ -100,6 +112,18 @@
     assert found is Standing[name.upper()], found
 
 
+@then("content {letter} is {name:w} for the request that was at end {number:d}")
+def step_standing_of_request(context, letter, name, number):
+    found = standing(context, letter, own_ends={number})
+    assert found is Standing[name.upper()], found
+
+
+@then("content {letter} is {name:w} there for the request that was at end {number:d}")
+def step_standing_of_request_there(context, letter, name, number):
+    found = standing(context, letter, context.other, own_ends={number})
+    assert found is Standing[name.upper()], found
+
+
 @then("nothing is known")
 def step_nothing(context):
     assert daemon(context).quarantine.contents() == []
--- a/src/brassdrum/bench/endings.py
+++ b/src/brassdrum/bench/endings.py
@@ -28,6 +28,8 @@
 ]
 
 _WORDS_EACH_SECONDS = 0.1
+# A daemon that sees an end tells it after the pause in which its changes wait for others.
+_WORDS_AFTER_END_SECONDS = 0.005
 _WORD_SECONDS = 0.002
 _BACK_SECONDS = 3.3
 # From the start of a guilty request to its endpoint's end, least and most, as seen on engines.
@@ -158,12 +160,14 @@
         self._healthy_refused: set[str] = set()
         self._broken = 0
         self._contents = 0
+        self._tells_soon: set[int] = set()
 
     def run(self) -> EndingResult:
         plan = self._plan
         for daemon in range(plan.daemons):
             self._loop.call_later(
-                self._random.uniform(0.0, _WORDS_EACH_SECONDS), lambda d=daemon: self._tell(d)
+                self._random.uniform(0.0, _WORDS_EACH_SECONDS),
+                lambda d=daemon: self._tell_each_time(d),
             )
         for _ in range(plan.callers):
             start = self._random.uniform(0.0, _HEALTHY_EACH_SECONDS)
@@ -215,9 +219,9 @@
         """Send a request, wait until its content is decided on, or refuse it."""
         now = self._loop.now()
         decision = self._daemons[attempt.daemon]
-        standing = decision.standing(attempt.content, now)
+        standing = decision.standing(attempt.content, now, attempt.was_at)
         if standing is Standing.UNDECIDED:
-            wait = decision.settles_in(attempt.content, now)
+            wait = decision.settles_in(attempt.content, now, attempt.was_at)
             self._loop.call_later(max(wait, 1e-3), lambda: self._begin(attempt))
             return
         if standing is Standing.QUARANTINED:
@@ -263,7 +267,12 @@
         endpoint.attempts.remove(attempt)
         self._daemons[attempt.daemon].served(attempt.content, self._loop.now())
 
+    def _tell_each_time(self, daemon: int) -> None:
+        self._tell(daemon)
+        self._loop.call_later(_WORDS_EACH_SECONDS, lambda: self._tell_each_time(daemon))
+
     def _tell(self, daemon: int) -> None:
+        self._tells_soon.discard(daemon)
         words = self._daemons[daemon].words(self._loop.now())
         for other in range(self._plan.daemons):
             if other == daemon or not words or self._random.random() < self._plan.words_lost:
@@ -271,7 +280,11 @@
             self._loop.call_later(
                 _WORD_SECONDS, lambda o=other: self._daemons[o].hear(words, self._loop.now())
             )
-        self._loop.call_later(_WORDS_EACH_SECONDS, lambda: self._tell(daemon))
+
+    def _tell_soon(self, daemon: int) -> None:
+        if daemon not in self._tells_soon:
+            self._tells_soon.add(daemon)
+            self._loop.call_later(_WORDS_AFTER_END_SECONDS, lambda: self._tell(daemon))
 
     # Endpoints.
 
@@ -296,6 +309,7 @@
 
     def _lose(self, attempt: _Attempt, key: int, soon: bool) -> None:
         self._daemons[attempt.daemon].ended(attempt.content, key, self._loop.now(), soon=soon)
+        self._tell_soon(attempt.daemon)
         self._begin(attempt)
 
     def _start_again(self, number: int) -> None:
--- a/src/brassdrum/daemon/attempts.py
+++ b/src/brassdrum/daemon/attempts.py
@@ -44,6 +44,7 @@
         self._repeatable = repeatable
         self._attempt = 0
         self._may_have_run = False
+        self._own_ends: set[int] = set()
 
     def run(self, work: Work, send: Callable[[Placement], T]) -> T:
         """Return what ``send`` returns at the first endpoint where it succeeds.
@@ -60,9 +61,10 @@
                 self._core.dispatcher.release(placement)
                 self._judge_endpoint(placement, error)
                 if isinstance(error, EndpointEndedError):
-                    self._core.guard.ended(
+                    end = self._core.guard.ended(
                         self._content, placement.state.endpoint.name, placement.own.dispatched
                     )
+                    self._own_ends.add(end)
                 work = self._again(work, placement, error)
                 continue
             except BaseException:
@@ -74,7 +76,7 @@
 
     def _place_or_tell(self, work: Work) -> Placement:
         try:
-            self._core.guard.check(self._content)
+            self._core.guard.check(self._content, self._own_ends)
             return self._place(self._alone(work))
         except BrassdrumError as error:
             self._note_ran(error)
@@ -82,7 +84,7 @@
 
     def _alone(self, work: Work) -> Work:
         """Keep a request that may end its endpoint away from the streams of others."""
-        if not self._core.guard.suspect(self._content):
+        if not self._core.guard.suspect(self._content, self._own_ends):
             return work
         now = self._core.clock.monotonic()
         with self._core.dispatcher.lock:
--- a/src/brassdrum/daemon/content_guard.py
+++ b/src/brassdrum/daemon/content_guard.py
@@ -6,7 +6,7 @@
 import math
 import threading
 import zlib
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from brassdrum.clock import Clock
 from brassdrum.errors import ContentQuarantinedError
@@ -36,13 +36,16 @@
         self._lock = threading.Lock()
         self._end_by_endpoint: dict[str, int] = {}
 
-    def check(self, content: str) -> None:
-        """Raise ``ContentQuarantinedError`` for a content that is refused; wait to be sure."""
+    def check(self, content: str, own_ends: Collection[int] = ()) -> None:
+        """Raise ``ContentQuarantinedError`` for a content that is refused; wait to be sure.
+
+        ``own_ends`` are those that ``ended`` named to this very request.
+        """
         while True:
             with self._lock:
                 now = self._clock.monotonic()
-                standing = self._quarantine.standing(content, now)
-                wait = self._quarantine.settles_in(content, now)
+                standing = self._quarantine.standing(content, now, own_ends)
+                wait = self._quarantine.settles_in(content, now, own_ends)
                 left = self._quarantine.seconds_left(content, now)
             if standing is not Standing.UNDECIDED:
                 break
@@ -55,14 +58,14 @@
                 "Requests with this content end the endpoints that run them.", retry_after=left
             )
 
-    def suspect(self, content: str) -> bool:
-        """Return whether a request is to be sent alone."""
+    def suspect(self, content: str, own_ends: Collection[int] = ()) -> bool:
+        """Return whether a request is to be sent alone; ``own_ends`` as for ``check``."""
         with self._lock:
-            standing = self._quarantine.standing(content, self._clock.monotonic())
+            standing = self._quarantine.standing(content, self._clock.monotonic(), own_ends)
         return standing is Standing.SUSPECT
 
-    def ended(self, content: str, endpoint: str, placed_at: float = -math.inf) -> None:
-        """Note that an endpoint ended while it had a request with the content."""
+    def ended(self, content: str, endpoint: str, placed_at: float = -math.inf) -> int:
+        """Note that an endpoint ended while it had a request with the content; name the end."""
         with self._lock:
             now = self._clock.monotonic()
             key = self._end_by_endpoint.get(endpoint)
@@ -74,6 +77,7 @@
                     del self._end_by_endpoint[next(iter(self._end_by_endpoint))]
             self._quarantine.ended(content, key, now, soon=now - placed_at < SOON_SECONDS)
         _logger.warning("endpoint ended", extra={"endpoint": endpoint, "content": content})
+        return key
 
     def answered(self, endpoint: str) -> None:
         """Note that an endpoint answers: what comes next is another end."""
--- a/src/brassdrum/gateway/crash_guard.py
+++ b/src/brassdrum/gateway/crash_guard.py
@@ -4,7 +4,7 @@
 
 import json
 import logging
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from concurrent.futures import Future
 from dataclasses import dataclass
 from datetime import timedelta
@@ -115,9 +115,10 @@
         """Return the number of contents that are quarantined."""
         return len(self._in_force)
 
-    def standing(self, content: str) -> Standing:
-        """Return how a request is treated now."""
-        standing = self._quarantine.standing(content, self._loop.now())
+    def standing(self, content: str, tried: Collection[str] = ()) -> Standing:
+        """Return how a request that was sent to the endpoints ``tried`` is treated now."""
+        own_ends = set(map(endpoint_key, tried))
+        standing = self._quarantine.standing(content, self._loop.now(), own_ends)
         if standing is Standing.QUARANTINED and content not in self._in_force:
             # The record is on its way before a caller hears of it: a daemon that was replaced in
             # the 0.01 s until its next review had refused for ten minutes and left no trace.
@@ -125,9 +126,10 @@
             self._review()
         return standing
 
-    def settles_in(self, content: str) -> float:
-        """Return after how many seconds it is decided whether a content is quarantined."""
-        return self._quarantine.settles_in(content, self._loop.now())
+    def settles_in(self, content: str, tried: Collection[str] = ()) -> float:
+        """Return after how many seconds it is known how a request is treated; as ``standing``."""
+        own_ends = set(map(endpoint_key, tried))
+        return self._quarantine.settles_in(content, self._loop.now(), own_ends)
 
     def seconds_left(self, content: str) -> float:
         """Return for how long a content stays quarantined."""
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -250,7 +250,7 @@
         """Return where to send a request now."""
         now = self.loop.now()
         usable = self.guard.choices(
-            self.guard.standing(exchange.content),
+            self.guard.standing(exchange.content, exchange.tried),
             self.knowledge.usable(exchange.service),
             self.beliefs.suspect,
         )
@@ -336,6 +336,8 @@
     def _endpoint_ended(self, entry: EndpointEntry, witnesses: list[Witness]) -> None:
         self.beliefs.endpoint_failed(entry.id, certain=True, detail="its process has ended")
         self.guard.endpoint_ended(entry, witnesses)
+        assert self._peers is not None
+        self._peers.changed()
         self.metrics.endpoint_ended()
         log_events.ENDPOINT_ENDED.write(
             _logger,
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -217,14 +217,14 @@
     def _send(self) -> None:
         """Choose endpoints and send; nothing else of this request is under way then."""
         self._silence.stop()
-        standing = self._host.guard.standing(self.content)
+        standing = self._host.guard.standing(self.content, self.tried)
         if standing is Standing.QUARANTINED:
             self._stop_waiting()
             self._keep_from_endpoints()
             return
         if standing is Standing.UNDECIDED:
-            # Other daemons may know who else was at the ends; a healthy request waits 0.25 s.
-            self._hold_back(self._host.guard.settles_in(self.content))
+            # Other daemons may know who else was at the ends, or have just sent the same content.
+            self._hold_back(self._host.guard.settles_in(self.content, self.tried))
             return
         need = self.need()
         placement = self._host.place(self, need)
--- a/src/brassdrum/outcomes/quarantine.py
+++ b/src/brassdrum/outcomes/quarantine.py
@@ -8,12 +8,13 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from enum import Enum, auto
 
 from brassdrum.outcomes.charging import (
     PROOF_ENDS,
+    SOON_SECONDS,
     SUSPECT_WEIGHT,
     Case,
     End,
@@ -106,6 +107,25 @@
         """Return what sorts the records that are forgotten last, last."""
         return self.charged, len(self.end_by_endpoint), self.last_end
 
+    def proof_settles_in(self, now: float) -> float:
+        """Return after how many seconds a content that is charged counts as quarantined."""
+        return max(0.0, self.proven_at + SETTLE_SECONDS - now)
+
+    def others_settle_in(self, now: float, own_ends: Collection[int]) -> float:
+        """Return for how many seconds ends under other requests of the content hold one back.
+
+        Whoever saw the first end sends again at once. The others wait for what becomes of that:
+        six daemons that had one content at the same time sent it twelve times else.
+        """
+        if self.trusted:
+            return 0.0
+        others = (
+            end.at
+            for endpoint, end in self.end_by_endpoint.items()
+            if end.soon and end.lived and endpoint not in own_ends
+        )
+        return max(0.0, max(others, default=-math.inf) + SOON_SECONDS - now)
+
     def drop_until(self, time: float) -> bool:
         """Forget the ends up to a time; return whether there were any."""
         old = [each for each, end in self.end_by_endpoint.items() if end.at <= time]
@@ -125,30 +145,42 @@
         self._stale = False
         self._charge_not_before = -math.inf
 
-    def standing(self, content: str, now: float) -> Standing:
-        """Return how a request with a content is treated now."""
+    def standing(
+        self, content: str, now: float, own_ends: Collection[int] = frozenset()
+    ) -> Standing:
+        """Return how a request with a content is treated now.
+
+        ``own_ends`` are the keys of the endpoints that this very request was sent to.
+        """
         record = self._record(content, now)
         if record is None:
             return Standing.SOUND
         if self.seconds_left(content, now) > 0:
             return Standing.QUARANTINED
-        if self.settles_in(content, now) > 0:
+        if self.settles_in(content, now, own_ends) > 0:
             return Standing.UNDECIDED
         if record.charged or record.weight(self._unexplained(content)) >= SUSPECT_WEIGHT:
             return Standing.SUSPECT
         return Standing.SOUND
 
-    def settles_in(self, content: str, now: float) -> float:
-        """Return after how many seconds it is decided whether a content is quarantined."""
+    def settles_in(
+        self, content: str, now: float, own_ends: Collection[int] = frozenset()
+    ) -> float:
+        """Return after how many seconds it is known how a request with a content is treated.
+
+        ``own_ends`` as for ``standing``.
+        """
         record = self._record(content, now)
-        if record is None or not record.charged:
+        if record is None:
             return 0.0
-        return max(0.0, record.proven_at + SETTLE_SECONDS - now)
+        if record.charged:
+            return record.proof_settles_in(now)
+        return record.others_settle_in(now, own_ends)
 
     def seconds_left(self, content: str, now: float) -> float:
         """Return for how long a content stays quarantined, 0 if it is not."""
         record = self._record(content, now)
-        if record is None or not record.charged or self.settles_in(content, now) > 0:
+        if record is None or not record.charged or record.proof_settles_in(now) > 0:
             return 0.0
         return max(0.0, record.last_end + QUARANTINE_SECONDS - now)
 
