Believe nothing of a store's copy over what is known, and write again what it lacks

Cause: a list that was read later was taken for newer. Read on the way: words of leaving endpoints without an age kept an endpoint that was back out of service, told to and fro. Weighed: believing nothing until the list is whole (nobody says when); offsets (say nothing of endpoints that ended).

--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -45,6 +45,7 @@
         self.hosts = {}
         self.quarantine_by_content = {}
         self.down = False
+        self.era = None
         self.calls = 0
         self._object_by_value = {}
 
--- a/features/steps/endpoint_list_steps.py
+++ b/features/steps/endpoint_list_steps.py
@@ -96,8 +96,7 @@
         context.knowledge,
         Bounds(),
         1,
-        lambda *_: None,
-        lambda *_: None,
+        *[lambda *_: None] * 3,
     )
     for number in (1, 2):
         pulled = Future()
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -17,6 +17,7 @@
     Bundle,
     Digest,
     Hello,
+    LeavingWord,
     PeerBelief,
     Report,
     Sender,
@@ -349,7 +350,8 @@
         LoadRow(8, EndpointLoad(50.0, 6400, 3200, 1, 2, {250: 1, 1000: 3}, 640)),
         LoadRow(9, EndpointLoad()),
     )
-    belief = PeerBelief(7, "digest", 0.25, 3, ("b",), ("c", "d"))
+    leaving = (LeavingWord("c", 0.25), LeavingWord("d", 3.0))
+    belief = PeerBelief(7, "digest", 0.25, 3, ("b",), leaving, era=2)
     own, other = DaemonAddress("10.0.0.1", "zone-a", 21), DaemonAddress("10.0.0.2", "zone-b")
     sender = Sender("daemon-1", own, 1764630000000, 6, True)
     acknowledged = (Acknowledgement("10.0.0.2", 9),)
--- a/features/steps/gateway_knowledge_steps.py
+++ b/features/steps/gateway_knowledge_steps.py
@@ -113,8 +113,8 @@
 
 @then("it is told to others for a while")
 def step_word_told(context):
-    assert context.knowledge.recently_left(12.0) == ["engine-1"]
-    assert context.knowledge.recently_left(16.0) == []
+    assert list(context.knowledge.recently_left(12.0)) == ["engine-1"]
+    assert context.knowledge.recently_left(16.0) == {}
 
 
 @then("a list that was read later and shows it ready brings it back")
@@ -134,9 +134,8 @@
 def follower_that_pulled(snapshot):
     """Return a daemon's knowledge and follower after it took a peer's snapshot."""
     knowledge = Knowledge()
-    follower = Follower(
-        SimulatedLoop(), ListedEntries(), knowledge, Bounds(), 1, lambda *_: None, lambda *_: None
-    )
+    ignored = [lambda *_: None] * 3
+    follower = Follower(SimulatedLoop(), ListedEntries(), knowledge, Bounds(), 1, *ignored)
     pulled = Future()
     pulled.set_result(Snapshot.decode(snapshot))
     follower._pulled("10.1.0.1", 90.0, 1, pulled)
--- a/features/steps/suspension_steps.py
+++ b/features/steps/suspension_steps.py
@@ -97,7 +97,7 @@
     store = FakeStore()
     knowledge = Knowledge()
     loop = EventLoop(clock)
-    made = Follower(loop, store, knowledge, Bounds(), 0, lambda *_: None, lambda *_: None)
+    made = Follower(loop, store, knowledge, Bounds(), 0, *[lambda *_: None] * 3)
     context.stack.push(made.close)
     return made, knowledge
 
--- a/src/brassdrum/gateway/beliefs.py
+++ b/src/brassdrum/gateway/beliefs.py
@@ -9,7 +9,7 @@
 from brassdrum.gateway.follower import Follower
 from brassdrum.gateway.knowledge import EndpointChange, Knowledge
 from brassdrum.gateway.loop import EventLoop
-from brassdrum.gateway.peer_messages import PeerBelief
+from brassdrum.gateway.peer_messages import LeavingWord, PeerBelief
 from brassdrum.gateway.suspicion import Suspicions
 from brassdrum.gateway.upstream import EndpointPool
 from brassdrum.telemetry import log_events
@@ -78,8 +78,9 @@
             self.list_age(),
             self._knowledge.reads,
             tuple(self._suspicions.named(now)),
-            tuple(self._knowledge.recently_left(now)),
+            tuple(LeavingWord(*each) for each in self._knowledge.recently_left(now).items()),
             self._guard.words(),
+            self._knowledge.era,
         )
 
     def word(self, host: str, belief: PeerBelief) -> None:
@@ -88,10 +89,10 @@
         self._guard.hear(belief.endings)
         for endpoint in belief.failing:
             self._suspicions.heard(endpoint, now)
-        for endpoint in belief.leaving:
-            if self._knowledge.leaves(endpoint, now):
-                entry = self._knowledge.endpoints_by_id[endpoint]
-                self._log_endpoint(EndpointChange(endpoint, entry.service, "draining"), host)
+        for word in belief.leaving:
+            if self._knowledge.leaves(word.endpoint, now - word.age):
+                entry = self._knowledge.endpoints_by_id[word.endpoint]
+                self._log_endpoint(EndpointChange(entry.id, entry.service, "draining"), host)
 
     def heard(self, host: str, belief: PeerBelief) -> None:
         """Compare a peer's knowledge with own."""
--- a/src/brassdrum/gateway/crash_guard.py
+++ b/src/brassdrum/gateway/crash_guard.py
@@ -101,6 +101,8 @@
         self._in_force: set[str] = set()
         self._own: set[str] = set()
         self._to_write: dict[str, SharedRecord] = {}
+        # The last ones that were released; a copy of the store may show them again.
+        self._released: dict[str, None] = {}
         self._writing = False
 
     def start(self, store: ControlStore, submit: Submit, first: Callable[[], bool]) -> None:
@@ -195,6 +197,15 @@
         if self._quarantine.hear(words, self._loop.now()):
             self._loop.call_later(_REVIEW_SECONDS, self._review)
 
+    def write_again(self) -> None:
+        """Write what the store may have lost: records of contents in force, and releases."""
+        for content in sorted(self._in_force):
+            if self._keeps(content):
+                self._keep(self._record(content))
+        for content in self._released:
+            if content not in self._in_force:
+                self._keep(SharedRecord(content, b""))
+
     def _review(self) -> None:
         """Log what is newly quarantined or released, and keep what was seen here in the store."""
         now = self._loop.now()
@@ -207,10 +218,16 @@
         for content in sorted(self._in_force - in_force):
             self._log(log_events.CONTENT_RELEASED, content)
             if self._keeps(content):
-                self._keep(SharedRecord(content, b""))
+                self._release(content)
         self._in_force = in_force
         self._own &= set(self._quarantine.contents())
 
+    def _release(self, content: str) -> None:
+        self._released[content] = None
+        while len(self._released) > _MOST_WAITING:
+            del self._released[next(iter(self._released))]
+        self._keep(SharedRecord(content, b""))
+
     def _keeps(self, content: str) -> bool:
         """Return whether this daemon writes to the store what becomes of a content.
 
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -8,11 +8,12 @@
 import signal
 import socket
 from collections.abc import Callable
+from concurrent.futures import Future
 from dataclasses import replace
 
 from brassdrum.charts import load_chart
 from brassdrum.clock import Clock, SystemClock
-from brassdrum.errors import InvalidDocumentError
+from brassdrum.errors import BrassdrumError, InvalidDocumentError
 from brassdrum.gateway.admission import Refusal, admit
 from brassdrum.gateway.attempt import Attempt
 from brassdrum.gateway.beliefs import Beliefs
@@ -65,6 +66,8 @@
 _HOLD_SHARE = 0.8
 # A changed settings file is noticed within this time; one look at the file costs microseconds.
 _SETTINGS_CHECK_SECONDS = 2.0
+# A daemon whose record the store may have lost writes it again after about this.
+_WRITE_AGAIN_SECONDS = 0.5
 # A request that comes when the planned stop is near is sent to another daemon at once.
 _LEAVING_RETRY_SECONDS = 0.01
 
@@ -116,6 +119,7 @@
             settings.peer_port,
             self.beliefs.endpoints_changed,
             self.beliefs.configured,
+            self._write_again,
         )
         self.beliefs.follow(self._follower)
         self._endings = EndingChecks(self.loop, self._endpoint_ended)
@@ -384,6 +388,26 @@
         self._store.announce(self.settings.name, self._address())
         return self._store.daemons()
 
+    def _write_again(self) -> None:
+        """Write to the store what it may have lost; not all daemons in the same moment."""
+        self.loop.call_later(self._jitter(_WRITE_AGAIN_SECONDS), self._announce_again)
+        self.guard.write_again()
+
+    def _announce_again(self) -> None:
+        self._follower.submit(
+            lambda: self._store.announce(self.settings.name, self._address()),
+            self._announced_again,
+        )
+
+    def _announced_again(self, future: Future[None]) -> None:
+        error = future.exception()
+        if error is None:
+            return
+        if not isinstance(error, BrassdrumError):
+            raise error
+        _logger.warning("daemon not announced", extra={"error": error.message})
+        self.loop.call_later(self._jitter(_WRITE_AGAIN_SECONDS), self._announce_again)
+
     def _become_ready(self) -> None:
         if self._state == _CHART.initial and self.ready():
             self._state = _CHART.next(self._state, "become_ready")
--- a/src/brassdrum/gateway/follower.py
+++ b/src/brassdrum/gateway/follower.py
@@ -62,11 +62,13 @@
     """Hold all that one read of the store or of a peer brought.
 
     ``leaving`` names endpoints that a peer knows to leave by word, whatever their record says.
+    ``era`` is that of the store.
     """
 
     configuration: SharedRecord | None
     endpoints: tuple[SharedRecord, ...]
     leaving: tuple[str, ...] = ()
+    era: int | None = None
 
     def encode(self) -> bytes:
         """Return the form that daemons hand to each other."""
@@ -77,6 +79,7 @@
                 [record.key, base64.b64encode(record.value).decode()] for record in self.endpoints
             ],
             "leaving": list(self.leaving),
+            "era": self.era,
         }
         return zlib.compress(json.dumps(content).encode(), _COMPRESSION)
 
@@ -92,7 +95,7 @@
         endpoints = tuple(
             SharedRecord(key, base64.b64decode(entry)) for key, entry in content["endpoints"]
         )
-        return cls(record, endpoints, tuple(content["leaving"]))
+        return cls(record, endpoints, tuple(content["leaving"]), content["era"])
 
 
 class Follower:
@@ -107,6 +110,7 @@
         peer_port: int,
         on_changes: Callable[[list[EndpointChange], str], None],
         on_configured: Callable[[int, str], None],
+        on_restored: Callable[[], None],
     ) -> None:
         self._loop = loop
         self._store = store
@@ -116,6 +120,7 @@
         self.bound(bounds)
         self._on_changes = on_changes
         self._on_configured = on_configured
+        self._on_restored = on_restored
         self._peers: Peers | None = None
         self._executor = ThreadPoolExecutor(_THREADS, thread_name_prefix="store")
         self._reading = False
@@ -127,7 +132,7 @@
         self._refused_by_key: dict[str, bytes] = {}
         self._store_answers: bool | None = None
         self._packed: bytes | None = None
-        self._packed_mark = (-1, "")
+        self._packed_mark: tuple[int, str, int | None] = (-1, "", None)
 
     def bound(self, bounds: Bounds) -> None:
         """Take the times within which changes must be known."""
@@ -150,12 +155,12 @@
     def snapshot(self) -> bytes:
         """Return what this daemon knows, for peers; it is packed once for all that ask."""
         known = self._knowledge
-        mark = (known.version, known.digest)
+        mark = (known.version, known.digest, known.era)
         if self._packed is None or self._packed_mark != mark:
             named = self._records_by_id
             records = tuple(named[name] for name in known.endpoints_by_id if name in named)
             leaving = tuple(name for name, each in known.endpoints_by_id.items() if each.draining)
-            self._packed = Snapshot(self._configuration, records, leaving).encode()
+            self._packed = Snapshot(self._configuration, records, leaving, known.era).encode()
             self._packed_mark = mark
         return self._packed
 
@@ -171,10 +176,16 @@
             return
         read_at = self._loop.now() - belief.age
         known = self._knowledge
-        if belief.version == known.version:
+        self._note_era(belief.era, host)
+        # A list from before the store's return is older, whenever it was read; a configuration is
+        # as new as its version says.
+        same_era = belief.era == known.era
+        if same_era and belief.version == known.version:
             known.confirm(belief.digest, read_at, belief.reads)
-        newer_list = belief.digest != known.digest and (
-            known.read_at is None or read_at > known.read_at
+        newer_list = (
+            same_era
+            and belief.digest != known.digest
+            and (known.read_at is None or read_at > known.read_at)
         )
         if not (belief.version > known.version or newer_list):
             return
@@ -217,7 +228,9 @@
     def _read(self, _sent: float) -> Snapshot:
         # The list comes first: what it says is then at least as old as its recorded time.
         endpoints = tuple(self._store.endpoints())
-        return Snapshot(self._store.configuration(), endpoints)
+        # Asked for after the list: one that is older than its era is only judged more carefully.
+        era = self._store.era
+        return Snapshot(self._store.configuration(), endpoints, era=era)
 
     def _read_done(self, sent: float, future: Future[Snapshot]) -> None:
         self._reading = False
@@ -231,7 +244,10 @@
             self._note_store(False, error.message)
             return
         self._note_store(True, "")
-        self._apply(snapshot, "store", lambda entries: self._knowledge.read(entries, sent))
+        self._note_era(snapshot.era, "store")
+        self._apply(
+            snapshot, "store", lambda entries: self._knowledge.read(entries, sent, snapshot.era)
+        )
         assert self._peers is not None
         self._peers.announce()
 
@@ -252,7 +268,12 @@
         except (ConnectFailedError, ExchangeFailedError, ValueError) as error:
             log_events.PEER_NOT_READ.write(_logger, host=host, error=str(error))
             return
-        self._apply(snapshot, host, lambda entries: self._knowledge.adopt(entries, read_at, reads))
+        self._note_era(snapshot.era, host)
+        self._apply(
+            snapshot,
+            host,
+            lambda entries: self._knowledge.adopt(entries, read_at, reads, snapshot.era),
+        )
 
     def _apply(
         self,
@@ -304,6 +325,13 @@
             self._configuration = record
             self._on_configured(earlier, source)
 
+    def _note_era(self, era: int | None, source: str) -> None:
+        """Write again what a copy may lack once the store has come back from one."""
+        earlier = self._knowledge.era
+        if self._knowledge.note_era(era, self._loop.now()):
+            log_events.STORE_RESTORED.write(_logger, era=era, earlier=earlier, source=source)
+            self._on_restored()
+
     def _note_store(self, answers: bool, detail: str) -> None:
         if answers == self._store_answers:
             return
--- a/src/brassdrum/gateway/knowledge.py
+++ b/src/brassdrum/gateway/knowledge.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, replace
 
 from brassdrum.gateway.model import EndpointEntry, FleetConfiguration, Organisation, Route
+from brassdrum.gateway.restored_list import RestoredList
 
 __all__ = ["EndpointChange", "Knowledge"]
 
@@ -16,6 +17,8 @@
 _RETURN_SECONDS = 2.2
 # Peers are told of a leaving endpoint for this long; by then they have read the list themselves.
 _TOLD_SECONDS = 4.0
+# Ages of lists and words lack the time on their way, and the order of two within this is not known.
+_WORD_SLACK_SECONDS = 0.25
 # The store counts as away when no read succeeded for this long: three times the slowest pace.
 _AWAY_SECONDS = 4.0
 
@@ -49,6 +52,12 @@
         self._away = False
         self._returned_at: float | None = None
         self._left_at_by_id: dict[str, float] = {}
+        self._restored = RestoredList()
+
+    @property
+    def era(self) -> int | None:
+        """Return which era of the store this knowledge rests on, None where stores tell none."""
+        return self._restored.era
 
     @property
     def version(self) -> int:
@@ -104,10 +113,17 @@
         if self.read_at is None or now - self.read_at > _AWAY_SECONDS:
             self._away = True
 
-    def read(self, entries: Iterable[EndpointEntry], now: float) -> list[EndpointChange]:
+    def note_era(self, era: int | None, now: float) -> bool:
+        """Take the era of the store; return whether it has come back from a copy."""
+        return self._restored.note_era(era, now)
+
+    def read(
+        self, entries: Iterable[EndpointEntry], now: float, era: int | None = None
+    ) -> list[EndpointChange]:
         """Take the whole list as the store had it at a time; return what changed."""
-        if self.read_at is not None and now <= self.read_at:
+        if self._outdated(now, era):
             return []
+        self.note_era(era, now)
         if self._away or (self.read_at is not None and now - self.read_at > _AWAY_SECONDS):
             self._away = False
             self._returned_at = now
@@ -116,14 +132,20 @@
         return self._replace({entry.id: entry for entry in entries}, now, settling=settling)
 
     def adopt(
-        self, entries: Iterable[EndpointEntry], read_at: float, reads: int
+        self, entries: Iterable[EndpointEntry], read_at: float, reads: int, era: int | None = None
     ) -> list[EndpointChange]:
-        """Take a peer's list, which has been judged already, if it is newer."""
-        if self.read_at is not None and read_at <= self.read_at:
+        """Take a peer's list, which it has judged by what it knew, if it is newer."""
+        if self._outdated(read_at, era):
             return []
+        self.note_era(era, read_at)
         self.reads = max(self.reads, reads)
         return self._replace({entry.id: entry for entry in entries}, read_at, settling=False)
 
+    def _outdated(self, read_at: float, era: int | None) -> bool:
+        """Return whether a list is older than the known one, or from before the store's return."""
+        older = self.read_at is not None and read_at <= self.read_at
+        return older or self._restored.older(era)
+
     def confirm(self, digest: str, read_at: float, reads: int) -> None:
         """Note that the same list was read later, as a peer says.
 
@@ -135,20 +157,26 @@
         self.reads = reads
         self.read_at = max(self.read_at, read_at)
 
-    def recently_left(self, now: float) -> list[str]:
-        """Return the endpoints that began to leave a moment ago, for peers to know at once."""
+    def recently_left(self, now: float) -> dict[str, float]:
+        """Return how many seconds ago endpoints began to leave, for peers to know at once."""
         for name, left_at in list(self._left_at_by_id.items()):
             if now - left_at > _TOLD_SECONDS:
                 del self._left_at_by_id[name]
-        return list(self._left_at_by_id)
+        return {name: now - left_at for name, left_at in self._left_at_by_id.items()}
 
-    def leaves(self, endpoint: str, now: float) -> bool:
-        """Take a peer's word that an endpoint leaves; return whether that is new."""
+    def leaves(self, endpoint: str, known_at: float) -> bool:
+        """Take a peer's word that an endpoint leaves; return whether that is new.
+
+        A word that was known before the present list was read says nothing new: told to and fro it
+        would keep an endpoint out that is back.
+        """
         entry = self.endpoints_by_id.get(endpoint)
         if entry is None or entry.draining:
             return False
+        if self.read_at is not None and known_at < self.read_at - _WORD_SLACK_SECONDS:
+            return False
         self.endpoints_by_id[endpoint] = replace(entry, draining=True)
-        self._left_at_by_id[endpoint] = now
+        self._left_at_by_id[endpoint] = known_at
         self._index()
         return True
 
@@ -161,6 +189,12 @@
         self, entries_by_id: dict[str, EndpointEntry], read_at: float, *, settling: bool
     ) -> list[EndpointChange]:
         changes = []
+        shown = entries_by_id
+        entries_by_id = self._restored.correct(shown, self.endpoints_by_id, read_at)
+        for entry in entries_by_id.values():
+            if entry.draining and entry.id in shown and not shown[entry.id].draining:
+                # Daemons that started since know only what the list shows.
+                self._left_at_by_id[entry.id] = read_at
         for entry in list(entries_by_id.values()):
             earlier = self.endpoints_by_id.get(entry.id)
             if not entry.draining and read_at <= self._left_at_by_id.get(entry.id, -math.inf):
@@ -181,12 +215,14 @@
                 continue
             if entry.name in names:
                 changes.append(EndpointChange(entry.id, entry.service, "restarted", entry.address))
+                self._restored.gone(entry.id, read_at)
                 continue
-            if settling:
+            if settling or self._restored.may_lack(read_at):
                 entries_by_id[entry.id] = entry
                 continue
             changes.append(EndpointChange(entry.id, entry.service, "gone"))
             self._left_at_by_id[entry.id] = read_at
+            self._restored.gone(entry.id, read_at)
         self.endpoints_by_id = entries_by_id
         self.read_at = read_at
         if changes or not self.digest:
--- a/src/brassdrum/gateway/model.py
+++ b/src/brassdrum/gateway/model.py
@@ -297,6 +297,8 @@
     """Read and write the platform's store; calls block and raise ``PlatformUnavailableError``."""
 
     calls: int
+    # Counts how often the store came back from a copy; the newest one that an answer told.
+    era: int | None
 
     def configuration(self) -> SharedRecord | None:
         """Return the newest configuration as it was written, or None before the first."""
--- a/src/brassdrum/gateway/peer_messages.py
+++ b/src/brassdrum/gateway/peer_messages.py
@@ -16,6 +16,7 @@
     "Bundle",
     "Digest",
     "Hello",
+    "LeavingWord",
     "Message",
     "PeerBelief",
     "Report",
@@ -24,7 +25,7 @@
     "encode_message",
 ]
 
-_FORMAT = 7
+_FORMAT = 8
 # Ages are told in ms; None before the first read of the store.
 _NO_AGE = 0xFFFFFFFF
 # Ages of ends are told in ms, so that ends of one moment are known as such; a content is 8 bytes.
@@ -44,11 +45,19 @@
     BUNDLE = 4
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingWord:
+    """Say that an endpoint leaves, as it was known ``age`` seconds ago."""
+
+    endpoint: str
+    age: float
+
+
 @dataclass(frozen=True, slots=True)
 class PeerBelief:
     """Hold how new a daemon's knowledge is; age in seconds, None before the first read.
 
-    ``reads`` is the number of the read of the store that it rests on.
+    ``reads`` is the number of the read of the store that it rests on, ``era`` the store's.
     """
 
     version: int
@@ -56,8 +65,9 @@
     age: float | None
     reads: int
     failing: tuple[str, ...] = ()
-    leaving: tuple[str, ...] = ()
+    leaving: tuple[LeavingWord, ...] = ()
     endings: tuple[EndingWord, ...] = ()
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -266,10 +276,15 @@
     writer.text(belief.digest)
     writer.number(_NO_AGE if belief.age is None else round(belief.age * 1000), 4)
     writer.number(belief.reads, 4)
-    for names in (belief.failing, belief.leaving):
-        writer.number(len(names), 2)
-        for name in names:
-            writer.text(name)
+    # Eras count from 0 or 1; 0 on the wire is none.
+    writer.number(0 if belief.era is None else belief.era + 1, 4)
+    writer.number(len(belief.failing), 2)
+    for name in belief.failing:
+        writer.text(name)
+    writer.number(len(belief.leaving), 2)
+    for each in belief.leaving:
+        writer.text(each.endpoint)
+        writer.number(_age_ms(each.age), _AGE_BYTES)
     writer.number(len(belief.endings), 1)
     for word in belief.endings:
         _write_ending(writer, word)
@@ -318,11 +333,16 @@
     digest = reader.text()
     age = reader.number(4)
     reads = reader.number(4)
+    era = reader.number(4)
     failing = tuple(reader.text() for _ in range(reader.number(2)))
-    leaving = tuple(reader.text() for _ in range(reader.number(2)))
+    leaving = tuple(
+        LeavingWord(reader.text(), reader.number(_AGE_BYTES) / 1000)
+        for _ in range(reader.number(2))
+    )
     endings = tuple(_read_ending(reader) for _ in range(reader.number(1)))
     known_age = None if age == _NO_AGE else age / 1000
-    return PeerBelief(version, digest, known_age, reads, failing, leaving, endings)
+    known_era = era - 1 if era else None
+    return PeerBelief(version, digest, known_age, reads, failing, leaving, endings, known_era)
 
 
 def _write_rows(writer: FieldWriter, rows: tuple[LoadRow, ...]) -> None:
--- a/src/brassdrum/platform/standin.py
+++ b/src/brassdrum/platform/standin.py
@@ -8,12 +8,22 @@
 import threading
 import time
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
-from brassdrum.soak.replicas import ENDING_PATH, EVENTS, ReplicaFaults, Run, event, expected
+from brassdrum.soak.records import CopiedRecords
+from brassdrum.soak.replicas import (
+    ENDING_PATH,
+    EVENTS,
+    HeldMemory,
+    ReplicaFaults,
+    ReplicaRequest,
+    Run,
+    event,
+    expected,
+    read_request,
+)
 
 __all__ = ["Replica", "Store", "boot_file", "caller_headers"]
 
@@ -60,8 +70,7 @@
 
     def __init__(self) -> None:
         self.fault = ""
-        self._lock = threading.Lock()
-        self._records_by_topic: dict[str, dict[str, bytes]] = {}
+        self.records = CopiedRecords((_CONFIGURATION_TOPIC, _ENDPOINT_TOPIC))
         self._version = 0
         self._server = ThreadingHTTPServer(("127.0.0.1", 0), _handler_for(self))
         self._server.daemon_threads = True
@@ -107,7 +116,7 @@
                 {"name": name, "api_keys": keys} for name, keys in keys_by_organisation.items()
             ],
         }
-        self._put(_CONFIGURATION_TOPIC, "config", json.dumps(content).encode())
+        self.records.put(_CONFIGURATION_TOPIC, "config", json.dumps(content).encode())
         return self._version
 
     def list_replica(self, replica: Replica, *, draining: bool) -> None:
@@ -122,20 +131,17 @@
             "cold_left_ms": 0,
             "seq": 0,
         }
-        self._put(_ENDPOINT_TOPIC, replica.name, json.dumps(content).encode())
+        self.records.put(_ENDPOINT_TOPIC, replica.name, json.dumps(content).encode())
 
     def remove_replica(self, name: str) -> None:
         """Drop a replica's entry."""
-        with self._lock:
-            self._records_by_topic.get(_ENDPOINT_TOPIC, {}).pop(name, None)
+        self.records.drop(_ENDPOINT_TOPIC, name)
 
     def newest(self, topic: str) -> bytes:
         """Return the newest records of a topic in one page."""
-        with self._lock:
-            records = dict(self._records_by_topic.get(topic, {}))
         items = [
             {"key": key, "value": base64.b64encode(value).decode(), "offset": number}
-            for number, (key, value) in enumerate(records.items())
+            for number, (key, value) in enumerate(self.records.newest(topic).items())
         ]
         return json.dumps({"items": items, "has_more": False, "end_offset": len(items)}).encode()
 
@@ -143,13 +149,9 @@
         """Take one keyed record."""
         content = record[4:]
         length = content[0]
-        self._put(topic, content[1 : 1 + length].decode(), content[1 + length :])
+        self.records.put(topic, content[1 : 1 + length].decode(), content[1 + length :])
         return b'{"offset":0,"end_offset":1}'
 
-    def _put(self, topic: str, key: str, value: bytes) -> None:
-        with self._lock:
-            self._records_by_topic.setdefault(topic, {})[key] = value
-
 
 def _handler_for(store: Store) -> type[BaseHTTPRequestHandler]:
     class Handler(BaseHTTPRequestHandler):
@@ -178,6 +180,7 @@
                 self.close_connection = True
                 return
             self.send_response(status)
+            self.send_header("Store-Era", str(store.records.era))
             self.send_header("Content-Length", str(len(body)))
             self.end_headers()
             self.wfile.write(body)
@@ -188,19 +191,6 @@
     return Handler
 
 
-@dataclass(slots=True)
-class _Hold:
-    tokens: int
-    until: float
-
-
-@dataclass(slots=True)
-class _Request:
-    path: str
-    header_by_name: dict[str, str]
-    body: bytes = field(default=b"")
-
-
 class Replica:
     """Serve requests and record each run."""
 
@@ -216,7 +206,7 @@
         self.faults = ReplicaFaults()
         self._runs = runs
         self._chance = chance
-        self._holds_by_ticket: dict[str, _Hold] = {}
+        self._memory = HeldMemory(_KV_TOKENS)
         self._lock = threading.Lock()
         self._closed = False
         self._server = socket.create_server(("127.0.0.1", 0))
@@ -227,9 +217,7 @@
 
     def held(self) -> int:
         """Return the tokens that are set aside now."""
-        now = time.monotonic()
-        with self._lock:
-            return sum(hold.tokens for hold in self._holds_by_ticket.values() if hold.until > now)
+        return self._memory.held()
 
     def close(self) -> None:
         """Crash: serve no more."""
@@ -248,7 +236,7 @@
         stream = connection.makefile("rb")
         try:
             while not self._closed:
-                request = _read(stream)
+                request = read_request(stream)
                 if request is None or not self._handle(connection, request):
                     return
         except (OSError, ValueError):
@@ -256,7 +244,7 @@
         finally:
             connection.close()
 
-    def _handle(self, connection: socket.socket, request: _Request) -> bool:
+    def _handle(self, connection: socket.socket, request: ReplicaRequest) -> bool:
         headers = request.header_by_name
         if request.path == "/order":
             self._answer(connection, request, self._order(json.loads(request.body)), b"{}", "")
@@ -278,7 +266,7 @@
             self._note(request)
         return self._run(connection, request)
 
-    def _note(self, request: _Request, *, ending: bool = False) -> None:
+    def _note(self, request: ReplicaRequest, *, ending: bool = False) -> None:
         headers = request.header_by_name
         name, resumed = headers["x-attempt-id"], "last-event-id" in headers
         organisation = headers.get("x-tenant", "")
@@ -286,7 +274,7 @@
         with self._lock:
             self._runs.append(run)
 
-    def _run(self, connection: socket.socket, request: _Request) -> bool:
+    def _run(self, connection: socket.socket, request: ReplicaRequest) -> bool:
         if self._chance() < self.faults.lose:
             return False
         seal = "X-Replica-Seal: s1\r\n"
@@ -300,7 +288,7 @@
         self._answer(connection, request, 200, body, seal)
         return True
 
-    def _stream(self, connection: socket.socket, request: _Request) -> bool:
+    def _stream(self, connection: socket.socket, request: ReplicaRequest) -> bool:
         headers = request.header_by_name
         start = f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {headers['x-attempt-id']}\r\n"
         start += "X-Replica-Seal: s1\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -316,39 +304,21 @@
         return True
 
     def _order(self, order: Mapping[str, object]) -> int:
-        now = time.monotonic()
         ticket = str(order["id"])
-        with self._lock:
-            if order["op"] == "release":
-                self._holds_by_ticket.pop(ticket, None)
-                return 200
-            tokens = int(str(order["token_count"]))
-            others = sum(
-                hold.tokens
-                for name, hold in self._holds_by_ticket.items()
-                if name != ticket and hold.until > now
-            )
-            if others + tokens > _KV_TOKENS:
-                return 409
-            until = now + int(str(order["hold_ms"])) / 1000
-            self._holds_by_ticket[ticket] = _Hold(tokens, until)
+        if order["op"] == "release":
+            self._memory.release(ticket)
             return 200
+        tokens, seconds = int(str(order["token_count"])), int(str(order["hold_ms"])) / 1000
+        return 200 if self._memory.hold(ticket, tokens, seconds) else 409
 
     def _answer(
-        self, connection: socket.socket, request: _Request, status: int, body: bytes, extra: str
+        self,
+        connection: socket.socket,
+        request: ReplicaRequest,
+        status: int,
+        body: bytes,
+        extra: str,
     ) -> None:
         echoed = request.header_by_name.get("x-attempt-id", "")
         head = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {echoed}\r\n{extra}"
         connection.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
-
-
-def _read(stream: object) -> _Request | None:
-    line = stream.readline().split()  # type: ignore[attr-defined]
-    if len(line) < 2:
-        return None
-    headers = {}
-    while text := stream.readline().strip():  # type: ignore[attr-defined]
-        name, _, value = text.partition(b":")
-        headers[name.strip().lower().decode()] = value.strip().decode()
-    body = stream.read(int(headers.get("content-length", "0")))  # type: ignore[attr-defined]
-    return _Request(line[1].decode(), headers, body)
--- a/src/brassdrum/platform/store.py
+++ b/src/brassdrum/platform/store.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import logging
+import threading
 from urllib.parse import quote
 
 from brassdrum.errors import PlatformUnavailableError
@@ -21,6 +22,8 @@
 _QUARANTINE_TOPIC = "keyed.brassdrum-quarantine"
 # An answer takes 4 ms, and 60 times that on a slow day.
 _CALL_SECONDS = 1.0
+# Rises by one each time the store comes back from a copy that may lack the last seconds.
+_ERA_HEADER = "Store-Era"
 _logger = logging.getLogger(__name__)
 _HTTP_OK = 200
 _HTTP_NOT_FOUND = 404
@@ -31,7 +34,9 @@
 
     def __init__(self, address: str) -> None:
         self._pool = HttpPool(f"http://{address}", _CALL_SECONDS)
+        self._lock = threading.Lock()
         self.calls = 0
+        self.era: int | None = None
 
     def configuration(self) -> SharedRecord | None:
         """Return the newest configuration as it was written, or None before the first."""
@@ -96,15 +101,30 @@
     def _call(self, method: str, path: str, body: bytes | None = None) -> bytes:
         self.calls += 1
         try:
-            status, answer = self._pool.call(method, path, body, timeout=_CALL_SECONDS)
+            exchange = self._pool.request(method, path, body, timeout=_CALL_SECONDS)
+            status, answer = exchange.status, exchange.read()
         except (ConnectFailedError, ExchangeFailedError) as error:
             raise PlatformUnavailableError(f"The store does not answer: {error}.") from error
+        self._note_era(exchange.header(_ERA_HEADER))
         if status == _HTTP_NOT_FOUND:
             return b""
         if status != _HTTP_OK:
             raise PlatformUnavailableError(f"The store answered {status} to {method} {path}.")
         return answer
 
+    def _note_era(self, text: str | None) -> None:
+        """Keep the newest era that an answer told; one on the way may still tell an earlier one."""
+        if text is None:
+            return
+        try:
+            era = int(text)
+        except ValueError:
+            _logger.warning("era not readable", extra={"era": text[:40]})
+            return
+        with self._lock:
+            if self.era is None or era > self.era:
+                self.era = era
+
 
 def _record(item: dict) -> SharedRecord | None:
     """Return one record of a page, or None where it cannot be read; the others hold."""
--- a/src/brassdrum/soak/actions.py
+++ b/src/brassdrum/soak/actions.py
@@ -16,6 +16,7 @@
 __all__ = ["ACTIONS", "FaultAction"]
 
 _LINK_MODES = ("delay", "reset", "one_way", "silent")
+_WRITTEN_AGAIN_SECONDS = 1.5
 _STORE_FAULTS = ("busy", "silent", "slow", "lost")
 
 FaultAction = Callable[["Soak", PlannedFault], None]
@@ -111,3 +112,16 @@
     soak.history.organisation_by_key[soak.keys.issue(organisation)] = organisation
     soak.configure()
     soak.history.revoked_at_by_key[key] = time.monotonic()
+
+
+@ACTIONS.register("copy_store")
+def copy_store(soak: Soak, fault: PlannedFault) -> None:
+    """Let the store come back from a copy; writers outside the system write again, but later."""
+    soak.store.records.keep_copy()
+
+    def come_back() -> None:
+        soak.disturb("all", _WRITTEN_AGAIN_SECONDS)
+        soak.store.records.come_back()
+        soak.after(_WRITTEN_AGAIN_SECONDS, soak.store.records.write_again)
+
+    soak.after(fault.seconds, come_back)
--- a/src/brassdrum/soak/plan.py
+++ b/src/brassdrum/soak/plan.py
@@ -28,8 +28,12 @@
     "crash": "a replica crashes for good and another one comes",
     "drain": "a replica reports that it leaves and another one comes",
     "revoke": "a key is taken away and another one is given",
+    "copy_store": "the store comes back from a copy made a moment ago",
 }.items():
     FAULT_KINDS.register(_name)(_meaning)
+# Drawn apart from the others, so that the plans of seeds stay as they were.
+_COPY_KIND = "copy_store"
+_COPY_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +50,7 @@
 def draw_plan(seed: int, seconds: float) -> list[PlannedFault]:
     """Return the faults of a run in time order."""
     rng = random.Random(seed)
-    kinds = list(FAULT_KINDS)
+    kinds = [kind for kind in FAULT_KINDS if kind != _COPY_KIND]
     count = max(1, round((seconds - _QUIET_START_SECONDS) * _FAULTS_PER_SECOND))
     faults = [
         PlannedFault(
@@ -58,4 +62,14 @@
         )
         for _ in range(count)
     ]
+    faults.extend(_store_copies(seed, seconds))
     return sorted(faults, key=lambda fault: fault.at)
+
+
+def _store_copies(seed: int, seconds: float) -> list[PlannedFault]:
+    """Return a return of the store from a copy, in half of the runs."""
+    rng = random.Random(f"{seed} {_COPY_KIND}")
+    if rng.random() >= _COPY_SHARE or seconds <= _QUIET_START_SECONDS:
+        return []
+    at = rng.uniform(_QUIET_START_SECONDS, seconds)
+    return [PlannedFault(at, _COPY_KIND, rng.uniform(_SHORTEST_SECONDS, _LONGEST_SECONDS), 0, 0)]
--- a/src/brassdrum/soak/replicas.py
+++ b/src/brassdrum/soak/replicas.py
@@ -2,9 +2,23 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
-__all__ = ["ENDING_PATH", "EVENTS", "ReplicaFaults", "Run", "event", "expected", "whole_answer"]
+import threading
+import time
+from dataclasses import dataclass, field
+from typing import BinaryIO
+
+__all__ = [
+    "ENDING_PATH",
+    "EVENTS",
+    "HeldMemory",
+    "ReplicaFaults",
+    "ReplicaRequest",
+    "Run",
+    "event",
+    "expected",
+    "read_request",
+    "whole_answer",
+]
 
 # A request to a path that begins so ends each replica that runs it.
 ENDING_PATH = "/text/ends-"
@@ -36,6 +50,66 @@
     repeat: float = 0.0
 
 
+@dataclass(slots=True)
+class _Hold:
+    tokens: int
+    until: float
+
+
+class HeldMemory:
+    """Hold memory of a replica for requests until it is released or its time is over."""
+
+    def __init__(self, tokens: int) -> None:
+        self._tokens = tokens
+        self._lock = threading.Lock()
+        self._hold_by_ticket: dict[str, _Hold] = {}
+
+    def held(self, without: str | None = None) -> int:
+        """Return the tokens that are held now, but for one ticket."""
+        now = time.monotonic()
+        with self._lock:
+            return sum(
+                hold.tokens
+                for ticket, hold in self._hold_by_ticket.items()
+                if hold.until > now and ticket != without
+            )
+
+    def hold(self, ticket: str, tokens: int, seconds: float) -> bool:
+        """Hold memory, or hold it for longer; return False where it is not free."""
+        if self.held(without=ticket) + tokens > self._tokens:
+            return False
+        with self._lock:
+            self._hold_by_ticket[ticket] = _Hold(tokens, time.monotonic() + seconds)
+        return True
+
+    def release(self, ticket: str) -> None:
+        """Give memory back."""
+        with self._lock:
+            self._hold_by_ticket.pop(ticket, None)
+
+
+@dataclass(slots=True)
+class ReplicaRequest:
+    """Hold a request as a replica received it; names of headers in lower case."""
+
+    path: str
+    header_by_name: dict[str, str]
+    body: bytes = field(default=b"")
+
+
+def read_request(stream: BinaryIO) -> ReplicaRequest | None:
+    """Read one request, or return None at the end of the connection."""
+    line = stream.readline().split()
+    if len(line) < 2:
+        return None
+    headers = {}
+    while text := stream.readline().strip():
+        name, _, value = text.partition(b":")
+        headers[name.strip().lower().decode()] = value.strip().decode()
+    body = stream.read(int(headers.get("content-length", "0")))
+    return ReplicaRequest(line[1].decode(), headers, body)
+
+
 def event(request: str, number: int) -> bytes:
     """Return one event of a stream."""
     return f"id: {number}\ndata: {request} {number}\n\n".encode()
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -103,6 +103,13 @@
     "Look whether other daemons lost it too; peers hand their knowledge on meanwhile.",
 )
 STORE_BACK = LOG_EVENTS.add("store back", Topic.LIFE, "age", "The store answers again.")
+STORE_RESTORED = LOG_EVENTS.add(
+    "store restored",
+    Topic.LIFE,
+    "era earlier source",
+    "The store came back from a copy, as it or a peer says; what daemons wrote is written again.",
+    "Check that the newest configuration is there; daemons keep the one in force meanwhile.",
+)
 LINES_LEFT_OUT = LOG_EVENTS.add(
     "lines left out",
     Topic.LIFE,
