Let requests that come before the first configuration wait for it

Daemons are up at 35 s and answer 503 "no configuration yet", Retry-After 0.3 s: callers spend their one retry in the same outage, and streams that the loss cut came back for good. Ruled out: that survivors could tell the configuration (there are none). Its time counts from when it came.

--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -127,7 +127,9 @@
     context.connection = Connection()
     request = DeclaredRequest("a", b"POST", b"/text/x", HOST, [], patience, None, 50_000, 100)
     streams = route("text", RouteKind.STREAM, resumable=True, objective=1.0, max_attempts=3)
-    exchange = Exchange(context.host, context.connection, request, b"", streams, None)
+    exchange = Exchange(
+        context.host, context.connection, request, b"", streams, None, context.host.loop.now()
+    )
     exchange.service = SERVICE
     exchange.start()
     context.exchange = exchange
--- a/src/brassdrum/bench/load/play.py
+++ b/src/brassdrum/bench/load/play.py
@@ -169,7 +169,9 @@
         request = DeclaredRequest(
             name, b"POST", b"/", "host", [], left, None, self._arrival.prompt, tokens
         )
-        self._exchange = Exchange(self._daemon, self, request, b"", self._route, None)
+        self._exchange = Exchange(
+            self._daemon, self, request, b"", self._route, None, self._daemon.loop.now()
+        )
         self._exchange.service = SERVICE
         self._exchange.start()
         self._watch()
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -13,7 +13,7 @@
 
 from brassdrum.charts import load_chart
 from brassdrum.clock import Clock, SystemClock
-from brassdrum.errors import BrassdrumError, InvalidDocumentError
+from brassdrum.errors import BrassdrumError, InvalidDocumentError, InvalidRequestError
 from brassdrum.gateway.admission import Refusal, admit
 from brassdrum.gateway.attempt import Attempt
 from brassdrum.gateway.beliefs import Beliefs
@@ -21,6 +21,7 @@
 from brassdrum.gateway.choosing import Chooser
 from brassdrum.gateway.crash_guard import CrashGuard
 from brassdrum.gateway.datagrams import DatagramSocket
+from brassdrum.gateway.early import EarlyRequest, EarlyRequests, longest_hold
 from brassdrum.gateway.endings import EndingChecks, LostRequest, Witness
 from brassdrum.gateway.exchange import Exchange
 from brassdrum.gateway.follower import KNOWLEDGE_PATH, Follower
@@ -43,6 +44,7 @@
 )
 from brassdrum.gateway.outcome import Outcome
 from brassdrum.gateway.pages import Page, PageResponder, ReadinessResponder
+from brassdrum.gateway.patience import longest_retry
 from brassdrum.gateway.peers import Peers
 from brassdrum.gateway.placement import Need, Placement
 from brassdrum.gateway.policies import policies
@@ -107,6 +109,7 @@
         self._budget_by_service: dict[str, SharedRetryBudget] = {}
         self._connections: set[CallerConnection] = set()
         self._exchanges: set[Exchange] = set()
+        self._early = EarlyRequests(self.loop, self._refuse_early)
         self._state = _CHART.initial
         self._stop: PlannedStop | None = None
         self.guard = CrashGuard(self.loop, self.table)
@@ -186,6 +189,7 @@
             return
         self._state = _CHART.next(self._state, "leave")
         self._stop = PlannedStop(self.loop.now(), self.settings.bounds.grace)
+        self._early.refuse_all("about to stop")
         log_events.LEAVING.write(
             _logger, active=len(self._exchanges), grace=self.settings.bounds.grace
         )
@@ -210,6 +214,15 @@
         self, connection: CallerConnection, head: RequestHead, body: bytes
     ) -> CallerHandler | None:
         """Begin to answer a caller's request."""
+        if self.knowledge.configuration is None and not self.closing():
+            early = self._hold_early(connection, head, body)
+            if early is not None:
+                return early
+        return self._handle(connection, head, body, self.loop.now())
+
+    def _handle(
+        self, connection: CallerConnection, head: RequestHead, body: bytes, arrived: float
+    ) -> Exchange | None:
         verdict = admit(self.knowledge, self.dialect, head)
         if isinstance(verdict, Refusal):
             self._refuse(connection, verdict)
@@ -220,13 +233,38 @@
             refusal = Refusal(503, "about to stop", _LEAVING_RETRY_SECONDS, request.id)
             self._refuse(connection, refusal)
             return None
-        exchange = Exchange(self, connection, request, body, route, verdict.organisation)
+        exchange = Exchange(self, connection, request, body, route, verdict.organisation, arrived)
         exchange.service = service
         self._exchanges.add(exchange)
         self._budget(exchange.service).request(self.loop.now())
         exchange.start()
         return exchange
 
+    def _hold_early(
+        self, connection: CallerConnection, head: RequestHead, body: bytes
+    ) -> EarlyRequest | None:
+        """Let a request wait for the first configuration; return None where it may not."""
+        try:
+            request = self.dialect.read_request(head)
+        except InvalidRequestError:
+            # It is refused for that as soon as it is admitted.
+            return None
+        early = self._early.hold(connection, head, body, request)
+        if early is not None:
+            log_events.HELD.write(
+                _logger, request=request.id, seconds=round(longest_hold(request), 2)
+            )
+        return early
+
+    def _handle_early(self, early: EarlyRequest) -> Exchange | None:
+        return self._handle(early.connection, early.head, early.body, early.arrived)
+
+    def _refuse_early(self, early: EarlyRequest, detail: str) -> None:
+        """Ask a caller to come back as late as it does: nobody knows when the store is back."""
+        left = early.request.patience - (self.loop.now() - early.arrived)
+        seconds = _LEAVING_RETRY_SECONDS if self.closing() else longest_retry(left)
+        self._refuse(early.connection, Refusal(503, detail, seconds, early.request.id))
+
     def _flush_seconds(self) -> float:
         assert self._peers is not None
         return self._peers.flush_seconds
@@ -409,6 +447,8 @@
         self.loop.call_later(self._jitter(_WRITE_AGAIN_SECONDS), self._announce_again)
 
     def _become_ready(self) -> None:
+        if self.ready() and self.knowledge.configuration is not None:
+            self._early.release(self._handle_early)
         if self._state == _CHART.initial and self.ready():
             self._state = _CHART.next(self._state, "become_ready")
             log_events.READY.write(
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -61,6 +61,7 @@
         body: bytes,
         route: Route,
         organisation: Organisation | None,
+        arrived: float,
     ) -> None:
         self.content = fingerprint(
             "" if organisation is None else organisation.name,
@@ -72,7 +73,7 @@
         self.request = request
         self.route = route
         self.organisation = organisation
-        self.arrived = host.loop.now()
+        self.arrived = arrived
         self.timing = Timing(self.arrived)
         self.service = ""
         self.tried: set[str] = set()
--- a/src/brassdrum/gateway/patience.py
+++ b/src/brassdrum/gateway/patience.py
@@ -8,7 +8,13 @@
 from brassdrum.gateway.model import DeclaredRequest, Headers, Route
 from brassdrum.gateway.placement import FULL_WAIT_SHARE, Placement
 
-__all__ = ["WaitTimes", "caller_patience", "retry_after", "silence_patience"]
+__all__ = [
+    "WaitTimes",
+    "caller_patience",
+    "longest_retry",
+    "retry_after",
+    "silence_patience",
+]
 
 # Callers give a stream up when it is silent for the longest of these: the platform's own rule.
 _LEAST_SECONDS = 2.0
@@ -32,9 +38,14 @@
     return min(allowed, silence_patience(route)) if route.streams else allowed
 
 
+def longest_retry(left: float) -> float:
+    """Return after how many seconds a caller comes back at the latest."""
+    return _RETRY_AFTER_SHARE * max(0.0, left)
+
+
 def retry_after(wanted: float, left: float) -> Headers:
     """Return the header that tells a caller when to come back; ``left`` is its time, in seconds."""
-    seconds = min(wanted, _RETRY_AFTER_SHARE * max(0.0, left))
+    seconds = min(wanted, longest_retry(left))
     return [(b"Retry-After", b"%.2f" % max(0.01, math.floor(seconds * 100) / 100))]
 
 
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -117,6 +117,12 @@
     "Lines of a topic were over its budget in the last second.",
     "Read the counters; failed requests are explained by their own line.",
 )
+HELD = LOG_EVENTS.add(
+    "request held",
+    Topic.REQUEST,
+    "request seconds",
+    "No configuration is known yet; the request waits for it, `seconds` at most.",
+)
 CONFIGURED = LOG_EVENTS.add(
     "configuration in force",
     Topic.BELIEF,
