Learn at once, and everywhere, that an endpoint turns requests away though it has room

Ruled out: more sends than the route allows (the operator's word); leaving by word until a newer list (all may be marked while the store is away, and none is left); full endpoints (half of their places must be known to be free). Change: such an answer is a certain failure; what peers are told is for how long an endpoint is avoided and for how long in all, so that the next daemon that meets it there doubles the time. Before a word counted 0.6 s and each daemon began with 0.8 s.

--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -22,10 +22,15 @@
 
 
 class Beliefs:
-    """Believe nothing."""
+    """Note what is believed of endpoints."""
+
+    def __init__(self):
+        self.avoided = set()
 
     def endpoint_failed(self, endpoint, *, certain, detail):
-        """Ignore a failure."""
+        """Note a certain failure."""
+        if certain:
+            self.avoided.add(endpoint)
 
     def list_age(self):
         """Return no age."""
--- a/src/brassdrum/gateway/attempt.py
+++ b/src/brassdrum/gateway/attempt.py
@@ -21,6 +21,9 @@
 
 __all__ = ["Attempt", "AttemptHost", "AttemptOwner", "helper_name"]
 
+# An endpoint of whose places at most this part is taken has room, whatever is on its way to it.
+_ROOM_SHARE = 0.5
+
 
 class AttemptHost(Protocol):
     """Give an attempt what it shares with all others of this daemon."""
@@ -98,6 +101,12 @@
         """Return whether the request went over a kept connection."""
         return self._call is not None and self._call.reused
 
+    @property
+    def leaves_room(self) -> bool:
+        """Return whether many places of the endpoint are known to be free after this attempt."""
+        taken = self._host.table.total(self.endpoint).calls
+        return taken <= self._placement.entry.slots * _ROOM_SHARE
+
     @property
     def finished(self) -> bool:
         """Return whether nothing more is expected of the attempt."""
--- a/src/brassdrum/gateway/beliefs.py
+++ b/src/brassdrum/gateway/beliefs.py
@@ -77,7 +77,7 @@
             self._knowledge.digest,
             self.list_age(),
             self._knowledge.reads,
-            tuple(self._suspicions.named(now)),
+            tuple(self._suspicions.words(now)),
             tuple(LeavingWord(*each) for each in self._knowledge.recently_left(now).items()),
             self._guard.words(),
             self._knowledge.era,
@@ -87,8 +87,8 @@
         """Take in which endpoints and contents of requests a peer names."""
         now = self._loop.now()
         self._guard.hear(belief.endings)
-        for endpoint in belief.failing:
-            self._suspicions.heard(endpoint, now)
+        for failing in belief.failing:
+            self._suspicions.heard(failing, now)
         for word in belief.leaving:
             if self._knowledge.leaves(word.endpoint, now - word.age):
                 entry = self._knowledge.endpoints_by_id[word.endpoint]
--- a/src/brassdrum/gateway/exchange.py
+++ b/src/brassdrum/gateway/exchange.py
@@ -157,6 +157,11 @@
             self._host.beliefs.endpoint_failed(
                 culprit, certain=True, detail="named by another endpoint"
             )
+        elif attempt.leaves_room:
+            # One that is full serves again in a moment; one that leaves, or is broken, does not.
+            self._host.beliefs.endpoint_failed(
+                culprit, certain=True, detail="it turns requests away though it has room"
+            )
         self._retry_unrun(attempt, f"the endpoint answered {reply.status}, not run")
 
     def attempt_data(self, attempt: Attempt, content: bytes) -> None:
--- a/src/brassdrum/gateway/group.py
+++ b/src/brassdrum/gateway/group.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from brassdrum.gateway.load import EndpointLoad, LoadRow
 from brassdrum.gateway.peer_messages import Acknowledgement, PeerBelief, Report, Sender
+from brassdrum.gateway.suspicion import FailingWord
 
 __all__ = ["Group", "Joined"]
 
-# What members say of failing endpoints is passed on for this long after it was heard.
-_FAILING_SECONDS = 0.6
-
 
 @dataclass(frozen=True, slots=True)
 class Joined:
@@ -93,13 +91,15 @@
         """Return the hosts of members that were silent for a number of seconds."""
         return [h for h, each in self._member_by_host.items() if now - each.heard > silence]
 
-    def failing(self, now: float) -> set[str]:
-        """Return the endpoints that members have just named as failing."""
-        named: set[str] = set()
-        for each in self._member_by_host.values():
-            if now - each.heard < _FAILING_SECONDS:
-                named.update(each.belief.failing)
-        return named
+    def failing(self, now: float) -> list[FailingWord]:
+        """Return which endpoints members avoid for what they met."""
+        words = []
+        for member in self._member_by_host.values():
+            for word in member.belief.failing:
+                left = word.left - (now - member.heard)
+                if left > 0:
+                    words.append(replace(word, left=left))
+        return words
 
     def acknowledgements(self, *, every: bool) -> tuple[Acknowledgement, ...]:
         """Return up to which report members are counted, or only of those with newer ones."""
--- a/src/brassdrum/gateway/peer_messages.py
+++ b/src/brassdrum/gateway/peer_messages.py
@@ -8,6 +8,7 @@
 
 from brassdrum.gateway.load import LoadRow
 from brassdrum.gateway.model import DaemonAddress
+from brassdrum.gateway.suspicion import FailingWord
 from brassdrum.gateway.wire import FieldReader, FieldWriter
 from brassdrum.outcomes.quarantine import EndingWord, SeenEnd
 
@@ -64,7 +65,7 @@
     digest: str
     age: float | None
     reads: int
-    failing: tuple[str, ...] = ()
+    failing: tuple[FailingWord, ...] = ()
     leaving: tuple[LeavingWord, ...] = ()
     endings: tuple[EndingWord, ...] = ()
     era: int | None = None
@@ -279,8 +280,10 @@
     # Eras count from 0 or 1; 0 on the wire is none.
     writer.number(0 if belief.era is None else belief.era + 1, 4)
     writer.number(len(belief.failing), 2)
-    for name in belief.failing:
-        writer.text(name)
+    for each in belief.failing:
+        writer.text(each.endpoint)
+        writer.number(_age_ms(each.left), _AGE_BYTES)
+        writer.number(_age_ms(each.span), _AGE_BYTES)
     writer.number(len(belief.leaving), 2)
     for each in belief.leaving:
         writer.text(each.endpoint)
@@ -334,7 +337,12 @@
     age = reader.number(4)
     reads = reader.number(4)
     era = reader.number(4)
-    failing = tuple(reader.text() for _ in range(reader.number(2)))
+    failing = tuple(
+        FailingWord(
+            reader.text(), reader.number(_AGE_BYTES) / 1000, reader.number(_AGE_BYTES) / 1000
+        )
+        for _ in range(reader.number(2))
+    )
     leaving = tuple(
         LeavingWord(reader.text(), reader.number(_AGE_BYTES) / 1000)
         for _ in range(reader.number(2))
--- a/src/brassdrum/gateway/peers.py
+++ b/src/brassdrum/gateway/peers.py
@@ -33,6 +33,7 @@
 from brassdrum.gateway.publishers import Publishers
 from brassdrum.gateway.row_teller import RowTeller, ToldRows
 from brassdrum.gateway.spreading import branches
+from brassdrum.gateway.suspicion import longest_words
 from brassdrum.telemetry import log_events
 
 __all__ = ["Peers"]
@@ -457,10 +458,10 @@
 
     def _belief(self) -> PeerBelief:
         belief = self._describe()
-        failing = self._group.failing(self._loop.now()).union(belief.failing)
+        failing = longest_words([*belief.failing, *self._group.failing(self._loop.now())])
         return replace(
             belief,
-            failing=tuple(sorted(failing))[:_MOST_NAMED],
+            failing=failing[:_MOST_NAMED],
             leaving=belief.leaving[:_MOST_NAMED],
         )
 
--- a/src/brassdrum/gateway/suspicion.py
+++ b/src/brassdrum/gateway/suspicion.py
@@ -2,25 +2,47 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-__all__ = ["Suspicions"]
+__all__ = ["FailingWord", "Suspicions", "longest_words"]
 
 # A failed connection or a silent endpoint is avoided this long at first, doubling to the longest.
 _FIRST_SECONDS = 0.8
 _LONGEST_SECONDS = 6.0
-# A peer's word counts until its next heartbeat is due.
-_HEARD_SECONDS = 0.6
 # Weight of one outcome in the running share of failures, and the share that makes it suspect.
 _OUTCOME_WEIGHT = 0.2
 _SUSPECT_SHARE = 0.45
 
 
+@dataclass(frozen=True, slots=True)
+class FailingWord:
+    """Tell other daemons for how many seconds more an endpoint is avoided, and for how many in all.
+
+    The next one that meets a failure there goes on from ``span``, whoever that is.
+    """
+
+    endpoint: str
+    left: float
+    span: float
+
+
+def longest_words(words: Iterable[FailingWord]) -> tuple[FailingWord, ...]:
+    """Return of each endpoint the word that counts for longest, those first."""
+    by_endpoint: dict[str, FailingWord] = {}
+    for word in sorted(words, key=lambda each: (-each.left, each.endpoint)):
+        by_endpoint.setdefault(word.endpoint, word)
+    return tuple(by_endpoint.values())
+
+
 @dataclass(slots=True)
 class _Record:
     until: float = 0.0
     heard_until: float = 0.0
+    # How long the next failure makes it avoided.
     seconds: float = _FIRST_SECONDS
+    # How long the present one does.
+    span: float = 0.0
     failures: float = 0.0
 
 
@@ -52,17 +74,23 @@
         if now < record.until:
             return False
         record.until = now + record.seconds
+        record.span = record.seconds
         record.seconds = min(_LONGEST_SECONDS, record.seconds * 2)
         return True
 
-    def heard(self, endpoint: str, now: float) -> None:
+    def heard(self, word: FailingWord, now: float) -> None:
         """Take a peer's word that an endpoint fails; it is not passed on as an own belief."""
-        record = self._by_endpoint.setdefault(endpoint, _Record())
-        record.heard_until = now + _HEARD_SECONDS
+        record = self._by_endpoint.setdefault(word.endpoint, _Record())
+        record.heard_until = max(record.heard_until, now + min(word.left, _LONGEST_SECONDS))
+        record.seconds = max(record.seconds, min(_LONGEST_SECONDS, word.span * 2))
 
-    def named(self, now: float) -> list[str]:
-        """Return the endpoints that are avoided now."""
-        return [endpoint for endpoint, record in self._by_endpoint.items() if now < record.until]
+    def words(self, now: float) -> list[FailingWord]:
+        """Return which endpoints are avoided for what this daemon met, to tell others."""
+        return [
+            FailingWord(endpoint, record.until - now, record.span)
+            for endpoint, record in self._by_endpoint.items()
+            if now < record.until
+        ]
 
     def keep(self, endpoints: set[str]) -> None:
         """Forget endpoints that are gone."""
