Tell members of a group also what other groups met at endpoints

Cause: in fleets of groups (58 daemons in 3 zones) what one zone avoids reached the speakers of the others only: members heard of their own zone. Read in the code, shown by peer_groups.feature "What one daemon met..." (fails without the change). Ruled out: telling it on without bound: only the speaker's digest to its members names what other groups told, with the time that is left, and members tell nobody.

--- a/features/peer_groups.feature
+++ b/features/peer_groups.feature
@@ -23,6 +23,12 @@
     And none of the large fleet sends more than 20 times the bytes of the middle one
     And the middle one of the large fleet gets at most 13 KB a second
 
+  Scenario: What one daemon met at an endpoint is known in all zones, and told by nobody else for it
+    Given 60 daemons in 3 zones that know each other
+    When a daemon that does not speak avoids an endpoint for 0.8 seconds
+    Then all others have heard of it within 0.3 seconds
+    And nobody tells of it after 2 seconds
+
   Scenario Outline: A zone goes on when the daemon that speaks for it <trouble>
     Given 60 daemons in 3 zones that know each other
     And each of them has a request in flight
--- a/features/steps/peer_group_steps.py
+++ b/features/steps/peer_group_steps.py
@@ -11,6 +11,7 @@
 
 from brassdrum.bench.load.loop import SimulatedLoop
 from brassdrum.bench.load.network import SimulatedNetwork
+from brassdrum.gateway.following.suspicion import Suspicions
 from brassdrum.gateway.model import DaemonAddress
 from brassdrum.gateway.peering.peer_messages import PeerBelief
 from brassdrum.gateway.peering.peers import Peers
@@ -30,6 +31,8 @@
         self.address = DaemonAddress(f"10.{number % zones}.0.{number}", f"zone-{number % zones}")
         self.loop = SlowedLoop(fleet.loop)
         self.table = LoadTable()
+        self.suspicions = Suspicions()
+        self.heard_at = []
         self.requests = {}
         self.peers = Peers(
             self.loop,
@@ -38,13 +41,20 @@
             self.address,
             incarnation,
             self.table,
-            lambda: PeerBelief(1, "abc", 0.0, 1),
-            lambda *_: None,
+            lambda: PeerBelief(
+                1, "abc", 0.0, 1, failing=tuple(self.suspicions.words(self.loop.now()))
+            ),
             lambda *_: None,
+            self._heard_word,
             random.Random(number),
         )
         self.peers.introduce("10.0.0.0")
 
+    def _heard_word(self, _host, belief):
+        for word in belief.failing:
+            self.suspicions.heard(word, self.loop.now())
+            self.heard_at.append(self.loop.now())
+
     def begin(self, name, engine):
         """Begin a request at an engine."""
         share = Share(engine, 0.0, MEMORY, 250)
@@ -313,6 +323,32 @@
     assert context.fleet.within(seconds, context.fleet.right)
 
 
+@when("a daemon that does not speak avoids an endpoint for 0.8 seconds")
+def step_avoids(context):
+    fleet = context.fleet
+    context.avoiding = next(each for each in fleet.daemons if not each.peers.speaks)
+    assert context.avoiding.suspicions.failed("a", fleet.loop.now(), certain=True)
+    context.avoiding.begin("r", "b")
+
+
+@then("all others have heard of it within {seconds:g} seconds")
+def step_heard_of(context, seconds):
+    fleet = context.fleet
+    fleet.loop.advance(seconds)
+    now = fleet.loop.now()
+    deaf = [each for each in fleet.daemons if not each.suspicions.suspect("a", now)]
+    assert not deaf, [each.address for each in deaf]
+
+
+@then("nobody tells of it after {seconds:g} seconds")
+def step_silent_after(context, seconds):
+    fleet = context.fleet
+    fleet.loop.advance(seconds)
+    now = fleet.loop.now()
+    late = [each.address for each in fleet.daemons if each.heard_at and each.heard_at[-1] > now - 1]
+    assert not late, late
+
+
 @when("a daemon that does not speak starts again")
 def step_start_again(context):
     fleet = context.fleet
--- a/src/brassdrum/gateway/following/suspicion.py
+++ b/src/brassdrum/gateway/following/suspicion.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-__all__ = ["FailingWord", "Suspicions", "longest_words"]
+__all__ = ["FailingWord", "Suspicions", "longest_words", "words_left"]
 
 # A failed connection or a silent endpoint is avoided this long at first, doubling to the longest.
 _FIRST_SECONDS = 0.8
@@ -27,6 +27,12 @@
     span: float
 
 
+def words_left(words: Iterable[FailingWord], seconds: float) -> list[FailingWord]:
+    """Return which words still count a number of seconds after they were told."""
+    later = [replace(word, left=word.left - seconds) for word in words]
+    return [word for word in later if word.left > 0]
+
+
 def longest_words(words: Iterable[FailingWord]) -> tuple[FailingWord, ...]:
     """Return of each endpoint the word that counts for longest, those first."""
     by_endpoint: dict[str, FailingWord] = {}
--- a/src/brassdrum/gateway/peering/group.py
+++ b/src/brassdrum/gateway/peering/group.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
-from brassdrum.gateway.following.suspicion import FailingWord
+from brassdrum.gateway.following.suspicion import FailingWord, words_left
 from brassdrum.gateway.peering.peer_messages import Acknowledgement, PeerBelief, Report, Sender
 from brassdrum.gateway.placing.load import EndpointLoad, LoadRow
 
@@ -93,13 +93,8 @@
 
     def failing(self, now: float) -> list[FailingWord]:
         """Return which endpoints members avoid for what they met."""
-        words = []
-        for member in self._member_by_host.values():
-            for word in member.belief.failing:
-                left = word.left - (now - member.heard)
-                if left > 0:
-                    words.append(replace(word, left=left))
-        return words
+        members = self._member_by_host.values()
+        return [w for each in members for w in words_left(each.belief.failing, now - each.heard)]
 
     def acknowledgements(self, *, every: bool) -> tuple[Acknowledgement, ...]:
         """Return up to which report members are counted, or only of those with newer ones."""
--- a/src/brassdrum/gateway/peering/peers.py
+++ b/src/brassdrum/gateway/peering/peers.py
@@ -394,7 +394,7 @@
     def _digest(self, told: ToldRows, *, roll: bool, fleet: bool = False) -> Digest:
         return Digest(
             self._sender(),
-            self._belief(),
+            self._belief(fleet=fleet),
             self.live if fleet else self._group.daemons,
             1 + self._publishers.live(),
             fleet,
@@ -456,9 +456,12 @@
         self._sequence += 1
         return Sender(self._name, self._own, self._incarnation, self._sequence, self.leaving)
 
-    def _belief(self) -> PeerBelief:
+    def _belief(self, *, fleet: bool = False) -> PeerBelief:
+        """Return what this daemon and its group believe; with ``fleet`` what all groups do."""
         belief = self._describe()
-        failing = longest_words([*belief.failing, *self._group.failing(self._loop.now())])
+        now = self._loop.now()
+        others = self._publishers.failing(now) if fleet else []
+        failing = longest_words([*belief.failing, *self._group.failing(now), *others])
         return replace(
             belief,
             failing=failing[:_MOST_NAMED],
--- a/src/brassdrum/gateway/peering/publishers.py
+++ b/src/brassdrum/gateway/peering/publishers.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from brassdrum.gateway.following.suspicion import FailingWord, words_left
 from brassdrum.gateway.peering.peer_messages import Digest, Sender
 
 __all__ = ["Publishers", "Taken"]
@@ -21,6 +22,7 @@
 class _Publisher:
     sender: Sender
     daemons: int
+    failing: tuple[FailingWord, ...]
     heard: float
 
 
@@ -50,9 +52,16 @@
             if (sender.incarnation, sender.sequence) <= earlier:
                 return None
         began = known is not None and sender.incarnation > known.sender.incarnation
-        self._publisher_by_host[host] = _Publisher(sender, digest.daemons, now)
+        self._publisher_by_host[host] = _Publisher(
+            sender, digest.daemons, digest.belief.failing, now
+        )
         return Taken(known is None, began)
 
+    def failing(self, now: float) -> list[FailingWord]:
+        """Return which endpoints the daemons of other groups avoid for what they met."""
+        others = self._publisher_by_host.values()
+        return [word for each in others for word in words_left(each.failing, now - each.heard)]
+
     def name(self, host: str) -> str | None:
         """Return the name of the publisher on a host."""
         known = self._publisher_by_host.get(host)
