Let failures that two daemons meet at one endpoint make it suspect

Ruled out: taking one failure for proof (lost answers come at all endpoints by chance); counting failures of the fleet without their daemons (speakers would echo a member's own). Change: daemons tell for 0.7 s at which endpoints they met a failure; one that hears of another daemon's there avoids it, and tells that. Members get no doubts from their speaker (they would hear their own as another's).

--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -351,7 +351,7 @@
         LoadRow(9, EndpointLoad()),
     )
     leaving = (LeavingWord("c", 0.25), LeavingWord("d", 3.0))
-    belief = PeerBelief(7, "digest", 0.25, 3, (FailingWord("b", 0.5, 1.6),), leaving, era=2)
+    belief = PeerBelief(7, "digest", 0.25, 3, (FailingWord("b", 0.5, 1.6),), leaving, ("e",), era=2)
     own, other = DaemonAddress("10.0.0.1", "zone-a", 21), DaemonAddress("10.0.0.2", "zone-b")
     sender = Sender("daemon-1", own, 1764630000000, 6, True)
     acknowledged = (Acknowledgement("10.0.0.2", 9),)
--- a/features/steps/turning_away_steps.py
+++ b/features/steps/turning_away_steps.py
@@ -125,3 +125,97 @@
 @then("the endpoint is {believed}")
 def step_believed(context, believed):
     assert ("engine-1" in context.host.beliefs.avoided) is (believed == "avoided")
+
+
+@given("a daemon that has just met a failure at an endpoint")
+def step_met_failure(context):
+    context.daemon_now = 10.0
+    context.daemon_alone = Suspicions()
+    assert not context.daemon_alone.failed("a", 10.0, certain=False)
+
+
+@given("a daemon that has met no failure")
+def step_met_none(context):
+    context.daemon_now = 10.0
+    context.daemon_alone = Suspicions()
+
+
+@when("a peer tells of a failure there {seconds:g} s later")
+def step_peer_tells(context, seconds):
+    context.daemon_now += seconds
+    context.daemon_alone.doubted("a", "10.0.0.2", context.daemon_now)
+
+
+@then("no endpoint is suspect there")
+def step_not_suspect_there(context):
+    assert not context.daemon_alone.suspect("a", context.daemon_now)
+
+
+@then("it is suspect there, and its word says so")
+def step_suspect_there(context):
+    assert context.daemon_alone.suspect("a", context.daemon_now)
+    (word,) = context.daemon_alone.words(context.daemon_now)
+    assert word.endpoint == "a"
+
+
+class FailingPlay(Play):
+    """Play endpoints that fail requests without saying so."""
+
+    def __init__(self, seed, failing, share):
+        self.failed = 0
+        self.avoided = []
+        self._share = share
+        super().__init__(seed, failing)
+
+    def _send(self, number, tried):
+        now = self._loop.now()
+        daemon = self._daemons[number]
+        self.avoided.append(sum(daemon.suspect(str(n), now) for n in range(ENDPOINTS)))
+        left = [str(n) for n in range(ENDPOINTS) if str(n) not in tried]
+        endpoint = self._random.choice([e for e in left if not daemon.suspect(e, now)] or left)
+        tried.add(endpoint)
+        if endpoint not in self._turning_away or self._random.random() >= self._share:
+            daemon.succeeded(endpoint)
+            return
+        daemon.failed(endpoint, now, certain=False)
+        self._tell(number)
+        if len(tried) == SENDS:
+            self.failed += 1
+            return
+        self._loop.call_later(SEND_SECONDS, lambda: self._send(number, tried))
+
+    def _tell(self, number):
+        super()._tell(number)
+        doubts = self._daemons[number].doubts(self._loop.now())
+        if doubts:
+            self._loop.call_later(WORD_SECONDS, lambda: self._hear_doubts(number, doubts))
+
+    def _hear_doubts(self, teller, doubts):
+        for number, daemon in enumerate(self._daemons):
+            if number == teller:
+                continue
+            for endpoint in doubts:
+                daemon.doubted(endpoint, str(teller), self._loop.now())
+
+
+@when("{count:d} of the endpoints reset all connections, with seeds {first:d} to {last:d}")
+def step_reset_play(context, count, first, last):
+    context.plays = [FailingPlay(seed, count, 1.0) for seed in range(first, last + 1)]
+
+
+@when("all endpoints lose 1 answer in {count:d}, with seeds {first:d} to {last:d}")
+def step_lost_play(context, count, first, last):
+    seeds = range(first, last + 1)
+    context.plays = [FailingPlay(seed, ENDPOINTS, 1 / count) for seed in seeds]
+
+
+@then("at most {most:d} requests a play fail")
+def step_fail_most(context, most):
+    found = [each.failed for each in context.plays]
+    assert all(0 < count <= most for count in found), found
+
+
+@then("on average at most {most:g} endpoints are avoided")
+def step_avoided_most(context, most):
+    found = [sum(each.avoided) / len(each.avoided) for each in context.plays]
+    assert max(found) <= most, found
--- a/features/turning_away.feature
+++ b/features/turning_away.feature
@@ -24,3 +24,28 @@
       | 4     | avoided     |
       | 5     | not avoided |
       | 8     | not avoided |
+
+  Scenario: Failures that two daemons meet at one endpoint make it suspect, those of one do not
+    Given a daemon that has just met a failure at an endpoint
+    Then no endpoint is suspect there
+    When a peer tells of a failure there 0.3 s later
+    Then it is suspect there, and its word says so
+
+  Scenario: Failures that lie apart make nothing suspect
+    Given a daemon that has just met a failure at an endpoint
+    When a peer tells of a failure there 1.0 s later
+    Then no endpoint is suspect there
+
+  Scenario: What the same peer tells again is no second failure
+    Given a daemon that has met no failure
+    When a peer tells of a failure there 0.3 s later
+    And a peer tells of a failure there 0.1 s later
+    Then no endpoint is suspect there
+
+  Scenario: Endpoints that reset all connections while they say well are found by the fleet
+    When 7 of the endpoints reset all connections, with seeds 1 to 5
+    Then at most 5 requests a play fail
+
+  Scenario: Answers that are lost by chance keep no endpoint out for long
+    When all endpoints lose 1 answer in 20, with seeds 1 to 5
+    Then on average at most 2 endpoints are avoided
--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -53,9 +53,7 @@
     def endpoint_failed(self, endpoint: str, *, certain: bool, detail: str) -> None:
         """Avoid an endpoint that fails; tell peers of what is certain."""
         if self._suspicions.failed(endpoint, self._loop.now(), certain=certain):
-            log_events.ENDPOINT_SUSPECT.write(
-                _logger, endpoint=endpoint, detail=detail, certain=certain
-            )
+            self._log_suspect(endpoint, detail, certain)
 
     def endpoint_served(self, endpoint: str) -> None:
         """Note a whole answer."""
@@ -79,6 +77,7 @@
             self._knowledge.reads,
             tuple(self._suspicions.words(now)),
             tuple(LeavingWord(*each) for each in self._knowledge.recently_left(now).items()),
+            tuple(self._suspicions.doubts(now)),
             self._guard.words(),
             self._knowledge.era,
         )
@@ -89,6 +88,9 @@
         self._guard.hear(belief.endings)
         for failing in belief.failing:
             self._suspicions.heard(failing, now)
+        for endpoint in belief.doubts:
+            if self._suspicions.doubted(endpoint, host, now):
+                self._log_suspect(endpoint, f"it failed here or elsewhere, and at {host}", False)
         for word in belief.leaving:
             if self._knowledge.leaves(word.endpoint, now - word.age):
                 entry = self._knowledge.endpoints_by_id[word.endpoint]
@@ -122,6 +124,11 @@
         self._suspicions.keep(set(self._knowledge.endpoints_by_id))
         self._on_changed()
 
+    def _log_suspect(self, endpoint: str, detail: str, certain: bool) -> None:
+        log_events.ENDPOINT_SUSPECT.write(
+            _logger, endpoint=endpoint, detail=detail, certain=certain
+        )
+
     def _log_endpoint(self, change: EndpointChange, source: str) -> None:
         age = self.list_age()
         log_events.ENDPOINT_CHANGED.write(
--- a/src/brassdrum/gateway/following/suspicion.py
+++ b/src/brassdrum/gateway/following/suspicion.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-__all__ = ["FailingWord", "Suspicions", "longest_words", "words_left"]
+__all__ = ["DOUBT_SECONDS", "FailingWord", "Suspicions", "longest_words", "words_left"]
 
 # A failed connection or a silent endpoint is avoided this long at first, doubling to the longest.
 _FIRST_SECONDS = 0.8
 _LONGEST_SECONDS = 6.0
+# Two daemons that meet failures at an endpoint within this make it suspect; below the first span.
+DOUBT_SECONDS = 0.7
 # Weight of one outcome in the running share of failures, and the share that makes it suspect.
 _OUTCOME_WEIGHT = 0.2
 _SUSPECT_SHARE = 0.45
@@ -41,6 +44,12 @@
     return tuple(by_endpoint.values())
 
 
+@dataclass(slots=True)
+class _Doubt:
+    host: str
+    at: float
+
+
 @dataclass(slots=True)
 class _Record:
     until: float = 0.0
@@ -50,6 +59,9 @@
     # How long the present one does.
     span: float = 0.0
     failures: float = 0.0
+    # The last failure that was not certain, and which daemon met it; and the last one met here.
+    doubt: _Doubt | None = None
+    own_doubt_at: float = -math.inf
 
 
 class Suspicions:
@@ -75,10 +87,36 @@
         """Note a failure; a certain one (no connection, silence) suffices. Return if it is new."""
         record = self._by_endpoint.setdefault(endpoint, _Record())
         record.failures += (1 - record.failures) * _OUTCOME_WEIGHT
-        if not certain and record.failures < _SUSPECT_SHARE:
+        certain |= record.failures >= _SUSPECT_SHARE
+        if certain:
+            return self._avoid(record, now)
+        record.own_doubt_at = now
+        return self.doubted(endpoint, "", now)
+
+    def doubted(self, endpoint: str, host: str, now: float) -> bool:
+        """Note a failure that is not certain, met at a host; return whether it makes suspect.
+
+        It does if another daemon has just met one there: answers that are lost by chance are spread
+        over all endpoints, and seldom meet at one.
+        """
+        record = self._by_endpoint.setdefault(endpoint, _Record())
+        before, record.doubt = record.doubt, _Doubt(host, now)
+        if self.suspect(endpoint, now) or before is None or before.host == host:
             return False
+        return now - before.at < DOUBT_SECONDS and self._avoid(record, now)
+
+    def doubts(self, now: float) -> list[str]:
+        """Return the endpoints at which this daemon has just met a failure."""
+        return [
+            endpoint
+            for endpoint, record in self._by_endpoint.items()
+            if now - record.own_doubt_at < DOUBT_SECONDS
+        ]
+
+    def _avoid(self, record: _Record, now: float) -> bool:
         if now < record.until:
             return False
+        record.doubt = None
         record.until = now + record.seconds
         record.span = record.seconds
         record.seconds = min(_LONGEST_SECONDS, record.seconds * 2)
--- a/src/brassdrum/gateway/peering/group.py
+++ b/src/brassdrum/gateway/peering/group.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from brassdrum.gateway.following.suspicion import FailingWord, words_left
+from brassdrum.gateway.following.suspicion import DOUBT_SECONDS, FailingWord, words_left
 from brassdrum.gateway.peering.peer_messages import Acknowledgement, PeerBelief, Report, Sender
 from brassdrum.gateway.placing.load import EndpointLoad, LoadRow
 
@@ -96,6 +96,12 @@
         members = self._member_by_host.values()
         return [w for each in members for w in words_left(each.belief.failing, now - each.heard)]
 
+    def doubts(self, now: float) -> set[str]:
+        """Return the endpoints at which members have just met a failure."""
+        members = self._member_by_host.values()
+        fresh = [each.belief.doubts for each in members if now - each.heard < DOUBT_SECONDS]
+        return {endpoint for doubts in fresh for endpoint in doubts}
+
     def acknowledgements(self, *, every: bool) -> tuple[Acknowledgement, ...]:
         """Return up to which report members are counted, or only of those with newer ones."""
         found = []
--- a/src/brassdrum/gateway/peering/peer_messages.py
+++ b/src/brassdrum/gateway/peering/peer_messages.py
@@ -59,6 +59,7 @@
     """Hold how new a daemon's knowledge is; age in seconds, None before the first read.
 
     ``reads`` is the number of the read of the store that it rests on, ``era`` the store's.
+    ``doubts`` names endpoints that have just failed a request there, for whatever reason.
     """
 
     version: int
@@ -67,6 +68,7 @@
     reads: int
     failing: tuple[FailingWord, ...] = ()
     leaving: tuple[LeavingWord, ...] = ()
+    doubts: tuple[str, ...] = ()
     endings: tuple[EndingWord, ...] = ()
     era: int | None = None
 
@@ -288,6 +290,9 @@
     for each in belief.leaving:
         writer.text(each.endpoint)
         writer.number(_age_ms(each.age), _AGE_BYTES)
+    writer.number(len(belief.doubts), 1)
+    for name in belief.doubts:
+        writer.text(name)
     writer.number(len(belief.endings), 1)
     for word in belief.endings:
         _write_ending(writer, word)
@@ -347,10 +352,13 @@
         LeavingWord(reader.text(), reader.number(_AGE_BYTES) / 1000)
         for _ in range(reader.number(2))
     )
+    doubts = tuple(reader.text() for _ in range(reader.number(1)))
     endings = tuple(_read_ending(reader) for _ in range(reader.number(1)))
     known_age = None if age == _NO_AGE else age / 1000
     known_era = era - 1 if era else None
-    return PeerBelief(version, digest, known_age, reads, failing, leaving, endings, known_era)
+    return PeerBelief(
+        version, digest, known_age, reads, failing, leaving, doubts, endings, known_era
+    )
 
 
 def _write_rows(writer: FieldWriter, rows: tuple[LoadRow, ...]) -> None:
--- a/src/brassdrum/gateway/peering/peers.py
+++ b/src/brassdrum/gateway/peering/peers.py
@@ -465,9 +465,14 @@
         return replace(
             belief,
             failing=failing[:_MOST_NAMED],
+            # Members would hear their own doubts as another daemon's.
+            doubts=() if fleet else self._doubts(belief)[:_MOST_NAMED],
             leaving=belief.leaving[:_MOST_NAMED],
         )
 
+    def _doubts(self, belief: PeerBelief) -> tuple[str, ...]:
+        return tuple(sorted({*belief.doubts, *self._group.doubts(self._loop.now())}))
+
     def _send(self, host: str, message: Hello | Report | Digest | Bundle) -> None:
         self._send_bytes(host, encode_message(message))
 
