Take failures that an endpoint answers with for no doubt, and forget old spans

Cause (read in the code and the sheet): calls of one kind are answered with a failure of their own in 14 of 100; two daemons would meet two of those at one of three replicas within 0.7 s every 20 s or so, and the time for which it is avoided doubled each time. Change: only answers that are lost or broken are told as doubts; a failure that is answered counts as before, in the running share. After 6 s without being avoided an endpoint is avoided for the shortest time again.

--- a/features/steps/turning_away_steps.py
+++ b/features/steps/turning_away_steps.py
@@ -134,6 +134,30 @@
     assert not context.daemon_alone.failed("a", 10.0, certain=False)
 
 
+@given("a daemon to which an endpoint has just answered with a failure")
+def step_answered_failure(context):
+    context.daemon_now = 10.0
+    context.daemon_alone = Suspicions()
+    assert not context.daemon_alone.answered_failure("a", 10.0)
+
+
+@then("it tells nobody of it")
+def step_tells_nobody(context):
+    assert context.daemon_alone.doubts(context.daemon_now) == []
+
+
+@when("it meets a failure there {seconds:g} s later")
+def step_meets_later(context, seconds):
+    context.met_at = 11.0 + seconds
+    assert context.first.failed("a", context.met_at, certain=True)
+
+
+@then("it avoids the endpoint for {seconds:g} s")
+def step_avoids_for(context, seconds):
+    (word,) = context.first.words(context.met_at)
+    assert word.span == seconds, word
+
+
 @given("a daemon that has met no failure")
 def step_met_none(context):
     context.daemon_now = 10.0
--- a/features/turning_away.feature
+++ b/features/turning_away.feature
@@ -36,6 +36,17 @@
     When a peer tells of a failure there 1.0 s later
     Then no endpoint is suspect there
 
+  Scenario: Failures that an endpoint answers with may be the requests' fault
+    Given a daemon to which an endpoint has just answered with a failure
+    Then it tells nobody of it
+    When a peer tells of a failure there 0.3 s later
+    Then no endpoint is suspect there
+
+  Scenario: After a while without trouble an endpoint is avoided for the shortest time again
+    Given an endpoint that one daemon has avoided twice
+    When it meets a failure there 10 s later
+    Then it avoids the endpoint for 0.8 s
+
   Scenario: What the same peer tells again is no second failure
     Given a daemon that has met no failure
     When a peer tells of a failure there 0.3 s later
--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -177,6 +177,9 @@
     def endpoint_failed(self, _endpoint: str, *, certain: bool, detail: str) -> None:
         """Ignore a failure: no engine of a run is unsound."""
 
+    def endpoint_answered_failure(self, _endpoint: str, _detail: str) -> None:
+        """Believe nothing of it."""
+
     def endpoint_served(self, _endpoint: str) -> None:
         """Ignore a success."""
 
--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -55,6 +55,11 @@
         if self._suspicions.failed(endpoint, self._loop.now(), certain=certain):
             self._log_suspect(endpoint, detail, certain)
 
+    def endpoint_answered_failure(self, endpoint: str, detail: str) -> None:
+        """Avoid an endpoint most of whose answers are failures."""
+        if self._suspicions.answered_failure(endpoint, self._loop.now()):
+            self._log_suspect(endpoint, detail, False)
+
     def endpoint_served(self, endpoint: str) -> None:
         """Note a whole answer."""
         self._suspicions.succeeded(endpoint)
--- a/src/brassdrum/gateway/following/suspicion.py
+++ b/src/brassdrum/gateway/following/suspicion.py
@@ -85,14 +85,23 @@
 
     def failed(self, endpoint: str, now: float, *, certain: bool) -> bool:
         """Note a failure; a certain one (no connection, silence) suffices. Return if it is new."""
-        record = self._by_endpoint.setdefault(endpoint, _Record())
-        record.failures += (1 - record.failures) * _OUTCOME_WEIGHT
-        certain |= record.failures >= _SUSPECT_SHARE
+        if self.answered_failure(endpoint, now):
+            return True
+        record = self._by_endpoint[endpoint]
         if certain:
             return self._avoid(record, now)
         record.own_doubt_at = now
         return self.doubted(endpoint, "", now)
 
+    def answered_failure(self, endpoint: str, now: float) -> bool:
+        """Note that an endpoint answered with a failure, which may be the request's fault.
+
+        Most of many must be. Return whether it is newly suspect.
+        """
+        record = self._by_endpoint.setdefault(endpoint, _Record())
+        record.failures += (1 - record.failures) * _OUTCOME_WEIGHT
+        return record.failures >= _SUSPECT_SHARE and self._avoid(record, now)
+
     def doubted(self, endpoint: str, host: str, now: float) -> bool:
         """Note a failure that is not certain, met at a host; return whether it makes suspect.
 
@@ -116,6 +125,9 @@
     def _avoid(self, record: _Record, now: float) -> bool:
         if now < record.until:
             return False
+        if now - max(record.until, record.heard_until) > _LONGEST_SECONDS:
+            # It was sound for a while: this is another trouble, not the same one going on.
+            record.seconds = _FIRST_SECONDS
         record.doubt = None
         record.until = now + record.seconds
         record.span = record.seconds
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -352,9 +352,7 @@
     def _endpoint_refused(self, attempt: Attempt, reply: Reply) -> None:
         """Handle an endpoint's own failure: the request ran there."""
         self._may_have_run = True
-        self._host.beliefs.endpoint_failed(
-            attempt.endpoint, certain=False, detail=f"answered {reply.status}"
-        )
+        self._host.beliefs.endpoint_answered_failure(attempt.endpoint, f"answered {reply.status}")
         if reply.status >= 500 and self.route.repeatable and self._may_send_again():
             self._again(f"the endpoint answered {reply.status}")
             return
