--- a/src/brassdrum/gateway/following/knowledge.py
+++ b/src/brassdrum/gateway/following/knowledge.py
@@ -150,7 +150,7 @@
         """Note that the same list was read later, as a peer says.
 
         Each read counts once. The time on the way makes it look newer with every daemon that tells
-        it on: told to and fro, ages stood still, and 60 daemons left the store unread for 4 s.
+        it on, so that an age told to and fro would stand still.
         """
         if digest != self.digest or self.read_at is None or reads <= self.reads:
             return
--- a/src/brassdrum/gateway/guards/crash_guard.py
+++ b/src/brassdrum/gateway/guards/crash_guard.py
@@ -27,8 +27,8 @@
 __all__ = ["CrashGuard", "QuarantineRecord"]
 
 _logger = logging.getLogger(__name__)
-# A request that may end its endpoint does so within a moment after it began to run, 0.05 to 0.4 s
-# as measured; for this long nothing else is sent there.
+# A request that may end its endpoint does so within half a second after it began to run; for this
+# long nothing else is sent there.
 _ALONE_SECONDS = 1.0
 # After the settling time and a moment for timers that fire late.
 _REVIEW_SECONDS = SETTLE_SECONDS + 0.01
@@ -122,8 +122,8 @@
         own_ends = set(map(endpoint_key, tried))
         standing = self._quarantine.standing(content, self._loop.now(), own_ends)
         if standing is Standing.QUARANTINED and content not in self._in_force:
-            # The record is on its way before a caller hears of it: a daemon that was replaced in
-            # the 0.01 s until its next review had refused for ten minutes and left no trace.
+            # The record is on its way before a caller hears of it: this daemon may be replaced
+            # before its next review.
             self._own.add(content)
             self._review()
         return standing
--- a/src/brassdrum/gateway/placing/splitting.py
+++ b/src/brassdrum/gateway/placing/splitting.py
@@ -29,7 +29,7 @@
 
 __all__ = ["place_heavy"]
 
-# A prompt is split until no part lasts longer: halving it further won 1% in trials, 120 ms lost 1%.
+# A prompt is split until no part lasts longer: streams beside a part pause for as long.
 _PART_MS = 60.0
 # The platform takes this many helpers beside the engine that receives the request.
 _MOST_HELPERS = 16
--- a/src/brassdrum/outcomes/charging.py
+++ b/src/brassdrum/outcomes/charging.py
@@ -46,7 +46,7 @@
 _MOMENT_SECONDS = 0.05
 _MANY_ENDS = 3
 # An end comes soon after a request was sent if it comes within this: requests that end endpoints do
-# so within 0.05 to 0.4 s as measured; others run there for seconds to minutes.
+# so at once; others run there for seconds to minutes.
 SOON_SECONDS = 0.5
 
 
--- a/src/brassdrum/outcomes/quarantine.py
+++ b/src/brassdrum/outcomes/quarantine.py
@@ -54,9 +54,8 @@
 # Old ends are looked for this often; a minute's delay would do no harm.
 _FORGET_EACH_SECONDS = 1.0
 _MOST_ENDS = 12
-# Beyond this many contents the ends are charged anew only after this time for each, 0.026 s for the
-# most: 100 ends a second under 256 contents take 0.12 s of the processor a second, not 0.26 s. At
-# four times as long they took 0.04 s, and guilty contents ended twice as often more than three.
+# Beyond this many contents the ends are charged anew only after this time for each, so that a flood
+# of ends leaves the processor to requests; guilty contents are found that much later.
 _CHARGED_AT_ONCE = 64
 _CHARGE_SECONDS_EACH = 0.0001
 _MOST_TOLD = 24
@@ -114,8 +113,8 @@
     def others_settle_in(self, now: float, own_ends: Collection[int]) -> float:
         """Return for how many seconds ends under other requests of the content hold one back.
 
-        Whoever saw the first end sends again at once. The others wait for what becomes of that:
-        six daemons that had one content at the same time sent it twelve times else.
+        Whoever saw the first end sends again at once. The others wait for what becomes of that,
+        or each of them would end one endpoint more.
         """
         if self.trusted:
             return 0.0
