Write claims again that a log lost when it came back from a copy, and keep what is in force

Cause (read in the code, shown by at_most_once.feature): offsets went back, so daemons read on behind the log's end and took none of its records; a daemon that started knew nothing of the lost claims and ran a hold again. Weighed: refusing all keys that tell a time before the return (refuses callers who retry as they were told to); refusing calls with keys for the whole window. Change: eras and 410 in the log's client and stand-in; daemons read anew, append the claims and outcomes that the log lacks, and refuse calls with a key for 2 s as not run; contracts in force stay until something is published.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -58,3 +58,35 @@
     When the log loses the answers to the next 20 appends
     And 30 callers send 10 holds with keys through 2 daemons at once
     Then each hold ran once and every answer is the first one's
+
+  Scenario: The log comes back from a copy that lacks the claim
+    Given a site of 2 daemons and 1 engine
+    When the log makes a copy
+    And a hold is sent with key "k-1" and body "a"
+    And the log comes back from its copy
+    And the same hold is sent through the other daemon until it is not told to wait
+    Then it is answered as the first one was, and ran once
+    And a third daemon that starts then answers it as the first one was
+
+  Scenario: While claims are written again a call with a key is refused as not run
+    Given a site of 2 daemons and 1 engine
+    When the log makes a copy
+    And a hold is sent with key "k-1" and body "a"
+    And the log comes back from its copy
+    And a hold is sent with key "k-2" and body "a" as soon as the daemon knows
+    Then it is refused with claim_unavailable, a remedy and ran "no"
+
+  Scenario: What is in force stays when the log comes back from a copy without it
+    Given a site of 2 daemons and 1 engine
+    When the log makes a copy
+    And an operator publishes a contract that allows 7 requests at a time
+    And the log comes back from its copy
+    Then all daemons go on with 7 requests at a time
+    When an operator publishes a contract that allows 9 requests at a time
+    Then all daemons come to allow 9 requests at a time
+
+  Scenario: A page of the log that was on its way when it came back from a copy is not taken
+    Given a reader of a log in era 1 that has read 5 records
+    When a page in era 2 says that the log has 3 records
+    And a page of era 1 comes late
+    Then the reader was told once that the log came back, and took no page after it
--- a/src/brassdrum/daemon/control.py
+++ b/src/brassdrum/daemon/control.py
@@ -66,7 +66,12 @@
         self._view: FleetView | None = None
         self._loaded = False
         self._gap = False
-        self._tail = Tail(log, CONTROL_STREAM, clock, self._next_offset, self._apply)
+        # The state of a log that came back from a copy, until something is published there.
+        self._restored: ControlFold | None = None
+        self._restored_end = 0
+        self._tail = Tail(
+            log, CONTROL_STREAM, clock, self._next_offset, self._apply, on_restored=self._begin_anew
+        )
 
     @property
     def view(self) -> FleetView | None:
@@ -111,19 +116,52 @@
         return self._tail.pause()
 
     def with_fold(self, function: Callable[[ControlFold], object]) -> object:
-        """Call a function on the fold while nothing else changes it."""
+        """Call a function on the fold of the log while nothing else changes it."""
         with self._lock:
-            return function(self._fold)
+            return function(self._following())
 
     def snapshot(self) -> bytes:
         """Return a checkpoint of the present state for a peer, empty when there is none."""
         with self._lock:
-            if self._view is None:
+            if self._view is None or self._restored is not None:
                 return b""
             return canonical_json(self._fold.checkpoint().model_dump(mode="json"))
 
+    def _following(self) -> ControlFold:
+        return self._fold if self._restored is None else self._restored
+
     def _next_offset(self) -> int:
-        return self._fold.next_offset
+        return self._following().next_offset
+
+    def _begin_anew(self, page: LogPage) -> None:
+        """Follow a log that came back from a copy, and keep what is in force meanwhile.
+
+        The copy may lack what was accepted last. Once something is published to it the operator
+        has read what is there, and its state counts again.
+        """
+        with self._lock:
+            self._restored = ControlFold()
+            self._restored_end = page.end
+        _logger.error("what is in force stays until something is published to the restored log")
+        try:
+            checkpoint = best_checkpoint(self._log)
+        except PlatformUnavailableError as error:
+            _logger.warning("no checkpoint read", extra={"reason": error.message})
+            return
+        if checkpoint is not None and checkpoint.through < page.end:
+            with self._lock:
+                self._restored.load(checkpoint)
+
+    def _follow_restored(self, restored: ControlFold, page: LogPage) -> None:
+        if page.earliest > restored.next_offset:
+            self._note_gap(page)
+            return
+        for record in page.records:
+            restored.apply(record.offset, record.value)
+        if restored.revision < self._restored_end:
+            return
+        self._fold, self._restored = restored, None
+        self._show()
 
     def _load(self) -> None:
         try:
@@ -163,6 +201,9 @@
 
     def _apply(self, page: LogPage) -> None:
         with self._lock:
+            if self._restored is not None:
+                self._follow_restored(self._restored, page)
+                return
             if page.earliest > self._fold.next_offset:
                 self._note_gap(page)
                 return
--- a/src/brassdrum/logservice/log.py
+++ b/src/brassdrum/logservice/log.py
@@ -1,7 +1,8 @@
 """Append to and read from the platform's log service.
 
 Assumed of the platform: append and read-from-offset only, no conditional append; offsets of a
-stream start at 0 and never go back; each record gets the log's own time.
+stream start at 0 and go back only when the log returns from a copy, which its era tells; each
+record gets the log's own time.
 """
 
 from __future__ import annotations
@@ -17,6 +18,8 @@
 __all__ = ["HttpLog", "Log", "LogPage", "LogRecord"]
 
 _PAGE_RECORDS = 1000
+# The log does not have the offset that was asked for; the answer says what it has.
+_GONE = 410
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,12 +33,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LogPage:
-    """Hold some records, the earliest offset retained and the next to read."""
+    """Hold some records, the earliest offset retained and the next to read.
+
+    ``era`` counts how often the log came back from a copy that may lack its last seconds.
+    """
 
     earliest: int
     next_offset: int
     end: int
     records: tuple[LogRecord, ...]
+    era: int = 0
 
 
 class Log(Protocol):
@@ -48,7 +55,10 @@
         """
 
     def read(self, stream: str, start: int, wait: float = 0.0) -> LogPage:
-        """Return records from an offset on, waiting a while for the first."""
+        """Return records from an offset on, waiting a while for the first.
+
+        Beyond the end, where a copy left off, it returns an empty page with the present era.
+        """
 
 
 class HttpLog:
@@ -73,7 +83,8 @@
         records = tuple(
             LogRecord(item["offset"], item["time"], item["value"]) for item in content["records"]
         )
-        return LogPage(content["earliest"], content["next"], content["end"], records)
+        era = content.get("era", 0)
+        return LogPage(content["earliest"], content["next"], content["end"], records, era)
 
     def _call(self, method: str, path: str, body: bytes | None, timeout: float) -> dict:
         headers = {"Content-Type": "application/json"} if body is not None else {}
@@ -81,7 +92,7 @@
             status, answer = self._pool.call(method, path, body, headers, timeout=timeout)
         except (ConnectFailedError, ExchangeFailedError) as error:
             raise PlatformUnavailableError(f"The log service did not answer: {error}.") from error
-        if status != 200:
+        if status not in (200, _GONE):
             raise PlatformUnavailableError(f"The log service answered with status {status}.")
         try:
             return json.loads(answer)
--- a/src/brassdrum/logservice/tail.py
+++ b/src/brassdrum/logservice/tail.py
@@ -28,12 +28,15 @@
         next_offset: Callable[[], int],
         on_page: Callable[[LogPage], None],
         wait: float = 5.0,
+        on_restored: Callable[[LogPage], None] | None = None,
     ) -> None:
         self._log = log
         self._stream = stream
         self._clock = clock
         self._next_offset = next_offset
         self._on_page = on_page
+        self._on_restored = on_restored
+        self._era: int | None = None
         self._wait = wait
         self._failures = 0
         self._answered_at: float | None = None
@@ -46,7 +49,7 @@
 
     @property
     def caught_up(self) -> bool:
-        """Return whether the end of the stream was reached once."""
+        """Return whether the end of the stream was reached once in its present era."""
         return self._reached_end
 
     def step(self) -> None:
@@ -64,6 +67,19 @@
             return
         self._failures = 0
         self._answered_at = self._clock.monotonic()
+        if self._era is not None and page.era < self._era:
+            # An answer that was on its way when the log came back from a copy.
+            return
+        returned = self._era is not None and page.era > self._era
+        self._era = page.era
+        if returned:
+            self._reached_end = False
+            _logger.error(
+                "log came back from a copy", extra={"stream": self._stream, "era": page.era}
+            )
+            if self._on_restored is not None:
+                self._on_restored(page)
+            return
         self._on_page(page)
         if page.next_offset >= page.end:
             self._reached_end = True
--- a/src/brassdrum/outcomes/claimer.py
+++ b/src/brassdrum/outcomes/claimer.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import logging
+import math
 import re
 import threading
 import uuid
@@ -41,6 +42,8 @@
 _CLAIM_SECONDS = 2.0
 _RETRY_SECONDS = 0.05
 _OUTCOME_SECONDS = 1.0
+# After the log came back from a copy all daemons have written the claims that it lacks within this.
+_WRITTEN_AGAIN_SECONDS = 2.0
 _IN_PROGRESS_RETRY_SECONDS = 1.0
 _DOWN_RETRY_SECONDS = 5.0
 _LARGEST_BODY = 32 * 1024
@@ -79,7 +82,17 @@
         self._changed = threading.Condition()
         self.fold = ClaimFold(window_seconds)
         self.appender = BatchAppender(log, claim_stream(shard), clock)
-        self.tail = Tail(log, claim_stream(shard), clock, self._next_offset, self._apply)
+        self._refuses_until = -math.inf
+        # Claims seen since the log came back from a copy, until those that it lacks are written.
+        self._seen_again: set[str] | None = None
+        self.tail = Tail(
+            log,
+            claim_stream(shard),
+            clock,
+            self._next_offset,
+            self._apply,
+            on_restored=self._restored,
+        )
 
     def claim(self, key: ClaimKey, fingerprint: str, deadline: float) -> Won | OutcomeRecord:
         """Win the key, or return the first request's outcome.
@@ -93,6 +106,13 @@
                 "The log does not answer; the request was not run.",
                 retry_after=_DOWN_RETRY_SECONDS,
             )
+        left = self._refuses_until - self._clock.monotonic()
+        if left > 0:
+            raise ClaimUnavailableError(
+                "The log came back from a copy and claims are written again; the request was "
+                "not run.",
+                retry_after=left,
+            )
         held = self._other(key)
         if held is not None:
             return self._judge(held, fingerprint)
@@ -202,8 +222,33 @@
             self.fold.next_offset = max(self.fold.next_offset, page.earliest)
             for record in page.records:
                 self.fold.apply(record.offset, record.time, record.value)
+                if self._seen_again is not None and isinstance(record.value, dict):
+                    self._seen_again.add(str(record.value.get("id")))
+            if self._seen_again is not None and page.next_offset >= page.end:
+                self._write_again(self._seen_again)
+                self._seen_again = None
             self._changed.notify_all()
 
+    def _restored(self, _page: LogPage) -> None:
+        """Read the log anew after it came back from a copy; nothing that is known is forgotten."""
+        with self._changed:
+            self._refuses_until = self._clock.monotonic() + _WRITTEN_AGAIN_SECONDS
+            self._seen_again = set()
+            self.fold.next_offset = 0
+
+    def _write_again(self, seen: set[str]) -> None:
+        """Append the claims that hold keys, and their outcomes, where the copy lacks them.
+
+        All daemons that know them do; a repeated record is harmless. Claims that lost are left out:
+        the first one in the log wins.
+        """
+        lost = [claim for claim in self.fold.by_key.values() if claim.id not in seen]
+        for claim in lost:
+            self.appender.lazy(claim.record().model_dump())
+            if claim.outcome is not None:
+                self.appender.lazy(claim.outcome.model_dump())
+        _logger.warning("claims written again", extra={"count": len(lost)})
+
 
 class Claims:
     """Spread keys over shards."""
--- a/src/brassdrum/outcomes/claims.py
+++ b/src/brassdrum/outcomes/claims.py
@@ -111,6 +111,19 @@
     state: ClaimState = ClaimState.UNCLAIMED
     outcome: OutcomeRecord | None = None
 
+    def record(self) -> ClaimRecord:
+        """Return the record that made this claim."""
+        return ClaimRecord(
+            format=1,
+            kind="claim",
+            id=self.id,
+            organisation=self.key.organisation,
+            key=self.key.key,
+            fingerprint=self.fingerprint,
+            daemon=self.daemon,
+            deadline=self.deadline,
+        )
+
     def follow(self, trigger: str) -> bool:
         """Take the chart's edge for a trigger; return whether there is one."""
         if not _CHART.allows(self.state, trigger):
--- a/src/brassdrum/standins/platform.py
+++ b/src/brassdrum/standins/platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import threading
 import time
 from dataclasses import dataclass, field
@@ -66,6 +67,8 @@
     counters: _Counters = field(default_factory=_Counters)
     hosts_by_name: dict[str, dict[str, str]] = field(default_factory=dict)
     streams_by_name: dict[str, _Stream] = field(default_factory=dict)
+    copied_by_name: dict[str, _Stream] = field(default_factory=dict)
+    era: int = 0
 
 
 class PlatformStandin:
@@ -116,6 +119,18 @@
         with self._changed:
             self._state.hosts_by_name.setdefault(name, {"name": name}).update(fields)
 
+    def keep_copy(self) -> None:
+        """Make a copy of all streams."""
+        with self._changed:
+            self._state.copied_by_name = copy.deepcopy(self._state.streams_by_name)
+
+    def come_back(self) -> None:
+        """Lose what was appended since the copy was made."""
+        with self._changed:
+            self._state.streams_by_name = copy.deepcopy(self._state.copied_by_name)
+            self._state.era += 1
+            self._changed.notify_all()
+
     def _append(self, request: Request) -> Response:
         values = request.json().get("records")
         if not isinstance(values, list) or not values:
@@ -152,10 +167,19 @@
         start = int(query.get("from", "0"))
         limit = int(query.get("limit", "1000"))
         wait = min(float(query.get("wait", "0")), _LONGEST_WAIT)
+        name = request.parameters["stream"]
         with self._changed:
-            stream = self._stream(request.parameters["stream"])
-            self._changed.wait_for(lambda: stream.end > start or self._state.faults.down, wait)
+            era = self._state.era
+            self._changed.wait_for(
+                lambda: (
+                    self._stream(name).end > start
+                    or self._state.faults.down
+                    or self._state.era != era
+                ),
+                wait,
+            )
             self._check_up()
+            stream = self._stream(name)
             stream.expire(time.time() - self._retention)
             begin = max(0, start - stream.first)
             records = stream.records[begin : begin + limit]
@@ -165,8 +189,11 @@
                 "next": next_offset,
                 "end": stream.end,
                 "records": records,
+                "era": self._state.era,
             }
-        response = json_response(content)
+            # A read from an offset that a copy does not have.
+            status = 410 if start > stream.end else 200
+        response = json_response(content, status)
         self._state.counters.reads += 1
         self._state.counters.bytes_read += response.length or 0
         return response
