Name the parts of what daemons tell each other where it is built

Cause: the message had grown to nine values by position, three of them tuples of words; a mix-up would pass the types. Change: keywords at both places that build it from many parts; behaviour as before.

--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -80,11 +80,14 @@
             self._knowledge.digest,
             self.list_age(),
             self._knowledge.reads,
-            tuple(self._suspicions.words(now)),
-            tuple(LeavingWord(*each) for each in self._knowledge.recently_left(now).items()),
-            tuple(self._suspicions.doubts(now)),
-            self._guard.words(),
-            self._knowledge.era,
+            failing=tuple(self._suspicions.words(now)),
+            leaving=tuple(
+                LeavingWord(endpoint, age)
+                for endpoint, age in self._knowledge.recently_left(now).items()
+            ),
+            doubts=tuple(self._suspicions.doubts(now)),
+            endings=self._guard.words(),
+            era=self._knowledge.era,
         )
 
     def word(self, host: str, belief: PeerBelief) -> None:
--- a/src/brassdrum/gateway/peering/peer_messages.py
+++ b/src/brassdrum/gateway/peering/peer_messages.py
@@ -357,7 +357,15 @@
     known_age = None if age == _NO_AGE else age / 1000
     known_era = era - 1 if era else None
     return PeerBelief(
-        version, digest, known_age, reads, failing, leaving, doubts, endings, known_era
+        version,
+        digest,
+        known_age,
+        reads,
+        failing=failing,
+        leaving=leaving,
+        doubts=doubts,
+        endings=endings,
+        era=known_era,
     )
 
 
