Close a server in its own loop, so that no accepted caller is left waiting

Cause: HttpServer.close ran beside the loop and closed the registered connections; one that was accepted and not yet registered came afterwards and was served by no thread. Why it works: only the loop accepts and registers, and now it also closes; nothing is between the two.

--- a/features/server_close.feature
+++ b/features/server_close.feature
@@ -3,7 +3,13 @@
   Guards against threads that wake the server's loop after its descriptor was closed: the descriptor
   number may belong to another connection by then, which would receive the wake-up bytes.
 
-  Scenario: Threads that finish after the server was closed write to no other connection
+  Scenario: Threads that finish while the server waits for them write to no other connection
     Given a server with 4 threads, each processing a request
     When the server is closed and new connections reuse its descriptor numbers
     Then nothing is written to the new connections
+
+  Scenario: A caller accepted while the server is closed is not left waiting
+    # The connection was registered after the others had been closed, and no thread ever served it.
+    Given a server whose loop is delayed after it accepts a connection
+    When the server is closed while the loop is delayed, and the caller sends its request
+    Then the caller is answered or its connection is closed
--- a/features/steps/server_close_steps.py
+++ b/features/steps/server_close_steps.py
@@ -13,6 +13,8 @@
 
 # Far more than a closed server frees.
 MAX_CONNECTIONS = 100
+# Longer than a closing server waits for its threads.
+LOOP_DELAY_SECONDS = 1.0
 
 
 def _open_descriptors():
@@ -96,3 +98,45 @@
         except BlockingIOError:
             continue
     assert not written, written
+
+
+@given("a server whose loop is delayed after it accepts a connection")
+def step_delayed_loop(context):
+    router = Router()
+    router.add("GET", "/late", lambda _request: Response(200, [b"late"], "text/plain"))
+    context.server = HttpServer(router, "127.0.0.1", 0, 1)
+    context.accepted = threading.Event()
+    context.closed = threading.Event()
+    server = context.server._server
+    set_options = server.set_socket_options
+
+    def delay_registration(connection):
+        set_options(connection)
+        context.accepted.set()
+        context.closed.wait(LOOP_DELAY_SECONDS)
+
+    server.set_socket_options = delay_registration
+    context.server.start()
+
+
+@when("the server is closed while the loop is delayed, and the caller sends its request")
+def step_close_delayed(context):
+    caller = socket.create_connection(("127.0.0.1", context.server.port))
+    context.stack.push(caller.close)
+    assert context.accepted.wait(30)
+    caller.sendall(b"GET /late HTTP/1.1\r\nHost: late\r\n\r\n")
+    context.server.close()
+    context.closed.set()
+    context.caller = caller
+
+
+@then("the caller is answered or its connection is closed")
+def step_not_left_waiting(context):
+    context.caller.settimeout(5.0)
+    try:
+        answer = context.caller.recv(100)
+    except ConnectionResetError:
+        return
+    except TimeoutError as error:
+        raise AssertionError("the connection is open and nothing serves it") from error
+    assert answer == b"" or answer.startswith(b"HTTP/1.1 200"), answer
--- a/src/brassdrum/wsgi.py
+++ b/src/brassdrum/wsgi.py
@@ -13,6 +13,7 @@
 from urllib.parse import parse_qsl
 
 import waitress
+from waitress import wasyncore
 from waitress.server import BaseWSGIServer, MultiSocketServer
 
 from brassdrum.errors import BrassdrumError, InvalidRequestError, Ran
@@ -24,6 +25,7 @@
 _SPARE_CONNECTIONS = 4096
 _NO_BODY_LIMIT = 1 << 30
 _CLOSE_SECONDS = 0.1
+_LOOP_CHECK_SECONDS = 1.0
 
 Environ = Mapping[str, object]
 StartResponse = Callable[..., object]
@@ -219,12 +221,39 @@
         self._thread.start()
 
     def close(self) -> None:
-        """Stop serving and close all connections."""
-        self._server.close()
+        """Stop serving and close all connections.
+
+        The loop's own thread closes the sockets: another thread would miss a connection that the
+        loop has accepted and not yet registered, and its caller would wait for ever.
+        """
+        self._run_in_loop(self._stop_listening)
         self._server.task_dispatcher.shutdown(timeout=_CLOSE_SECONDS)
-        for channel in list(self._server._map.values()):
-            if channel is not self._server:
-                channel.close()
+        self._run_in_loop(self._close_connections)
+
+    def _run_in_loop(self, action: Callable[[], None]) -> None:
+        """Run an action in the loop's thread and wait for it; run it here where no loop runs."""
+        done = threading.Event()
+
+        def run() -> None:
+            try:
+                action()
+            finally:
+                done.set()
+
+        self._server.trigger.pull_trigger(run)  # type: ignore[union-attr]
+        while self._thread.is_alive():
+            if done.wait(_LOOP_CHECK_SECONDS):
+                return
+        if not done.is_set():
+            action()
+
+    def _stop_listening(self) -> None:
+        wasyncore.dispatcher.close(self._server)
+
+    def _close_connections(self) -> None:
+        for channel in list(self._server.active_channels.values()):  # type: ignore[union-attr]
+            channel.handle_close()
+        self._server.trigger.close()  # type: ignore[union-attr]
 
     def _run(self) -> None:
         try:
