Tell streams that are handed over after the server closed that their caller left

Callers saw nothing; others did: the stream kept its memory at the engine, its place and its slot until the process ended. Cause: the hand-over is a function for the loop of the server; after the loop had ended it was kept and never run. Why it works: whoever comes after the end of the loop runs the function itself, under the lock that ends the loop.

--- a/features/server_close.feature
+++ b/features/server_close.feature
@@ -13,3 +13,11 @@
     Given a server whose loop is delayed after it accepts a connection
     When the server is closed while the loop is delayed, and the caller sends its request
     Then the caller is answered or its connection is closed
+
+  Scenario: A stream that leaves the server after the server was closed is told that its caller left
+    # The server's loop had ended, so nobody handed the connection over: the stream held its
+    # engine's connection and memory until the process ended.
+    Given a server with 4 threads, each of which is about to hand over its connection
+    When the server has closed before its threads finish, and new connections reuse its descriptors
+    Then each of them is told that its caller has left
+    And nothing is written to the new connections
--- a/features/steps/server_close_steps.py
+++ b/features/steps/server_close_steps.py
@@ -1,6 +1,7 @@
 """Steps on a server that is closed while its threads process requests."""
 
 import os
+import queue
 import socket
 import threading
 from concurrent.futures import ThreadPoolExecutor
@@ -30,14 +31,19 @@
 
 @given("a server with {count:d} threads, each processing a request")
 def step_server(context, count):
+    _start_blocked(context, count, lambda _request: Response(200, [b"late"], "text/plain"))
+
+
+def _start_blocked(context, count, respond):
+    """Start a server whose threads all wait for ``context.release`` before they respond."""
     context.release = threading.Event()
     context.stack.push(context.release.set)
     requests_arrived = threading.Semaphore(0)
 
-    def handle_blocked(_request):
+    def handle_blocked(request):
         requests_arrived.release()
         context.release.wait(30)
-        return Response(200, [b"late"], "text/plain")
+        return respond(request)
 
     router = Router()
     router.add("GET", "/held", handle_blocked)
@@ -140,3 +146,34 @@
     except TimeoutError as error:
         raise AssertionError("the connection is open and nothing serves it") from error
     assert answer == b"" or answer.startswith(b"HTTP/1.1 200"), answer
+
+
+@given("a server with {count:d} threads, each of which is about to hand over its connection")
+def step_handing_over(context, count):
+    context.detached = queue.Queue()
+
+    def detach(request):
+        request.detach(context.detached.put)
+        return Response(200, [b"first"], "text/plain")
+
+    _start_blocked(context, count, detach)
+
+
+@when("the server has closed before its threads finish, and new connections reuse its descriptors")
+def step_closed_first(context):
+    context.pairs = []
+    dispatcher = context.server._server.task_dispatcher
+    open_before = _open_descriptors()
+    context.server.close()
+    _reuse_descriptors(context, open_before - _open_descriptors())
+    context.release.set()
+    eventually(lambda: not dispatcher.threads, "the threads have exited")
+
+
+@then("each of them is told that its caller has left")
+def step_told(context):
+    for _ in context.calls:
+        try:
+            assert context.detached.get(timeout=5.0) is None
+        except queue.Empty as error:
+            raise AssertionError("a stream was not told that its caller has left") from error
--- a/src/brassdrum/wsgi_stream.py
+++ b/src/brassdrum/wsgi_stream.py
@@ -79,7 +79,7 @@
 
 
 class LoopTrigger(Trigger):
-    """Wake the server's main loop; do nothing once the server is closed.
+    """Wake the server's main loop; write nothing once the server is closed.
 
     The library writes a byte to the number of a descriptor. Threads that end their requests after
     the server was closed wrote it to whichever connection of the process had that number by then:
@@ -90,6 +90,20 @@
         self._pulling = threading.Lock()
         super().__init__(channels)
 
+    def pull_trigger(self, thunk: Callable[[], None] | None = None) -> None:
+        """Run a function in the main loop, or here once the loop has closed the trigger."""
+        if thunk is not None and not self._queue(thunk):
+            thunk()
+            return
+        self._physical_pull()
+
+    def _queue(self, thunk: Callable[[], None]) -> bool:
+        with self.lock:
+            if self._closed:
+                return False
+            self.thunks.append(thunk)
+        return True
+
     def _close(self) -> None:
         with self._pulling:
             super()._close()
