Count the largest slice that a daemon may still use until it acknowledges a smaller one

Callers saw: more requests of an organisation at once than its contract allows (known red "Concurrency over three daemons": 7 to 9 of 6 beside load), so others of the fleet waited for it. Cause: the lender counted a smaller slice as soon as it had granted it; a late, lost or overtaken reply left the daemon admitting under the larger one. Also: terms counted from the arrival of the reply, static parts used while a live lender was slow, and requests that outlast their slice were not counted. Why it works: sums of what may be in use never exceed the limit by induction over grants; a daemon only ever holds a slice that the lender still counts. Ruled out: a longer pause before lending on (costs every move a term); keeping the static part (unsafe while the lender lives; where it does not, another one lends before slices end).

--- a/src/brassdrum/admission/lending.py
+++ b/src/brassdrum/admission/lending.py
@@ -17,10 +17,20 @@
     rate_share,
 )
 
-__all__ = ["BorrowerDemand", "Grant", "Lender", "MembershipView", "lender_of", "static_slice"]
+__all__ = [
+    "BorrowerDemand",
+    "Grant",
+    "Lender",
+    "MembershipView",
+    "RequestOrder",
+    "lender_of",
+    "static_slice",
+]
 
 # Covers growth in demand until the next renewal.
 _RATE_HEADROOM_FACTOR = 1.25
+# A daemon's demand counts for this many terms after its last request.
+_DEMAND_TERMS = 2.0
 
 
 def _rendezvous_weight(organisation: str, daemon: str) -> int:
@@ -86,6 +96,18 @@
         return self.concurrency if held is None else min(self.concurrency, math.floor(held))
 
 
+@dataclass(frozen=True, slots=True)
+class RequestOrder:
+    """The place of a request among those of its borrower for one organisation.
+
+    ``number`` grows with each request; 0 for borrowers that send none, whose replies count as
+    applied at once. ``applied`` is the number of the request whose reply is in force there.
+    """
+
+    number: int = 0
+    applied: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Grant:
     """A slice granted to a daemon until it expires, and the unused burst transferred with it."""
@@ -95,17 +117,54 @@
     burst_requests: float = 0.0
     burst_tokens: float = 0.0
 
-    def fallback_allowance(self, static: Allowance) -> Allowance:
-        """Return what a daemon may use after the grant has expired without a renewal.
 
-        The minimum of grant and static slice keeps the sum over all daemons within the limits,
-        also while only some of them have fallen back.
-        """
-        return Allowance(
-            min(self.allowance.requests_per_second, static.requests_per_second),
-            min(self.allowance.tokens_per_second, static.tokens_per_second),
-            min(self.allowance.concurrency, static.concurrency),
+class _Borrower:
+    """What a lender knows of one daemon.
+
+    A reply may be late or lost, so the daemon may use any grant that it has not superseded: it
+    counts as holding the largest of them until it says which reply is in force.
+    """
+
+    def __init__(self) -> None:
+        self.grants_by_number: dict[int, Grant] = {}
+        self.newest_number = 0
+        self.demand = BorrowerDemand(0.0, 0.0, 0)
+        self.demanded_at = -math.inf
+        self.in_use = 0
+
+    def is_stale(self, order: RequestOrder) -> bool:
+        """Return whether a newer request of this daemon has overtaken this one."""
+        return 0 < order.number <= self.newest_number
+
+    def record(self, order: RequestOrder, demand: BorrowerDemand, now: float) -> None:
+        """Record a request, and drop the grants that can no longer come into force."""
+        held = self.held(_CONCURRENCY) if self.grants_by_number else None
+        self.in_use = demand.in_use(held)
+        self.demand = demand
+        self.demanded_at = now
+        self.newest_number = order.number
+        for number in [each for each in self.grants_by_number if each < order.applied]:
+            del self.grants_by_number[number]
+
+    def newest_grant(self) -> Grant | None:
+        """Return the grant of the newest request that has one."""
+        if not self.grants_by_number:
+            return None
+        return self.grants_by_number[max(self.grants_by_number)]
+
+    def held(self, kind: _LimitKind) -> float:
+        """Return the most that the daemon may use: of its grants, and of slots what runs there."""
+        granted = max(
+            (kind.granted(grant.allowance) for grant in self.grants_by_number.values()), default=0.0
         )
+        return max(granted, self.in_use) if kind is _CONCURRENCY else granted
+
+    def expire(self, now: float, demand_seconds: float) -> bool:
+        """Drop what has expired; return whether nothing is left."""
+        for number, grant in list(self.grants_by_number.items()):
+            if grant.expires <= now:
+                del self.grants_by_number[number]
+        return not self.grants_by_number and now - self.demanded_at > demand_seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,9 +196,7 @@
         self._limits = limits
         self._term_seconds = term_seconds
         self._started_at = started
-        self._demands_by_daemon: dict[str, tuple[float, BorrowerDemand]] = {}
-        self._grants_by_daemon: dict[str, Grant] = {}
-        self._in_use_by_daemon: dict[str, int] = {}
+        self._borrowers_by_name: dict[str, _Borrower] = {}
         # Usage before this lender started is unknown, so it starts without unused burst.
         self._unallocated_requests = TokenBucket(limits.requests_per_second, started)
         self._unallocated_requests.empty(started)
@@ -151,34 +208,49 @@
         self._limits = limits
 
     def allowances_by_daemon(self, now: float) -> dict[str, Allowance]:
-        """Return the unexpired slices by daemon."""
+        """Return the newest unexpired slices by daemon."""
         self._expire(now)
-        return {name: grant.allowance for name, grant in self._grants_by_daemon.items()}
-
-    def lend(self, daemon: str, demand: BorrowerDemand, view: MembershipView, now: float) -> Grant:
+        allowances = {}
+        for name, borrower in self._borrowers_by_name.items():
+            grant = borrower.newest_grant()
+            if grant is not None:
+                allowances[name] = grant.allowance
+        return allowances
+
+    def lend(
+        self,
+        daemon: str,
+        demand: BorrowerDemand,
+        view: MembershipView,
+        now: float,
+        order: RequestOrder | None = None,
+    ) -> Grant:
         """Grant a daemon a slice for one term.
 
         During its first term a lender grants at most static slices, because grants of the previous
         lender may still be in force. The share of unreachable daemons is reserved: they may be on
-        the other side of a network partition, with a lender of their own.
+        the other side of a network partition, with a lender of their own. A request that was
+        overtaken by a newer one gets the slice that the newer one got, for the rest of its term.
         """
+        order = order or RequestOrder()
         self._expire(now)
         self._update_unallocated(now)
-        self._record_demand(daemon, demand, now)
+        borrower = self._borrowers_by_name.setdefault(daemon, _Borrower())
+        newest = borrower.newest_grant()
+        if borrower.is_stale(order) and newest is not None:
+            return Grant(newest.allowance, newest.expires)
+        borrower.record(order, demand, now)
         slice_ = self._allocate(daemon, view)
         if now - self._started_at < self._term_seconds:
-            slice_ = self._first_term_slice(daemon, slice_, view)
-        self._grants_by_daemon[daemon] = Grant(slice_, now + self._term_seconds)
+            slice_ = self._first_term_slice(borrower, daemon, slice_, view)
+        expires = now + self._term_seconds
+        borrower.grants_by_number[order.number] = Grant(slice_, expires)
         requests, tokens = self._update_unallocated(now)
-        grant = Grant(slice_, now + self._term_seconds, requests, tokens)
-        self._grants_by_daemon[daemon] = grant
-        return grant
+        return Grant(slice_, expires, requests, tokens)
 
     def return_slice(self, daemon: str) -> None:
         """Drop the slice of a daemon that no longer uses it."""
-        self._demands_by_daemon.pop(daemon, None)
-        self._in_use_by_daemon.pop(daemon, None)
-        self._grants_by_daemon.pop(daemon, None)
+        self._borrowers_by_name.pop(daemon, None)
 
     def _update_unallocated(self, now: float) -> tuple[float, float]:
         """Refill the unallocated buckets; return the unused burst of newly granted rates.
@@ -186,23 +258,22 @@
         The burst moves with the rate, so that a new borrower can use it and all daemons together
         admit at most the limit plus one burst.
         """
-        lent = [grant.allowance for grant in self._grants_by_daemon.values()]
-        requests = self._limits.requests_per_second - sum(each.requests_per_second for each in lent)
-        tokens = self._limits.tokens_per_second - sum(each.tokens_per_second for each in lent)
+        borrowers = self._borrowers_by_name.values()
+        requests = self._limits.requests_per_second - sum(
+            each.held(_REQUESTS) for each in borrowers
+        )
+        tokens = self._limits.tokens_per_second - sum(each.held(_TOKENS) for each in borrowers)
         return (
             self._unallocated_requests.set_rate(max(0.0, requests), now),
             self._unallocated_tokens.set_rate(max(0.0, tokens), now),
         )
 
-    def _record_demand(self, daemon: str, demand: BorrowerDemand, now: float) -> None:
-        held = self._held(daemon, _CONCURRENCY) if daemon in self._grants_by_daemon else None
-        self._in_use_by_daemon[daemon] = demand.in_use(held)
-        self._demands_by_daemon[daemon] = (now, demand)
-
-    def _first_term_slice(self, daemon: str, ceiling: Allowance, view: MembershipView) -> Allowance:
+    def _first_term_slice(
+        self, borrower: _Borrower, daemon: str, ceiling: Allowance, view: MembershipView
+    ) -> Allowance:
         """Return a static slice, reduced towards lower demand and to at most ``ceiling``."""
         static = static_slice(self._limits, daemon, view.known)
-        _, demand = self._demands_by_daemon[daemon]
+        demand = borrower.demand
         requests = first_term_share(static.requests_per_second, _REQUESTS.requested(demand))
         tokens = first_term_share(static.tokens_per_second, _TOKENS.requested(demand))
         slots = first_term_share(static.concurrency, demand.concurrency)
@@ -215,12 +286,14 @@
     def _allocate(self, daemon: str, view: MembershipView) -> Allowance:
         unreachable = view.unreachable - {daemon}
         live_demands = {
-            name: demand
-            for name, (_, demand) in self._demands_by_daemon.items()
+            name: borrower.demand
+            for name, borrower in self._borrowers_by_name.items()
             if name not in unreachable
         }
-        others = [name for name in self._grants_by_daemon if name != daemon]
-        unreachable_others = [name for name in others if name in unreachable]
+        others = {
+            name: borrower for name, borrower in self._borrowers_by_name.items() if name != daemon
+        }
+        unreachable_others = [each for name, each in others.items() if name in unreachable]
         live_fraction = view.live_fraction
 
         def state(kind: _LimitKind) -> LimitState:
@@ -228,8 +301,8 @@
                 limit=kind.granted(self._limits),
                 live_fraction=live_fraction,
                 demands={name: kind.requested(each) for name, each in live_demands.items()},
-                held_by_others=sum(self._held(name, kind) for name in others),
-                held_by_unreachable=sum(self._held(name, kind) for name in unreachable_others),
+                held_by_others=sum(each.held(kind) for each in others.values()),
+                held_by_unreachable=sum(each.held(kind) for each in unreachable_others),
             )
 
         return Allowance(
@@ -238,16 +311,7 @@
             concurrency_share(daemon, state(_CONCURRENCY)),
         )
 
-    def _held(self, daemon: str, kind: _LimitKind) -> float:
-        """Return the amount granted to a daemon, or its slots in use where those exceed it."""
-        granted = kind.granted(self._grants_by_daemon[daemon].allowance)
-        return max(granted, self._in_use_by_daemon[daemon]) if kind is _CONCURRENCY else granted
-
     def _expire(self, now: float) -> None:
-        for name, (at, _) in list(self._demands_by_daemon.items()):
-            if now - at > 2 * self._term_seconds:
-                del self._demands_by_daemon[name]
-                del self._in_use_by_daemon[name]
-        for name, grant in list(self._grants_by_daemon.items()):
-            if grant.expires <= now:
-                del self._grants_by_daemon[name]
+        for name, borrower in list(self._borrowers_by_name.items()):
+            if borrower.expire(now, _DEMAND_TERMS * self._term_seconds):
+                del self._borrowers_by_name[name]
--- a/src/brassdrum/admission/limits.py
+++ b/src/brassdrum/admission/limits.py
@@ -11,6 +11,7 @@
 _DEMAND_HALF_LIFE_SECONDS = 1.0
 # Slices follow demand within about a second; the end of a request cannot be predicted.
 _CONCURRENCY_RETRY_SECONDS = 1.0
+_NO_SLICE_RETRY_SECONDS = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +159,12 @@
         self.peak_in_flight = max(self.peak_in_flight, self.in_flight)
         return None
 
+    def refuse_without_slice(self, tokens: int, now: float) -> Refusal:
+        """Count a request that arrives while no slice is in force, and refuse it."""
+        self.demand.add(tokens, now)
+        self.concurrency_refusals += 1
+        return Refusal("slice", _NO_SLICE_RETRY_SECONDS)
+
     def refusal(self, now: float) -> Refusal | None:
         """Return the limit that would refuse a request now, or None."""
         if self.in_flight >= self._allowance.concurrency:
--- a/src/brassdrum/daemon/lenders.py
+++ b/src/brassdrum/daemon/lenders.py
@@ -6,7 +6,13 @@
 import threading
 from collections.abc import Callable, Mapping
 
-from brassdrum.admission.lending import BorrowerDemand, Grant, Lender, MembershipView
+from brassdrum.admission.lending import (
+    BorrowerDemand,
+    Grant,
+    Lender,
+    MembershipView,
+    RequestOrder,
+)
 from brassdrum.admission.limits import Allowance
 from brassdrum.clock import Clock
 from brassdrum.membership.peer_pb2 import Demand, LendReply, LendRequest, Slice
@@ -68,7 +74,10 @@
                 if request.gives_back:
                     lender.return_slice(request.borrower)
                     continue
-                grant = lender.lend(request.borrower, _borrower_demand(demand), membership, now)
+                order = RequestOrder(demand.number, demand.applied)
+                grant = lender.lend(
+                    request.borrower, _borrower_demand(demand), membership, now, order
+                )
                 self._log_allocation_change(demand, request.borrower, grant, membership)
                 reply.slices.append(_slice_message(demand.organisation, grant, now))
         return reply
--- a/src/brassdrum/daemon/limits.py
+++ b/src/brassdrum/daemon/limits.py
@@ -1,14 +1,16 @@
-"""Enforce contracts' limits across all daemons, with borrowed slices or static ones as fallback."""
+"""Enforce contracts' limits across all daemons with slices borrowed from their lenders."""
 
 from __future__ import annotations
 
 import logging
+import math
 import threading
-from collections import defaultdict
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 
 import grpc
 
+from brassdrum.admission.borrowing import BorrowedSlice
 from brassdrum.admission.lending import Grant, MembershipView, lender_of, static_slice
 from brassdrum.admission.limits import Allowance, LocalLimiter, Refusal
 from brassdrum.clock import Clock
@@ -16,7 +18,7 @@
 from brassdrum.daemon.lenders import LocalLenders
 from brassdrum.errors import LimitExceededError
 from brassdrum.membership.gossip import PeerClients
-from brassdrum.membership.peer_pb2 import Demand, LendReply, LendRequest
+from brassdrum.membership.peer_pb2 import Demand, LendReply, LendRequest, Slice
 from brassdrum.telemetry.control_cost import ControlCost
 
 __all__ = ["DistributedLimiter"]
@@ -27,11 +29,34 @@
 _MIN_ACTIVE_REQUESTS_PER_SECOND = 0.01
 _FIRST_BORROW_INTERVAL_SECONDS = 0.5
 _BLOCKING_CALL_TIMEOUT_SECONDS = 0.1
-_FALLBACK_TERMS = 5.0
+# Without a slice nothing is admitted, so a first request waits longer for its lender.
+_FIRST_BORROW_TIMEOUT_SECONDS = 0.5
 # Ten doublings lead from 1 slot to 1000; the rest allow for capacity that other threads take.
 _MAX_BORROW_ATTEMPTS = 16
 # A lender without free capacity is not asked again for a term: other slices have expired by then.
 _EXHAUSTED_BACKOFF_SECONDS = _TERM_SECONDS
+_UNANSWERED_BACKOFF_SECONDS = 0.2
+_NO_SLICE = Allowance(0.0, 0.0, 0)
+
+
+@dataclass(slots=True)
+class _Borrowing:
+    """What a daemon holds and has asked for of one organisation's limits."""
+
+    limiter: LocalLimiter
+    slice: BorrowedSlice
+    # Held while one thread asks the lender for the callers of all.
+    lock: threading.Lock = field(default_factory=threading.Lock)
+    first_asked_at: float = -math.inf
+    no_more_until: float = -math.inf
+
+
+@dataclass(frozen=True, slots=True)
+class _SentRequest:
+    """A request to a lender; the terms of its slices count from when it was sent."""
+
+    message: LendRequest
+    sent_at: float
 
 
 def _allowance(contract: Contract) -> Allowance:
@@ -61,14 +86,10 @@
         self._term_seconds = term_seconds
         self._lock = threading.Lock()
         self._limits_by_organisation: dict[str, Allowance] = {}
-        self._limiters_by_organisation: dict[str, LocalLimiter] = {}
-        self._borrowed_at_by_organisation: dict[str, float] = {}
-        self._grants_by_organisation: dict[str, Grant] = {}
+        self._borrowings_by_organisation: dict[str, _Borrowing] = {}
+        # Larger than the numbers of an earlier process of this daemon.
+        self._first_number = round(clock.now().timestamp() * 1000.0)
         self._lenders = LocalLenders(name, clock, membership, cost, term_seconds)
-        self._borrow_locks_by_organisation: defaultdict[str, threading.Lock] = defaultdict(
-            threading.Lock
-        )
-        self._exhausted_until_by_organisation: dict[str, float] = {}
         self._stopped = False
 
     def configure(self, contracts: Iterable[Contract]) -> None:
@@ -90,27 +111,29 @@
         if refusal is None:
             return
         self._log_refusal(organisation, refusal)
-        raise LimitExceededError(
-            f"The contract's {refusal.limit} is used up.",
-            retry_after=min(60.0, max(0.05, refusal.retry_after)),
-        )
+        message = f"The contract's {refusal.limit} is used up."
+        if refusal.limit == "slice":
+            message = "The daemon that lends the contract's limits has not answered in time."
+        raise LimitExceededError(message, retry_after=min(60.0, max(0.05, refusal.retry_after)))
 
     def release(self, organisation: str, estimated_tokens: int, actual_tokens: int) -> None:
         """Release a request's slot and replace its estimated tokens by the actual number."""
         now = self._clock.monotonic()
         with self._lock:
-            self._limiter(organisation, now).release(estimated_tokens, actual_tokens, now)
+            limiter = self._borrowing(organisation, now).limiter
+            limiter.release(estimated_tokens, actual_tokens, now)
 
     def in_flight(self, organisation: str) -> int:
         """Return the number of an organisation's requests in flight on this daemon."""
         with self._lock:
-            limiter = self._limiters_by_organisation.get(organisation)
-            return 0 if limiter is None else limiter.in_flight
+            borrowing = self._borrowings_by_organisation.get(organisation)
+            return 0 if borrowing is None else borrowing.limiter.in_flight
 
     def slice_of(self, organisation: str) -> Allowance:
         """Return the slice in force on this daemon."""
         with self._lock:
-            return self._current_slice(organisation, self._clock.monotonic())
+            now = self._clock.monotonic()
+            return self._current_slice(self._borrowing(organisation, now), now)
 
     def slices_lent(self, organisation: str) -> dict[str, Allowance]:
         """Return the slices granted by this daemon, by borrower; empty for other lenders."""
@@ -123,7 +146,11 @@
         """
         with self._lock:
             self._stopped = True
-            demands = [Demand(organisation=each) for each in self._grants_by_organisation]
+            demands = [
+                Demand(organisation=organisation)
+                for organisation, borrowing in self._borrowings_by_organisation.items()
+                if borrowing.slice.newest_grant is not None
+            ]
         calls = []
         for lender, lender_demands in self._group_by_lender(demands).items():
             address = None if lender == self._name else self._address_of(lender)
@@ -145,18 +172,22 @@
         """Request slices for the next term from the lenders of all active organisations."""
         if self._stopped:
             return
+        sent_at = self._clock.monotonic()
         for lender, demands in self._group_by_lender(self._demands()).items():
-            request = LendRequest(borrower=self._name, demands=demands)
+            message = LendRequest(borrower=self._name, demands=demands)
+            request = _SentRequest(message, sent_at)
             if lender == self._name:
-                self._apply_reply(self.lend(request))
+                self._apply_reply(request, self.lend(message))
                 continue
             address = self._address_of(lender)
             if address is not None:
-                self._cost.add("limits", request.ByteSize())
+                self._cost.add("limits", message.ByteSize())
                 call = self._clients.stub(address).Lend.future(
-                    request, timeout=_RENEWAL_TIMEOUT_SECONDS
+                    message, timeout=_RENEWAL_TIMEOUT_SECONDS
+                )
+                call.add_done_callback(
+                    lambda call, request=request: self._handle_reply(request, call)
                 )
-                call.add_done_callback(self._handle_reply)
 
     def lend(self, request: LendRequest) -> LendReply:
         """Handle a borrower's request for slices."""
@@ -180,29 +211,34 @@
     ) -> Refusal | None:
         now = self._clock.monotonic()
         with self._lock:
-            return acquire(self._updated_limiter(organisation, now), tokens, now)
+            limiter = self._updated_limiter(organisation, now)
+            if self._borrowing(organisation, now).slice.in_force(now) is None:
+                return limiter.refuse_without_slice(tokens, now)
+            return acquire(limiter, tokens, now)
+
+    def _has_slice(self, organisation: str) -> bool:
+        now = self._clock.monotonic()
+        with self._lock:
+            return self._borrowing(organisation, now).slice.in_force(now) is not None
 
     def _borrow_if_idle(self, organisation: str, tokens: int) -> None:
         """Borrow synchronously for an organisation that has no valid slice on this daemon."""
-        now = self._clock.monotonic()
+        if self._has_slice(organisation):
+            return
         with self._lock:
-            grant = self._grants_by_organisation.get(organisation)
-            borrowed_at = self._borrowed_at_by_organisation.get(organisation, float("-inf"))
-            if (
-                grant is not None and grant.expires > now
-            ) or now - borrowed_at < _FIRST_BORROW_INTERVAL_SECONDS:
-                return
-            self._borrowed_at_by_organisation[organisation] = now
-        running = self.in_flight(organisation)
-        self._request_slice(
-            Demand(
-                organisation=organisation,
-                requests_per_second=1.0,
-                tokens_per_second=tokens,
-                concurrency=running + 1,
-                running=running,
-            )
-        )
+            borrowing = self._borrowing(organisation, self._clock.monotonic())
+        with borrowing.lock:
+            now = self._clock.monotonic()
+            with self._lock:
+                if (
+                    borrowing.slice.in_force(now) is not None
+                    or now - borrowing.first_asked_at < _FIRST_BORROW_INTERVAL_SECONDS
+                ):
+                    return
+                borrowing.first_asked_at = now
+                running = borrowing.limiter.in_flight
+                demand = self._demand(organisation, borrowing, (1.0, tokens), running + 1)
+            self._request_slice(demand, _FIRST_BORROW_TIMEOUT_SECONDS)
 
     def _borrow_more(self, organisation: str, refusal: Refusal) -> bool:
         """Request twice the current slice; return whether there is capacity now.
@@ -210,22 +246,22 @@
         Waiting for the next renewal would refuse requests while the limit has free capacity.
         """
         with self._lock:
-            borrow_lock = self._borrow_locks_by_organisation[organisation]
-        with borrow_lock:
+            borrowing = self._borrowing(organisation, self._clock.monotonic())
+        with borrowing.lock:
             if self._has_capacity(organisation):
                 # Another thread has borrowed while this one waited for the lock.
                 return True
             now = self._clock.monotonic()
             with self._lock:
-                if now < self._exhausted_until_by_organisation.get(organisation, float("-inf")):
+                if now < borrowing.no_more_until or borrowing.slice.in_force(now) is None:
                     return False
-                demand = self._doubled_demand(organisation, refusal, now)
-            self._request_slice(demand)
+                demand = self._doubled_demand(organisation, borrowing, refusal, now)
+            answered = self._request_slice(demand, _BLOCKING_CALL_TIMEOUT_SECONDS)
             if self._has_capacity(organisation):
                 return True
             with self._lock:
-                self._exhausted_until_by_organisation[organisation] = (
-                    now + _EXHAUSTED_BACKOFF_SECONDS
+                borrowing.no_more_until = now + (
+                    _EXHAUSTED_BACKOFF_SECONDS if answered else _UNANSWERED_BACKOFF_SECONDS
                 )
             return False
 
@@ -234,51 +270,50 @@
         with self._lock:
             return self._updated_limiter(organisation, now).refusal(now) is None
 
-    def _doubled_demand(self, organisation: str, refusal: Refusal, now: float) -> Demand:
-        limiter = self._limiter(organisation, now)
-        allowance = self._current_slice(organisation, now)
+    def _doubled_demand(
+        self, organisation: str, borrowing: _Borrowing, refusal: Refusal, now: float
+    ) -> Demand:
+        limiter = borrowing.limiter
+        allowance = self._current_slice(borrowing, now)
         requests, tokens = limiter.demand.rates(now)
         if refusal.limit == "requests_per_second":
             requests = max(requests, 2.0 * allowance.requests_per_second)
         if refusal.limit == "tokens_per_second":
             tokens = max(tokens, 2.0 * allowance.tokens_per_second)
-        return Demand(
-            organisation=organisation,
-            requests_per_second=requests,
-            tokens_per_second=tokens,
-            concurrency=2 * limiter.in_flight + 1,
-            running=limiter.in_flight,
-        )
+        return self._demand(organisation, borrowing, (requests, tokens), 2 * limiter.in_flight + 1)
 
-    def _request_slice(self, demand: Demand) -> None:
-        """Request a slice from an organisation's lender and wait briefly for the reply."""
+    def _request_slice(self, demand: Demand, timeout_seconds: float) -> bool:
+        """Request a slice from an organisation's lender; return whether it answered in time."""
         lender = lender_of(demand.organisation, self._membership_view().live)
-        request = LendRequest(borrower=self._name, demands=[demand])
+        message = LendRequest(borrower=self._name, demands=[demand])
+        request = _SentRequest(message, self._clock.monotonic())
         if lender == self._name:
-            self._apply_reply(self.lend(request))
-            return
+            self._apply_reply(request, self.lend(message))
+            return True
         address = None if lender is None else self._address_of(lender)
         if address is None:
-            return
+            return False
         try:
-            self._apply_reply(
-                self._clients.stub(address).Lend(request, timeout=_BLOCKING_CALL_TIMEOUT_SECONDS)
-            )
+            reply = self._clients.stub(address).Lend(message, timeout=timeout_seconds)
         except grpc.RpcError as error:
-            # Keep the current or static slice; the next renewal retries.
+            # Keep the current slice; the next renewal retries.
             _logger.info(
                 "lender did not answer",
                 extra={"organisation": demand.organisation, "lender": lender, "error": str(error)},
             )
+            return False
+        self._apply_reply(request, reply)
+        return True
 
     def _log_refusal(self, organisation: str, refusal: Refusal) -> None:
         """Log a refusal with the slice in force, its source and age, and its lender."""
         now = self._clock.monotonic()
         with self._lock:
-            grant = self._grants_by_organisation.get(organisation)
-            allowance = self._current_slice(organisation, now)
-            running = self._limiter(organisation, now).in_flight
-        source = "static" if grant is None else "lent" if grant.expires > now else "lapsed"
+            borrowing = self._borrowing(organisation, now)
+            grant = borrowing.slice.newest_grant
+            allowance = self._current_slice(borrowing, now)
+            running = borrowing.limiter.in_flight
+        source = "none" if grant is None else "lent" if grant.expires > now else "lapsed"
         age = None if grant is None else round(now - grant.expires + self._term_seconds, 3)
         membership = self._membership_view()
         _logger.info(
@@ -297,64 +332,101 @@
             },
         )
 
-    def _limiter(self, organisation: str, now: float) -> LocalLimiter:
-        limiter = self._limiters_by_organisation.get(organisation)
-        if limiter is None:
-            limiter = LocalLimiter(self._current_slice(organisation, now), now)
-            self._limiters_by_organisation[organisation] = limiter
-        return limiter
+    def _borrowing(self, organisation: str, now: float) -> _Borrowing:
+        borrowing = self._borrowings_by_organisation.get(organisation)
+        if borrowing is None:
+            # The bursts of all static slices together are the one burst that a limit allows.
+            limiter = LocalLimiter(self._static_slice(organisation), now)
+            borrowing = _Borrowing(limiter, BorrowedSlice(self._first_number))
+            self._borrowings_by_organisation[organisation] = borrowing
+        return borrowing
 
     def _updated_limiter(self, organisation: str, now: float) -> LocalLimiter:
         """Return the limiter after applying the slice in force."""
-        limiter = self._limiter(organisation, now)
-        limiter.set_allowance(self._current_slice(organisation, now), now)
-        return limiter
-
-    def _current_slice(self, organisation: str, now: float) -> Allowance:
-        grant = self._grants_by_organisation.get(organisation)
-        if grant is not None and grant.expires > now:
-            return grant.allowance
-        limits = self._limits_by_organisation.get(organisation, Allowance(0.0, 0.0, 0))
-        static = static_slice(limits, self._name, self._membership_view().known)
-        if grant is not None and now - grant.expires < _FALLBACK_TERMS * self._term_seconds:
-            return grant.fallback_allowance(static)
-        return static
+        borrowing = self._borrowing(organisation, now)
+        if borrowing.slice.newest_grant is not None:
+            borrowing.limiter.set_allowance(self._current_slice(borrowing, now), now)
+        return borrowing.limiter
+
+    @staticmethod
+    def _current_slice(borrowing: _Borrowing, now: float) -> Allowance:
+        """Return the slice in force; without one nothing is admitted.
+
+        A lender that is silent is replaced by another one before its slices expire.
+        """
+        grant = borrowing.slice.in_force(now)
+        return _NO_SLICE if grant is None else grant.allowance
 
     def _demands(self) -> list[Demand]:
         now = self._clock.monotonic()
         demands = []
         with self._lock:
-            for organisation, limiter in self._limiters_by_organisation.items():
-                requests, tokens = limiter.demand.rates(now)
+            for organisation, borrowing in self._borrowings_by_organisation.items():
+                limiter = borrowing.limiter
+                rates = limiter.demand.rates(now)
                 concurrency = limiter.pop_concurrency_demand()
-                if requests < _MIN_ACTIVE_REQUESTS_PER_SECOND and concurrency == 0:
+                if rates[0] < _MIN_ACTIVE_REQUESTS_PER_SECOND and concurrency == 0:
                     continue
-                demands.append(
-                    Demand(
-                        organisation=organisation,
-                        requests_per_second=requests,
-                        tokens_per_second=tokens,
-                        concurrency=concurrency,
-                        running=limiter.in_flight,
-                    )
-                )
+                demands.append(self._demand(organisation, borrowing, rates, concurrency))
         return demands
 
-    def _handle_reply(self, call: grpc.Future) -> None:
+    @staticmethod
+    def _demand(
+        organisation: str, borrowing: _Borrowing, rates: tuple[float, float], concurrency: int
+    ) -> Demand:
+        """Return the next request's demand; what runs and what is in force are of one moment."""
+        order = borrowing.slice.next_order()
+        requests, tokens = rates
+        return Demand(
+            organisation=organisation,
+            requests_per_second=requests,
+            tokens_per_second=tokens,
+            concurrency=concurrency,
+            running=borrowing.limiter.in_flight,
+            number=order.number,
+            applied=order.applied,
+        )
+
+    def _handle_reply(self, request: _SentRequest, call: grpc.Future) -> None:
         if call.cancelled() or call.exception() is not None:
             return
         self._cost.add("limits", call.result().ByteSize())
-        self._apply_reply(call.result())
+        self._apply_reply(request, call.result())
 
-    def _apply_reply(self, reply: LendReply) -> None:
+    def _apply_reply(self, request: _SentRequest, reply: LendReply) -> None:
+        slices_by_organisation = {each.organisation: each for each in reply.slices}
         now = self._clock.monotonic()
         with self._lock:
-            for granted in reply.slices:
-                allowance = Allowance(
-                    granted.requests_per_second, granted.tokens_per_second, granted.concurrency
+            for demand in request.message.demands:
+                borrowing = self._borrowing(demand.organisation, now)
+                granted = slices_by_organisation.get(demand.organisation)
+                grant = (
+                    Grant(
+                        self._static_slice(demand.organisation),
+                        request.sent_at + self._term_seconds,
+                    )
+                    if granted is None
+                    else _grant(granted, request.sent_at)
                 )
-                grant = Grant(allowance, now + granted.term_seconds)
-                self._grants_by_organisation[granted.organisation] = grant
-                limiter = self._limiter(granted.organisation, now)
-                limiter.set_allowance(allowance, now)
-                limiter.add_burst(granted.burst_requests, granted.burst_tokens, now)
+                if not borrowing.slice.apply(demand.number, grant):
+                    continue
+                borrowing.limiter.set_allowance(self._current_slice(borrowing, now), now)
+                borrowing.limiter.add_burst(grant.burst_requests, grant.burst_tokens, now)
+
+    def _static_slice(self, organisation: str) -> Allowance:
+        """Return the slice to use while the lender does not know the contract yet.
+
+        Such a lender lends static slices at most in its first term, so all stay within the limits.
+        """
+        limits = self._limits_by_organisation.get(organisation, _NO_SLICE)
+        return static_slice(limits, self._name, self._membership_view().known)
+
+
+def _grant(granted: Slice, sent_at: float) -> Grant:
+    """Decode a slice; its term counts from the request, which the lender got later."""
+    allowance = Allowance(
+        granted.requests_per_second, granted.tokens_per_second, granted.concurrency
+    )
+    return Grant(
+        allowance, sent_at + granted.term_seconds, granted.burst_requests, granted.burst_tokens
+    )
