End each step's thread with its scenario, so that none writes into a later one

Cause: a caller in a thread that no one joins writes context.answer 15.0 s later (traced before by logging the write). Fix: threads of steps keep their results; the scenario wakes and joins them, and fails if one does not end. Ruled out: joining only in that step; the class was ten steps.

--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -506,11 +506,17 @@
         self.complete = complete
 
 
-def call(host, port, method, path, body=None, **headers):
-    """Send one request and return its response; status 0 if there was none."""
+def call(host, port, method, path, body=None, on_connected=None, **headers):
+    """Send one request and return its response; status 0 if there was none.
+
+    ``on_connected`` is called with the socket, so that another thread can end the wait.
+    """
     connection = http.client.HTTPConnection(host, port, timeout=15)
     named = {name.replace("_", "-"): value for name, value in headers.items()}
     try:
+        connection.connect()
+        if on_connected is not None:
+            on_connected(connection.sock)
         connection.request(method, path, body=body, headers=named)
         response = connection.getresponse()
         values = {name.lower(): value for name, value in response.getheaders()}
--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -5,7 +5,6 @@
 import logging
 import os
 import tempfile
-import threading
 from dataclasses import replace
 from pathlib import Path
 
@@ -19,7 +18,7 @@
 from brassdrum.telemetry.trace import causes_of_loss, read_lines, story_of
 from features.gateway_world import KEY
 from features.steps.gateway_steps import send_request
-from features.support import eventually
+from features.support import StepThread, eventually
 
 PAGE = Path(__file__).parents[2] / "docs" / "operations" / "logs.md"
 SERVED = dict.fromkeys(log_events.SERVED.fields, 1)
@@ -59,8 +58,7 @@
         for _ in range(lines):
             log_events.FAILED.write(context.logger, **FAILED)
 
-    context.writer = threading.Thread(target=write, daemon=True)
-    context.writer.start()
+    context.writer = StepThread(context, write)
 
 
 @when("{served:d} served and {failed:d} failed requests are logged in one second")
@@ -73,8 +71,7 @@
 
 @then("the caller was never stopped")
 def step_not_stopped(context):
-    context.writer.join(20)
-    assert not context.writer.is_alive()
+    context.writer.result(20)
 
 
 @then("the lines that did not fit are counted")
--- a/features/steps/gateway_adapter_steps.py
+++ b/features/steps/gateway_adapter_steps.py
@@ -4,7 +4,6 @@
 import random
 import re
 import tempfile
-import threading
 from http.server import BaseHTTPRequestHandler, HTTPServer
 from pathlib import Path
 
@@ -24,6 +23,7 @@
 from brassdrum.platform.store import PlatformStore
 from brassdrum.settings_file import SettingsFile
 from features.gateway_world import HOST, event, route
+from features.support import StepThread
 
 
 @when("two versions with nested prefixes arrive in the wrong order")
@@ -210,9 +210,8 @@
 @given("a store with 3 pages of endpoints")
 def step_paged(context):
     context.server = HTTPServer(("127.0.0.1", 0), type("Handler", (PagedStore,), {}))
-    threading.Thread(target=context.server.serve_forever, daemon=True).start()
     context.stack.push(context.server.server_close)
-    context.stack.push(context.server.shutdown)
+    StepThread(context, context.server.serve_forever, 0.01, unblock=context.server.shutdown)
     context.client = PlatformStore(f"127.0.0.1:{context.server.server_port}")
 
 
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -1,8 +1,9 @@
 """Steps on running gateway daemons."""
 
+import contextlib
+import functools
 import json
 import socket
-import threading
 from dataclasses import replace
 
 from behave import given, then, when
@@ -24,7 +25,7 @@
     free_port,
     route,
 )
-from features.support import eventually
+from features.support import StepThread, StepTimer, eventually
 
 ENGINE = EngineModel(4, 100_000, 1.0, 0.0, 0.0, 150.0, 0.1, 2048, 30)
 ALL_EVENTS = b"".join(event(number) for number in range(1, EVENT_COUNT + 1))
@@ -73,6 +74,39 @@
 
 
 def send_request(context, kind, gateway=0, **headers):
+    context.answer = _request(context, kind, gateway, **headers)()
+    return context.answer
+
+
+def send_in_background(context, kind, **headers):
+    """Send a request in a thread that leaves its response with the returned caller."""
+    return BackgroundCaller(context, _request(context, kind, 0, **headers))
+
+
+class BackgroundCaller:
+    """A caller that waits for its response in a thread until the scenario ends."""
+
+    def __init__(self, context, request):
+        self._sockets = []
+        send = functools.partial(request, on_connected=self._sockets.append)
+        self._thread = StepThread(context, send, unblock=self._abort)
+
+    @property
+    def waiting(self):
+        """Return whether the caller still waits for its response."""
+        return self._thread.running
+
+    def response(self, seconds):
+        """Return the response."""
+        return self._thread.result(seconds)
+
+    def _abort(self):
+        for connection in self._sockets:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
+
+def _request(context, kind, gateway, **headers):
     target = context.gateways[gateway]
     number = context.sent = getattr(context, "sent", 0) + 1
     values = {
@@ -84,8 +118,9 @@
     }
     method = "GET" if kind == "check" else "POST"
     body = None if method == "GET" else b"the body"
-    context.answer = call(target.host, target.port, method, f"/{kind}/a?b=c", body, **values)
-    return context.answer
+    return functools.partial(
+        call, target.host, target.port, method, f"/{kind}/a?b=c", body, **values
+    )
 
 
 def received_requests(context):
@@ -163,8 +198,7 @@
 @when('a caller sends a "{kind:w}" whose response stalls')
 def step_send_stalled(context, kind):
     # Longer than the stall timeout of an endpoint, shorter than the deadlines.
-    timer = threading.Timer(2.0, step_resume_stream, (context,))
-    timer.start()
+    timer = StepTimer(context, 2.0, lambda: step_resume_stream(context))
     send_request(context, kind)
     timer.join()
 
@@ -225,15 +259,14 @@
 
 @when('a caller sends a "{kind:w}" and the daemon begins a planned stop')
 def step_send_and_stop(context, kind):
-    context.caller = threading.Thread(target=send_request, args=(context, kind))
-    context.caller.start()
+    context.caller = send_in_background(context, kind)
     eventually(lambda: received_requests(context), "the endpoint has the request")
     context.gateways[0].begin_planned_stop()
 
 
 @when('a caller sends a "{kind:w}" to the first daemon and waits')
 def step_send_and_wait(context, kind):
-    threading.Thread(target=send_request, args=(context, kind), daemon=True).start()
+    send_in_background(context, kind)
     eventually(lambda: received_requests(context), "the endpoint has the request")
 
 
@@ -251,10 +284,7 @@
 @when('a caller declares a prompt of {tokens:d} tokens on "{kind:w}" and waits')
 def step_prompt_and_wait(context, tokens, kind):
     usage = f"{tokens},10"
-    context.waiting = threading.Thread(
-        target=send_request, args=(context, kind), kwargs={"X_Token_Usage": usage}, daemon=True
-    )
-    context.waiting.start()
+    context.waiting = send_in_background(context, kind, X_Token_Usage=usage)
     eventually(lambda: received_requests(context), "an endpoint has the request")
 
 
@@ -268,7 +298,7 @@
 
 @then("the caller is still waiting")
 def step_still_waits(context):
-    assert context.waiting.is_alive()
+    assert context.waiting.waiting
 
 
 @when("version {version:d} of the configuration removes the key")
@@ -330,7 +360,7 @@
 def step_answer(context, status, body):
     body = body.strip('"')
     if hasattr(context, "caller"):
-        context.caller.join(15)
+        context.answer = context.caller.response(15)
     assert context.answer.status == status, (context.answer.status, context.answer.body)
     assert context.answer.complete
     if body == "all events":
--- a/features/steps/late_lending_steps.py
+++ b/features/steps/late_lending_steps.py
@@ -76,9 +76,11 @@
     def delays(self):
         """Return the delays there and back in seconds; None for a lost message."""
         return [
-            None
-            if self.random.random() < self._lost_fraction
-            else self.random.uniform(0.0, self._late_seconds)
+            (
+                None
+                if self.random.random() < self._lost_fraction
+                else self.random.uniform(0.0, self._late_seconds)
+            )
             for _ in range(2)
         ]
 
--- a/features/steps/replacing_steps.py
+++ b/features/steps/replacing_steps.py
@@ -4,7 +4,6 @@
 import signal
 import subprocess
 import sys
-import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -17,7 +16,10 @@
 from brassdrum.standins.site import MODEL
 from features.steps.caller_steps import completion_body
 from features.steps.stream_steps import event_texts, expected_texts
-from features.support import Load, eventually
+from features.support import Load, StepThread, eventually
+
+# Covers the notice and the drain time of a daemon that stops.
+STOP_SECONDS = 90.0
 
 
 @when("every daemon is replaced gracefully under load")
@@ -30,11 +32,10 @@
         replacement = site.start_daemon(f"replacement-{number}")
         eventually(lambda daemon=replacement: daemon.not_ready() is None, "replacement is ready")
         live.append(Caller(replacement.url, context.secret))
-        stopping = threading.Thread(target=daemon.stop)
-        stopping.start()
+        stopping = StepThread(context, daemon.stop)
         # A load balancer stops sending requests to a daemon that is not ready.
         live.pop(0)
-        stopping.join()
+        stopping.result(STOP_SECONDS)
         site.daemons.remove(daemon)
     context.answers = load.finish()
 
@@ -112,14 +113,13 @@
                 # the previous one.
                 time.sleep(number % 4 * 1e-5)
 
-    context.sender = threading.Thread(target=send_signals, daemon=True)
-    context.sender.start()
+    context.sender = StepThread(context, send_signals)
 
 
 @then("every wait ends and the process exits successfully")
 def step_all_received(context):
     assert context.waiter.wait(timeout=30) == 0
-    context.sender.join()
+    context.sender.result()
 
 
 @when("the first engine is marked as leaving on the host list")
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,8 +1,9 @@
 """Steps on the soak, its checks and its proxy."""
 
+import contextlib
+import functools
 import socket
 import tempfile
-import threading
 from pathlib import Path
 
 from behave import given, then, when
@@ -13,6 +14,7 @@
 from brassdrum.soak.replicas import Run, whole_answer
 from brassdrum.soak.run import ACTIONS, Soak, SoakSize
 from brassdrum.standins.ports import free_port
+from features.support import StepThread
 
 SMALL = {"daemons": 2, "replicas": 3, "callers": 4}
 
@@ -107,7 +109,9 @@
     server = socket.create_server(("127.0.0.1", 0))
     context.stack.push(server.close)
     received = []
-    threading.Thread(target=echo, args=(server, received), daemon=True).start()
+    StepThread(
+        context, echo, context, server, received, unblock=lambda: server.shutdown(socket.SHUT_RDWR)
+    )
     proxy = Proxy(f"127.0.0.1:{server.getsockname()[1]}")
     context.stack.push(proxy.close)
     assert exchange(proxy, b"one") == b"one"
@@ -123,13 +127,20 @@
     assert exchange(proxy, b"five") == b"five"
 
 
-def echo(server, received):
+def echo(context, server, received):
     while True:
         try:
             connection, _ = server.accept()
         except OSError:
             return
-        threading.Thread(target=echo_one, args=(connection, received), daemon=True).start()
+        StepThread(
+            context, echo_one, connection, received, unblock=functools.partial(abort, connection)
+        )
+
+
+def abort(connection):
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_RDWR)
 
 
 def echo_one(connection, received):
--- a/features/steps/starting_steps.py
+++ b/features/steps/starting_steps.py
@@ -1,7 +1,6 @@
 """Steps on requests that arrive before a daemon has a configuration."""
 
 import re
-import threading
 
 from behave import given, then, when
 
@@ -10,6 +9,7 @@
 from brassdrum.gateway.request.early import HeldRequestQueue
 from features.gateway_world import configuration
 from features.steps.gateway_steps import send_request, start_gateways
+from features.support import StepTimer
 
 HEAD = RequestHead(b"GET", b"/", [])
 
@@ -151,8 +151,7 @@
 
 
 def send_and_act_later(context, kind, seconds, action):
-    timer = threading.Timer(seconds, action)
-    timer.start()
+    timer = StepTimer(context, seconds, action)
     send_request(context, kind)
     timer.join()
 
--- a/features/steps/store_copy_steps.py
+++ b/features/steps/store_copy_steps.py
@@ -5,7 +5,6 @@
 from concurrent.futures import Future
 from dataclasses import replace
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
-from threading import Thread
 
 from behave import given, then, when
 from hypothesis import given as for_all
@@ -25,6 +24,7 @@
 from brassdrum.gateway.placing.load import LoadTable
 from brassdrum.platform.store import PlatformStore
 from features.gateway_world import SERVICE, FakeStore
+from features.support import StepThread
 
 CONTENT = f"{7:016x}"
 QUARANTINE_EXITS = 3
@@ -405,9 +405,8 @@
 def step_eras(context, eras):
     context.era_server = ThreadingHTTPServer(("127.0.0.1", 0), _EraHandler)
     context.era_server.eras = eras.split(", ")
-    Thread(target=context.era_server.serve_forever, daemon=True).start()
     context.stack.push(context.era_server.server_close)
-    context.stack.push(context.era_server.shutdown)
+    StepThread(context, context.era_server.serve_forever, 0.01, unblock=context.era_server.shutdown)
 
 
 @when("its list is read {times:d} times")
--- a/features/support.py
+++ b/features/support.py
@@ -7,7 +7,7 @@
 import tempfile
 import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor, wait
 from pathlib import Path
 
 from brassdrum.caller import Caller
@@ -40,6 +40,54 @@
             self._closers.pop()()
 
 
+class StepThread:
+    """A thread that a step starts; it returns its result and writes nothing to the context.
+
+    A thread that outlives its scenario wrote its answer into a later one. So the scenario ends it:
+    ``unblock`` wakes it where it may wait for others, and it has to end then.
+    """
+
+    def __init__(self, context, function, *arguments, unblock=None):
+        self._unblock = unblock
+        self._executor = ThreadPoolExecutor(1)
+        self.future = self._executor.submit(function, *arguments)
+        context.stack.push(self.close)
+
+    @property
+    def running(self):
+        """Return whether the thread has not ended."""
+        return not self.future.done()
+
+    def result(self, seconds=WAIT_SECONDS):
+        """Wait for the result of the function."""
+        return self.future.result(seconds)
+
+    def close(self):
+        """End the thread; raise if it does not end."""
+        if self._unblock is not None:
+            self._unblock()
+        wait([self.future], WAIT_SECONDS)
+        assert self.future.done(), "a step's thread outlives its scenario"
+        self._executor.shutdown()
+        self.future.result()
+
+
+class StepTimer:
+    """Run an action of a step later, in a thread that the scenario ends."""
+
+    def __init__(self, context, seconds, action):
+        self._cancelled = threading.Event()
+        self._thread = StepThread(context, self._run, seconds, action, unblock=self._cancelled.set)
+
+    def join(self):
+        """Wait until the action has run."""
+        self._thread.result()
+
+    def _run(self, seconds, action):
+        if not self._cancelled.wait(seconds):
+            action()
+
+
 class DaemonProcess:
     """Run one daemon in a process of its own."""
 
