Round fair shares of a concurrency limit up while slots are free

Callers saw: of 6 slots that three daemons all want 3 were lent: a fair share of 1.67 was rounded to 1. Why it is safe: a share is capped by what is free, less the reserve for newcomers.

--- a/src/brassdrum/admission/shares.py
+++ b/src/brassdrum/admission/shares.py
@@ -92,7 +92,7 @@
     """
     live_limit = math.floor(state.limit * state.live_fraction + _EPSILON)
     reserved = reserved_slots(live_limit)
-    fair_share = math.floor(water_fill(live_limit - reserved, state.demands)[daemon] + _EPSILON)
+    fair_share = math.ceil(water_fill(live_limit - reserved, state.demands)[daemon] - _EPSILON)
     free = math.floor(state.free + _EPSILON)
     ceiling = max(free - reserved, math.ceil(free * _MAX_FRACTION_OF_FREE))
     # Fair shares below one slot would round to 0 and leave the limit unused.
