Wait for a first slice as long as the request can still start, instead of refusing after one call

Cause: one attempt with a short timeout, and 0.5 s of refusals for all that came after it. Others wait for the same answer.

--- a/features/late_lending.feature
+++ b/features/late_lending.feature
@@ -17,3 +17,14 @@
       | 3       | 6     | 0.2  | 30   | 8     | 50   |
       | 9       | 30    | 0.1  | 0    | 8     | 50   |
       | 9       | 30    | 0.2  | 10   | 13    | 50   |
+
+  Scenario: A first request waits for a lender that answers late
+    # Daemons without a slice refused requests as soon as one call to a busy lender timed out.
+    Given 3 daemons that share 6 slots, with lend messages up to 0.4 s late and 30 in 100 lost
+    When one request reaches each daemon, with seeds 1 to 20
+    Then all of them are admitted
+
+  Scenario: A request that must start soon does not wait longer for its first slice
+    Given 3 daemons that share 6 slots, with lend messages up to 0.1 s late and 100 in 100 lost
+    When a request that must start within 0.5 s reaches each daemon
+    Then those that must ask another daemon are refused within 0.6 s
--- a/features/steps/late_lending_steps.py
+++ b/features/steps/late_lending_steps.py
@@ -9,6 +9,8 @@
 import grpc
 from behave import given, then, when
 
+from brassdrum.clock import ManualClock
+from brassdrum.errors import LimitExceededError
 from features.steps.limit_book_steps import ORGANISATION, ConnectedLimiters
 
 TICK_SECONDS = 0.02
@@ -56,11 +58,25 @@
         return call
 
 
+class _WorldClock(ManualClock):
+    """A clock that runs what is due while someone sleeps."""
+
+    def __init__(self):
+        super().__init__()
+        self.advance_world = self.advance
+
+    def sleep(self, seconds):
+        """Let the others go on meanwhile."""
+        self.advance_world(seconds)
+
+
 class LateLimiters(ConnectedLimiters):
     """The limiters of daemons whose lend messages are late or lost."""
 
     def __init__(self, count, concurrency, late_seconds, lost_fraction, seed):
-        super().__init__(count, concurrency)
+        clock = _WorldClock()
+        super().__init__(count, concurrency, clock)
+        clock.advance_world = self.advance
         self.random = random.Random(seed)
         self._late_seconds = late_seconds
         self._lost_fraction = lost_fraction
@@ -153,3 +169,35 @@
 def step_used(context, percent):
     used = statistics.mean(context.used)
     assert used >= percent / 100, used
+
+
+@when("one request reaches each daemon, with seeds 1 to {seeds:d}")
+def step_first_requests(context, seeds):
+    context.admitted_by_seed = {}
+    for seed in range(1, seeds + 1):
+        limiters = context.make_limiters(seed)
+        context.admitted_by_seed[seed] = [limiters.send(name) for name in limiters.names]
+
+
+@then("all of them are admitted")
+def step_all_admitted(context):
+    refused = {seed: each for seed, each in context.admitted_by_seed.items() if not all(each)}
+    assert not refused, refused
+
+
+@when("a request that must start within {seconds:f} s reaches each daemon")
+def step_urgent_requests(context, seconds):
+    limiters = context.make_limiters(1)
+    context.waited_by_name = {}
+    for name, limiter in limiters.by_name.items():
+        started = limiters.clock.monotonic()
+        try:
+            limiter.acquire(ORGANISATION, 10, started + seconds)
+        except LimitExceededError:
+            context.waited_by_name[name] = limiters.clock.monotonic() - started
+
+
+@then("those that must ask another daemon are refused within {seconds:f} s")
+def step_refused_soon(context, seconds):
+    assert len(context.waited_by_name) == 2, context.waited_by_name
+    assert max(context.waited_by_name.values()) <= seconds, context.waited_by_name
--- a/features/steps/limit_book_steps.py
+++ b/features/steps/limit_book_steps.py
@@ -45,8 +45,8 @@
 class ConnectedLimiters:
     """The limiters of daemons that can all reach each other."""
 
-    def __init__(self, count, concurrency):
-        self.clock = ManualClock()
+    def __init__(self, count, concurrency, clock=None):
+        self.clock = clock or ManualClock()
         self.names = [f"daemon-{number}" for number in range(1, count + 1)]
         _, contract = sample_contract(ORGANISATION, concurrency=concurrency)
         self.by_name = {}
--- a/src/brassdrum/daemon/calls.py
+++ b/src/brassdrum/daemon/calls.py
@@ -54,7 +54,7 @@
         path = "/" + scope.request.parameters["path"]
         with scope.trace.hop("admission"):
             service = self._service(scope, name)
-            self._core.limits.acquire(scope.organisation, _TOKENS_PER_CALL)
+            self._core.limits.acquire(scope.organisation, _TOKENS_PER_CALL, scope.deadline)
             work = self._work(scope, name)
             lifecycle.admitted(work)
         ticket = claim(self._core, scope, body)
--- a/src/brassdrum/daemon/generation.py
+++ b/src/brassdrum/daemon/generation.py
@@ -168,7 +168,7 @@
                 f"The prompt alone takes about {needed:.1f} s, more than the time left.",
                 remedy="Allow more time with Brassdrum-Timeout.",
             )
-        self._core.limits.acquire(scope.organisation, generation.tokens)
+        self._core.limits.acquire(scope.organisation, generation.tokens, start_by)
         return Work(
             id=f"{scope.request_id}.1",
             organisation=scope.organisation,
--- a/src/brassdrum/daemon/limits.py
+++ b/src/brassdrum/daemon/limits.py
@@ -28,9 +28,12 @@
 _RENEWAL_TIMEOUT_SECONDS = 0.5
 _MIN_ACTIVE_REQUESTS_PER_SECOND = 0.01
 _FIRST_BORROW_INTERVAL_SECONDS = 0.5
+_BORROW_RETRY_SECONDS = 0.05
 _BLOCKING_CALL_TIMEOUT_SECONDS = 0.1
-# Without a slice nothing is admitted, so a first request waits longer for its lender.
-_FIRST_BORROW_TIMEOUT_SECONDS = 0.5
+# Without a slice nothing is admitted, so a first request waits for its lender: longer than it takes
+# to replace a lender that is silent.
+_FIRST_BORROW_SECONDS = 3.0
+_FIRST_BORROW_TIMEOUT_SECONDS = 1.0
 # Ten doublings lead from 1 slot to 1000; the rest allow for capacity that other threads take.
 _MAX_BORROW_ATTEMPTS = 16
 # A lender without free capacity is not asked again for a term: other slices have expired by then.
@@ -47,7 +50,7 @@
     slice: BorrowedSlice
     # Held while one thread asks the lender for the callers of all.
     lock: threading.Lock = field(default_factory=threading.Lock)
-    first_asked_at: float = -math.inf
+    gave_up_at: float = -math.inf
     no_more_until: float = -math.inf
 
 
@@ -100,9 +103,12 @@
             }
             self._lenders.configure(self._limits_by_organisation)
 
-    def acquire(self, organisation: str, tokens: int) -> None:
-        """Admit a request, or raise ``LimitExceededError`` without running it."""
-        self._borrow_if_idle(organisation, tokens)
+    def acquire(self, organisation: str, tokens: int, start_by: float = math.inf) -> None:
+        """Admit a request, or raise ``LimitExceededError`` without running it.
+
+        Waits for a first slice until ``start_by``, in monotonic seconds, or for a few seconds.
+        """
+        self._borrow_if_idle(organisation, tokens, start_by)
         refusal = self._try_acquire(organisation, tokens, LocalLimiter.acquire)
         for _ in range(_MAX_BORROW_ATTEMPTS):
             if refusal is None or not self._borrow_more(organisation, refusal):
@@ -221,24 +227,39 @@
         with self._lock:
             return self._borrowing(organisation, now).slice.in_force(now) is not None
 
-    def _borrow_if_idle(self, organisation: str, tokens: int) -> None:
-        """Borrow synchronously for an organisation that has no valid slice on this daemon."""
+    def _borrow_if_idle(self, organisation: str, tokens: int, start_by: float) -> None:
+        """Wait for a slice of an organisation that has none on this daemon, as long as it helps."""
         if self._has_slice(organisation):
             return
+        now = self._clock.monotonic()
+        give_up_at = min(start_by, now + _FIRST_BORROW_SECONDS)
         with self._lock:
-            borrowing = self._borrowing(organisation, self._clock.monotonic())
-        with borrowing.lock:
+            borrowing = self._borrowing(organisation, now)
+        if not borrowing.lock.acquire(timeout=max(0.0, give_up_at - now)):
+            return
+        try:
+            self._borrow_first(organisation, borrowing, tokens, give_up_at)
+        finally:
+            borrowing.lock.release()
+
+    def _borrow_first(
+        self, organisation: str, borrowing: _Borrowing, tokens: int, give_up_at: float
+    ) -> None:
+        """Ask the lender until a slice is in force; the lender may be replaced meanwhile."""
+        now = self._clock.monotonic()
+        if now - borrowing.gave_up_at < _FIRST_BORROW_INTERVAL_SECONDS:
+            return
+        while not self._has_slice(organisation):
             now = self._clock.monotonic()
+            if now >= give_up_at:
+                borrowing.gave_up_at = now
+                return
             with self._lock:
-                if (
-                    borrowing.slice.in_force(now) is not None
-                    or now - borrowing.first_asked_at < _FIRST_BORROW_INTERVAL_SECONDS
-                ):
-                    return
-                borrowing.first_asked_at = now
                 running = borrowing.limiter.in_flight
                 demand = self._demand(organisation, borrowing, (1.0, tokens), running + 1)
-            self._request_slice(demand, _FIRST_BORROW_TIMEOUT_SECONDS)
+            timeout = min(_FIRST_BORROW_TIMEOUT_SECONDS, give_up_at - now)
+            if not self._request_slice(demand, timeout):
+                self._clock.sleep(_BORROW_RETRY_SECONDS)
 
     def _borrow_more(self, organisation: str, refusal: Refusal) -> bool:
         """Request twice the current slice; return whether there is capacity now.
