Answer what a stopping server has accepted before it is closed

Cause: the drain waits for requests that were read; connections that were accepted, or wait for that, counted for nothing. Change: accept what the kernel has completed, stop listening, read what has arrived and wait until it is answered. Ruled out: a longer notice (it moves the moment and keeps the gap).

--- a/features/server_close.feature
+++ b/features/server_close.feature
@@ -21,3 +21,9 @@
     When the server has closed before its threads finish, and new connections reuse its descriptors
     Then each of them is told that its caller has left
     And nothing is written to the new connections
+
+  Scenario: A caller accepted while the server drains is answered before the server is closed
+    # A planned stop counted the requests that it had read and cut those that it had only accepted.
+    Given a server whose loop is delayed after it accepts a connection
+    When the server drains and is closed, and the caller has sent its request
+    Then the caller is answered
--- a/features/steps/server_close_steps.py
+++ b/features/steps/server_close_steps.py
@@ -4,6 +4,7 @@
 import queue
 import socket
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
@@ -16,6 +17,7 @@
 MAX_CONNECTIONS = 100
 # Longer than a closing server waits for its threads.
 LOOP_DELAY_SECONDS = 1.0
+HANDLER_SECONDS = 0.5
 
 
 def _open_descriptors():
@@ -108,8 +110,12 @@
 
 @given("a server whose loop is delayed after it accepts a connection")
 def step_delayed_loop(context):
+    def handle_slowly(_request):
+        time.sleep(HANDLER_SECONDS)
+        return Response(200, [b"late"], "text/plain")
+
     router = Router()
-    router.add("GET", "/late", lambda _request: Response(200, [b"late"], "text/plain"))
+    router.add("GET", "/late", handle_slowly)
     context.server = HttpServer(router, "127.0.0.1", 0, 1)
     context.accepted = threading.Event()
     context.closed = threading.Event()
@@ -125,15 +131,33 @@
     context.server.start()
 
 
+def _send_while_delayed(context):
+    context.caller = socket.create_connection(("127.0.0.1", context.server.port))
+    context.stack.push(context.caller.close)
+    assert context.accepted.wait(30)
+    context.caller.sendall(b"GET /late HTTP/1.1\r\nHost: late\r\n\r\n")
+
+
 @when("the server is closed while the loop is delayed, and the caller sends its request")
 def step_close_delayed(context):
-    caller = socket.create_connection(("127.0.0.1", context.server.port))
-    context.stack.push(caller.close)
-    assert context.accepted.wait(30)
-    caller.sendall(b"GET /late HTTP/1.1\r\nHost: late\r\n\r\n")
+    _send_while_delayed(context)
+    context.server.close()
+    context.closed.set()
+
+
+@when("the server drains and is closed, and the caller has sent its request")
+def step_drain_delayed(context):
+    _send_while_delayed(context)
+    context.server.drain(5.0)
     context.server.close()
     context.closed.set()
-    context.caller = caller
+
+
+@then("the caller is answered")
+def step_answered(context):
+    context.caller.settimeout(5.0)
+    answer = context.caller.recv(100)
+    assert answer.startswith(b"HTTP/1.1 200"), answer
 
 
 @then("the caller is answered or its connection is closed")
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -59,6 +59,8 @@
 _FIRST_CONTACT_TIMEOUT_SECONDS = 5.0
 # Short, since loops blocked on a peer end by themselves after their own timeout.
 _LOOP_STOP_TIMEOUT_SECONDS = 0.1
+# For requests that arrived in the last moment; they are refused as not run.
+_HTTP_DRAIN_SECONDS = 1.0
 
 
 class Daemon:
@@ -266,6 +268,7 @@
             )
         self._duty.release()
         self._limits.return_slices()
+        self._http.drain(_HTTP_DRAIN_SECONDS)
         self._flush_claims()
         self.close()
 
--- a/src/brassdrum/wsgi.py
+++ b/src/brassdrum/wsgi.py
@@ -7,6 +7,7 @@
 import logging
 import re
 import threading
+import time
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -26,6 +27,7 @@
 _NO_BODY_LIMIT = 1 << 30
 _CLOSE_SECONDS = 0.1
 _LOOP_CHECK_SECONDS = 1.0
+_DRAIN_POLL_SECONDS = 0.01
 
 Environ = Mapping[str, object]
 StartResponse = Callable[..., object]
@@ -220,6 +222,35 @@
         """Begin to serve."""
         self._thread.start()
 
+    def drain(self, seconds: float) -> None:
+        """Accept no more connections and answer the requests that have arrived, for some seconds.
+
+        A connection that was accepted and not read would otherwise be cut by ``close``.
+        """
+        self._run_in_loop(self._accept_pending)
+        self._run_in_loop(self._stop_listening)
+        # The loop reads what has arrived on the accepted connections between these two actions.
+        self._run_in_loop(lambda: None)
+        give_up_at = time.monotonic() + seconds
+        while self._is_busy() and time.monotonic() < give_up_at:
+            time.sleep(_DRAIN_POLL_SECONDS)
+
+    def _accept_pending(self) -> None:
+        """Accept the connections that the kernel has completed."""
+        channels = self._server.active_channels  # type: ignore[union-attr]
+        while self._server.accepting:  # type: ignore[union-attr]
+            count = len(channels)
+            self._server.handle_accept()  # type: ignore[union-attr]
+            if len(channels) == count:
+                return
+
+    def _is_busy(self) -> bool:
+        channels = list(self._server.active_channels.values())  # type: ignore[union-attr]
+        return any(
+            channel.requests or channel.request is not None or channel.total_outbufs_len
+            for channel in channels
+        )
+
     def close(self) -> None:
         """Stop serving and close all connections.
 
@@ -248,6 +279,7 @@
             action()
 
     def _stop_listening(self) -> None:
+        self._server.accepting = False  # type: ignore[union-attr]
         wasyncore.dispatcher.close(self._server)
 
     def _close_connections(self) -> None:
