--- a/src/brassdrum/daemon/limits.py
+++ b/src/brassdrum/daemon/limits.py
@@ -4,21 +4,19 @@
 
 import logging
 import math
-import threading
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 
 import grpc
 
-from brassdrum.admission.borrowing import BorrowedSlice
-from brassdrum.admission.lending import Grant, MembershipView, lender_of, static_slice
+from brassdrum.admission.lending import MembershipView, lender_of
 from brassdrum.admission.limits import Allowance, LocalLimiter, Refusal
 from brassdrum.clock import Clock
 from brassdrum.contracts.documents import Contract
+from brassdrum.daemon.borrowed_limits import BorrowedLimits, Borrowing, SentRequest
 from brassdrum.daemon.lenders import LocalLenders
 from brassdrum.errors import LimitExceededError
 from brassdrum.membership.gossip import PeerClients
-from brassdrum.membership.peer_pb2 import Demand, LendReply, LendRequest, Slice
+from brassdrum.membership.peer_pb2 import Demand, LendReply, LendRequest
 from brassdrum.telemetry.control_cost import ControlCost
 
 __all__ = ["DistributedLimiter"]
@@ -26,7 +24,6 @@
 _logger = logging.getLogger(__name__)
 _TERM_SECONDS = 2.0
 _RENEWAL_TIMEOUT_SECONDS = 0.5
-_MIN_ACTIVE_REQUESTS_PER_SECOND = 0.01
 _FIRST_BORROW_INTERVAL_SECONDS = 0.5
 _BORROW_RETRY_SECONDS = 0.05
 _BLOCKING_CALL_TIMEOUT_SECONDS = 0.1
@@ -39,32 +36,6 @@
 # A lender without free capacity is not asked again for a term: other slices have expired by then.
 _EXHAUSTED_BACKOFF_SECONDS = _TERM_SECONDS
 _UNANSWERED_BACKOFF_SECONDS = 0.2
-_NO_SLICE = Allowance(0.0, 0.0, 0)
-
-
-@dataclass(slots=True)
-class _Borrowing:
-    """What a daemon holds and has asked for of one organisation's limits."""
-
-    limiter: LocalLimiter
-    slice: BorrowedSlice
-    # Held while one thread asks the lender for the callers of all.
-    lock: threading.Lock = field(default_factory=threading.Lock)
-    gave_up_at: float = -math.inf
-    no_more_until: float = -math.inf
-
-
-@dataclass(frozen=True, slots=True)
-class _SentRequest:
-    """A request to a lender; the terms of its slices count from when it was sent."""
-
-    message: LendRequest
-    sent_at: float
-
-
-def _allowance(contract: Contract) -> Allowance:
-    limits = contract.limits
-    return Allowance(limits.requests_per_second, limits.tokens_per_second, limits.concurrency)
 
 
 class DistributedLimiter:
@@ -87,21 +58,16 @@
         self._address_of = address_of
         self._cost = cost
         self._term_seconds = term_seconds
-        self._lock = threading.Lock()
-        self._limits_by_organisation: dict[str, Allowance] = {}
-        self._borrowings_by_organisation: dict[str, _Borrowing] = {}
-        # Larger than the numbers of an earlier process of this daemon.
-        self._first_number = round(clock.now().timestamp() * 1000.0)
+        self._borrowed = BorrowedLimits(name, clock, membership, term_seconds)
+        self._lock = self._borrowed.lock
         self._lenders = LocalLenders(name, clock, membership, cost, term_seconds)
         self._stopped = False
 
     def configure(self, contracts: Iterable[Contract]) -> None:
         """Apply the limits of the contracts in force."""
         with self._lock:
-            self._limits_by_organisation = {
-                contract.organisation: _allowance(contract) for contract in contracts
-            }
-            self._lenders.configure(self._limits_by_organisation)
+            self._borrowed.configure(contracts)
+            self._lenders.configure(self._borrowed.limits_by_organisation)
 
     def acquire(self, organisation: str, tokens: int, start_by: float = math.inf) -> None:
         """Admit a request, or raise ``LimitExceededError`` without running it.
@@ -126,20 +92,19 @@
         """Release a request's slot and replace its estimated tokens by the actual number."""
         now = self._clock.monotonic()
         with self._lock:
-            limiter = self._borrowing(organisation, now).limiter
+            limiter = self._borrowed.borrowing(organisation, now).limiter
             limiter.release(estimated_tokens, actual_tokens, now)
 
     def in_flight(self, organisation: str) -> int:
         """Return the number of an organisation's requests in flight on this daemon."""
         with self._lock:
-            borrowing = self._borrowings_by_organisation.get(organisation)
-            return 0 if borrowing is None else borrowing.limiter.in_flight
+            return self._borrowed.in_flight(organisation)
 
     def slice_of(self, organisation: str) -> Allowance:
         """Return the slice in force on this daemon."""
         with self._lock:
             now = self._clock.monotonic()
-            return self._current_slice(self._borrowing(organisation, now), now)
+            return self._borrowed.borrowing(organisation, now).allowance(now)
 
     def slices_lent(self, organisation: str) -> dict[str, Allowance]:
         """Return the slices granted by this daemon, by borrower; empty for other lenders."""
@@ -152,11 +117,7 @@
         """
         with self._lock:
             self._stopped = True
-            demands = [
-                Demand(organisation=organisation)
-                for organisation, borrowing in self._borrowings_by_organisation.items()
-                if borrowing.slice.newest_grant is not None
-            ]
+            demands = self._borrowed.returned_demands()
         calls = []
         for lender, lender_demands in self._group_by_lender(demands).items():
             address = None if lender == self._name else self._address_of(lender)
@@ -179,11 +140,13 @@
         if self._stopped:
             return
         sent_at = self._clock.monotonic()
-        for lender, demands in self._group_by_lender(self._demands()).items():
+        with self._lock:
+            own_demands = self._borrowed.demands()
+        for lender, demands in self._group_by_lender(own_demands).items():
             message = LendRequest(borrower=self._name, demands=demands)
-            request = _SentRequest(message, sent_at)
+            request = SentRequest(message, sent_at)
             if lender == self._name:
-                self._apply_reply(request, self.lend(message))
+                self._borrowed.apply(request, self.lend(message))
                 continue
             address = self._address_of(lender)
             if address is not None:
@@ -217,15 +180,15 @@
     ) -> Refusal | None:
         now = self._clock.monotonic()
         with self._lock:
-            limiter = self._updated_limiter(organisation, now)
-            if self._borrowing(organisation, now).slice.in_force(now) is None:
+            limiter = self._borrowed.updated_limiter(organisation, now)
+            if self._borrowed.borrowing(organisation, now).slice.in_force(now) is None:
                 return limiter.refuse_without_slice(tokens, now)
             return acquire(limiter, tokens, now)
 
     def _has_slice(self, organisation: str) -> bool:
         now = self._clock.monotonic()
         with self._lock:
-            return self._borrowing(organisation, now).slice.in_force(now) is not None
+            return self._borrowed.borrowing(organisation, now).slice.in_force(now) is not None
 
     def _borrow_if_idle(self, organisation: str, tokens: int, start_by: float) -> None:
         """Wait for a slice of an organisation that has none on this daemon, as long as it helps."""
@@ -234,7 +197,7 @@
         now = self._clock.monotonic()
         give_up_at = min(start_by, now + _FIRST_BORROW_SECONDS)
         with self._lock:
-            borrowing = self._borrowing(organisation, now)
+            borrowing = self._borrowed.borrowing(organisation, now)
         if not borrowing.lock.acquire(timeout=max(0.0, give_up_at - now)):
             return
         try:
@@ -243,7 +206,7 @@
             borrowing.lock.release()
 
     def _borrow_first(
-        self, organisation: str, borrowing: _Borrowing, tokens: int, give_up_at: float
+        self, organisation: str, borrowing: Borrowing, tokens: int, give_up_at: float
     ) -> None:
         """Ask the lender until a slice is in force; the lender may be replaced meanwhile."""
         now = self._clock.monotonic()
@@ -255,8 +218,7 @@
                 borrowing.gave_up_at = now
                 return
             with self._lock:
-                running = borrowing.limiter.in_flight
-                demand = self._demand(organisation, borrowing, (1.0, tokens), running + 1)
+                demand = self._borrowed.first_demand(organisation, tokens)
             timeout = min(_FIRST_BORROW_TIMEOUT_SECONDS, give_up_at - now)
             if not self._request_slice(demand, timeout):
                 self._clock.sleep(_BORROW_RETRY_SECONDS)
@@ -267,7 +229,7 @@
         Waiting for the next renewal would refuse requests while the limit has free capacity.
         """
         with self._lock:
-            borrowing = self._borrowing(organisation, self._clock.monotonic())
+            borrowing = self._borrowed.borrowing(organisation, self._clock.monotonic())
         with borrowing.lock:
             if self._has_capacity(organisation):
                 # Another thread has borrowed while this one waited for the lock.
@@ -276,7 +238,7 @@
             with self._lock:
                 if now < borrowing.no_more_until or borrowing.slice.in_force(now) is None:
                     return False
-                demand = self._doubled_demand(organisation, borrowing, refusal, now)
+                demand = self._borrowed.doubled_demand(organisation, refusal)
             answered = self._request_slice(demand, _BLOCKING_CALL_TIMEOUT_SECONDS)
             if self._has_capacity(organisation):
                 return True
@@ -289,27 +251,15 @@
     def _has_capacity(self, organisation: str) -> bool:
         now = self._clock.monotonic()
         with self._lock:
-            return self._updated_limiter(organisation, now).refusal(now) is None
-
-    def _doubled_demand(
-        self, organisation: str, borrowing: _Borrowing, refusal: Refusal, now: float
-    ) -> Demand:
-        limiter = borrowing.limiter
-        allowance = self._current_slice(borrowing, now)
-        requests, tokens = limiter.demand.rates(now)
-        if refusal.limit == "requests_per_second":
-            requests = max(requests, 2.0 * allowance.requests_per_second)
-        if refusal.limit == "tokens_per_second":
-            tokens = max(tokens, 2.0 * allowance.tokens_per_second)
-        return self._demand(organisation, borrowing, (requests, tokens), 2 * limiter.in_flight + 1)
+            return self._borrowed.updated_limiter(organisation, now).refusal(now) is None
 
     def _request_slice(self, demand: Demand, timeout_seconds: float) -> bool:
         """Request a slice from an organisation's lender; return whether it answered in time."""
         lender = lender_of(demand.organisation, self._membership_view().live)
         message = LendRequest(borrower=self._name, demands=[demand])
-        request = _SentRequest(message, self._clock.monotonic())
+        request = SentRequest(message, self._clock.monotonic())
         if lender == self._name:
-            self._apply_reply(request, self.lend(message))
+            self._borrowed.apply(request, self.lend(message))
             return True
         address = None if lender is None else self._address_of(lender)
         if address is None:
@@ -323,16 +273,16 @@
                 extra={"organisation": demand.organisation, "lender": lender, "error": str(error)},
             )
             return False
-        self._apply_reply(request, reply)
+        self._borrowed.apply(request, reply)
         return True
 
     def _log_refusal(self, organisation: str, refusal: Refusal) -> None:
         """Log a refusal with the slice in force, its source and age, and its lender."""
         now = self._clock.monotonic()
         with self._lock:
-            borrowing = self._borrowing(organisation, now)
+            borrowing = self._borrowed.borrowing(organisation, now)
             grant = borrowing.slice.newest_grant
-            allowance = self._current_slice(borrowing, now)
+            allowance = borrowing.allowance(now)
             running = borrowing.limiter.in_flight
         source = "none" if grant is None else "lent" if grant.expires > now else "lapsed"
         age = None if grant is None else round(now - grant.expires + self._term_seconds, 3)
@@ -353,101 +303,8 @@
             },
         )
 
-    def _borrowing(self, organisation: str, now: float) -> _Borrowing:
-        borrowing = self._borrowings_by_organisation.get(organisation)
-        if borrowing is None:
-            # The bursts of all static slices together are the one burst that a limit allows.
-            limiter = LocalLimiter(self._static_slice(organisation), now)
-            borrowing = _Borrowing(limiter, BorrowedSlice(self._first_number))
-            self._borrowings_by_organisation[organisation] = borrowing
-        return borrowing
-
-    def _updated_limiter(self, organisation: str, now: float) -> LocalLimiter:
-        """Return the limiter after applying the slice in force."""
-        borrowing = self._borrowing(organisation, now)
-        if borrowing.slice.newest_grant is not None:
-            borrowing.limiter.set_allowance(self._current_slice(borrowing, now), now)
-        return borrowing.limiter
-
-    @staticmethod
-    def _current_slice(borrowing: _Borrowing, now: float) -> Allowance:
-        """Return the slice in force; without one nothing is admitted.
-
-        A lender that is silent is replaced by another one before its slices expire.
-        """
-        grant = borrowing.slice.in_force(now)
-        return _NO_SLICE if grant is None else grant.allowance
-
-    def _demands(self) -> list[Demand]:
-        now = self._clock.monotonic()
-        demands = []
-        with self._lock:
-            for organisation, borrowing in self._borrowings_by_organisation.items():
-                limiter = borrowing.limiter
-                rates = limiter.demand.rates(now)
-                concurrency = limiter.pop_concurrency_demand()
-                if rates[0] < _MIN_ACTIVE_REQUESTS_PER_SECOND and concurrency == 0:
-                    continue
-                demands.append(self._demand(organisation, borrowing, rates, concurrency))
-        return demands
-
-    @staticmethod
-    def _demand(
-        organisation: str, borrowing: _Borrowing, rates: tuple[float, float], concurrency: int
-    ) -> Demand:
-        """Return the next request's demand; what runs and what is in force are of one moment."""
-        order = borrowing.slice.next_order()
-        requests, tokens = rates
-        return Demand(
-            organisation=organisation,
-            requests_per_second=requests,
-            tokens_per_second=tokens,
-            concurrency=concurrency,
-            running=borrowing.limiter.in_flight,
-            number=order.number,
-            applied=order.applied,
-        )
-
-    def _handle_reply(self, request: _SentRequest, call: grpc.Future) -> None:
+    def _handle_reply(self, request: SentRequest, call: grpc.Future) -> None:
         if call.cancelled() or call.exception() is not None:
             return
         self._cost.add("limits", call.result().ByteSize())
-        self._apply_reply(request, call.result())
-
-    def _apply_reply(self, request: _SentRequest, reply: LendReply) -> None:
-        slices_by_organisation = {each.organisation: each for each in reply.slices}
-        now = self._clock.monotonic()
-        with self._lock:
-            for demand in request.message.demands:
-                borrowing = self._borrowing(demand.organisation, now)
-                granted = slices_by_organisation.get(demand.organisation)
-                grant = (
-                    Grant(
-                        self._static_slice(demand.organisation),
-                        request.sent_at + self._term_seconds,
-                    )
-                    if granted is None
-                    else _grant(granted, request.sent_at)
-                )
-                if not borrowing.slice.apply(demand.number, grant):
-                    continue
-                borrowing.limiter.set_allowance(self._current_slice(borrowing, now), now)
-                borrowing.limiter.add_burst(grant.burst_requests, grant.burst_tokens, now)
-
-    def _static_slice(self, organisation: str) -> Allowance:
-        """Return the slice to use while the lender does not know the contract yet.
-
-        Such a lender lends static slices at most in its first term, so all stay within the limits.
-        """
-        limits = self._limits_by_organisation.get(organisation, _NO_SLICE)
-        return static_slice(limits, self._name, self._membership_view().known)
-
-
-def _grant(granted: Slice, sent_at: float) -> Grant:
-    """Decode a slice; its term counts from the request, which the lender got later."""
-    allowance = Allowance(
-        granted.requests_per_second, granted.tokens_per_second, granted.concurrency
-    )
-    return Grant(
-        allowance, sent_at + granted.term_seconds, granted.burst_requests, granted.burst_tokens
-    )
+        self._borrowed.apply(request, call.result())
