Keep what each borrower may hold instead of adding it up at each request

Cause: the largest of the grants was found anew for each limit and each other daemon. It changes only with a request or an expiry. Run: lending, properties and late_lending features.

--- a/src/brassdrum/admission/lending.py
+++ b/src/brassdrum/admission/lending.py
@@ -126,45 +126,59 @@
     """
 
     def __init__(self) -> None:
-        self.grants_by_number: dict[int, Grant] = {}
-        self.newest_number = 0
+        self._grants_by_number: dict[int, Grant] = {}
+        self._newest_number = 0
+        self._first_expiry = math.inf
+        self._demanded_at = -math.inf
         self.demand = BorrowerDemand(0.0, 0.0, 0)
-        self.demanded_at = -math.inf
-        self.in_use = 0
+        # The most that the daemon may use: of its grants, and of slots what runs there.
+        self.held = Allowance(0.0, 0.0, 0)
+        self._in_use = 0
 
     def is_stale(self, order: RequestOrder) -> bool:
         """Return whether a newer request of this daemon has overtaken this one."""
-        return 0 < order.number <= self.newest_number
+        return 0 < order.number <= self._newest_number
 
     def record(self, order: RequestOrder, demand: BorrowerDemand, now: float) -> None:
         """Record a request, and drop the grants that can no longer come into force."""
-        held = self.held(_CONCURRENCY) if self.grants_by_number else None
-        self.in_use = demand.in_use(held)
+        held = self.held.concurrency if self._grants_by_number else None
+        self._in_use = demand.in_use(held)
         self.demand = demand
-        self.demanded_at = now
-        self.newest_number = order.number
-        for number in [each for each in self.grants_by_number if each < order.applied]:
-            del self.grants_by_number[number]
+        self._demanded_at = now
+        self._newest_number = order.number
+        for number in [each for each in self._grants_by_number if each < order.applied]:
+            del self._grants_by_number[number]
+        self._update_held()
+
+    def add_grant(self, order: RequestOrder, grant: Grant) -> None:
+        """Add the grant that answers a request."""
+        self._grants_by_number[order.number] = grant
+        self._update_held()
 
     def newest_grant(self) -> Grant | None:
         """Return the grant of the newest request that has one."""
-        if not self.grants_by_number:
+        if not self._grants_by_number:
             return None
-        return self.grants_by_number[max(self.grants_by_number)]
-
-    def held(self, kind: _LimitKind) -> float:
-        """Return the most that the daemon may use: of its grants, and of slots what runs there."""
-        granted = max(
-            (kind.granted(grant.allowance) for grant in self.grants_by_number.values()), default=0.0
-        )
-        return max(granted, self.in_use) if kind is _CONCURRENCY else granted
+        return self._grants_by_number[max(self._grants_by_number)]
 
     def expire(self, now: float, demand_seconds: float) -> bool:
         """Drop what has expired; return whether nothing is left."""
-        for number, grant in list(self.grants_by_number.items()):
-            if grant.expires <= now:
-                del self.grants_by_number[number]
-        return not self.grants_by_number and now - self.demanded_at > demand_seconds
+        if now >= self._first_expiry:
+            for number, grant in list(self._grants_by_number.items()):
+                if grant.expires <= now:
+                    del self._grants_by_number[number]
+            self._update_held()
+        return not self._grants_by_number and now - self._demanded_at > demand_seconds
+
+    def _update_held(self) -> None:
+        grants = self._grants_by_number.values()
+        allowances = [grant.allowance for grant in grants]
+        self._first_expiry = min((grant.expires for grant in grants), default=math.inf)
+        self.held = Allowance(
+            max((each.requests_per_second for each in allowances), default=0.0),
+            max((each.tokens_per_second for each in allowances), default=0.0),
+            max(self._in_use, max((each.concurrency for each in allowances), default=0)),
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -244,7 +258,7 @@
         if now - self._started_at < self._term_seconds:
             slice_ = self._first_term_slice(borrower, daemon, slice_, view)
         expires = now + self._term_seconds
-        borrower.grants_by_number[order.number] = Grant(slice_, expires)
+        borrower.add_grant(order, Grant(slice_, expires))
         requests, tokens = self._update_unallocated(now)
         return Grant(slice_, expires, requests, tokens)
 
@@ -258,14 +272,14 @@
         The burst moves with the rate, so that a new borrower can use it and all daemons together
         admit at most the limit plus one burst.
         """
-        borrowers = self._borrowers_by_name.values()
-        requests = self._limits.requests_per_second - sum(
-            each.held(_REQUESTS) for each in borrowers
-        )
-        tokens = self._limits.tokens_per_second - sum(each.held(_TOKENS) for each in borrowers)
+        held = [borrower.held for borrower in self._borrowers_by_name.values()]
+        requests = sum(each.requests_per_second for each in held)
+        tokens = sum(each.tokens_per_second for each in held)
+        unallocated_requests = max(0.0, self._limits.requests_per_second - requests)
+        unallocated_tokens = max(0.0, self._limits.tokens_per_second - tokens)
         return (
-            self._unallocated_requests.set_rate(max(0.0, requests), now),
-            self._unallocated_tokens.set_rate(max(0.0, tokens), now),
+            self._unallocated_requests.set_rate(unallocated_requests, now),
+            self._unallocated_tokens.set_rate(unallocated_tokens, now),
         )
 
     def _first_term_slice(
@@ -290,10 +304,14 @@
             for name, borrower in self._borrowers_by_name.items()
             if name not in unreachable
         }
-        others = {
-            name: borrower for name, borrower in self._borrowers_by_name.items() if name != daemon
-        }
-        unreachable_others = [each for name, each in others.items() if name in unreachable]
+        held_by_others = [
+            borrower.held for name, borrower in self._borrowers_by_name.items() if name != daemon
+        ]
+        held_by_unreachable = [
+            borrower.held
+            for name, borrower in self._borrowers_by_name.items()
+            if name in unreachable
+        ]
         live_fraction = view.live_fraction
 
         def state(kind: _LimitKind) -> LimitState:
@@ -301,8 +319,8 @@
                 limit=kind.granted(self._limits),
                 live_fraction=live_fraction,
                 demands={name: kind.requested(each) for name, each in live_demands.items()},
-                held_by_others=sum(each.held(kind) for each in others.values()),
-                held_by_unreachable=sum(each.held(kind) for each in unreachable_others),
+                held_by_others=sum(map(kind.granted, held_by_others)),
+                held_by_unreachable=sum(map(kind.granted, held_by_unreachable)),
             )
 
         return Allowance(
