Refuse without waiting for others where no slice is in force in time

Read in the diff: a request whose time to start was over waited for the lock of the thread that asks (up to 3 s), and its own short time made all others be refused for half a second. Now it is refused at once, and only a lender that was silent for the whole 3 s makes others be refused. Run: lending, limits, late_lending (rows of first requests, slices, lender).

--- a/src/brassdrum/admission/limits.py
+++ b/src/brassdrum/admission/limits.py
@@ -5,7 +5,17 @@
 import math
 from dataclasses import dataclass
 
-__all__ = ["Allowance", "DemandMeter", "LocalLimiter", "Refusal", "TokenBucket"]
+__all__ = [
+    "NO_SLICE_LIMIT",
+    "Allowance",
+    "DemandMeter",
+    "LocalLimiter",
+    "Refusal",
+    "TokenBucket",
+]
+
+# Names, in a refusal, that no slice of the limits was in force.
+NO_SLICE_LIMIT = "slice"
 
 _BURST_SECONDS = 1.0
 _DEMAND_HALF_LIFE_SECONDS = 1.0
@@ -163,7 +173,7 @@
         """Count a request that arrives while no slice is in force, and refuse it."""
         self.demand.add(tokens, now)
         self.concurrency_refusals += 1
-        return Refusal("slice", _NO_SLICE_RETRY_SECONDS)
+        return Refusal(NO_SLICE_LIMIT, _NO_SLICE_RETRY_SECONDS)
 
     def refusal(self, now: float) -> Refusal | None:
         """Return the limit that would refuse a request now, or None."""
--- a/src/brassdrum/daemon/limits.py
+++ b/src/brassdrum/daemon/limits.py
@@ -9,7 +9,7 @@
 import grpc
 
 from brassdrum.admission.lending import MembershipView, lender_of
-from brassdrum.admission.limits import Allowance, LocalLimiter, Refusal
+from brassdrum.admission.limits import NO_SLICE_LIMIT, Allowance, LocalLimiter, Refusal
 from brassdrum.clock import Clock
 from brassdrum.contracts.documents import Contract
 from brassdrum.daemon.borrowed_limits import BorrowedLimits, Borrowing, SentRequest
@@ -77,14 +77,16 @@
         self._borrow_if_idle(organisation, tokens, start_by)
         refusal = self._try_acquire(organisation, tokens, LocalLimiter.acquire)
         for _ in range(_MAX_BORROW_ATTEMPTS):
-            if refusal is None or not self._borrow_more(organisation, refusal):
+            if refusal is None or refusal.limit == NO_SLICE_LIMIT:
+                break
+            if not self._borrow_more(organisation, refusal):
                 break
             refusal = self._try_acquire(organisation, tokens, LocalLimiter.retry_acquire)
         if refusal is None:
             return
         self._log_refusal(organisation, refusal)
         message = f"The contract's {refusal.limit} is used up."
-        if refusal.limit == "slice":
+        if refusal.limit == NO_SLICE_LIMIT:
             message = "The daemon that lends the contract's limits has not answered in time."
         raise LimitExceededError(message, retry_after=min(60.0, max(0.05, refusal.retry_after)))
 
@@ -199,6 +201,7 @@
         with self._lock:
             borrowing = self._borrowed.borrowing(organisation, now)
         if not borrowing.lock.acquire(timeout=max(0.0, give_up_at - now)):
+            # The thread that asks has not got a slice in time for this request either.
             return
         try:
             self._borrow_first(organisation, borrowing, tokens, give_up_at)
@@ -209,13 +212,14 @@
         self, organisation: str, borrowing: Borrowing, tokens: int, give_up_at: float
     ) -> None:
         """Ask the lender until a slice is in force; the lender may be replaced meanwhile."""
-        now = self._clock.monotonic()
-        if now - borrowing.gave_up_at < _FIRST_BORROW_INTERVAL_SECONDS:
+        started = self._clock.monotonic()
+        if started - borrowing.gave_up_at < _FIRST_BORROW_INTERVAL_SECONDS:
             return
         while not self._has_slice(organisation):
             now = self._clock.monotonic()
             if now >= give_up_at:
-                borrowing.gave_up_at = now
+                if now - started >= _FIRST_BORROW_SECONDS:
+                    borrowing.gave_up_at = now
                 return
             with self._lock:
                 demand = self._borrowed.first_demand(organisation, tokens)
