--- a/src/brassdrum/admission/lending.py
+++ b/src/brassdrum/admission/lending.py
@@ -47,7 +47,7 @@
 
 
 def static_slice(limits: Allowance, daemon: str, daemons: Sequence[str]) -> Allowance:
-    """Return the equal share that a daemon may use when it cannot reach the lender."""
+    """Return a daemon's equal share, for when nobody knows what the others hold."""
     ordered = sorted({*daemons, daemon})
     part = limits.scaled(1.0 / len(ordered))
     spare = limits.concurrency - part.concurrency * len(ordered)
--- a/src/brassdrum/daemon/limits.py
+++ b/src/brassdrum/daemon/limits.py
@@ -24,8 +24,9 @@
 _logger = logging.getLogger(__name__)
 _TERM_SECONDS = 2.0
 _RENEWAL_TIMEOUT_SECONDS = 0.5
-_FIRST_BORROW_INTERVAL_SECONDS = 0.5
 _BORROW_RETRY_SECONDS = 0.05
+# After a lender was silent for the whole wait, others do not wait as well.
+_GAVE_UP_BACKOFF_SECONDS = 0.5
 _BLOCKING_CALL_TIMEOUT_SECONDS = 0.1
 # Without a slice nothing is admitted, so a first request waits for its lender: longer than it takes
 # to replace a lender that is silent.
@@ -213,7 +214,7 @@
     ) -> None:
         """Ask the lender until a slice is in force; the lender may be replaced meanwhile."""
         started = self._clock.monotonic()
-        if started - borrowing.gave_up_at < _FIRST_BORROW_INTERVAL_SECONDS:
+        if started - borrowing.gave_up_at < _GAVE_UP_BACKOFF_SECONDS:
             return
         while not self._has_slice(organisation):
             now = self._clock.monotonic()
--- a/src/brassdrum/wsgi.py
+++ b/src/brassdrum/wsgi.py
@@ -229,7 +229,7 @@
         """
         self._run_in_loop(self._accept_pending)
         self._run_in_loop(self._stop_listening)
-        # The loop reads what has arrived on the accepted connections between these two actions.
+        # A further round of the loop reads what has arrived on the accepted connections.
         self._run_in_loop(lambda: None)
         give_up_at = time.monotonic() + seconds
         while self._is_busy() and time.monotonic() < give_up_at:
