--- a/src/brassdrum/wsgi.py
+++ b/src/brassdrum/wsgi.py
@@ -5,6 +5,7 @@
 import io
 import json
 import logging
+import math
 import re
 import threading
 import time
@@ -231,8 +232,9 @@
         self._run_in_loop(self._stop_listening)
         # A further round of the loop reads what has arrived on the accepted connections.
         self._run_in_loop(lambda: None)
-        give_up_at = time.monotonic() + seconds
-        while self._is_busy() and time.monotonic() < give_up_at:
+        for _ in range(math.ceil(seconds / _DRAIN_POLL_SECONDS)):
+            if not self._is_busy():
+                return
             time.sleep(_DRAIN_POLL_SECONDS)
 
     def _accept_pending(self) -> None:
