--- a/src/brassdrum/platform/standin.py
+++ b/src/brassdrum/platform/standin.py
@@ -19,10 +19,10 @@
     HeldMemory,
     ReplicaFaults,
     ReplicaRequest,
+    ReplicaServer,
     Run,
     event,
     expected,
-    read_request,
 )
 
 __all__ = ["Replica", "Store", "boot_file", "caller_headers"]
@@ -191,7 +191,7 @@
     return Handler
 
 
-class Replica:
+class Replica(ReplicaServer):
     """Serve requests and record each run."""
 
     def __init__(
@@ -208,43 +208,14 @@
         self._chance = chance
         self._memory = HeldMemory(_KV_TOKENS)
         self._lock = threading.Lock()
-        self._closed = False
-        self._server = socket.create_server(("127.0.0.1", 0))
-        self.own_address = f"127.0.0.1:{self._server.getsockname()[1]}"
-        # Daemons reach a replica through a proxy, which has another address.
-        self.address = self.own_address
-        threading.Thread(target=self._accept, daemon=True).start()
+        super().__init__()
 
     def held(self) -> int:
         """Return the tokens that are set aside now."""
         return self._memory.held()
 
-    def close(self) -> None:
-        """Crash: serve no more."""
-        self._closed = True
-        self._server.close()
-
-    def _accept(self) -> None:
-        while not self._closed:
-            try:
-                connection, _ = self._server.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
-
-    def _serve(self, connection: socket.socket) -> None:
-        stream = connection.makefile("rb")
-        try:
-            while not self._closed:
-                request = read_request(stream)
-                if request is None or not self._handle(connection, request):
-                    return
-        except (OSError, ValueError):
-            return
-        finally:
-            connection.close()
-
-    def _handle(self, connection: socket.socket, request: ReplicaRequest) -> bool:
+    def handle(self, connection: socket.socket, request: ReplicaRequest) -> bool:
+        """Answer one request."""
         headers = request.header_by_name
         if request.path == "/order":
             self._answer(connection, request, self._order(json.loads(request.body)), b"{}", "")
--- a/src/brassdrum/soak/replicas.py
+++ b/src/brassdrum/soak/replicas.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 import time
 from dataclasses import dataclass, field
@@ -13,6 +14,7 @@
     "HeldMemory",
     "ReplicaFaults",
     "ReplicaRequest",
+    "ReplicaServer",
     "Run",
     "event",
     "expected",
@@ -110,6 +112,47 @@
     return ReplicaRequest(line[1].decode(), headers, body)
 
 
+class ReplicaServer:
+    """Accept connections and read their requests, each connection in a thread of its own."""
+
+    def __init__(self) -> None:
+        self._closed = False
+        self._server = socket.create_server(("127.0.0.1", 0))
+        self.own_address = f"127.0.0.1:{self._server.getsockname()[1]}"
+        # Daemons reach a replica through a proxy, which has another address.
+        self.address = self.own_address
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Crash: serve no more."""
+        self._closed = True
+        self._server.close()
+
+    def handle(self, connection: socket.socket, request: ReplicaRequest) -> bool:
+        """Answer a request; return whether the connection stays open."""
+        raise NotImplementedError
+
+    def _accept(self) -> None:
+        while not self._closed:
+            try:
+                connection, _ = self._server.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        stream = connection.makefile("rb")
+        try:
+            while not self._closed:
+                request = read_request(stream)
+                if request is None or not self.handle(connection, request):
+                    return
+        except (OSError, ValueError):
+            return
+        finally:
+            connection.close()
+
+
 def event(request: str, number: int) -> bytes:
     """Return one event of a stream."""
     return f"id: {number}\ndata: {request} {number}\n\n".encode()
