Log what endpoints say they take a second, which no line showed

Callers saw nothing; the operators saw an engine get 13 requests in 4 s where 11 are allowed. The adapter decodes the header into EndpointSignals, the answers of requests, memory orders and liveness checks are read, and a change is one line 'endpoint limited'; metric limited_endpoints. No decision changes.

An answer without the limit counts only if its request was sent after the limit was last named, since answers overtake each other; answers to orders and checks only name limits, they take none back.

--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -110,6 +110,9 @@
         """Return the next number."""
         return next(self._numbers)
 
+    def signals_received(self, endpoint, signals, sent_at):
+        """Ignore what an endpoint asks for."""
+
     def may_wait(self, exchange):
         """Allow every request to wait."""
         return True
--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -17,6 +17,7 @@
     DaemonAddress,
     DeclaredRequest,
     EndpointEntry,
+    EndpointSignals,
     EngineModel,
     Headers,
     Reply,
@@ -143,6 +144,10 @@
         self._daemon.sendings[number] = _Sent(request, parameters)
         return [(_SENDING, number)]
 
+    def read_signals(self, _status: int, _headers: Headers) -> EndpointSignals:
+        """Return that an engine asks for nothing."""
+        return EndpointSignals()
+
     def read_reply(self, _request: DeclaredRequest, status: int, headers: Headers) -> Reply:
         """Take every answer as a success."""
         return Reply(ReplyKind.SUCCESS, status, headers)
@@ -254,6 +259,9 @@
         """Let all wait."""
         return True
 
+    def signals_received(self, _endpoint: str, _signals: EndpointSignals, _sent_at: float) -> None:
+        """Ignore what engines ask for."""
+
     def next_attempt_number(self) -> int:
         """Return the next number."""
         return next(self._numbers)
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -27,6 +27,7 @@
     DeclaredRequest,
     Dialect,
     EndpointEntry,
+    EndpointSignals,
     EngineModel,
     GatewaySettings,
     Headers,
@@ -99,6 +100,9 @@
             dialect,
             # Reservations of a crashed daemon must expire before the platform reports a leak.
             min(bounds.max_reservation, bounds.reservation_release * _RELEASE_TIME_RATIO),
+            lambda address, signals: self.endpoint_monitor.address_signals_received(
+                address, signals
+            ),
         )
         self._attempt_numbers = itertools.count(1)
         self._random = rng or random.Random()
@@ -166,6 +170,7 @@
                 self.pool,
                 self._store,
                 self.crash_guard,
+                self.endpoint_monitor.signals,
             )
         )
         log_events.STARTED.write(
@@ -327,6 +332,10 @@
         duration = estimate_duration(exchange.route, exchange.request, engine)
         return self._planned_stop.may_wait(self.loop.now(), duration)
 
+    def signals_received(self, endpoint: str, signals: EndpointSignals, sent_at: float) -> None:
+        """Record what an endpoint asks for in a response to a request sent at a time."""
+        self.endpoint_monitor.signals_received(endpoint, signals, sent_at)
+
     def next_attempt_number(self) -> int:
         """Return a number that is unique among this daemon's attempts."""
         return next(self._attempt_numbers)
--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable
 
 from brassdrum.gateway.following.follower import Follower
 from brassdrum.gateway.following.routing_state import EndpointChange, RoutingState
 from brassdrum.gateway.following.suspicion import FailureDetector
 from brassdrum.gateway.guards.crash_guard import CrashGuard
+from brassdrum.gateway.model import EndpointSignals
 from brassdrum.gateway.net.loop import EventLoop
 from brassdrum.gateway.net.upstream import EndpointPool
 from brassdrum.gateway.peering.peer_messages import DrainNotice, PeerStatus
+from brassdrum.gateway.throttling.signals import EndpointSignalTable, LimitChange
 from brassdrum.telemetry import log_events
 
 __all__ = ["EndpointMonitor"]
@@ -35,6 +38,7 @@
         self._pool = pool
         self._on_changed = on_changed
         self._guard = guard
+        self.signals = EndpointSignalTable()
         self._failure_detector = FailureDetector()
         self._follower: Follower | None = None
 
@@ -64,6 +68,21 @@
         """Record a complete response."""
         self._failure_detector.record_success(endpoint)
 
+    def signals_received(self, endpoint: str, signals: EndpointSignals, sent_at: float) -> None:
+        """Record what an endpoint asks for in a response to a request sent at a time."""
+        change = self.signals.record(endpoint, signals, sent_at, self._loop.now())
+        if change is not None:
+            self._log_limit(change, "endpoint")
+
+    def address_signals_received(self, address: str, signals: EndpointSignals) -> None:
+        """Record what the endpoint at an address asks for in another response than a request's.
+
+        Only what it names counts: such a response need not repeat what it says in others.
+        """
+        endpoint = self._routing_state.find_endpoint(address)
+        if endpoint is not None:
+            self.signals_received(endpoint, signals, -math.inf)
+
     def address_reused(self, endpoint: str) -> None:
         """Remove an endpoint whose address now belongs to another one."""
         entry = self._routing_state.endpoints_by_id.get(endpoint)
@@ -133,7 +152,9 @@
             self._log_endpoint_change(change, source)
             if change.change == "restarted" and change.address is not None:
                 self._pool.close_idle(change.address)
-        self._failure_detector.retain(set(self._routing_state.endpoints_by_id))
+        known = set(self._routing_state.endpoints_by_id)
+        self._failure_detector.retain(known)
+        self.signals.retain(known)
         self._on_changed()
 
     def _log_suspect(self, endpoint: str, detail: str, certain: bool) -> None:
@@ -141,6 +162,15 @@
             _logger, endpoint=endpoint, detail=detail, certain=certain
         )
 
+    def _log_limit(self, change: LimitChange, source: str) -> None:
+        log_events.ENDPOINT_LIMITED.write(
+            _logger,
+            endpoint=change.endpoint,
+            limit=change.limit,
+            before=change.before,
+            source=source,
+        )
+
     def _log_endpoint_change(self, change: EndpointChange, source: str) -> None:
         age = self.list_age()
         log_events.ENDPOINT_CHANGED.write(
--- a/src/brassdrum/gateway/measures.py
+++ b/src/brassdrum/gateway/measures.py
@@ -20,6 +20,7 @@
 from brassdrum.gateway.peering.peers import Peers
 from brassdrum.gateway.request.exchange import Exchange
 from brassdrum.gateway.request.outcome import LatencyReport, Outcome
+from brassdrum.gateway.throttling.signals import EndpointSignalTable
 
 __all__ = ["GatewayMetrics", "MetricsSources"]
 
@@ -41,6 +42,7 @@
     pool: EndpointPool
     store: ControlStore
     crash_guard: CrashGuard
+    signals: EndpointSignalTable
 
 
 class GatewayMetrics:
@@ -119,6 +121,11 @@
         self._add_gauge("peers", "Live daemons, this one too.", lambda: sources.peers.live)
         self._add_gauge("peer_bytes", "Bytes of datagrams sent.", lambda: sources.peers.sent_bytes)
         self._add_gauge("quarantined", "Contents refused.", lambda: sources.crash_guard.quarantined)
+        self._add_gauge(
+            "limited_endpoints",
+            "Endpoints that limit their requests.",
+            lambda: sources.signals.limited_count,
+        )
         self._add_gauge("store_calls", "Calls to the store.", lambda: sources.store.calls)
         self._add_gauge(
             "connections_opened", "Connections opened.", lambda: sources.pool.connections_opened
--- a/src/brassdrum/gateway/model.py
+++ b/src/brassdrum/gateway/model.py
@@ -16,6 +16,7 @@
     "DeclaredRequest",
     "Dialect",
     "EndpointEntry",
+    "EndpointSignals",
     "EngineModel",
     "FleetConfiguration",
     "GatewaySettings",
@@ -284,6 +285,17 @@
     faulty_endpoint: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointSignals:
+    """What an endpoint asks for in the headers of a response.
+
+    ``rate_limit`` is the number of requests per second that it takes from all daemons together, or
+    None if it names no limit.
+    """
+
+    rate_limit: float | None = None
+
+
 class Dialect(Protocol):
     """Convert between the wire format of headers and the types of this module."""
 
@@ -296,6 +308,9 @@
     def read_reply(self, request: DeclaredRequest, status: int, headers: Headers) -> Reply:
         """Classify the response of an endpoint."""
 
+    def read_signals(self, status: int, headers: Headers) -> EndpointSignals | None:
+        """Return what the endpoint asks for, or None if the response is from another endpoint."""
+
     def encode_reserve(self, ticket: str, tokens: int, seconds: float, *, wait: bool) -> bytes:
         """Return the body of a request that reserves memory at an endpoint."""
 
--- a/src/brassdrum/gateway/placing/reservations.py
+++ b/src/brassdrum/gateway/placing/reservations.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import Callable
 
-from brassdrum.gateway.model import Dialect, Headers, Reservation
+from brassdrum.gateway.model import Dialect, EndpointSignals, Headers, Reservation
 from brassdrum.gateway.net.loop import EventLoop, Timer
 from brassdrum.gateway.net.upstream import CallFailure, EndpointCall, EndpointPool, OutgoingRequest
 
@@ -28,8 +28,15 @@
 class _ReservationCall:
     """One HTTP call to an endpoint; reports the status, 0 if there is no answer."""
 
-    def __init__(self, loop: EventLoop, pool: EndpointPool, on_done: Callable[[int], None]) -> None:
+    def __init__(
+        self,
+        loop: EventLoop,
+        pool: EndpointPool,
+        on_headers: Callable[[int, Headers], None],
+        on_done: Callable[[int], None],
+    ) -> None:
         self._pool = pool
+        self._on_headers = on_headers
         self._on_done: Callable[[int], None] | None = on_done
         self._status = _NO_ANSWER
         self._call: EndpointCall | None = None
@@ -50,9 +57,10 @@
         request = OutgoingRequest(b"GET", path.encode(), [(b"Host", address.encode())], b"")
         self._call = self._pool.call(address, self, request)
 
-    def response_started(self, status: int, _headers: Headers) -> None:
-        """Record the status of the answer."""
+    def response_started(self, status: int, headers: Headers) -> None:
+        """Record the status of the answer and report its headers."""
         self._status = status
+        self._on_headers(status, headers)
 
     def response_data(self, _content: bytes) -> None:
         """Ignore the body; only the status matters."""
@@ -163,13 +171,20 @@
     """Send the reservation calls of all holds of this daemon."""
 
     def __init__(
-        self, loop: EventLoop, pool: EndpointPool, dialect: Dialect, hold_seconds: float
+        self,
+        loop: EventLoop,
+        pool: EndpointPool,
+        dialect: Dialect,
+        hold_seconds: float,
+        on_signals: Callable[[str, EndpointSignals], None],
     ) -> None:
         self.loop = loop
         self.hold_seconds = hold_seconds
         self.calls_sent = 0
         self._pool = pool
         self._dialect = dialect
+        # Receives the address of an endpoint and what it asks for.
+        self._on_signals = on_signals
 
     def acquire(
         self,
@@ -205,14 +220,22 @@
 
     def probe(self, address: str, on_done: Callable[[bool], None]) -> None:
         """Report whether an endpoint answers."""
-        call = _ReservationCall(self.loop, self._pool, lambda status: on_done(status != _NO_ANSWER))
+        call = self._call(address, lambda status: on_done(status != _NO_ANSWER))
         call.get(address, self._dialect.report_path)
 
     def _send(self, reservation: Reservation, body: bytes, on_done: Callable[[bool], None]) -> None:
         self.calls_sent += 1
-        call = _ReservationCall(self.loop, self._pool, lambda status: on_done(status == _GRANTED))
+        call = self._call(reservation.address, lambda status: on_done(status == _GRANTED))
         call.post(reservation.address, self._dialect.order_path, body)
 
+    def _call(self, address: str, on_done: Callable[[int], None]) -> _ReservationCall:
+        def report_signals(status: int, headers: Headers) -> None:
+            signals = self._dialect.read_signals(status, headers)
+            if signals is not None:
+                self._on_signals(address, signals)
+
+        return _ReservationCall(self.loop, self._pool, report_signals, on_done)
+
 
 def _ignore(_granted: bool) -> None:
     """Ignore a refused renewal; the endpoint then ends the request, which is retried elsewhere."""
--- a/src/brassdrum/gateway/request/attempt.py
+++ b/src/brassdrum/gateway/request/attempt.py
@@ -7,6 +7,7 @@
 from brassdrum.gateway.model import (
     DeclaredRequest,
     Dialect,
+    EndpointSignals,
     Headers,
     HelperReference,
     Reply,
@@ -37,6 +38,9 @@
     def load_changed(self) -> None:
         """Handle a change of this daemon's requests in flight."""
 
+    def signals_received(self, endpoint: str, signals: EndpointSignals, sent_at: float) -> None:
+        """Handle what an endpoint asks for in a response to a request sent at a time."""
+
     def next_attempt_number(self) -> int:
         """Return a number that is unique among this daemon's attempts."""
 
@@ -192,6 +196,9 @@
 
     def response_started(self, status: int, headers: Headers) -> None:
         """Handle the status and headers of the response."""
+        signals = self._context.dialect.read_signals(status, headers)
+        if signals is not None:
+            self._context.signals_received(self.endpoint, signals, self.sent_at)
         self.reply = self._context.dialect.read_reply(self._owner.request, status, headers)
         self._owner.attempt_response_started(self, self.reply)
 
--- /dev/null
+++ b/src/brassdrum/gateway/throttling/__init__.py
@@ -0,0 +1,1 @@
+"""Keep to what endpoints ask for in their responses, over all daemons."""
--- a/src/brassdrum/platform/dialect.py
+++ b/src/brassdrum/platform/dialect.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import json
+import logging
+import math
 
 from brassdrum.errors import InvalidRequestError
 from brassdrum.gateway.model import (
     AttemptParameters,
     DeclaredRequest,
+    EndpointSignals,
     Headers,
     HelperReference,
     Reply,
@@ -31,6 +34,8 @@
 _SEAL = b"x-replica-seal"
 _NOT_RUN = b"x-not-executed"
 _CULPRIT = b"at-server"
+# Requests a second that the endpoint takes from all daemons together, as a decimal number.
+_RATE_LIMIT = b"server-limit"
 
 _HOP_BY_HOP = {
     b"connection",
@@ -51,6 +56,8 @@
 # A caller that names no time waits as long as its route allows.
 _NO_LIMIT_SECONDS = 3600.0
 _LARGEST_COUNT = 10**9
+_WRONG_ENDPOINT = 421
+_logger = logging.getLogger(__name__)
 
 
 class PlatformDialect:
@@ -109,6 +116,13 @@
             None if culprit is None else culprit.decode("latin-1"),
         )
 
+    def read_signals(self, status: int, headers: Headers) -> EndpointSignals | None:
+        """Return what the endpoint asks for, or None if the response is from another endpoint."""
+        if status == _WRONG_ENDPOINT:
+            return None
+        value_by_name = {name.lower(): value for name, value in headers}
+        return EndpointSignals(rate_limit=_amount(value_by_name.get(_RATE_LIMIT)))
+
     def encode_reserve(self, ticket: str, tokens: int, seconds: float, *, wait: bool) -> bytes:
         """Return the order that holds memory at an endpoint."""
         hold = int(seconds * 1000)
@@ -125,7 +139,7 @@
         echoed = value_by_name.get(_REQUEST_ID)
         if echoed is not None and echoed != request.id.encode("latin-1"):
             return ReplyKind.UNVERIFIED
-        if status == 421:
+        if status == _WRONG_ENDPOINT:
             return ReplyKind.WRONG_ENDPOINT
         if _NOT_RUN in value_by_name:
             return ReplyKind.NOT_EXECUTED
@@ -157,6 +171,20 @@
     return _number(prompt), _number(answer or b"0")
 
 
+def _amount(value: bytes | None) -> float | None:
+    """Return a decimal number that an endpoint sent, or None without a valid one."""
+    if value is None:
+        return None
+    try:
+        amount = float(value)
+    except ValueError:
+        amount = math.nan
+    if not 0 <= amount <= _LARGEST_COUNT:
+        _logger.warning("header ignored", extra={"value": repr(value[:40])})
+        return None
+    return amount
+
+
 def _number(value: bytes) -> int:
     text = value.strip()
     if not text.isdigit() or int(text) > _LARGEST_COUNT:
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -156,6 +156,14 @@
     "An endpoint failed requests and is avoided for a while.",
     "Look at the endpoint when many daemons suspect it.",
 )
+ENDPOINT_LIMITED = LOG_EVENTS.add(
+    "endpoint limited",
+    Topic.BELIEF,
+    "endpoint limit before source",
+    "An endpoint named another limit of requests a second over all daemons, or none; `source` is "
+    "the endpoint itself or the host of the daemon that told.",
+    "Look at the endpoint: it asks for relief.",
+)
 ENDPOINT_ENDED = LOG_EVENTS.add(
     "endpoint ended",
     Topic.BELIEF,
