Show that daemons send an endpoint more than it says it takes

Fails on this code and on, where no code reads the header: three daemons that were each told a limit of 1 a second send 30 requests in 0.1 s, all of them; 11 are allowed.

--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -274,6 +274,13 @@
     send_response(connection, 200, endpoint.name.encode(), request)
 
 
+@behaviours.register("complete response with a limit of 1")
+def limited_response(endpoint, connection, request):
+    """Send a complete response that names a limit of one request a second."""
+    body = endpoint.name.encode()
+    send_response(connection, 200, body, request, extra=["Server-Limit: 1.0"])
+
+
 @behaviours.register("failure")
 def failure(endpoint, connection, request):
     """Execute the request and return an error."""
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -74,13 +74,13 @@
 
 
 def send_request(context, kind, gateway=0, **headers):
-    context.answer = _request(context, kind, gateway, **headers)()
+    context.answer = request_from(context, kind, gateway, **headers)()
     return context.answer
 
 
 def send_in_background(context, kind, **headers):
     """Send a request in a thread that leaves its response with the returned caller."""
-    return BackgroundCaller(context, _request(context, kind, 0, **headers))
+    return BackgroundCaller(context, request_from(context, kind, 0, **headers))
 
 
 class BackgroundCaller:
@@ -106,7 +106,7 @@
                 connection.shutdown(socket.SHUT_RDWR)
 
 
-def _request(context, kind, gateway, **headers):
+def request_from(context, kind, gateway, **headers):
     target = context.gateways[gateway]
     number = context.sent = getattr(context, "sent", 0) + 1
     values = {
