--- a/features/steps/endpoint_limit_steps.py
+++ b/features/steps/endpoint_limit_steps.py
@@ -1,11 +1,32 @@
 """Steps on endpoints that limit the rate of their requests."""
 
 import math
+import random
 import time
 
 from behave import given, then, when
 
+from brassdrum.bench.limits import WINDOW_SECONDS, LimitPlan, allowed_requests, play_limit
+from brassdrum.gateway.model import DaemonAddress, EndpointSignals
+from brassdrum.gateway.peering.peer_messages import (
+    PeerStatus,
+    PermitReply,
+    PermitRequest,
+    Report,
+    Sender,
+    decode_message,
+    encode_message,
+)
+from brassdrum.gateway.placing.load import LoadTable
+from brassdrum.gateway.placing.placement import Candidate, PlacementRequest
+from brassdrum.gateway.placing.policies import policies
+from brassdrum.gateway.throttling.ownership import OwnerSelector
+from brassdrum.gateway.throttling.schedule import SendSchedule
+from brassdrum.gateway.throttling.signals import EndpointSignalTable, RateLimitNotice
+from brassdrum.platform.dialect import PlatformDialect
+from features.gateway_world import engine_entry
 from features.steps.gateway_steps import (
+    ENGINE,
     received_requests,
     request_from,
     send_request,
@@ -13,16 +34,12 @@
 )
 from features.support import StepThread
 
-WINDOW_SECONDS = 4.0
-# The platform's rule: in each window one and a half times the limit, and five requests.
-EXCESS_FACTOR = 1.5
-EXCESS_REQUESTS = 5
+ENDPOINT = "endpoint-1"
 
 
 def allowed(limit, seconds):
     """Return the requests that an endpoint may get during some seconds."""
-    windows = math.ceil(seconds / WINDOW_SECONDS)
-    return windows * (EXCESS_FACTOR * limit * WINDOW_SECONDS + EXCESS_REQUESTS)
+    return math.ceil(seconds / WINDOW_SECONDS) * allowed_requests(limit)
 
 
 @given("{daemons:d} gateways in front of {endpoints:d} endpoint that takes 1 request a second")
@@ -32,6 +49,16 @@
     context.endpoints[0].default_behaviour = "complete response with a limit of 1"
 
 
+@given("{daemons:d} gateways in front of {endpoints:d} endpoints, one of which takes 1 a second")
+def step_one_limited_endpoint(context, daemons, endpoints):
+    step_limited_endpoint(context, daemons, endpoints)
+
+
+@then("every caller was served")
+def step_all_served(context):
+    assert [answer.status for answer in context.answers] == [200] * len(context.answers)
+
+
 @when("each daemon is told the limit")
 def step_told(context):
     for number in range(len(context.gateways)):
@@ -66,3 +93,195 @@
     assert len(served) + len(refused) == len(context.answers)
     assert len(served) == len(received_requests(context)) - context.told_count
     assert all(float(answer.header_by_name["retry-after"]) > 0 for answer in refused)
+
+
+@then('a response with the header "Server-Limit: <value>" names a limit of <limit>')
+def step_adapter_reads(context):
+    for row in context.table:
+        headers = [(b"Server-Limit", row["value"].encode())]
+        signals = PlatformDialect().read_signals(200, headers)
+        expected = None if row["limit"] == "none" else float(row["limit"])
+        assert signals == EndpointSignals(rate_limit=expected), (row["value"], signals)
+
+
+@then("a response of another endpoint says nothing")
+def step_adapter_ignores(context):
+    assert PlatformDialect().read_signals(421, [(b"Server-Limit", b"2")]) is None
+
+
+@given("an endpoint that named a limit of {limit:g} at {at:g} s")
+def step_named(context, limit, at):
+    context.signals = EndpointSignalTable()
+    context.signals.record(ENDPOINT, EndpointSignals(rate_limit=limit), at - 0.1, at)
+
+
+@when("a response without a limit to a request sent at {sent_at:g} s arrives at {at:g} s")
+def step_lifted(context, sent_at, at):
+    context.signals.record(ENDPOINT, EndpointSignals(), sent_at, at)
+    context.now = at
+
+
+@when("a peer tells at {now:g} s that the endpoint lifted its limit {age:g} s ago")
+def step_peer_tells(context, now, age):
+    context.signals.apply_notice(RateLimitNotice(ENDPOINT, None, age), now)
+    context.now = now
+
+
+@then("the limit is {limit:g}")
+def step_limit_is(context, limit):
+    assert context.signals.rate_limit(ENDPOINT) == limit
+    assert context.signals.limited_count == 1
+
+
+@then("there is no limit")
+def step_no_limit(context):
+    assert context.signals.rate_limit(ENDPOINT) is None
+    assert context.signals.limited_count == 0
+
+
+@then("this daemon tells its peers nothing")
+def step_tells_nothing(context):
+    assert context.signals.notices(context.now) == []
+
+
+@then("each message about limits is decoded as it was sent")
+def step_round_trip(context):
+    sender = Sender("daemon-1", DaemonAddress("10.0.0.1", "zone-a"), 1, 2)
+    notices = (RateLimitNotice("a", 0.25, 1.5), RateLimitNotice("b", None, 0.0))
+    messages = [
+        PermitRequest(7, "10.0.0.1", "i-1@5", 0.25, 1.5, relayed=True),
+        PermitReply(7, True, 0.125),
+        Report(sender, PeerStatus(1, "", 0.5, 1, limits=notices)),
+        Report(sender, PeerStatus(1, "", 0.5, 1, limits=())),
+        Report(sender, PeerStatus(1, "", 0.5, 1, limits=None)),
+    ]
+    for message in messages:
+        assert decode_message(encode_message(message)) == message, message
+
+
+@given("daemons that share {count:d} endpoints")
+def step_owners(context, count):
+    context.names = [f"endpoint-{number}" for number in range(count)]
+    hosts = [f"10.0.0.{number}" for number in range(1, 5)]
+    context.selectors = {host: OwnerSelector(host) for host in hosts}
+    for selector in context.selectors.values():
+        selector.set_members(frozenset(hosts), 10.0)
+    context.owners = {name: context.selectors[hosts[0]].owner(name) for name in context.names}
+    assert set(context.owners.values()) == set(hosts)
+
+
+@when("a daemon joins")
+def step_joins(context):
+    context.joined = "10.0.0.9"
+    context.selectors[context.joined] = OwnerSelector(context.joined)
+    hosts = frozenset(context.selectors)
+    for selector in context.selectors.values():
+        selector.set_members(hosts, 20.0)
+
+
+@then("only endpoints of the new daemon change their owner")
+def step_few_move(context):
+    now_owned = {name: context.selectors["10.0.0.1"].owner(name) for name in context.names}
+    moved = {name for name in context.names if now_owned[name] != context.owners[name]}
+    assert moved and {now_owned[name] for name in moved} == {context.joined}
+    context.owners = now_owned
+
+
+@then("the new daemon waits {seconds:g} s before it schedules them")
+def step_new_waits(context, seconds):
+    selector = context.selectors[context.joined]
+    for name in [name for name in context.names if context.owners[name] == context.joined]:
+        assert math.isclose(selector.seconds_until_settled(name, 20.0), seconds)
+        assert selector.seconds_until_settled(name, 20.0 + seconds) == 0.0
+
+
+@then("the others schedule theirs without a pause")
+def step_others_settled(context):
+    for name in [name for name in context.names if context.owners[name] != context.joined]:
+        selector = context.selectors[context.owners[name]]
+        assert selector.seconds_until_settled(name, 20.0) == 0.0
+
+
+@when("requests ask for slots at {rate:g} a second, {times:d} times as often, for {seconds:d} s")
+def step_ask_for_slots(context, rate, times, seconds):
+    rng = random.Random(1)
+    schedule = SendSchedule(rate, 0.0)
+    now, context.sent_times = 0.0, []
+    while now < seconds:
+        slot = schedule.reserve(rate, rng.uniform(0.0, 1.5), now)
+        if slot.granted:
+            context.sent_times.append(now + slot.wait)
+        now += rng.expovariate(rate * times)
+    context.rate, context.seconds = rate, seconds
+
+
+@then("at most {most:d} are sent in any 4 s and all of the rate is used")
+def step_schedule_bounds(context, most):
+    times = sorted(context.sent_times)
+    counts = [sum(1 for each in times if at <= each < at + WINDOW_SECONDS) for at in times]
+    assert max(counts) <= most, max(counts)
+    assert len(times) >= context.rate * context.seconds * 0.9, len(times)
+
+
+@given("a schedule at {rate:g} a second that is booked for {seconds:g} s")
+def step_booked(context, rate, seconds):
+    context.schedule = SendSchedule(rate, 0.0)
+    while context.schedule.reserve(rate, seconds, 0.0).granted:
+        pass
+
+
+@when("a request asks for a slot at {rate:g} a second")
+def step_raised(context, rate):
+    context.slot = context.schedule.reserve(rate, 10.0, 0.0)
+
+
+@then("it waits less than {seconds:g} s")
+def step_short_wait(context, seconds):
+    assert context.slot.granted
+    assert context.slot.wait < seconds
+
+
+@given("{count:d} engines of which {limited:d} limit their rate")
+def step_limited_engines(context, count, limited):
+    table = LoadTable()
+    entries = [engine_entry(number) for number in range(1, count + 1)]
+    context.candidates = [
+        Candidate(entry, table.total(entry.id), limited=number < limited)
+        for number, entry in enumerate(entries)
+    ]
+
+
+@when("a prompt of {tokens:d} tokens is placed among them")
+def step_place_prompt(context, tokens):
+    request = PlacementRequest(tokens, 100, 3000.0, 1000)
+    context.placement = policies.get("least_harm")(
+        request, context.candidates, ENGINE, random.Random(1)
+    )
+
+
+@then("no engine that limits its rate helps")
+def step_no_limited_helper(context):
+    limited = {each.entry.id for each in context.candidates if each.limited}
+    assert not limited & {each.entry.id for each in context.placement.helpers}
+
+
+@when("{daemons:d} daemons play {demand:g} times a limit of {limit:g} a second with {trouble}")
+def step_play_limit(context, daemons, demand, limit, trouble):
+    context.result = play_limit(LimitPlan(limit, daemons, demand, trouble=trouble))
+
+
+@then("the endpoint gets no more than it takes and every caller has its answer")
+def step_fleet_bound(context):
+    result = context.result
+    assert result.most <= result.allowed, result
+    assert result.served + result.refused == result.asked, result
+
+
+@then("the limit is used")
+def step_used(context):
+    assert context.result.used_share >= 0.8, context.result
+
+
+@then("nobody is refused")
+def step_none_refused(context):
+    assert context.result.refused == 0, context.result
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -12,6 +12,8 @@
 from brassdrum.gateway.placing.placement import Placement
 from brassdrum.gateway.request.exchange import Exchange
 from brassdrum.gateway.request.waiting import WaitQueue
+from brassdrum.gateway.throttling.signals import EndpointSignalTable
+from brassdrum.gateway.throttling.throttle import EndpointThrottle
 from brassdrum.platform.dialect import PlatformDialect
 from features.gateway_world import HOST, SERVICE, route
 
@@ -90,6 +92,7 @@
         self.harm = 0.0
         self.crash_guard = CrashGuard(self.loop, self.load_table)
         self.wait_queue = WaitQueue(self.loop, lambda seconds: seconds)
+        self.throttle = EndpointThrottle(self.loop, EndpointSignalTable(), broker=None)
         self._numbers = itertools.count()
 
     def place(self, exchange, need):
@@ -113,6 +116,9 @@
     def signals_received(self, endpoint, signals, sent_at):
         """Ignore what an endpoint asks for."""
 
+    def next_opening(self, exchange, need):
+        """Return None: no endpoint limits its rate."""
+
     def may_wait(self, exchange):
         """Allow every request to wait."""
         return True
--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -5,7 +5,7 @@
 import itertools
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from brassdrum.bench.load.engine import EngineRun, SimulatedEngine
 from brassdrum.bench.load.loop import SimulatedLoop
@@ -28,6 +28,7 @@
 from brassdrum.gateway.peering.peer_messages import PeerStatus
 from brassdrum.gateway.peering.peers import Peers
 from brassdrum.gateway.placing.choosing import EndpointSelector
+from brassdrum.gateway.placing.costs import prefill_ms
 from brassdrum.gateway.placing.load import LoadTable
 from brassdrum.gateway.placing.placement import Placement, PlacementRequest
 from brassdrum.gateway.placing.policies import Policy
@@ -35,6 +36,8 @@
 from brassdrum.gateway.request.exchange import Exchange
 from brassdrum.gateway.request.outcome import Outcome
 from brassdrum.gateway.request.waiting import WaitQueue
+from brassdrum.gateway.throttling.signals import EndpointSignalTable
+from brassdrum.gateway.throttling.throttle import EndpointOpening, EndpointThrottle
 from brassdrum.telemetry.log_events import PLACED, LogEvent
 
 __all__ = ["SERVICE", "Fleet", "Prediction", "SimulatedDaemon"]
@@ -43,6 +46,7 @@
 # The way to an engine.
 _WAY_SECONDS = 0.001
 _SENDING = b"sending"
+_RATE_LIMIT = b"limit"
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +105,8 @@
 
         def event(number: int) -> None:
             if number == 1:
-                owner.response_started(200, [])
+                limit = head.rate_limit
+                owner.response_started(200, [] if limit is None else [(_RATE_LIMIT, b"%g" % limit)])
             owner.response_data(b"id: %d\ndata: x\n\n" % (first + number - 1))
 
         helpers = [fleet.engine_by_id[each.address] for each in sending.sending.helpers]
@@ -119,6 +124,7 @@
             helpers,
             stored,
         )
+        head.arrivals.append(fleet.loop.now())
         head.submit(run)
         return _Call(lambda: head.cancel(run))
 
@@ -144,9 +150,10 @@
         self._daemon.sendings[number] = _Sent(request, parameters)
         return [(_SENDING, number)]
 
-    def read_signals(self, _status: int, _headers: Headers) -> EndpointSignals:
-        """Return that an engine asks for nothing."""
-        return EndpointSignals()
+    def read_signals(self, _status: int, headers: Headers) -> EndpointSignals:
+        """Return what an engine asks for."""
+        limit = dict(headers).get(_RATE_LIMIT)
+        return EndpointSignals(None if limit is None else float(limit))
 
     def read_reply(self, _request: DeclaredRequest, status: int, headers: Headers) -> Reply:
         """Take every answer as a success."""
@@ -224,6 +231,7 @@
         self.crash_guard = CrashGuard(self.loop, self.load_table)
         self.reservations = _Reservations(self)
         self.wait_queue = WaitQueue(self.loop, lambda seconds: seconds * rng.uniform(0.6, 1.4))
+        self.signals = EndpointSignalTable()
         self.peers = Peers(
             self.loop,
             fleet.network.join(address.host),
@@ -231,36 +239,59 @@
             address,
             1,
             self.load_table,
-            lambda: PeerStatus(1, "", 0.0, 1),
-            _ignore_belief,
+            self._status,
             _ignore_belief,
+            self._apply_notices,
             # Its own draws: placements of a seed stay the same whatever daemons tell each other.
             random.Random(name),
+            self.signals.rate_limit,
         )
+        self.throttle = EndpointThrottle(self.loop, self.signals, self.peers.permits)
         self._chooser = EndpointSelector(
-            name, self.load_table, rng, lambda: self.peers.flush_seconds
+            name, self.load_table, self.throttle, rng, lambda: self.peers.flush_seconds
         )
         self._numbers = itertools.count()
 
     def place(self, exchange: Exchange, need: PlacementRequest) -> Placement | None:
         """Return where to send a request now."""
         now = self.loop.now()
-        entries = [
-            entry
-            for entry in self.routing_state.usable(SERVICE)
-            if entry.id not in exchange.tried_endpoints
-        ]
         late = now > exchange.wait_deadlines.timely_until
         return self._chooser.select(
-            self.fleet.policy, need, entries, lambda _: False, self.fleet.model, now, late=late
+            self.fleet.policy,
+            need,
+            self._usable_entries(exchange),
+            lambda _: False,
+            self.fleet.model,
+            now,
+            permit=exchange.permit,
+            late=late,
         )
 
+    def next_opening(self, exchange: Exchange, need: PlacementRequest) -> EndpointOpening | None:
+        """Return the engine that takes a request first."""
+        opening = self.throttle.next_opening(self._usable_entries(exchange))
+        if opening is None:
+            return None
+        return replace(opening, first_event_ms=prefill_ms(self.fleet.model, need.prompt_tokens))
+
+    def _usable_entries(self, exchange: Exchange) -> list[EndpointEntry]:
+        entries = self.routing_state.usable(SERVICE)
+        return [entry for entry in entries if entry.id not in exchange.tried_endpoints]
+
+    def _status(self) -> PeerStatus:
+        return PeerStatus(1, "", 0.0, 1, limits=tuple(self.signals.notices(self.loop.now())))
+
+    def _apply_notices(self, _host: str, status: PeerStatus) -> None:
+        for notice in status.limits or ():
+            self.signals.apply_notice(notice, self.loop.now())
+
     def may_wait(self, _exchange: Exchange) -> bool:
         """Let all wait."""
         return True
 
-    def signals_received(self, _endpoint: str, _signals: EndpointSignals, _sent_at: float) -> None:
-        """Ignore what engines ask for."""
+    def signals_received(self, endpoint: str, signals: EndpointSignals, sent_at: float) -> None:
+        """Record what an engine asks for."""
+        self.signals.record(endpoint, signals, sent_at, self.loop.now())
 
     def next_attempt_number(self) -> int:
         """Return the next number."""
--- a/src/brassdrum/bench/load/engine.py
+++ b/src/brassdrum/bench/load/engine.py
@@ -50,6 +50,9 @@
     def __init__(self, loop: SimulatedLoop, name: str, model: EngineModel) -> None:
         self.name = name
         self.queued = 0
+        # Requests per second that it takes from all daemons together.
+        self.rate_limit: float | None = None
+        self.arrivals: list[float] = []
         self._loop = loop
         self._model = model
         self._queue: deque[EngineRun] = deque()
--- a/src/brassdrum/bench/load/play.py
+++ b/src/brassdrum/bench/load/play.py
@@ -94,10 +94,12 @@
     engines: int = 21,
     zones: int = 1,
     adjust: Callable[[SimulatedDaemon], None] = lambda _: None,
+    begin: Callable[[], None] = lambda: None,
 ) -> LoadResult:
     """Return what callers got; rates are per 21 engines and scale with their number.
 
-    ``adjust`` may switch a decision of a daemon off, to show what it is worth.
+    ``adjust`` may switch a decision of a daemon off, to show what it is worth. ``begin`` is called
+    before the first request, and may schedule faults.
     """
     rng = random.Random(seed)
     loop = SimulatedLoop()
@@ -113,6 +115,7 @@
         adjust(daemon)
         fleet.daemons.append(daemon)
     loop.advance(_ACQUAINTED_SECONDS)
+    begin()
     result = LoadResult()
     callers = []
     for arrival in shapes.get(shape)(rng, load * engines / 21, seconds):
--- a/src/brassdrum/bench/load/shapes.py
+++ b/src/brassdrum/bench/load/shapes.py
@@ -49,6 +49,9 @@
 MEDIUM = Kind("medium", 1.7, 45_000, 0.5, 21, 1.5, 0.5, 10.0, 3.1)
 LONG = Kind("long", 0.7, 210_000, 0.55, 17, 3.0, 0.8, 15.0, 22.0)
 
+# Requests that hold an engine's slot for 0.1 s, so that a limit binds before the slots do.
+QUICK = Kind("quick", 21.0, 500, 0.1, 2, 1.0, 0.2, 10.0, 1.0)
+
 Shape = Callable[[random.Random, float, float], Iterable[Arrival]]
 shapes: Registry[Shape] = Registry("load shape")
 
@@ -71,6 +74,12 @@
     return _draw(rng, seconds, {SHORT: 0.35 * load, MEDIUM: 1.3 * load, LONG: 2.7 * load})
 
 
+@shapes.register("quick")
+def quick(rng: random.Random, load: float, seconds: float) -> list[Arrival]:
+    """Draw short calls only; a load of 1 is one per engine and second."""
+    return _draw(rng, seconds, {QUICK: load})
+
+
 @shapes.register("swing")
 def swing(rng: random.Random, load: float, seconds: float) -> list[Arrival]:
     """Draw a burst of long prompts, then one of short ones, by halves."""
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -41,6 +41,7 @@
 from brassdrum.gateway.pages import Page, PageResponder, ReadinessResponder
 from brassdrum.gateway.peering.peers import Peers
 from brassdrum.gateway.placing.choosing import EndpointSelector
+from brassdrum.gateway.placing.costs import prefill_ms
 from brassdrum.gateway.placing.load import LoadTable
 from brassdrum.gateway.placing.placement import Placement, PlacementRequest
 from brassdrum.gateway.placing.policies import policies
@@ -54,6 +55,7 @@
 from brassdrum.gateway.request.retry_budget import SharedRetryBudget
 from brassdrum.gateway.request.waiting import WaitQueue
 from brassdrum.gateway.stopping import PlannedStop, estimate_duration
+from brassdrum.gateway.throttling.throttle import EndpointOpening, EndpointThrottle
 from brassdrum.telemetry import log_events
 from brassdrum.telemetry.log_events import LogEvent
 
@@ -109,9 +111,6 @@
         self.wait_queue = WaitQueue(self.loop, self._jitter)
         self._store = store
         self._policy = policies.get(settings.policy)
-        self._endpoint_selector = EndpointSelector(
-            settings.name, self.load_table, self._random, self._flush_seconds
-        )
         self._budget_by_service: dict[str, SharedRetryBudget] = {}
         self._connections: set[CallerConnection] = set()
         self._exchanges: set[Exchange] = set()
@@ -156,6 +155,13 @@
             self.endpoint_monitor.compare_with_peer,
             self.endpoint_monitor.apply_peer_update,
             self._random,
+            self.endpoint_monitor.signals.rate_limit,
+        )
+        self.throttle = EndpointThrottle(
+            self.loop, self.endpoint_monitor.signals, self._peers.permits
+        )
+        self._endpoint_selector = EndpointSelector(
+            settings.name, self.load_table, self.throttle, self._random, self._flush_seconds
         )
         for host in settings.seeds:
             self._peers.add_seed(host)
@@ -309,21 +315,34 @@
     def place(self, exchange: Exchange, need: PlacementRequest) -> Placement | None:
         """Return the best placement for a request now, or None without a usable endpoint."""
         now = self.loop.now()
-        usable = self.crash_guard.eligible_endpoints(
-            self.crash_guard.standing(exchange.content_fingerprint, exchange.tried_endpoints),
-            self.routing_state.usable(exchange.service),
-            self.endpoint_monitor.is_suspect,
-        )
         return self._endpoint_selector.select(
             self._policy,
             need,
-            [entry for entry in usable if entry.id not in exchange.tried_endpoints],
+            self._usable_entries(exchange),
             self.endpoint_monitor.is_suspect,
             self._engine_model(exchange.service),
             now,
+            permit=exchange.permit,
             late=now > exchange.wait_deadlines.timely_until,
         )
 
+    def next_opening(self, exchange: Exchange, need: PlacementRequest) -> EndpointOpening | None:
+        """Return the endpoint that takes a request first, or None without a usable endpoint."""
+        opening = self.throttle.next_opening(self._usable_entries(exchange))
+        engine = self._engine_model(exchange.service)
+        if opening is None or engine is None:
+            return opening
+        return replace(opening, first_event_ms=prefill_ms(engine, need.prompt_tokens))
+
+    def _usable_entries(self, exchange: Exchange) -> list[EndpointEntry]:
+        """Return the endpoints that a request may be sent to, as far as their own wishes allow."""
+        usable = self.crash_guard.eligible_endpoints(
+            self.crash_guard.standing(exchange.content_fingerprint, exchange.tried_endpoints),
+            self.routing_state.usable(exchange.service),
+            self.endpoint_monitor.is_suspect,
+        )
+        return [entry for entry in usable if entry.id not in exchange.tried_endpoints]
+
     def may_wait(self, exchange: Exchange) -> bool:
         """Return whether a request may wait for a better placement before a planned stop ends."""
         if self._planned_stop is None:
--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -70,6 +70,8 @@
 
     def signals_received(self, endpoint: str, signals: EndpointSignals, sent_at: float) -> None:
         """Record what an endpoint asks for in a response to a request sent at a time."""
+        if endpoint not in self._routing_state.endpoints_by_id:
+            return
         change = self.signals.record(endpoint, signals, sent_at, self._loop.now())
         if change is not None:
             self._log_limit(change, "endpoint")
@@ -109,6 +111,7 @@
             recent_failures=tuple(self._failure_detector.uncertain_failures(now)),
             endings=self._guard.peer_updates(),
             era=self._routing_state.era,
+            limits=tuple(self.signals.notices(now)),
         )
 
     def apply_peer_update(self, host: str, belief: PeerStatus) -> None:
@@ -117,6 +120,12 @@
         self._guard.apply_peer_updates(belief.endings)
         for notice in belief.failing:
             self._failure_detector.apply_notice(notice, now)
+        for limit in belief.limits or ():
+            if limit.endpoint not in self._routing_state.endpoints_by_id:
+                continue
+            change = self.signals.apply_notice(limit, now)
+            if change is not None:
+                self._log_limit(change, host)
         for endpoint in belief.recent_failures:
             if self._failure_detector.record_uncertain_failure(endpoint, host, now):
                 self._log_suspect(
--- a/src/brassdrum/gateway/peering/group.py
+++ b/src/brassdrum/gateway/peering/group.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from brassdrum.gateway.following.suspicion import (
     CORROBORATION_SECONDS,
@@ -12,6 +12,11 @@
 )
 from brassdrum.gateway.peering.peer_messages import Acknowledgement, PeerStatus, Report, Sender
 from brassdrum.gateway.placing.load import EndpointLoad, LoadRow
+from brassdrum.gateway.throttling.signals import (
+    RateLimitNotice,
+    aged_notices,
+    current_notices,
+)
 
 __all__ = ["AppliedReport", "Group"]
 
@@ -72,7 +77,8 @@
             known = self._member_by_host[host] = _Member(sender, report.status, now)
         assert known is not None
         known.sender = sender
-        known.status = report.status
+        limits = current_notices(report.status.limits, known.status.limits, now - known.heard_at)
+        known.status = replace(report.status, limits=limits)
         known.heard_at = now
         known.acknowledged = False
         for row in report.rows:
@@ -104,6 +110,14 @@
             for w in unexpired_notices(each.status.failing, now - each.heard_at)
         ]
 
+    def limits(self, now: float) -> list[RateLimitNotice]:
+        """Return the rate limits that endpoints named to members."""
+        return [
+            notice
+            for each in self._member_by_host.values()
+            for notice in aged_notices(each.status.limits or (), now - each.heard_at)
+        ]
+
     def recent_failures(self, now: float) -> set[str]:
         """Return the endpoints at which members recently observed a failure."""
         members = self._member_by_host.values()
--- a/src/brassdrum/gateway/peering/peer_messages.py
+++ b/src/brassdrum/gateway/peering/peer_messages.py
@@ -10,6 +10,7 @@
 from brassdrum.gateway.model import DaemonAddress
 from brassdrum.gateway.peering.wire import FieldReader, FieldWriter
 from brassdrum.gateway.placing.load import LoadRow
+from brassdrum.gateway.throttling.signals import RateLimitNotice
 from brassdrum.outcomes.quarantine import CrashReport, ObservedCrash
 
 __all__ = [
@@ -20,19 +21,26 @@
     "Hello",
     "Message",
     "PeerStatus",
+    "PermitReply",
+    "PermitRequest",
     "Report",
     "Sender",
     "decode_message",
     "encode_message",
 ]
 
-_FORMAT_VERSION = 8
+_FORMAT_VERSION = 9
 # Encoding of an unknown age; other ages are in ms.
 _NO_AGE = 0xFFFFFFFF
 # Ages are in ms, so that simultaneous endpoint crashes are recognised.
 _AGE_BYTES = 3
 _NEVER_SERVED = 0xFFFFFF
 _CONTENT_BYTES = 8
+# Rate limits are sent per 1000 seconds.
+_RATE_UNITS = 1000
+_NO_LIMIT = 0xFFFFFFFF
+# Count of rate limits in a message that says nothing about them.
+_NOT_TOLD = 0xFF
 # One bit for each of the up to 12 endpoint crashes kept per request content.
 _BITMASK_BYTES = 2
 # Digest flags.
@@ -44,6 +52,8 @@
     REPORT = 2
     DIGEST = 3
     FORWARDED_DIGEST = 4
+    PERMIT_REQUEST = 5
+    PERMIT_REPLY = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +70,8 @@
 
     ``age`` is in seconds, None before the first read of the store. ``reads`` is the number of the
     store read that the configuration is from, ``era`` the era of the store. ``recent_failures``
-    names endpoints that recently failed a request for any reason.
+    names endpoints that recently failed a request for any reason. ``limits`` is None in messages
+    that leave the rate limits of endpoints as they were.
     """
 
     version: int
@@ -72,6 +83,7 @@
     recent_failures: tuple[str, ...] = ()
     endings: tuple[CrashReport, ...] = ()
     era: int | None = None
+    limits: tuple[RateLimitNotice, ...] | None = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +123,31 @@
     leaves_group: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class PermitRequest:
+    """Ask for permission to send one request to an endpoint that limits its rate.
+
+    ``number`` identifies the request at ``reply_host``. ``rate`` is the limit per second that it
+    knows, ``max_wait`` how many seconds the request can wait. A ``relayed`` one isn't passed on.
+    """
+
+    number: int
+    reply_host: str
+    endpoint: str
+    rate: float
+    max_wait: float
+    relayed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PermitReply:
+    """Grant a request to send after ``wait`` seconds, or refuse it until then."""
+
+    number: int
+    granted: bool
+    wait: float
+
+
 @dataclass(frozen=True, slots=True)
 class Acknowledgement:
     """Sequence number of the latest report of a member that was applied."""
@@ -151,7 +188,7 @@
     digest: bytes
 
 
-Message = Hello | Report | Digest | ForwardedDigest
+Message = Hello | Report | Digest | ForwardedDigest | PermitRequest | PermitReply
 
 
 def encode_message(message: Message) -> bytes:
@@ -180,6 +217,19 @@
             for host in message.forward_to:
                 writer.host(host)
             writer.length_prefixed(message.digest)
+        case PermitRequest():
+            writer.uint(_Kind.PERMIT_REQUEST, 1)
+            writer.uint(message.number, 4)
+            writer.host(message.reply_host)
+            writer.text(message.endpoint)
+            writer.uint(_per_1000_seconds(message.rate), 4)
+            writer.uint(_age_ms(message.max_wait), _AGE_BYTES)
+            writer.uint(message.relayed, 1)
+        case PermitReply():
+            writer.uint(_Kind.PERMIT_REPLY, 1)
+            writer.uint(message.number, 4)
+            writer.uint(message.granted, 1)
+            writer.uint(_age_ms(message.wait), _AGE_BYTES)
     return writer.bytes()
 
 
@@ -205,6 +255,17 @@
         case _Kind.FORWARDED_DIGEST:
             hosts = tuple(reader.host() for _ in range(reader.uint(1)))
             return ForwardedDigest(hosts, reader.length_prefixed())
+        case _Kind.PERMIT_REQUEST:
+            return PermitRequest(
+                reader.uint(4),
+                reader.host(),
+                reader.text(),
+                reader.uint(4) / _RATE_UNITS,
+                reader.uint(_AGE_BYTES) / 1000,
+                bool(reader.uint(1)),
+            )
+        case _Kind.PERMIT_REPLY:
+            return PermitReply(reader.uint(4), bool(reader.uint(1)), reader.uint(_AGE_BYTES) / 1000)
 
 
 def _write_digest(writer: FieldWriter, message: Digest) -> None:
@@ -306,6 +367,35 @@
     writer.uint(len(status.endings), 1)
     for ending in status.endings:
         _write_ending(writer, ending)
+    _write_limits(writer, status.limits)
+
+
+def _write_limits(writer: FieldWriter, limits: tuple[RateLimitNotice, ...] | None) -> None:
+    if limits is None:
+        writer.uint(_NOT_TOLD, 1)
+        return
+    writer.uint(len(limits), 1)
+    for notice in limits:
+        writer.text(notice.endpoint)
+        rate = _NO_LIMIT if notice.rate_limit is None else _per_1000_seconds(notice.rate_limit)
+        writer.uint(rate, 4)
+        writer.uint(_age_ms(notice.age), _AGE_BYTES)
+
+
+def _read_limits(reader: FieldReader) -> tuple[RateLimitNotice, ...] | None:
+    count = reader.uint(1)
+    if count == _NOT_TOLD:
+        return None
+    limits = []
+    for _ in range(count):
+        endpoint, rate, age_ms = reader.text(), reader.uint(4), reader.uint(_AGE_BYTES)
+        rate_limit = None if rate == _NO_LIMIT else rate / _RATE_UNITS
+        limits.append(RateLimitNotice(endpoint, rate_limit, age_ms / 1000))
+    return tuple(limits)
+
+
+def _per_1000_seconds(rate: float) -> int:
+    return min(_NO_LIMIT - 1, round(rate * _RATE_UNITS))
 
 
 def _write_ending(writer: FieldWriter, ending: CrashReport) -> None:
@@ -367,6 +457,7 @@
     )
     recent_failures = tuple(reader.text() for _ in range(reader.uint(1)))
     endings = tuple(_read_ending(reader) for _ in range(reader.uint(1)))
+    limits = _read_limits(reader)
     known_age = None if age == _NO_AGE else age / 1000
     known_era = era - 1 if era else None
     return PeerStatus(
@@ -379,6 +470,7 @@
         recent_failures=recent_failures,
         endings=endings,
         era=known_era,
+        limits=limits,
     )
 
 
--- a/src/brassdrum/gateway/peering/peers.py
+++ b/src/brassdrum/gateway/peering/peers.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 from brassdrum.gateway.following.suspicion import longest_notices
@@ -23,7 +24,10 @@
     Digest,
     ForwardedDigest,
     Hello,
+    Message,
     PeerStatus,
+    PermitReply,
+    PermitRequest,
     Report,
     Sender,
     decode_message,
@@ -34,6 +38,8 @@
 from brassdrum.gateway.peering.row_teller import RowPublisher, RowUpdate
 from brassdrum.gateway.peering.spreading import fanout_branches
 from brassdrum.gateway.placing.load import LoadTable
+from brassdrum.gateway.throttling.permits import PermitBroker
+from brassdrum.gateway.throttling.signals import RateLimitNotice, newest_notices
 from brassdrum.telemetry import log_events
 
 __all__ = ["Peers"]
@@ -74,6 +80,8 @@
 # Limit for each list of endpoints in a message.
 _MAX_ENDPOINTS_PER_KIND = 64
 _FETCH_SECONDS_PER_DAEMON = 0.004
+# Changed rate limits are repeated for this long; unchanged ones are sent with heartbeats only.
+_REPEAT_LIMITS_SECONDS = 0.5
 
 
 @dataclass(slots=True)
@@ -87,6 +95,22 @@
     aggregator_count: int = 0
 
 
+class _LimitChanges:
+    """Track when the rate limits that are sent last changed."""
+
+    def __init__(self) -> None:
+        self._limits: frozenset[tuple[str, float | None]] = frozenset()
+        self._changed_at = -math.inf
+
+    def is_recent(self, notices: Iterable[RateLimitNotice], now: float) -> bool:
+        """Return whether the limits changed just now or a short time ago."""
+        limits = frozenset((each.endpoint, each.rate_limit) for each in notices)
+        if limits != self._limits:
+            self._limits = limits
+            self._changed_at = now
+        return now - self._changed_at < _REPEAT_LIMITS_SECONDS
+
+
 class Peers:
     """Exchange load and configuration status with all live daemons."""
 
@@ -102,6 +126,7 @@
         on_knowledge: Callable[[str, PeerStatus], None],
         on_notices: Callable[[str, PeerStatus], None],
         rng: random.Random,
+        rate_limit: Callable[[str], float | None] = lambda _: None,
     ) -> None:
         self.leaving = False
         self.sent_bytes = 0
@@ -132,10 +157,38 @@
         self._publish_timer: Timer | None = None
         self._report_timer: Timer | None = None
         self._discovery_done = False
+        self._limit_changes = {fleet: _LimitChanges() for fleet in (False, True)}
+        self._permits = PermitBroker(loop, self, rate_limit, incarnation)
         datagrams.listen(self._handle_datagram)
         loop.call_later(0.0, self._send_heartbeat)
         loop.call_later(_DISCOVERY_SECONDS, self._probe_zone)
 
+    @property
+    def permits(self) -> PermitBroker:
+        """Return the broker of permits for endpoints that limit their rate."""
+        return self._permits
+
+    # PermitTransport interface.
+
+    @property
+    def own_host(self) -> str:
+        """Return the host of this daemon."""
+        return self._own.host
+
+    @property
+    def report_target(self) -> str | None:
+        """Return the host of the aggregator of this daemon, or None if it is one itself."""
+        return None if self.is_aggregator else self._aggregator_host
+
+    def member_hosts(self) -> frozenset[str]:
+        """Return the hosts of all aggregators that are not about to stop."""
+        own = set() if self.leaving or not self.is_aggregator else {self._own.host}
+        return self._aggregators.live_hosts() | own
+
+    def send_message(self, host: str, message: PermitRequest | PermitReply) -> None:
+        """Send a datagram; it may get lost."""
+        self._send(host, message)
+
     @property
     def live(self) -> int:
         """Return the number of live daemons, including this one."""
@@ -233,7 +286,8 @@
             self._collect_own_changes()
             self._publish(heartbeat=True)
         else:
-            self._send_report()
+            self._send_report(heartbeat=True)
+        self._permits.members_changed()
         self._loop.call_later(self._heartbeat_seconds(), self._send_heartbeat)
 
     def _expire_silent(self, now: float) -> None:
@@ -308,7 +362,7 @@
             live=self.live,
         )
         if not self.is_aggregator:
-            self._send_report()
+            self._send_report(heartbeat=True)
             return
         if previous is not None:
             self._table.drop_other_publishers("")
@@ -317,9 +371,9 @@
 
     def _announce_departure(self, successor: str | None = None) -> None:
         """Leave the aggregator, or step down as the aggregator of a group."""
-        if self._report_target is not None:
+        if self.report_target is not None:
             self._send(
-                self._report_target,
+                self.report_target,
                 Report(self._next_sender(), self._group_status(), leaves_group=True),
             )
         if not self.is_aggregator:
@@ -340,12 +394,8 @@
             self._next_sender(), self._group_status(), 0, known_daemons=known, steps_down=True
         )
 
-    @property
-    def _report_target(self) -> str | None:
-        return None if self.is_aggregator else self._aggregator_host
-
     def _check_aggregator(self, now: float) -> None:
-        aggregator = self._report_target
+        aggregator = self.report_target
         if aggregator is None:
             return
         silent = now - self._aggregator_state.heard_at > _AGGREGATOR_TIMEOUT_SECONDS
@@ -370,18 +420,18 @@
         if self._publish_timer is None:
             self._publish_timer = self._loop.call_later(self.flush_seconds, self._publish)
 
-    def _send_report(self) -> None:
+    def _send_report(self, *, heartbeat: bool = False) -> None:
         if self._report_timer is not None:
             self._report_timer.cancel()
             self._report_timer = None
         self._check_aggregator(self._loop.now())
-        aggregator = self._report_target
+        aggregator = self.report_target
         if aggregator is None:
             return
         changed, self._table.changed_own_keys = self._table.changed_own_keys, set()
         sender = self._next_sender()
         rows = self._pending_reports.rows_to_send(changed, sender.sequence)
-        self._send(aggregator, Report(sender, self._group_status(), rows))
+        self._send(aggregator, Report(sender, self._group_status(heartbeat=heartbeat), rows))
 
     def _publish(self, *, heartbeat: bool = False) -> None:
         """Send changes of the group to other aggregators, and changes of the fleet to members.
@@ -414,7 +464,7 @@
     ) -> Digest:
         return Digest(
             self._next_sender(),
-            self._group_status(fleet=fleet),
+            self._group_status(fleet=fleet, heartbeat=lists_members),
             self.live if fleet else self._group.daemon_count,
             1 + self._aggregators.live_count(),
             fleet,
@@ -476,10 +526,12 @@
         self._sequence += 1
         return Sender(self._name, self._own, self._incarnation, self._sequence, self.leaving)
 
-    def _group_status(self, *, fleet: bool = False) -> PeerStatus:
+    def _group_status(self, *, fleet: bool = False, heartbeat: bool = False) -> PeerStatus:
         """Return the status of this daemon and its group, or of the whole ``fleet``."""
         status = self._local_status()
         now = self._loop.now()
+        limits = self._known_limits(status, now, fleet=fleet)
+        changed = self._limit_changes[fleet].is_recent(limits, now)
         others = self._aggregators.failing(now) if fleet else []
         failing = longest_notices([*status.failing, *self._group.failing(now), *others])
         return replace(
@@ -490,14 +542,22 @@
                 () if fleet else self._recent_failures(status)[:_MAX_ENDPOINTS_PER_KIND]
             ),
             draining=status.draining[:_MAX_ENDPOINTS_PER_KIND],
+            limits=limits if heartbeat or changed else None,
         )
 
+    def _known_limits(
+        self, status: PeerStatus, now: float, *, fleet: bool
+    ) -> tuple[RateLimitNotice, ...]:
+        others = self._aggregators.limits(now) if fleet else []
+        found = newest_notices([*(status.limits or ()), *self._group.limits(now), *others])
+        return found[:_MAX_ENDPOINTS_PER_KIND]
+
     def _recent_failures(self, status: PeerStatus) -> tuple[str, ...]:
         return tuple(
             sorted({*status.recent_failures, *self._group.recent_failures(self._loop.now())})
         )
 
-    def _send(self, host: str, message: Hello | Report | Digest | ForwardedDigest) -> None:
+    def _send(self, host: str, message: Message) -> None:
         self._send_bytes(host, encode_message(message))
 
     def _send_bytes(self, host: str, data: bytes) -> None:
@@ -519,6 +579,10 @@
                     self._handle_digest(message, data, direct=True)
                 case ForwardedDigest():
                     self._handle_forwarded_digest(message)
+                case PermitRequest():
+                    self._permits.handle_request(message)
+                case PermitReply():
+                    self._permits.handle_reply(message)
         except ValueError as error:
             _logger.warning("peer message dropped", extra={"error": str(error), "from": source})
 
@@ -653,7 +717,7 @@
         sender = digest.sender
         state = self._aggregator_state
         number = (sender.incarnation, sender.sequence)
-        if sender.address.host != self._report_target or number <= state.message_number:
+        if sender.address.host != self.report_target or number <= state.message_number:
             return
         self._table.drop_other_publishers(sender.name)
         state.heard_at = now
--- a/src/brassdrum/gateway/peering/publishers.py
+++ b/src/brassdrum/gateway/peering/publishers.py
@@ -6,6 +6,11 @@
 
 from brassdrum.gateway.following.suspicion import FailureNotice, unexpired_notices
 from brassdrum.gateway.peering.peer_messages import Digest, Sender
+from brassdrum.gateway.throttling.signals import (
+    RateLimitNotice,
+    aged_notices,
+    current_notices,
+)
 
 __all__ = ["Aggregators", "AppliedDigest"]
 
@@ -26,6 +31,7 @@
     sender: Sender
     daemon_count: int
     failing: tuple[FailureNotice, ...]
+    limits: tuple[RateLimitNotice, ...]
     heard_at: float
 
 
@@ -55,8 +61,13 @@
             if (sender.incarnation, sender.sequence) <= earlier:
                 return None
         began = known is not None and sender.incarnation > known.sender.incarnation
+        limits = current_notices(
+            digest.status.limits,
+            None if known is None else known.limits,
+            0.0 if known is None else now - known.heard_at,
+        )
         self._aggregator_by_host[host] = _Aggregator(
-            sender, digest.daemon_count, digest.status.failing, now
+            sender, digest.daemon_count, digest.status.failing, limits, now
         )
         return AppliedDigest(known is None, began)
 
@@ -67,6 +78,20 @@
             word for each in others for word in unexpired_notices(each.failing, now - each.heard_at)
         ]
 
+    def limits(self, now: float) -> list[RateLimitNotice]:
+        """Return the rate limits that endpoints named to daemons of other groups."""
+        return [
+            notice
+            for each in self._aggregator_by_host.values()
+            for notice in aged_notices(each.limits, now - each.heard_at)
+        ]
+
+    def live_hosts(self) -> frozenset[str]:
+        """Return the hosts of the aggregators that are not leaving."""
+        return frozenset(
+            host for host, each in self._aggregator_by_host.items() if not each.sender.leaving
+        )
+
     def name(self, host: str) -> str | None:
         """Return the name of the aggregator on a host, or None if there is none."""
         known = self._aggregator_by_host.get(host)
@@ -86,7 +111,7 @@
 
     def live_count(self) -> int:
         """Return the number of aggregators that are not leaving."""
-        return sum(1 for each in self._aggregator_by_host.values() if not each.sender.leaving)
+        return len(self.live_hosts())
 
     def remove(self, host: str) -> Sender | None:
         """Remove an aggregator; return its last sender information."""
--- a/src/brassdrum/gateway/placing/choosing.py
+++ b/src/brassdrum/gateway/placing/choosing.py
@@ -4,13 +4,15 @@
 
 import random
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 
 from brassdrum.gateway.model import EndpointEntry, EngineModel
 from brassdrum.gateway.placing.load import LoadTable
 from brassdrum.gateway.placing.placement import Candidate, Placement, PlacementRequest
 from brassdrum.gateway.placing.policies import Policy
+from brassdrum.gateway.throttling.permits import Permit
+from brassdrum.gateway.throttling.throttle import EndpointThrottle
 
 __all__ = ["EndpointSelector"]
 
@@ -27,10 +29,16 @@
     """Apply a placement policy to the endpoints that are available to this daemon."""
 
     def __init__(
-        self, name: str, table: LoadTable, rng: random.Random, flush_seconds: Callable[[], float]
+        self,
+        name: str,
+        table: LoadTable,
+        throttle: EndpointThrottle,
+        rng: random.Random,
+        flush_seconds: Callable[[], float],
     ) -> None:
         self._name = name
         self._table = table
+        self._throttle = throttle
         self._random = rng
         self._flush_seconds = flush_seconds
 
@@ -38,32 +46,42 @@
         self,
         policy: Policy,
         request: PlacementRequest,
-        entries: Iterable[EndpointEntry],
+        entries: Sequence[EndpointEntry],
         suspect: Callable[[str], bool],
         engine: EngineModel | None,
         now: float,
         *,
+        permit: Permit | None,
         late: bool,
     ) -> Placement | None:
-        """Return the placement of a request; ``late`` ones yield freed slots to those in time."""
+        """Return the placement of a request; ``late`` ones yield freed slots to those in time.
+
+        Endpoints that have no room by what they ask for are left out, but for that of a ``permit``.
+        """
         self._table.refresh(now)
-        flush_seconds = self._flush_seconds()
-        candidates = [
-            Candidate(
-                entry,
-                self._table.total(entry.id),
-                suspect(entry.id),
-                self._table.slots_freed_since(
-                    entry.id,
-                    now - self._backoff_seconds(entry.id, flush_seconds, late=late),
-                    own=late,
-                ),
-            )
-            for entry in entries
-        ]
-        propagation_ms = flush_seconds * _PROPAGATION_FLUSHES * 1000
-        return policy(
-            replace(request, propagation_ms=propagation_ms), candidates, engine, self._random
+        propagation_ms = self._flush_seconds() * _PROPAGATION_FLUSHES * 1000
+        request = replace(request, propagation_ms=propagation_ms)
+
+        def place(among: Sequence[EndpointEntry]) -> Placement | None:
+            candidates = [self._candidate(entry, suspect, now, late=late) for entry in among]
+            return policy(request, candidates, engine, self._random)
+
+        placement = place(self._throttle.open_entries(entries, permit))
+        if placement is None and permit is not None and permit.is_valid(now):
+            # Too large for the permitted endpoint alone: others may store parts of the prompt.
+            placement = place(entries)
+        return placement
+
+    def _candidate(
+        self, entry: EndpointEntry, suspect: Callable[[str], bool], now: float, *, late: bool
+    ) -> Candidate:
+        backoff_seconds = self._backoff_seconds(entry.id, self._flush_seconds(), late=late)
+        return Candidate(
+            entry,
+            self._table.total(entry.id),
+            suspect(entry.id),
+            self._table.slots_freed_since(entry.id, now - backoff_seconds, own=late),
+            self._throttle.needs_permit(entry.id),
         )
 
     def _backoff_seconds(self, endpoint: str, flush_seconds: float, *, late: bool) -> float:
--- a/src/brassdrum/gateway/placing/placement.py
+++ b/src/brassdrum/gateway/placing/placement.py
@@ -73,13 +73,15 @@
 class Candidate:
     """An endpoint that may serve the request, with the load of all daemons there.
 
-    ``claimed_slots`` are free but left for now to other daemons.
+    ``claimed_slots`` are free but left for now to other daemons. A ``limited`` endpoint asks for
+    fewer requests, so it does no work for the prompts of others.
     """
 
     entry: EndpointEntry
     load: EndpointLoad
     suspect: bool = False
     claimed_slots: int = 0
+    limited: bool = False
 
     def is_full(self, engine: EngineModel) -> bool:
         """Return whether every slot is in use or claimed."""
--- a/src/brassdrum/gateway/placing/splitting.py
+++ b/src/brassdrum/gateway/placing/splitting.py
@@ -60,7 +60,8 @@
     fewest = max(1, math.ceil(prefill_ms(engine, request.prompt_tokens) / _TARGET_PART_MS))
     utilization = fleet_utilization(candidates, engine)
     best: _Group | None = None
-    for count in range(1, min(_MAX_HELPERS + 1, len(states)) + 1):
+    available = max(1, sum(1 for state in states if not state.candidate.limited))
+    for count in range(1, min(_MAX_HELPERS + 1, available) + 1):
         group = _group(request, states, count, engine, utilization)
         distance = abs(count - fewest)
         if best is None or (group.loss_tokens, distance) < (
@@ -158,7 +159,7 @@
     )
     helpers = heapq.nsmallest(
         count - 1,
-        (state for state in states if state is not head),
+        (state for state in states if state is not head and not state.candidate.limited),
         key=lambda state: (
             state.interference_tokens(part),
             state.candidate.load.pending_prefill_ms,
@@ -246,6 +247,7 @@
         candidates,
         key=lambda each: (
             each.is_full(engine),
+            each.limited,
             each.load.memory,
             each.load.pending_prefill_ms,
             tie_breaker_by_id[each.entry.id],
@@ -275,12 +277,12 @@
     """Return the engines that store a prompt, with the further helpers that minimize the loss."""
     assert request.max_pause_ms is not None
     held = {each.entry.id for each in storing}
-    others = [each for each in by_load if each.entry.id not in held]
+    others = [each for each in by_load if each.entry.id not in held and not each.limited]
     cost = prefill_ms(engine, request.prompt_tokens)
     utilization = fleet_utilization(by_load, engine)
     states = {each.entry.id: _EngineState.of(each, request, engine, 0.0) for each in by_load}
     best: _Group | None = None
-    for count in range(len(storing), min(len(by_load), _MAX_HELPERS + 1) + 1):
+    for count in range(len(storing), min(len(storing) + len(others), _MAX_HELPERS + 1) + 1):
         members = [*storing, *others[: count - len(storing)]]
         part = cost / count
         interference = sum(states[each.entry.id].interference_tokens(part) for each in members)
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -17,7 +17,13 @@
 from brassdrum.gateway.net.callers import CallerConnection
 from brassdrum.gateway.net.loop import Timer
 from brassdrum.gateway.net.upstream import CallFailure, OutgoingRequest
-from brassdrum.gateway.placing.placement import Decision, Placement, PlacementRequest, decide
+from brassdrum.gateway.placing.placement import (
+    SLOT_WAIT_PATIENCE_SHARE,
+    Decision,
+    Placement,
+    PlacementRequest,
+    decide,
+)
 from brassdrum.gateway.request.attempt import Attempt, helper_name
 from brassdrum.gateway.request.events import EventOrderError, EventStreamReader
 from brassdrum.gateway.request.exchange_host import ExchangeContext
@@ -28,6 +34,7 @@
     retry_after_header,
 )
 from brassdrum.gateway.request.silence_watch import StallWatchdog
+from brassdrum.gateway.throttling.permits import MAX_WAIT_SECONDS, Permit
 from brassdrum.outcomes.fingerprint import content_fingerprint
 from brassdrum.outcomes.quarantine import ContentStatus
 from brassdrum.telemetry import log_events
@@ -93,6 +100,8 @@
         self._reader = EventStreamReader(request.resume_after)
         self._watchdog = StallWatchdog(context.loop, self)
         self._postponed_send: Timer | None = None
+        # Allows the next send to an endpoint that limits its rate.
+        self.permit: Permit | None = None
         self._waiting = False
         self._waiting_for_slot = False
         self._deadline_timer = context.loop.call_at(
@@ -250,7 +259,7 @@
         placement = self._context.place(self, need)
         if placement is None:
             self._stop_waiting()
-            self._fail("no endpoint is available for the request")
+            self._wait_for_opening(need)
             return
         verdict = decide(need, placement)
         if verdict is Decision.WAIT and not self._context.may_wait(self):
@@ -266,6 +275,10 @@
             )
             self._fail(detail, self._context.wait_queue.retry_after_seconds())
             return
+        if not self._has_permit(placement.entry.id):
+            self._request_permit(placement.entry.id, 0.0)
+            return
+        self.permit = None
         self.send_count += 1
         self.tried_endpoints.add(placement.entry.id)
         self._context.crash_guard.request_sent(standing, placement.entry.id)
@@ -274,6 +287,59 @@
         self._attempt = Attempt(self._context, self, placement)
         self._attempt.start()
 
+    def _has_permit(self, endpoint: str) -> bool:
+        """Return whether the request may be sent to an endpoint as far as its rate is limited."""
+        if not self._context.throttle.needs_permit(endpoint):
+            return True
+        held = self.permit
+        return (
+            held is not None
+            and held.endpoint == endpoint
+            and held.is_valid(self._context.loop.now())
+        )
+
+    def _wait_for_opening(self, need: PlacementRequest) -> None:
+        """Wait for the endpoint that has room first, or refuse the request if that is too late."""
+        opening = self._context.next_opening(self, need)
+        if opening is None:
+            self._fail("no endpoint is available for the request")
+            return
+        if not self._context.may_wait(self):
+            self._fail("every endpoint asks for fewer requests", opening.seconds)
+            return
+        first_event_by_ms = need.patience_ms * SLOT_WAIT_PATIENCE_SHARE - need.waited_ms
+        latest_wait = (first_event_by_ms - opening.first_event_ms) / 1000
+        max_wait = min(MAX_WAIT_SECONDS, latest_wait)
+        if opening.seconds > max_wait:
+            self._fail("every endpoint asks for fewer requests", opening.seconds)
+            return
+        self._request_permit(opening.endpoint, max_wait)
+
+    def _request_permit(self, endpoint: str, max_wait: float) -> None:
+        """Ask for a permit; dispatch again when it allows a send or another endpoint is needed."""
+        self.permit = None
+
+        def decided(permit: Permit) -> None:
+            if self._finished:
+                return
+            wait = permit.send_at - self._context.loop.now()
+            self._log_decision(
+                log_events.PERMIT,
+                endpoint=endpoint,
+                granted=permit.granted,
+                wait_ms=round(wait * 1000),
+                max_wait_ms=round(max_wait * 1000),
+            )
+            if permit.granted:
+                self.permit = permit
+            # A refusal within the time that was asked for is worth a second try after the wait.
+            if wait > 0 and (permit.granted or wait <= max_wait):
+                self._postpone(wait)
+            else:
+                self._dispatch()
+
+        self._context.throttle.request_permit(endpoint, max_wait, decided)
+
     def retry_placement(self) -> bool:
         """Send the request if a placement suits now; return False while all slots are in use."""
         self._dispatch()
--- a/src/brassdrum/gateway/request/exchange_host.py
+++ b/src/brassdrum/gateway/request/exchange_host.py
@@ -12,6 +12,7 @@
 from brassdrum.gateway.request.attempt import Attempt, AttemptContext
 from brassdrum.gateway.request.outcome import Outcome
 from brassdrum.gateway.request.waiting import WaitQueue
+from brassdrum.gateway.throttling.throttle import EndpointOpening, EndpointThrottle
 from brassdrum.telemetry.log_events import LogEvent
 
 if TYPE_CHECKING:
@@ -27,10 +28,14 @@
     endpoint_monitor: EndpointMonitor
     wait_queue: WaitQueue
     crash_guard: CrashGuard
+    throttle: EndpointThrottle
 
     def place(self, exchange: Exchange, need: PlacementRequest) -> Placement | None:
         """Return the best placement for a request now, or None without a usable endpoint."""
 
+    def next_opening(self, exchange: Exchange, need: PlacementRequest) -> EndpointOpening | None:
+        """Return the endpoint that takes a request first, or None without a usable endpoint."""
+
     def may_wait(self, exchange: Exchange) -> bool:
         """Return whether a request may wait for a better placement."""
 
--- /dev/null
+++ b/src/brassdrum/gateway/throttling/throttle.py
@@ -0,0 +1,96 @@
+"""Decide which endpoints may get a request of this daemon now, by what they ask for."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from brassdrum.gateway.model import EndpointEntry
+from brassdrum.gateway.net.loop import Timers
+from brassdrum.gateway.throttling.permits import Permit, PermitBroker
+from brassdrum.gateway.throttling.signals import EndpointSignalTable
+
+__all__ = ["EndpointOpening", "EndpointThrottle"]
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointOpening:
+    """The endpoint that is expected to take a request first, and in how many seconds.
+
+    ``first_event_ms`` is the predicted time from then to the first event.
+    """
+
+    endpoint: str
+    seconds: float
+    first_event_ms: float = 0.0
+
+
+class EndpointThrottle:
+    """Keep requests from endpoints that have no room for them.
+
+    An endpoint that limits its rate needs a permit for each request. Without a limit it is open;
+    with one it is open until a permit is refused, and from the time that the refusal names.
+    """
+
+    def __init__(self, loop: Timers, signals: EndpointSignalTable, broker: PermitBroker) -> None:
+        self._loop = loop
+        self._signals = signals
+        self._broker = broker
+        self._closed_until_by_endpoint: dict[str, float] = {}
+
+    def needs_permit(self, endpoint: str) -> bool:
+        """Return whether a request to an endpoint needs a permit."""
+        return self._signals.rate_limit(endpoint) is not None
+
+    def open_entries(
+        self, entries: Sequence[EndpointEntry], permit: Permit | None = None
+    ) -> list[EndpointEntry]:
+        """Return the endpoints that may take a request.
+
+        With a valid permit these are its endpoint and those that need none.
+        """
+        now = self._loop.now()
+        if permit is None or not permit.is_valid(now):
+            return [entry for entry in entries if self._closed_until(entry.id) <= now]
+        return [
+            entry
+            for entry in entries
+            if entry.id == permit.endpoint or not self.needs_permit(entry.id)
+        ]
+
+    def next_opening(self, entries: Sequence[EndpointEntry]) -> EndpointOpening | None:
+        """Return the endpoint that opens first, or None if there is none or one is open."""
+        now = self._loop.now()
+        if not entries or self.open_entries(entries):
+            return None
+        first = min(entries, key=lambda entry: self._closed_until(entry.id))
+        return EndpointOpening(first.id, self._closed_until(first.id) - now)
+
+    def request_permit(
+        self, endpoint: str, max_wait: float, on_decided: Callable[[Permit], None]
+    ) -> None:
+        """Ask for a permit within ``max_wait`` seconds; the endpoint stays closed if refused."""
+        rate = self._signals.rate_limit(endpoint)
+        if rate is None:
+            # The limit was lifted meanwhile.
+            on_decided(Permit(endpoint, True, self._loop.now()))
+            return
+
+        def decided(permit: Permit) -> None:
+            if not permit.granted:
+                self._close(endpoint, permit.send_at)
+            on_decided(permit)
+
+        self._broker.request(endpoint, rate, max_wait, decided)
+
+    def _closed_until(self, endpoint: str) -> float:
+        if not self.needs_permit(endpoint):
+            return 0.0
+        return self._closed_until_by_endpoint.get(endpoint, 0.0)
+
+    def _close(self, endpoint: str, until: float) -> None:
+        now = self._loop.now()
+        closed = self._closed_until_by_endpoint
+        for expired in [each for each, opens_at in closed.items() if opens_at <= now]:
+            del closed[expired]
+        closed[endpoint] = until
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -230,6 +230,13 @@
     "request content harm late full predicted_ms",
     "The request waits, since now it would be late or make others late.",
 )
+PERMIT = LOG_EVENTS.add(
+    "permit",
+    Topic.REQUEST,
+    "request content endpoint granted wait_ms max_wait_ms",
+    "An endpoint limits its rate: the daemon that counts for all of them lets the request be sent "
+    "in `wait_ms`, or has no room for it until then.",
+)
 SENT_AGAIN = LOG_EVENTS.add(
     "sent again",
     Topic.REQUEST,
