Log that an endpoint says it leaves, and what rest it asks for

The adapter decodes both into EndpointSignals; 'endpoint says it drains' with the age of the list, 'endpoint paused' with the seconds. No decision changes.

--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -75,6 +75,10 @@
         change = self.signals.record(endpoint, signals, sent_at, self._loop.now())
         if change is not None:
             self._log_limit(change, "endpoint")
+        if signals.pause is not None:
+            log_events.ENDPOINT_PAUSED.write(_logger, endpoint=endpoint, seconds=signals.pause)
+        if signals.draining:
+            self._log_draining(endpoint)
 
     def address_signals_received(self, address: str, signals: EndpointSignals) -> None:
         """Record what the endpoint at an address asks for in another response than a request's.
@@ -171,6 +175,12 @@
             _logger, endpoint=endpoint, detail=detail, certain=certain
         )
 
+    def _log_draining(self, endpoint: str) -> None:
+        age = self.list_age()
+        log_events.ENDPOINT_SAYS_DRAINING.write(
+            _logger, endpoint=endpoint, list_age=None if age is None else round(age, 3)
+        )
+
     def _log_limit(self, change: LimitChange, source: str) -> None:
         log_events.ENDPOINT_LIMITED.write(
             _logger,
--- a/src/brassdrum/gateway/model.py
+++ b/src/brassdrum/gateway/model.py
@@ -290,10 +290,13 @@
     """What an endpoint asks for in the headers of a response.
 
     ``rate_limit`` is the number of requests per second that it takes from all daemons together, or
-    None if it names no limit.
+    None if it names no limit. ``draining`` says that it is about to stop. ``pause`` is the time in
+    seconds for which it takes no requests from this daemon.
     """
 
     rate_limit: float | None = None
+    draining: bool = False
+    pause: float | None = None
 
 
 class Dialect(Protocol):
--- a/src/brassdrum/platform/dialect.py
+++ b/src/brassdrum/platform/dialect.py
@@ -36,6 +36,8 @@
 _CULPRIT = b"at-server"
 # Requests a second that the endpoint takes from all daemons together, as a decimal number.
 _RATE_LIMIT = b"server-limit"
+_DRAINING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
 
 _HOP_BY_HOP = {
     b"connection",
@@ -57,6 +59,8 @@
 _NO_LIMIT_SECONDS = 3600.0
 _LARGEST_COUNT = 10**9
 _WRONG_ENDPOINT = 421
+# With these an endpoint turns requests of this daemon away, for a time that it may name.
+_REJECTED = (429, 503)
 _logger = logging.getLogger(__name__)
 
 
@@ -121,7 +125,12 @@
         if status == _WRONG_ENDPOINT:
             return None
         value_by_name = {name.lower(): value for name, value in headers}
-        return EndpointSignals(rate_limit=_amount(value_by_name.get(_RATE_LIMIT)))
+        rejected = status in _REJECTED
+        return EndpointSignals(
+            rate_limit=_amount(value_by_name.get(_RATE_LIMIT)),
+            draining=value_by_name.get(_DRAINING) == b"1",
+            pause=_amount(value_by_name.get(_RETRY_AFTER)) if rejected else None,
+        )
 
     def encode_reserve(self, ticket: str, tokens: int, seconds: float, *, wait: bool) -> bytes:
         """Return the order that holds memory at an endpoint."""
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -164,6 +164,19 @@
     "the endpoint itself or the host of the daemon that told.",
     "Look at the endpoint: it asks for relief.",
 )
+ENDPOINT_PAUSED = LOG_EVENTS.add(
+    "endpoint paused",
+    Topic.BELIEF,
+    "endpoint seconds",
+    "An endpoint turned a request away and takes none from this daemon for `seconds`.",
+    "Look at the endpoint: it is short of something.",
+)
+ENDPOINT_SAYS_DRAINING = LOG_EVENTS.add(
+    "endpoint says it drains",
+    Topic.BELIEF,
+    "endpoint list_age",
+    "A response of an endpoint says that it is about to stop; the list may not know it yet.",
+)
 ENDPOINT_ENDED = LOG_EVENTS.add(
     "endpoint ended",
     Topic.BELIEF,
