--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -281,6 +281,20 @@
     send_response(connection, 200, body, request, extra=["Server-Limit: 1.0"])
 
 
+@behaviours.register("complete response before a stop")
+def leaving_response(endpoint, connection, request):
+    """Send a complete response that says that the endpoint is about to stop."""
+    body = endpoint.name.encode()
+    send_response(connection, 200, body, request, extra=["Server-Leaving: 1"])
+
+
+@behaviours.register("rejection for 30 s")
+def pause(endpoint, connection, request):
+    """Reject the request as not executed, and all others for 30 seconds."""
+    extra = ["X-Not-Executed: 1", "Retry-After: 30"]
+    send_response(connection, 503, b"", request, seal=False, extra=extra)
+
+
 @behaviours.register("failure")
 def failure(endpoint, connection, request):
     """Execute the request and return an error."""
