Take an endpoint's own word that it leaves before the list

What the operators saw: requests reached an endpoint 2.2 to 4.4 s after an answer had said that it leaves (bound 2 s), sent by the very daemons that had passed the answer on. Callers got their answers; had the endpoint stopped, they would not.

Evidence: no belief changes at 35.5 s, list_age grows, the requests arrive 4 to 8 ms after they are sent. Class: a second source is newer than the one that is believed.

Mend: EndpointSignals carry the word beside the rate limit, from any answer (whole, streamed, an error, to an order or check), by the incarnation that gave it; all daemons are told with it, newest wins, only who heard it tells. It ends with the incarnation, with a later answer of the endpoint that does not say so, or when the list, which knew it, has shown the endpoint ready for 10 s (longer than a stale read is behind).

Why it works: a daemon that passes the answer on has recorded it before; no read of the list takes it back. The list's digest is unchanged by the word, so daemons that know it and daemons that do not have nothing to fetch from each other.

--- a/features/endpoint_leaving.feature
+++ b/features/endpoint_leaving.feature
@@ -9,3 +9,53 @@
     When all daemons have read the list again
     And each daemon serves 6 requests
     Then the first endpoint received no further request
+
+  # Guards against reading what endpoints say in some responses only.
+  Scenario Outline: It may say so in any response
+    Given a gateway in front of two endpoints
+    And the first endpoint says that it leaves in a "<response>"
+    When callers have sent requests to it
+    Then every daemon eventually knows one endpoint
+
+    Examples:
+      | response       |
+      | failure        |
+      | rejection      |
+      | stream         |
+
+  Scenario: It may say so in the response to a memory order
+    Given a daemon that knows 2 endpoints
+    When the response to an order at the address of the first says that it leaves
+    Then the daemon uses 1 endpoint
+    When the response to an order at the address of the first says nothing
+    Then the daemon uses 1 endpoint
+
+  Scenario: A peer passes on what an endpoint said, and nobody repeats it
+    Given a daemon that knows 2 endpoints
+    When a peer tells that the first said 0.5 s ago that it leaves
+    Then the daemon uses 1 endpoint
+    And it tells its peers nothing of the endpoints
+    When the list, read later, still shows both ready
+    Then the daemon uses 1 endpoint
+
+  # Guards against an endpoint that stays unused after it has stopped draining or started again.
+  Scenario: The list wins once it has shown a draining endpoint ready for a while
+    Given a daemon that knows 2 endpoints
+    And the first said that it leaves
+    When the list shows the first draining and then ready again
+    Then the daemon uses 1 endpoint
+    And the daemon uses 2 endpoints 10 s later
+
+  Scenario: An endpoint that starts again under its name is used at once
+    Given a daemon that knows 2 endpoints
+    And the first said that it leaves
+    When the list shows a new incarnation of the first
+    Then the daemon uses 2 endpoints
+
+  Scenario: An endpoint that takes it back in a later response is used again
+    Given a daemon that knows 2 endpoints
+    And the first said that it leaves
+    When a response to a request sent before that says nothing
+    Then the daemon uses 1 endpoint
+    When a response to a request sent after that says nothing
+    Then the daemon uses 2 endpoints
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -245,13 +245,14 @@
     return b"id: %d\ndata: token %d\n\n" % (number, number)
 
 
-def _send_stream(connection, request, numbers, tail=b"", end=True):
+def _send_stream(connection, request, numbers, tail=b"", end=True, extra=()):
     lines = [
         "HTTP/1.1 200 OK",
         f"X-Attempt-Id: {request.header_by_name['x-attempt-id']}",
         "X-Replica-Seal: seal-1",
         "Content-Type: text/event-stream",
         "Transfer-Encoding: chunked",
+        *extra,
     ]
     connection.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
     for number in numbers:
@@ -288,6 +289,25 @@
     send_response(connection, 200, body, request, extra=["Server-Leaving: 1"])
 
 
+@behaviours.register("failure before a stop")
+def leaving_failure(endpoint, connection, request):
+    """Execute the request, return an error and say that the endpoint is about to stop."""
+    send_response(connection, 500, b"failed", request, extra=["Server-Leaving: 1"])
+
+
+@behaviours.register("rejection before a stop")
+def leaving_rejection(endpoint, connection, request):
+    """Reject the request as not executed and say that the endpoint is about to stop."""
+    extra = ["X-Not-Executed: 1", "Server-Leaving: 1"]
+    send_response(connection, 503, b"", request, seal=False, extra=extra)
+
+
+@behaviours.register("stream before a stop")
+def leaving_stream(endpoint, connection, request):
+    """Stream all remaining events and say that the endpoint is about to stop."""
+    _send_stream(connection, request, _remaining_events(request), extra=["Server-Leaving: 1"])
+
+
 @behaviours.register("rejection for 30 s")
 def pause(endpoint, connection, request):
     """Reject the request as not executed, and all others for 30 seconds."""
--- a/features/steps/endpoint_limit_steps.py
+++ b/features/steps/endpoint_limit_steps.py
@@ -22,7 +22,7 @@
 from brassdrum.gateway.placing.policies import policies
 from brassdrum.gateway.throttling.ownership import OwnerSelector
 from brassdrum.gateway.throttling.schedule import SendSchedule
-from brassdrum.gateway.throttling.signals import EndpointSignalTable, RateLimitNotice
+from brassdrum.gateway.throttling.signals import EndpointSignalTable, SignalNotice
 from brassdrum.platform.dialect import PlatformDialect
 from features.gateway_world import engine_entry
 from features.steps.gateway_steps import (
@@ -123,7 +123,7 @@
 
 @when("a peer tells at {now:g} s that the endpoint lifted its limit {age:g} s ago")
 def step_peer_tells(context, now, age):
-    context.signals.apply_notice(RateLimitNotice(ENDPOINT, None, age), now)
+    context.signals.apply_notice(SignalNotice(ENDPOINT, None, age), now)
     context.now = now
 
 
@@ -147,13 +147,13 @@
 @then("each message about limits is decoded as it was sent")
 def step_round_trip(context):
     sender = Sender("daemon-1", DaemonAddress("10.0.0.1", "zone-a"), 1, 2)
-    notices = (RateLimitNotice("a", 0.25, 1.5), RateLimitNotice("b", None, 0.0))
+    notices = (SignalNotice("a", 0.25, 1.5, draining=True), SignalNotice("b", None, 0.0))
     messages = [
         PermitRequest(7, "10.0.0.1", "i-1@5", 0.25, 1.5, relayed=True),
         PermitReply(7, True, 0.125),
-        Report(sender, PeerStatus(1, "", 0.5, 1, limits=notices)),
-        Report(sender, PeerStatus(1, "", 0.5, 1, limits=())),
-        Report(sender, PeerStatus(1, "", 0.5, 1, limits=None)),
+        Report(sender, PeerStatus(1, "", 0.5, 1, signals=notices)),
+        Report(sender, PeerStatus(1, "", 0.5, 1, signals=())),
+        Report(sender, PeerStatus(1, "", 0.5, 1, signals=None)),
     ]
     for message in messages:
         assert decode_message(encode_message(message)) == message, message
--- a/features/steps/endpoint_signal_steps.py
+++ b/features/steps/endpoint_signal_steps.py
@@ -1,7 +1,19 @@
 """Steps on what endpoints say of themselves in their responses."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 
+from brassdrum.bench.load.loop import SimulatedLoop
+from brassdrum.gateway.following.beliefs import EndpointMonitor
+from brassdrum.gateway.following.routing_state import RoutingState
+from brassdrum.gateway.guards.crash_guard import CrashGuard
+from brassdrum.gateway.model import EndpointSignals
+from brassdrum.gateway.net.upstream import EndpointPool
+from brassdrum.gateway.peering.peer_messages import PeerStatus
+from brassdrum.gateway.placing.load import LoadTable
+from brassdrum.gateway.throttling.signals import SignalNotice
+from features.gateway_world import SERVICE, engine_entry
 from features.steps.gateway_steps import send_request
 from features.support import eventually
 
@@ -59,3 +71,124 @@
 @then("the last response has a Retry-After of at least {seconds:g} s")
 def step_retry_after(context, seconds):
     assert float(context.answers[-1].header_by_name["retry-after"]) >= seconds
+
+
+@given('the first endpoint says that it leaves in a "{response}"')
+def step_says_in(context, response):
+    context.endpoints[0].default_behaviour = f"{response} before a stop"
+    context.endpoints[1].default_behaviour = "stream" if response == "stream" else "failure"
+    context.kind = "text" if response == "stream" else "check"
+
+
+@when("callers have sent requests to it")
+def step_sent_to_first(context):
+    def received():
+        send_request(context, context.kind)
+        return bool(context.endpoints[0].requests)
+
+    eventually(received, "the first endpoint was used")
+
+
+class KnownEndpoints:
+    """What a daemon knows of endpoints, on a manual clock."""
+
+    def __init__(self, count):
+        self.loop = SimulatedLoop()
+        self.routing_state = RoutingState()
+        guard = CrashGuard(self.loop, LoadTable())
+        pool = EndpointPool(self.loop)
+        self.monitor = EndpointMonitor(self.loop, self.routing_state, pool, lambda: None, guard)
+        self.entries = [replace(engine_entry(number), born=1) for number in range(1, count + 1)]
+        self.first = self.entries[0]
+        self.read_list(self.entries)
+
+    def read_list(self, entries):
+        """Take a list that is read from the store now."""
+        self.loop.advance(0.5)
+        changes = self.routing_state.apply_store_list(entries, self.loop.now())
+        self.monitor.on_endpoints_changed(changes, "store")
+
+    def said(self, signals, sent_at):
+        """Take a response of the first endpoint."""
+        self.monitor.signals_received(self.first.id, signals, sent_at)
+
+
+@given("a daemon that knows {count:d} endpoints")
+def step_known_endpoints(context, count):
+    context.known = KnownEndpoints(count)
+
+
+@given("the first said that it leaves")
+def step_first_said(context):
+    now = context.known.loop.now()
+    context.known.said(EndpointSignals(draining=True), now - 0.1)
+
+
+@when("the response to an order at the address of the first says that it leaves")
+def step_order_says(context):
+    known = context.known
+    signals = EndpointSignals(draining=True)
+    known.monitor.address_signals_received(known.first.address, signals)
+
+
+@when("the response to an order at the address of the first says nothing")
+def step_order_says_nothing(context):
+    known = context.known
+    known.loop.advance(1.0)
+    known.monitor.address_signals_received(known.first.address, EndpointSignals())
+
+
+@when("a peer tells that the first said {age:g} s ago that it leaves")
+def step_peer_says(context, age):
+    known = context.known
+    notice = SignalNotice(known.first.id, None, age, draining=True)
+    known.monitor.apply_peer_update("10.0.0.9", PeerStatus(1, "", 0.0, 1, signals=(notice,)))
+
+
+@when("the list, read later, still shows both ready")
+def step_list_behind(context):
+    context.known.read_list(context.known.entries)
+
+
+@when("the list shows the first draining and then ready again")
+def step_drains_and_returns(context):
+    known = context.known
+    known.read_list([replace(known.first, draining=True), *known.entries[1:]])
+    known.read_list(known.entries)
+
+
+@when("the list shows a new incarnation of the first")
+def step_new_incarnation(context):
+    known = context.known
+    known.read_list([replace(known.first, born=2), *known.entries[1:]])
+
+
+@when("a response to a request sent before that says nothing")
+def step_earlier_response(context):
+    known = context.known
+    known.said(EndpointSignals(), known.loop.now() - 1.0)
+
+
+@when("a response to a request sent after that says nothing")
+def step_later_response(context):
+    known = context.known
+    known.loop.advance(1.0)
+    known.said(EndpointSignals(), known.loop.now() - 0.5)
+
+
+@then("the daemon uses {count:d} endpoint")
+@then("the daemon uses {count:d} endpoints")
+def step_uses(context, count):
+    usable = context.known.routing_state.usable(SERVICE)
+    assert len(usable) == count, [entry.id for entry in usable]
+
+
+@then("the daemon uses {count:d} endpoints {seconds:g} s later")
+def step_uses_later(context, count, seconds):
+    context.known.loop.advance(seconds + 0.1)
+    step_uses(context, count)
+
+
+@then("it tells its peers nothing of the endpoints")
+def step_repeats_nothing(context):
+    assert context.known.monitor.signals.notices(context.known.loop.now()) == []
--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -279,10 +279,10 @@
         return [entry for entry in entries if entry.id not in exchange.tried_endpoints]
 
     def _status(self) -> PeerStatus:
-        return PeerStatus(1, "", 0.0, 1, limits=tuple(self.signals.notices(self.loop.now())))
+        return PeerStatus(1, "", 0.0, 1, signals=tuple(self.signals.notices(self.loop.now())))
 
     def _apply_notices(self, _host: str, status: PeerStatus) -> None:
-        for notice in status.limits or ():
+        for notice in status.signals or ():
             self.signals.apply_notice(notice, self.loop.now())
 
     def may_wait(self, _exchange: Exchange) -> bool:
--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -14,12 +14,15 @@
 from brassdrum.gateway.net.loop import EventLoop
 from brassdrum.gateway.net.upstream import EndpointPool
 from brassdrum.gateway.peering.peer_messages import DrainNotice, PeerStatus
-from brassdrum.gateway.throttling.signals import EndpointSignalTable, LimitChange
+from brassdrum.gateway.throttling.signals import EndpointSignalTable, SignalChange
 from brassdrum.telemetry import log_events
 
 __all__ = ["EndpointMonitor"]
 
 _logger = logging.getLogger(__name__)
+# An endpoint that said that it leaves is used again once the list, which knew that, has shown it
+# ready for this long: longer than a stale read of the store is behind.
+_LIST_WINS_SECONDS = 10.0
 
 
 class EndpointMonitor:
@@ -73,12 +76,9 @@
         if endpoint not in self._routing_state.endpoints_by_id:
             return
         change = self.signals.record(endpoint, signals, sent_at, self._loop.now())
-        if change is not None:
-            self._log_limit(change, "endpoint")
+        self._signal_changed(change, "endpoint")
         if signals.pause is not None:
             log_events.ENDPOINT_PAUSED.write(_logger, endpoint=endpoint, seconds=signals.pause)
-        if signals.draining:
-            self._log_draining(endpoint)
 
     def address_signals_received(self, address: str, signals: EndpointSignals) -> None:
         """Record what the endpoint at an address asks for in another response than a request's.
@@ -115,7 +115,7 @@
             recent_failures=tuple(self._failure_detector.uncertain_failures(now)),
             endings=self._guard.peer_updates(),
             era=self._routing_state.era,
-            limits=tuple(self.signals.notices(now)),
+            signals=tuple(self.signals.notices(now)),
         )
 
     def apply_peer_update(self, host: str, belief: PeerStatus) -> None:
@@ -124,12 +124,10 @@
         self._guard.apply_peer_updates(belief.endings)
         for notice in belief.failing:
             self._failure_detector.apply_notice(notice, now)
-        for limit in belief.limits or ():
-            if limit.endpoint not in self._routing_state.endpoints_by_id:
+        for said in belief.signals or ():
+            if said.endpoint not in self._routing_state.endpoints_by_id:
                 continue
-            change = self.signals.apply_notice(limit, now)
-            if change is not None:
-                self._log_limit(change, host)
+            self._signal_changed(self.signals.apply_notice(said, now), host)
         for endpoint in belief.recent_failures:
             if self._failure_detector.record_uncertain_failure(endpoint, host, now):
                 self._log_suspect(
@@ -165,30 +163,49 @@
             self._log_endpoint_change(change, source)
             if change.change == "restarted" and change.address is not None:
                 self._pool.close_idle(change.address)
+            if change.change == "back":
+                self._loop.call_later(
+                    _LIST_WINS_SECONDS, lambda each=change.endpoint: self._believe_list(each)
+                )
         known = set(self._routing_state.endpoints_by_id)
         self._failure_detector.retain(known)
         self.signals.retain(known)
+        self._routing_state.set_said_draining(self.signals.draining())
         self._on_changed()
 
+    def _believe_list(self, endpoint: str) -> None:
+        """Use an endpoint again if the list still shows it ready, whatever it said before."""
+        entry = self._routing_state.endpoints_by_id.get(endpoint)
+        if entry is not None and not entry.draining:
+            change = self.signals.list_shows_ready(endpoint, self._loop.now())
+            self._signal_changed(change, "list")
+
     def _log_suspect(self, endpoint: str, detail: str, certain: bool) -> None:
         log_events.ENDPOINT_SUSPECT.write(
             _logger, endpoint=endpoint, detail=detail, certain=certain
         )
 
-    def _log_draining(self, endpoint: str) -> None:
-        age = self.list_age()
-        log_events.ENDPOINT_SAYS_DRAINING.write(
-            _logger, endpoint=endpoint, list_age=None if age is None else round(age, 3)
-        )
-
-    def _log_limit(self, change: LimitChange, source: str) -> None:
-        log_events.ENDPOINT_LIMITED.write(
-            _logger,
-            endpoint=change.endpoint,
-            limit=change.limit,
-            before=change.before,
-            source=source,
-        )
+    def _signal_changed(self, change: SignalChange | None, source: str) -> None:
+        if change is None:
+            return
+        if change.limit != change.limit_before:
+            log_events.ENDPOINT_LIMITED.write(
+                _logger,
+                endpoint=change.endpoint,
+                limit=change.limit,
+                before=change.limit_before,
+                source=source,
+            )
+        if change.draining != change.draining_before:
+            self._routing_state.set_said_draining(self.signals.draining())
+            age = self.list_age()
+            log_events.ENDPOINT_SAYS_DRAINING.write(
+                _logger,
+                endpoint=change.endpoint,
+                draining=change.draining,
+                source=source,
+                list_age=None if age is None else round(age, 3),
+            )
 
     def _log_endpoint_change(self, change: EndpointChange, source: str) -> None:
         age = self.list_age()
--- a/src/brassdrum/gateway/following/routing_state.py
+++ b/src/brassdrum/gateway/following/routing_state.py
@@ -51,6 +51,7 @@
         self._routes_by_host: dict[str, list[Route]] = {}
         self._organisation_by_key: dict[str, Organisation] = {}
         self._entries_by_service: dict[str, list[EndpointEntry]] = {}
+        self._said_draining: set[str] = set()
         self._store_unavailable = False
         self._store_recovered_at: float | None = None
         self._left_at_by_id: dict[str, float] = {}
@@ -187,6 +188,15 @@
         self._index()
         return True
 
+    def set_said_draining(self, endpoints: set[str]) -> None:
+        """Set the endpoints that said themselves that they are draining.
+
+        They get no new requests whatever the list shows: what they say is newer.
+        """
+        if endpoints != self._said_draining:
+            self._said_draining = endpoints
+            self._index_usable()
+
     def address_reused(self, endpoint: str) -> None:
         """Remove an endpoint whose address now belongs to another one."""
         if self.endpoints_by_id.pop(endpoint, None) is not None:
@@ -237,10 +247,13 @@
         return changes
 
     def _index(self) -> None:
+        self._index_usable()
         entries = sorted(self.endpoints_by_id.values(), key=lambda each: each.id)
-        self._entries_by_service = {}
-        for entry in entries:
-            if not entry.draining:
-                self._entries_by_service.setdefault(entry.service, []).append(entry)
         text = "\n".join(f"{each.id} {each.address} {each.draining:d}" for each in entries)
         self.digest = hashlib.blake2b(text.encode(), digest_size=6).hexdigest()
+
+    def _index_usable(self) -> None:
+        self._entries_by_service = {}
+        for entry in sorted(self.endpoints_by_id.values(), key=lambda each: each.id):
+            if not entry.draining and entry.id not in self._said_draining:
+                self._entries_by_service.setdefault(entry.service, []).append(entry)
--- a/src/brassdrum/gateway/peering/group.py
+++ b/src/brassdrum/gateway/peering/group.py
@@ -13,7 +13,7 @@
 from brassdrum.gateway.peering.peer_messages import Acknowledgement, PeerStatus, Report, Sender
 from brassdrum.gateway.placing.load import EndpointLoad, LoadRow
 from brassdrum.gateway.throttling.signals import (
-    RateLimitNotice,
+    SignalNotice,
     aged_notices,
     current_notices,
 )
@@ -77,8 +77,8 @@
             known = self._member_by_host[host] = _Member(sender, report.status, now)
         assert known is not None
         known.sender = sender
-        limits = current_notices(report.status.limits, known.status.limits, now - known.heard_at)
-        known.status = replace(report.status, limits=limits)
+        signals = current_notices(report.status.signals, known.status.signals, now - known.heard_at)
+        known.status = replace(report.status, signals=signals)
         known.heard_at = now
         known.acknowledged = False
         for row in report.rows:
@@ -110,12 +110,12 @@
             for w in unexpired_notices(each.status.failing, now - each.heard_at)
         ]
 
-    def limits(self, now: float) -> list[RateLimitNotice]:
-        """Return the rate limits that endpoints named to members."""
+    def signals(self, now: float) -> list[SignalNotice]:
+        """Return what endpoints said to members."""
         return [
             notice
             for each in self._member_by_host.values()
-            for notice in aged_notices(each.status.limits or (), now - each.heard_at)
+            for notice in aged_notices(each.status.signals or (), now - each.heard_at)
         ]
 
     def recent_failures(self, now: float) -> set[str]:
--- a/src/brassdrum/gateway/peering/peer_messages.py
+++ b/src/brassdrum/gateway/peering/peer_messages.py
@@ -10,7 +10,7 @@
 from brassdrum.gateway.model import DaemonAddress
 from brassdrum.gateway.peering.wire import FieldReader, FieldWriter
 from brassdrum.gateway.placing.load import LoadRow
-from brassdrum.gateway.throttling.signals import RateLimitNotice
+from brassdrum.gateway.throttling.signals import SignalNotice
 from brassdrum.outcomes.quarantine import CrashReport, ObservedCrash
 
 __all__ = [
@@ -39,7 +39,7 @@
 # Rate limits are sent per 1000 seconds.
 _RATE_UNITS = 1000
 _NO_LIMIT = 0xFFFFFFFF
-# Count of rate limits in a message that says nothing about them.
+# Count in a message that says nothing about signals.
 _NOT_TOLD = 0xFF
 # One bit for each of the up to 12 endpoint crashes kept per request content.
 _BITMASK_BYTES = 2
@@ -70,8 +70,8 @@
 
     ``age`` is in seconds, None before the first read of the store. ``reads`` is the number of the
     store read that the configuration is from, ``era`` the era of the store. ``recent_failures``
-    names endpoints that recently failed a request for any reason. ``limits`` is None in messages
-    that leave the rate limits of endpoints as they were.
+    names endpoints that recently failed a request for any reason. ``signals`` is what endpoints
+    said of themselves, None in messages that leave that as it was.
     """
 
     version: int
@@ -83,7 +83,7 @@
     recent_failures: tuple[str, ...] = ()
     endings: tuple[CrashReport, ...] = ()
     era: int | None = None
-    limits: tuple[RateLimitNotice, ...] | None = ()
+    signals: tuple[SignalNotice, ...] | None = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -367,31 +367,33 @@
     writer.uint(len(status.endings), 1)
     for ending in status.endings:
         _write_ending(writer, ending)
-    _write_limits(writer, status.limits)
+    _write_signals(writer, status.signals)
 
 
-def _write_limits(writer: FieldWriter, limits: tuple[RateLimitNotice, ...] | None) -> None:
-    if limits is None:
+def _write_signals(writer: FieldWriter, signals: tuple[SignalNotice, ...] | None) -> None:
+    if signals is None:
         writer.uint(_NOT_TOLD, 1)
         return
-    writer.uint(len(limits), 1)
-    for notice in limits:
+    writer.uint(len(signals), 1)
+    for notice in signals:
         writer.text(notice.endpoint)
+        writer.uint(notice.draining, 1)
         rate = _NO_LIMIT if notice.rate_limit is None else _per_1000_seconds(notice.rate_limit)
         writer.uint(rate, 4)
         writer.uint(_age_ms(notice.age), _AGE_BYTES)
 
 
-def _read_limits(reader: FieldReader) -> tuple[RateLimitNotice, ...] | None:
+def _read_signals(reader: FieldReader) -> tuple[SignalNotice, ...] | None:
     count = reader.uint(1)
     if count == _NOT_TOLD:
         return None
-    limits = []
+    signals = []
     for _ in range(count):
-        endpoint, rate, age_ms = reader.text(), reader.uint(4), reader.uint(_AGE_BYTES)
+        endpoint, draining = reader.text(), bool(reader.uint(1))
+        rate, age_ms = reader.uint(4), reader.uint(_AGE_BYTES)
         rate_limit = None if rate == _NO_LIMIT else rate / _RATE_UNITS
-        limits.append(RateLimitNotice(endpoint, rate_limit, age_ms / 1000))
-    return tuple(limits)
+        signals.append(SignalNotice(endpoint, rate_limit, age_ms / 1000, draining))
+    return tuple(signals)
 
 
 def _per_1000_seconds(rate: float) -> int:
@@ -457,7 +459,7 @@
     )
     recent_failures = tuple(reader.text() for _ in range(reader.uint(1)))
     endings = tuple(_read_ending(reader) for _ in range(reader.uint(1)))
-    limits = _read_limits(reader)
+    signals = _read_signals(reader)
     known_age = None if age == _NO_AGE else age / 1000
     known_era = era - 1 if era else None
     return PeerStatus(
@@ -470,7 +472,7 @@
         recent_failures=recent_failures,
         endings=endings,
         era=known_era,
-        limits=limits,
+        signals=signals,
     )
 
 
--- a/src/brassdrum/gateway/peering/peers.py
+++ b/src/brassdrum/gateway/peering/peers.py
@@ -39,7 +39,7 @@
 from brassdrum.gateway.peering.spreading import fanout_branches
 from brassdrum.gateway.placing.load import LoadTable
 from brassdrum.gateway.throttling.permits import PermitBroker
-from brassdrum.gateway.throttling.signals import RateLimitNotice, newest_notices
+from brassdrum.gateway.throttling.signals import SignalNotice, newest_notices
 from brassdrum.telemetry import log_events
 
 __all__ = ["Peers"]
@@ -80,8 +80,8 @@
 # Limit for each list of endpoints in a message.
 _MAX_ENDPOINTS_PER_KIND = 64
 _FETCH_SECONDS_PER_DAEMON = 0.004
-# Changed rate limits are repeated for this long; unchanged ones are sent with heartbeats only.
-_REPEAT_LIMITS_SECONDS = 0.5
+# What endpoints said is repeated for this long after a change; else heartbeats carry it.
+_REPEAT_SIGNALS_SECONDS = 0.5
 
 
 @dataclass(slots=True)
@@ -95,20 +95,20 @@
     aggregator_count: int = 0
 
 
-class _LimitChanges:
-    """Track when the rate limits that are sent last changed."""
+class _SignalChanges:
+    """Track when what peers are told of endpoints last changed."""
 
     def __init__(self) -> None:
-        self._limits: frozenset[tuple[str, float | None]] = frozenset()
+        self._signals: frozenset[tuple[str, float | None, bool]] = frozenset()
         self._changed_at = -math.inf
 
-    def is_recent(self, notices: Iterable[RateLimitNotice], now: float) -> bool:
-        """Return whether the limits changed just now or a short time ago."""
-        limits = frozenset((each.endpoint, each.rate_limit) for each in notices)
-        if limits != self._limits:
-            self._limits = limits
+    def is_recent(self, notices: Iterable[SignalNotice], now: float) -> bool:
+        """Return whether the notices changed just now or a short time ago."""
+        signals = frozenset((each.endpoint, each.rate_limit, each.draining) for each in notices)
+        if signals != self._signals:
+            self._signals = signals
             self._changed_at = now
-        return now - self._changed_at < _REPEAT_LIMITS_SECONDS
+        return now - self._changed_at < _REPEAT_SIGNALS_SECONDS
 
 
 class Peers:
@@ -157,7 +157,7 @@
         self._publish_timer: Timer | None = None
         self._report_timer: Timer | None = None
         self._discovery_done = False
-        self._limit_changes = {fleet: _LimitChanges() for fleet in (False, True)}
+        self._signal_changes = {fleet: _SignalChanges() for fleet in (False, True)}
         self._permits = PermitBroker(loop, self, rate_limit, incarnation)
         datagrams.listen(self._handle_datagram)
         loop.call_later(0.0, self._send_heartbeat)
@@ -530,8 +530,8 @@
         """Return the status of this daemon and its group, or of the whole ``fleet``."""
         status = self._local_status()
         now = self._loop.now()
-        limits = self._known_limits(status, now, fleet=fleet)
-        changed = self._limit_changes[fleet].is_recent(limits, now)
+        signals = self._known_signals(status, now, fleet=fleet)
+        changed = self._signal_changes[fleet].is_recent(signals, now)
         others = self._aggregators.failing(now) if fleet else []
         failing = longest_notices([*status.failing, *self._group.failing(now), *others])
         return replace(
@@ -542,14 +542,14 @@
                 () if fleet else self._recent_failures(status)[:_MAX_ENDPOINTS_PER_KIND]
             ),
             draining=status.draining[:_MAX_ENDPOINTS_PER_KIND],
-            limits=limits if heartbeat or changed else None,
+            signals=signals if heartbeat or changed else None,
         )
 
-    def _known_limits(
+    def _known_signals(
         self, status: PeerStatus, now: float, *, fleet: bool
-    ) -> tuple[RateLimitNotice, ...]:
-        others = self._aggregators.limits(now) if fleet else []
-        found = newest_notices([*(status.limits or ()), *self._group.limits(now), *others])
+    ) -> tuple[SignalNotice, ...]:
+        others = self._aggregators.signals(now) if fleet else []
+        found = newest_notices([*(status.signals or ()), *self._group.signals(now), *others])
         return found[:_MAX_ENDPOINTS_PER_KIND]
 
     def _recent_failures(self, status: PeerStatus) -> tuple[str, ...]:
--- a/src/brassdrum/gateway/peering/publishers.py
+++ b/src/brassdrum/gateway/peering/publishers.py
@@ -7,7 +7,7 @@
 from brassdrum.gateway.following.suspicion import FailureNotice, unexpired_notices
 from brassdrum.gateway.peering.peer_messages import Digest, Sender
 from brassdrum.gateway.throttling.signals import (
-    RateLimitNotice,
+    SignalNotice,
     aged_notices,
     current_notices,
 )
@@ -31,7 +31,7 @@
     sender: Sender
     daemon_count: int
     failing: tuple[FailureNotice, ...]
-    limits: tuple[RateLimitNotice, ...]
+    signals: tuple[SignalNotice, ...]
     heard_at: float
 
 
@@ -61,13 +61,13 @@
             if (sender.incarnation, sender.sequence) <= earlier:
                 return None
         began = known is not None and sender.incarnation > known.sender.incarnation
-        limits = current_notices(
-            digest.status.limits,
-            None if known is None else known.limits,
+        signals = current_notices(
+            digest.status.signals,
+            None if known is None else known.signals,
             0.0 if known is None else now - known.heard_at,
         )
         self._aggregator_by_host[host] = _Aggregator(
-            sender, digest.daemon_count, digest.status.failing, limits, now
+            sender, digest.daemon_count, digest.status.failing, signals, now
         )
         return AppliedDigest(known is None, began)
 
@@ -78,12 +78,12 @@
             word for each in others for word in unexpired_notices(each.failing, now - each.heard_at)
         ]
 
-    def limits(self, now: float) -> list[RateLimitNotice]:
-        """Return the rate limits that endpoints named to daemons of other groups."""
+    def signals(self, now: float) -> list[SignalNotice]:
+        """Return what endpoints said to daemons of other groups."""
         return [
             notice
             for each in self._aggregator_by_host.values()
-            for notice in aged_notices(each.limits, now - each.heard_at)
+            for notice in aged_notices(each.signals, now - each.heard_at)
         ]
 
     def live_hosts(self) -> frozenset[str]:
--- a/src/brassdrum/gateway/throttling/signals.py
+++ b/src/brassdrum/gateway/throttling/signals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
@@ -9,68 +10,83 @@
 
 __all__ = [
     "EndpointSignalTable",
-    "LimitChange",
-    "RateLimitNotice",
+    "SignalChange",
+    "SignalNotice",
     "aged_notices",
     "current_notices",
     "newest_notices",
 ]
 
-# How long peers are told that an endpoint has lifted its limit.
-_LIFTED_NOTICE_SECONDS = 4.0
+# How long peers are told that an endpoint has taken back what it said.
+_WITHDRAWN_NOTICE_SECONDS = 4.0
 
 
 @dataclass(frozen=True, slots=True)
-class RateLimitNotice:
+class SignalNotice:
     """Tell peers what an endpoint said ``age`` seconds ago.
 
     ``rate_limit`` is in requests per second over all daemons; None says that there is no limit.
+    ``draining`` says that the endpoint is about to stop.
     """
 
     endpoint: str
     rate_limit: float | None
     age: float
+    draining: bool = False
 
 
-def aged_notices(notices: Iterable[RateLimitNotice], seconds: float) -> list[RateLimitNotice]:
+def aged_notices(notices: Iterable[SignalNotice], seconds: float) -> list[SignalNotice]:
     """Return the notices as of some seconds later."""
     return [replace(each, age=each.age + seconds) for each in notices]
 
 
-def newest_notices(notices: Iterable[RateLimitNotice]) -> tuple[RateLimitNotice, ...]:
+def newest_notices(notices: Iterable[SignalNotice]) -> tuple[SignalNotice, ...]:
     """Return the newest notice of each endpoint, newest first."""
-    by_endpoint: dict[str, RateLimitNotice] = {}
+    by_endpoint: dict[str, SignalNotice] = {}
     for notice in sorted(notices, key=lambda each: (each.age, each.endpoint)):
         by_endpoint.setdefault(notice.endpoint, notice)
     return tuple(by_endpoint.values())
 
 
 def current_notices(
-    told: tuple[RateLimitNotice, ...] | None,
-    known: tuple[RateLimitNotice, ...] | None,
+    told: tuple[SignalNotice, ...] | None,
+    known: tuple[SignalNotice, ...] | None,
     seconds: float,
-) -> tuple[RateLimitNotice, ...]:
+) -> tuple[SignalNotice, ...]:
     """Return what a peer told, or what it told some seconds ago if it leaves that as it was."""
     return tuple(aged_notices(known or (), seconds)) if told is None else told
 
 
 @dataclass(frozen=True, slots=True)
-class LimitChange:
-    """A changed rate limit of an endpoint, in requests per second; None is no limit."""
+class SignalChange:
+    """A change of what an endpoint says; limits are in requests per second, None without one."""
 
     endpoint: str
     limit: float | None
-    before: float | None
+    limit_before: float | None
+    draining: bool
+    draining_before: bool
 
 
 @dataclass(frozen=True, slots=True)
 class _Statement:
     """``from_peer`` marks what another daemon heard; only that daemon tells others of it."""
 
-    rate_limit: float | None
-    stated_at: float
+    rate_limit: float | None = None
+    draining: bool = False
+    stated_at: float = -math.inf
     from_peer: bool = False
 
+    @property
+    def says_anything(self) -> bool:
+        return self.draining or self.rate_limit is not None
+
+    def says_the_same(self, rate_limit: float | None, draining: bool) -> bool:
+        return (self.rate_limit, self.draining) == (rate_limit, draining)
+
+
+_NOTHING_SAID = _Statement()
+
 
 class EndpointSignalTable:
     """Keep the latest signals of each endpoint, by its id.
@@ -89,40 +105,54 @@
 
     def rate_limit(self, endpoint: str) -> float | None:
         """Return the requests per second that an endpoint takes, or None without a limit."""
-        known = self._statement_by_endpoint.get(endpoint)
-        return None if known is None else known.rate_limit
+        return self._statement(endpoint).rate_limit
+
+    def draining(self) -> set[str]:
+        """Return the endpoints that say that they are about to stop."""
+        return {name for name, each in self._statement_by_endpoint.items() if each.draining}
 
     def record(
         self, endpoint: str, signals: EndpointSignals, sent_at: float, now: float
-    ) -> LimitChange | None:
+    ) -> SignalChange | None:
         """Record the signals of a response to a request sent at a time; return what changed.
 
-        Responses may overtake each other, so one without a limit counts only if its request was
-        sent after the limit was last named.
+        Responses may overtake each other, so one takes back what an earlier one said only if its
+        request was sent after that.
         """
-        known = self._statement_by_endpoint.get(endpoint)
-        if signals.rate_limit is None and (known is None or sent_at <= known.stated_at):
+        known = self._statement(endpoint)
+        rate_limit, draining = signals.rate_limit, signals.draining
+        if sent_at <= known.stated_at:
+            rate_limit = known.rate_limit if rate_limit is None else rate_limit
+            draining = draining or known.draining
+        if not known.says_anything and rate_limit is None and not draining:
             return None
-        return self._set(endpoint, _Statement(signals.rate_limit, now))
+        repeats = signals.draining or signals.rate_limit is not None
+        stated_at = now if repeats or sent_at > known.stated_at else known.stated_at
+        return self._set(endpoint, _Statement(rate_limit, draining, stated_at))
+
+    def list_shows_ready(self, endpoint: str, now: float) -> SignalChange | None:
+        """Record that the list, which had shown an endpoint draining, shows it ready again."""
+        known = self._statement(endpoint)
+        if not known.draining:
+            return None
+        return self._set(endpoint, replace(known, draining=False, stated_at=now))
 
-    def notices(self, now: float) -> list[RateLimitNotice]:
+    def notices(self, now: float) -> list[SignalNotice]:
         """Return what endpoints said to this daemon; what peers said they tell themselves."""
         return [
-            RateLimitNotice(endpoint, each.rate_limit, now - each.stated_at)
+            SignalNotice(endpoint, each.rate_limit, now - each.stated_at, each.draining)
             for endpoint, each in self._statement_by_endpoint.items()
             if not each.from_peer
-            and (each.rate_limit is not None or now - each.stated_at < _LIFTED_NOTICE_SECONDS)
+            and (each.says_anything or now - each.stated_at < _WITHDRAWN_NOTICE_SECONDS)
         ]
 
-    def apply_notice(self, notice: RateLimitNotice, now: float) -> LimitChange | None:
+    def apply_notice(self, notice: SignalNotice, now: float) -> SignalChange | None:
         """Apply a peer's notice if it is news; return what changed."""
-        known = self._statement_by_endpoint.get(notice.endpoint)
+        known = self._statement(notice.endpoint)
         stated_at = now - notice.age
-        if known is not None and (
-            known.rate_limit == notice.rate_limit or stated_at <= known.stated_at
-        ):
+        if known.says_the_same(notice.rate_limit, notice.draining) or stated_at <= known.stated_at:
             return None
-        statement = _Statement(notice.rate_limit, stated_at, from_peer=True)
+        statement = _Statement(notice.rate_limit, notice.draining, stated_at, from_peer=True)
         return self._set(notice.endpoint, statement)
 
     def retain(self, endpoints: set[str]) -> None:
@@ -130,9 +160,14 @@
         for endpoint in [each for each in self._statement_by_endpoint if each not in endpoints]:
             del self._statement_by_endpoint[endpoint]
 
-    def _set(self, endpoint: str, statement: _Statement) -> LimitChange | None:
-        before = self.rate_limit(endpoint)
+    def _statement(self, endpoint: str) -> _Statement:
+        return self._statement_by_endpoint.get(endpoint, _NOTHING_SAID)
+
+    def _set(self, endpoint: str, statement: _Statement) -> SignalChange | None:
+        before = self._statement(endpoint)
         self._statement_by_endpoint[endpoint] = statement
-        if statement.rate_limit == before:
+        if before.says_the_same(statement.rate_limit, statement.draining):
             return None
-        return LimitChange(endpoint, statement.rate_limit, before)
+        return SignalChange(
+            endpoint, statement.rate_limit, before.rate_limit, statement.draining, before.draining
+        )
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -174,8 +174,9 @@
 ENDPOINT_SAYS_DRAINING = LOG_EVENTS.add(
     "endpoint says it drains",
     Topic.BELIEF,
-    "endpoint list_age",
-    "A response of an endpoint says that it is about to stop; the list may not know it yet.",
+    "endpoint draining source list_age",
+    "An endpoint said in a response that it is about to stop, or no longer; the list may not know "
+    "it yet. `source` is the endpoint, the host of the daemon that told, or the list.",
 )
 ENDPOINT_ENDED = LOG_EVENTS.add(
     "endpoint ended",
