Send nothing to an endpoint during the pause that it has asked for

What the operators saw: an engine that answered 503 and asked a daemon for 3 s of rest got 8 requests from it in that time (2 allowed). Callers were refused after being tried at engines that had said they take nothing.

Cause (hypothesis 1): Retry-After of an endpoint was not read. A 503 counted as a full endpoint, or, with free slots, as a failure that is avoided for 0.8 s and only while healthy endpoints are there; with all turned away each request was tried at two of them. Class: as for the word of leaving, what an endpoint says of itself reached no decision.

Mend: the pause is a third thing of EndpointSignals, kept for this daemon alone; EndpointThrottle, which placement asks, leaves the endpoint out until its end. With all at rest a request waits if it can still be in time, else it is refused at once with the time at which the first opens. Such a 503 is no failure of the endpoint. Others are not told: the pause binds who was asked.

Why it works: the answer is recorded before the request is sent on, and all sends pass the throttle.

--- a/features/endpoint_pauses.feature
+++ b/features/endpoint_pauses.feature
@@ -16,3 +16,44 @@
     Then every response is 503
     And each endpoint received at most 1 request
     And the last response has a Retry-After of at least 2 s
+
+  Scenario: A request waits for the end of a pause that leaves it in time
+    Given a gateway in front of two endpoints
+    And each endpoint uses the behaviour "rejection for 0.3 s" once
+    When a caller sends a "check" 3 times
+    Then the last response is 200
+
+  # Guards against taking room away that other daemons have: a pause binds who was asked for it.
+  Scenario: Other daemons go on to use an endpoint that has asked one for a pause
+    Given 2 gateways in front of two endpoints
+    And the first endpoint rejects a request of the first daemon for 30 s
+    When each daemon serves 6 requests
+    Then the first endpoint served only the second daemon
+
+  # Guards against treating an endpoint that asks for a pause as one that fails.
+  Scenario Outline: An endpoint that asks for a pause is not suspected
+    Given a gateway in front of two endpoints
+    And the endpoints use the behaviour "<behaviour>" for all requests
+    When a caller sends a "check" 10 times
+    Then no endpoint is suspected
+
+    Examples:
+      | behaviour               |
+      | rejection for 30 s      |
+      | plain 503 for 30 s      |
+
+  Scenario: The adapter reads for how long an endpoint takes no requests
+    Then a response <status> with the header "Retry-After: <value>" asks for a pause of <seconds>
+      | status | value | seconds |
+      | 503    | 3     | 3.0     |
+      | 429    | 0.25  | 0.25    |
+      | 503    | soon  | none    |
+      | 503    | -1    | none    |
+      | 503    | inf   | none    |
+      | 200    | 3     | none    |
+      | 421    | 3     | none    |
+
+  Scenario: A second pause does not shorten the first
+    Given an endpoint that asked at 10 s for a pause of 5 s
+    When it asks at 11 s for a pause of 1 s
+    Then it is paused at 14.9 s and not at 15 s
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -315,6 +315,19 @@
     send_response(connection, 503, b"", request, seal=False, extra=extra)
 
 
+@behaviours.register("rejection for 0.3 s")
+def short_pause(endpoint, connection, request):
+    """Reject the request as not executed, and all others for a moment."""
+    extra = ["X-Not-Executed: 1", "Retry-After: 0.3"]
+    send_response(connection, 503, b"", request, seal=False, extra=extra)
+
+
+@behaviours.register("plain 503 for 30 s")
+def plain_pause(endpoint, connection, request):
+    """Return 503 with a Retry-After header, without stating that the request was not executed."""
+    send_response(connection, 503, b"", request, extra=["Retry-After: 30"])
+
+
 @behaviours.register("failure")
 def failure(endpoint, connection, request):
     """Execute the request and return an error."""
--- a/features/steps/endpoint_signal_steps.py
+++ b/features/steps/endpoint_signal_steps.py
@@ -13,6 +13,8 @@
 from brassdrum.gateway.peering.peer_messages import PeerStatus
 from brassdrum.gateway.placing.load import LoadTable
 from brassdrum.gateway.throttling.signals import SignalNotice
+from brassdrum.outcomes.pauses import Pause
+from brassdrum.platform.dialect import PlatformDialect
 from features.gateway_world import SERVICE, engine_entry
 from features.steps.gateway_steps import send_request
 from features.support import eventually
@@ -192,3 +194,67 @@
 @then("it tells its peers nothing of the endpoints")
 def step_repeats_nothing(context):
     assert context.known.monitor.signals.notices(context.known.loop.now()) == []
+
+
+@given('each endpoint uses the behaviour "{behaviour}" once')
+def step_each_once(context, behaviour):
+    for endpoint in context.endpoints:
+        endpoint.queued_behaviours = [behaviour]
+
+
+@given("the first endpoint rejects a request of the first daemon for 30 s")
+def step_rejects_first_daemon(context):
+    first = context.endpoints[0]
+    first.queued_behaviours = ["rejection for 30 s"]
+
+    def rejected():
+        send_request(context, "check")
+        return bool(first.requests)
+
+    eventually(rejected, "the first endpoint was used")
+
+
+@then("the first endpoint served only the second daemon")
+def step_served_second(context):
+    # The steps send the requests of the first daemon first, then those of the second.
+    served = context.endpoints[0].requests[1:]
+    numbers = [int(each.header_by_name["x-attempt-id"].split("-")[1]) for each in served]
+    assert numbers and min(numbers) > context.sent - 6, (numbers, context.sent)
+
+
+@then("no endpoint is suspected")
+def step_none_suspected(context):
+    daemon = context.gateways[0].daemon
+    for entry in daemon.routing_state.endpoints_by_id:
+        assert not daemon.endpoint_monitor.is_suspect(entry)
+
+
+@then("the last response is {status:d}")
+def step_last_response(context, status):
+    assert context.answers[-1].status == status
+
+
+@then('a response <status> with the header "Retry-After: <value>" asks for a pause of <seconds>')
+def step_adapter_reads_pause(context):
+    for row in context.table:
+        headers = [(b"Retry-After", row["value"].encode())]
+        signals = PlatformDialect().read_signals(int(row["status"]), headers)
+        pause = None if signals is None else signals.pause
+        assert pause == (None if row["seconds"] == "none" else float(row["seconds"])), row
+
+
+@given("an endpoint that asked at {at:g} s for a pause of {seconds:g} s")
+def step_pause(context, at, seconds):
+    context.pause = Pause()
+    context.pause.extend(seconds, at)
+
+
+@when("it asks at {at:g} s for a pause of {seconds:g} s")
+def step_second_pause(context, at, seconds):
+    context.pause.extend(seconds, at)
+
+
+@then("it is paused at {active:g} s and not at {over:g} s")
+def step_pause_ends(context, active, over):
+    assert context.pause.is_active(active)
+    assert not context.pause.is_active(over)
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -116,6 +116,10 @@
     def signals_received(self, endpoint, signals, sent_at):
         """Ignore what an endpoint asks for."""
 
+    def seconds_until_open(self, service):
+        """Return 0: all endpoints are open."""
+        return 0.0
+
     def next_opening(self, exchange, need):
         """Return None: no endpoint limits its rate."""
 
--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -274,6 +274,11 @@
             return None
         return replace(opening, first_event_ms=prefill_ms(self.fleet.model, need.prompt_tokens))
 
+    def seconds_until_open(self, service: str) -> float:
+        """Return the seconds until some engine takes requests, 0 if one does."""
+        opening = self.throttle.next_opening(self.routing_state.usable(service))
+        return 0.0 if opening is None else opening.seconds
+
     def _usable_entries(self, exchange: Exchange) -> list[EndpointEntry]:
         entries = self.routing_state.usable(SERVICE)
         return [entry for entry in entries if entry.id not in exchange.tried_endpoints]
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -334,6 +334,11 @@
             return opening
         return replace(opening, first_event_ms=prefill_ms(engine, need.prompt_tokens))
 
+    def seconds_until_open(self, service: str) -> float:
+        """Return the seconds until some endpoint of a service takes requests, 0 if one does."""
+        opening = self.throttle.next_opening(self.routing_state.usable(service))
+        return 0.0 if opening is None else opening.seconds
+
     def _usable_entries(self, exchange: Exchange) -> list[EndpointEntry]:
         """Return the endpoints that a request may be sent to, as far as their own wishes allow."""
         usable = self.crash_guard.eligible_endpoints(
--- a/src/brassdrum/gateway/placing/choosing.py
+++ b/src/brassdrum/gateway/placing/choosing.py
@@ -69,7 +69,7 @@
         placement = place(self._throttle.open_entries(entries, permit))
         if placement is None and permit is not None and permit.is_valid(now):
             # Too large for the permitted endpoint alone: others may store parts of the prompt.
-            placement = place(entries)
+            placement = place(self._throttle.unpaused_entries(entries))
         return placement
 
     def _candidate(
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -35,6 +35,7 @@
 )
 from brassdrum.gateway.request.silence_watch import StallWatchdog
 from brassdrum.gateway.throttling.permits import MAX_WAIT_SECONDS, Permit
+from brassdrum.gateway.throttling.throttle import EndpointOpening
 from brassdrum.outcomes.fingerprint import content_fingerprint
 from brassdrum.outcomes.quarantine import ContentStatus
 from brassdrum.telemetry import log_events
@@ -170,7 +171,7 @@
             self._context.endpoint_monitor.endpoint_failed(
                 failed_endpoint, certain=True, detail="reported as failed by another endpoint"
             )
-        elif attempt.endpoint_has_free_slots:
+        elif attempt.endpoint_has_free_slots and not self._is_paused(attempt):
             # A full endpoint recovers soon; one that rejects requests with free slots does not.
             self._context.endpoint_monitor.endpoint_failed(
                 failed_endpoint, certain=True, detail="it turns requests away though it has room"
@@ -304,16 +305,27 @@
         if opening is None:
             self._fail("no endpoint is available for the request")
             return
-        if not self._context.may_wait(self):
-            self._fail("every endpoint asks for fewer requests", opening.seconds)
-            return
-        first_event_by_ms = need.patience_ms * SLOT_WAIT_PATIENCE_SHARE - need.waited_ms
-        latest_wait = (first_event_by_ms - opening.first_event_ms) / 1000
-        max_wait = min(MAX_WAIT_SECONDS, latest_wait)
+        max_wait = self._max_opening_wait(need, opening)
         if opening.seconds > max_wait:
             self._fail("every endpoint asks for fewer requests", opening.seconds)
-            return
-        self._request_permit(opening.endpoint, max_wait)
+        elif opening.needs_permit:
+            self._request_permit(opening.endpoint, max_wait)
+        else:
+            self._postpone(opening.seconds)
+
+    def _max_opening_wait(self, need: PlacementRequest, opening: EndpointOpening) -> float:
+        """Return for how many seconds the request may wait for an endpoint that is closed.
+
+        A slot is booked, so even a late request may wait for it. A pause binds this daemon alone:
+        a request that would be late is better off at another one.
+        """
+        if not self._context.may_wait(self):
+            return 0.0
+        start_ms = need.waited_ms + opening.first_event_ms
+        if not opening.needs_permit:
+            return (need.objective_ms - start_ms) / 1000
+        latest_ms = need.patience_ms * SLOT_WAIT_PATIENCE_SHARE
+        return min(MAX_WAIT_SECONDS, (latest_ms - start_ms) / 1000)
 
     def _request_permit(self, endpoint: str, max_wait: float) -> None:
         """Ask for a permit; dispatch again when it allows a send or another endpoint is needed."""
@@ -438,9 +450,10 @@
     def _handle_failure_reply(self, attempt: Attempt, reply: Reply) -> None:
         """Handle a failure reply; the endpoint executed the request."""
         self._may_have_run = True
-        self._context.endpoint_monitor.endpoint_answered_failure(
-            attempt.endpoint, f"answered {reply.status}"
-        )
+        if not self._is_paused(attempt):
+            self._context.endpoint_monitor.endpoint_answered_failure(
+                attempt.endpoint, f"answered {reply.status}"
+            )
         if reply.status >= 500 and self.route.repeatable and self._consume_resend():
             self._resend(f"the endpoint answered {reply.status}")
             return
@@ -454,6 +467,10 @@
         self._finish(Outcome.FAILED, reply.status, "the endpoint's own failure")
         self._connection.send_response(reply.status, reply.headers, bytes(attempt.body))
 
+    def _is_paused(self, attempt: Attempt) -> bool:
+        """Return whether the endpoint asked for a pause, which is not a failure."""
+        return self._context.throttle.is_paused(attempt.endpoint)
+
     def _retry_not_executed(self, attempt: Attempt, detail: str) -> None:
         attempt.finish()
         can_retry = (
@@ -548,8 +565,11 @@
         self._cancel_attempt()
         self._fail("the deadline of the request or its route has passed")
 
-    def _fail(self, detail: str, retry_after: float = _DEFAULT_RETRY_AFTER_SECONDS) -> None:
+    def _fail(self, detail: str, retry_after: float | None = None) -> None:
         """Send the final response of a request that was not served."""
+        if retry_after is None:
+            opening_seconds = self._context.seconds_until_open(self.service)
+            retry_after = max(_DEFAULT_RETRY_AFTER_SECONDS, opening_seconds)
         if self._response_started:
             self._finish(Outcome.BROKEN_OFF, 0, detail)
             self._connection.abort()
--- a/src/brassdrum/gateway/request/exchange_host.py
+++ b/src/brassdrum/gateway/request/exchange_host.py
@@ -36,6 +36,9 @@
     def next_opening(self, exchange: Exchange, need: PlacementRequest) -> EndpointOpening | None:
         """Return the endpoint that takes a request first, or None without a usable endpoint."""
 
+    def seconds_until_open(self, service: str) -> float:
+        """Return the seconds until some endpoint of a service takes requests, 0 if one does."""
+
     def may_wait(self, exchange: Exchange) -> bool:
         """Return whether a request may wait for a better placement."""
 
--- a/src/brassdrum/gateway/throttling/signals.py
+++ b/src/brassdrum/gateway/throttling/signals.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, replace
 
 from brassdrum.gateway.model import EndpointSignals
+from brassdrum.outcomes.pauses import Pause
 
 __all__ = [
     "EndpointSignalTable",
@@ -95,6 +96,7 @@
     """
 
     def __init__(self) -> None:
+        self._pause_by_endpoint: dict[str, Pause] = {}
         self._statement_by_endpoint: dict[str, _Statement] = {}
 
     @property
@@ -107,6 +109,11 @@
         """Return the requests per second that an endpoint takes, or None without a limit."""
         return self._statement(endpoint).rate_limit
 
+    def paused_until(self, endpoint: str) -> float:
+        """Return the time at which an endpoint takes requests of this daemon again."""
+        pause = self._pause_by_endpoint.get(endpoint)
+        return -math.inf if pause is None else pause.until
+
     def draining(self) -> set[str]:
         """Return the endpoints that say that they are about to stop."""
         return {name for name, each in self._statement_by_endpoint.items() if each.draining}
@@ -119,6 +126,8 @@
         Responses may overtake each other, so one takes back what an earlier one said only if its
         request was sent after that.
         """
+        if signals.pause is not None:
+            self._pause_by_endpoint.setdefault(endpoint, Pause()).extend(signals.pause, now)
         known = self._statement(endpoint)
         rate_limit, draining = signals.rate_limit, signals.draining
         if sent_at <= known.stated_at:
@@ -157,8 +166,9 @@
 
     def retain(self, endpoints: set[str]) -> None:
         """Forget all endpoints but the given ones."""
-        for endpoint in [each for each in self._statement_by_endpoint if each not in endpoints]:
-            del self._statement_by_endpoint[endpoint]
+        for by_endpoint in (self._statement_by_endpoint, self._pause_by_endpoint):
+            for endpoint in [each for each in by_endpoint if each not in endpoints]:
+                del by_endpoint[endpoint]
 
     def _statement(self, endpoint: str) -> _Statement:
         return self._statement_by_endpoint.get(endpoint, _NOTHING_SAID)
--- a/src/brassdrum/gateway/throttling/throttle.py
+++ b/src/brassdrum/gateway/throttling/throttle.py
@@ -17,31 +17,38 @@
 class EndpointOpening:
     """The endpoint that is expected to take a request first, and in how many seconds.
 
-    ``first_event_ms`` is the predicted time from then to the first event.
+    With ``needs_permit`` a send time can be booked now. ``first_event_ms`` is the predicted time
+    from the opening to the first event.
     """
 
     endpoint: str
     seconds: float
+    needs_permit: bool
     first_event_ms: float = 0.0
 
 
 class EndpointThrottle:
     """Keep requests from endpoints that have no room for them.
 
-    An endpoint that limits its rate needs a permit for each request. Without a limit it is open;
-    with one it is open until a permit is refused, and from the time that the refusal names.
+    An endpoint that asked for a pause is closed until its end. One that limits its rate needs a
+    permit for each request: it is open until a permit is refused, and again from the time that the
+    refusal names.
     """
 
     def __init__(self, loop: Timers, signals: EndpointSignalTable, broker: PermitBroker) -> None:
         self._loop = loop
         self._signals = signals
         self._broker = broker
-        self._closed_until_by_endpoint: dict[str, float] = {}
+        self._refused_until_by_endpoint: dict[str, float] = {}
 
     def needs_permit(self, endpoint: str) -> bool:
         """Return whether a request to an endpoint needs a permit."""
         return self._signals.rate_limit(endpoint) is not None
 
+    def is_paused(self, endpoint: str) -> bool:
+        """Return whether an endpoint has asked this daemon for a pause that lasts."""
+        return self._loop.now() < self._signals.paused_until(endpoint)
+
     def open_entries(
         self, entries: Sequence[EndpointEntry], permit: Permit | None = None
     ) -> list[EndpointEntry]:
@@ -54,17 +61,23 @@
             return [entry for entry in entries if self._closed_until(entry.id) <= now]
         return [
             entry
-            for entry in entries
+            for entry in self.unpaused_entries(entries)
             if entry.id == permit.endpoint or not self.needs_permit(entry.id)
         ]
 
+    def unpaused_entries(self, entries: Sequence[EndpointEntry]) -> list[EndpointEntry]:
+        """Return the endpoints that have not asked for a pause, whatever limits they name."""
+        return [entry for entry in entries if not self.is_paused(entry.id)]
+
     def next_opening(self, entries: Sequence[EndpointEntry]) -> EndpointOpening | None:
         """Return the endpoint that opens first, or None if there is none or one is open."""
         now = self._loop.now()
         if not entries or self.open_entries(entries):
             return None
         first = min(entries, key=lambda entry: self._closed_until(entry.id))
-        return EndpointOpening(first.id, self._closed_until(first.id) - now)
+        seconds = self._closed_until(first.id) - now
+        needs_permit = self.needs_permit(first.id) and not self.is_paused(first.id)
+        return EndpointOpening(first.id, seconds, needs_permit)
 
     def request_permit(
         self, endpoint: str, max_wait: float, on_decided: Callable[[Permit], None]
@@ -78,19 +91,20 @@
 
         def decided(permit: Permit) -> None:
             if not permit.granted:
-                self._close(endpoint, permit.send_at)
+                self._record_refusal(endpoint, permit.send_at)
             on_decided(permit)
 
         self._broker.request(endpoint, rate, max_wait, decided)
 
     def _closed_until(self, endpoint: str) -> float:
+        paused_until = self._signals.paused_until(endpoint)
         if not self.needs_permit(endpoint):
-            return 0.0
-        return self._closed_until_by_endpoint.get(endpoint, 0.0)
+            return paused_until
+        return max(paused_until, self._refused_until_by_endpoint.get(endpoint, paused_until))
 
-    def _close(self, endpoint: str, until: float) -> None:
+    def _record_refusal(self, endpoint: str, until: float) -> None:
         now = self._loop.now()
-        closed = self._closed_until_by_endpoint
-        for expired in [each for each, opens_at in closed.items() if opens_at <= now]:
-            del closed[expired]
-        closed[endpoint] = until
+        refused = self._refused_until_by_endpoint
+        for expired in [each for each, opens_at in refused.items() if opens_at <= now]:
+            del refused[expired]
+        refused[endpoint] = until
--- a/src/brassdrum/platform/dialect.py
+++ b/src/brassdrum/platform/dialect.py
@@ -17,6 +17,7 @@
     ReplyKind,
     RequestHead,
 )
+from brassdrum.outcomes.pauses import parse_retry_after
 
 __all__ = ["PlatformDialect"]
 
@@ -126,10 +127,11 @@
             return None
         value_by_name = {name.lower(): value for name, value in headers}
         rejected = status in _REJECTED
+        retry_after = value_by_name.get(_RETRY_AFTER, b"")
         return EndpointSignals(
             rate_limit=_amount(value_by_name.get(_RATE_LIMIT)),
             draining=value_by_name.get(_DRAINING) == b"1",
-            pause=_amount(value_by_name.get(_RETRY_AFTER)) if rejected else None,
+            pause=parse_retry_after(retry_after.decode("latin-1")) if rejected else None,
         )
 
     def encode_reserve(self, ticket: str, tokens: int, seconds: float, *, wait: bool) -> bytes:
