Let the OpenAI-compatible daemons keep to the pauses of engines too

The same cause as for the gateway, looked for elsewhere: an engine's 429 or 503 with Retry-After was one refusal among others, so the next request was sent there again (new scenario, failed first: 20 completions, more than one refusal by the paused engine), and with all engines at rest a caller got no time to come back.

The decision is one copy (outcomes/pauses.py): a pause of one endpoint for this daemon, here a part of EndpointState.usable, in the gateway of what endpoints say. Such an answer does not open the breaker. With all engines paused callers get 503, not run, with the time until the first opens. Engines of this interface name no limits and do not say that they leave other than in their load report.

--- a/features/endpoint_pauses.feature
+++ b/features/endpoint_pauses.feature
@@ -57,3 +57,18 @@
     Given an endpoint that asked at 10 s for a pause of 5 s
     When it asks at 11 s for a pause of 1 s
     Then it is paused at 14.9 s and not at 15 s
+
+  # Guards against requests that the OpenAI-compatible daemon sends to an engine during its pause.
+  Scenario: An engine that asks for a pause gets no request of that daemon in it
+    Given a site of 1 daemon and 2 engines
+    And the first engine refuses requests for 30 s
+    When 20 completions are sent one after the other
+    Then all of them succeed
+    And the first engine refused at most 1 request
+
+  Scenario: While all engines pause, callers are told at once when to come back
+    Given a site of 1 daemon and 1 engine
+    And the first engine refuses requests for 30 s
+    When 5 completions are sent one after the other
+    Then all of them are refused as not run, the last with a Retry-After of more than 20 s
+    And the first engine refused at most 1 request
--- a/features/steps/endpoint_signal_steps.py
+++ b/features/steps/endpoint_signal_steps.py
@@ -1,5 +1,6 @@
 """Steps on what endpoints say of themselves in their responses."""
 
+import json
 from dataclasses import replace
 
 from behave import given, then, when
@@ -13,10 +14,13 @@
 from brassdrum.gateway.peering.peer_messages import PeerStatus
 from brassdrum.gateway.placing.load import LoadTable
 from brassdrum.gateway.throttling.signals import SignalNotice
+from brassdrum.http_pool import HttpPool
 from brassdrum.outcomes.pauses import Pause
 from brassdrum.platform.dialect import PlatformDialect
+from brassdrum.standins.site import MODEL
 from features.gateway_world import SERVICE, engine_entry
 from features.steps.gateway_steps import send_request
+from features.steps.site_steps import caller
 from features.support import eventually
 
 
@@ -258,3 +262,35 @@
 def step_pause_ends(context, active, over):
     assert context.pause.is_active(active)
     assert not context.pause.is_active(over)
+
+
+@given("the first engine refuses requests for {seconds:g} s")
+def step_engine_refuses(context, seconds):
+    context.engine = context.site.engines[0]
+    body = json.dumps({"refuse": 1.0, "pause_seconds": seconds}).encode()
+    HttpPool(context.engine.url).call("POST", "/faults", body)
+
+
+@when("{count:d} completions are sent one after the other")
+def step_completions(context, count):
+    body = json.dumps({"model": MODEL, "prompt": "blue linen", "max_tokens": 4}).encode()
+    path = "/v1/completions"
+    context.answers = [caller(context).send("POST", path, body) for _ in range(count)]
+
+
+@then("all of them succeed")
+def step_all_succeed(context):
+    assert [answer.status for answer in context.answers] == [200] * len(context.answers)
+
+
+@then("all of them are refused as not run, the last with a Retry-After of more than {seconds:g} s")
+def step_all_refused(context, seconds):
+    errors = [answer.error for answer in context.answers]
+    assert [answer.status for answer in context.answers] == [503] * len(errors)
+    assert {error["ran"] for error in errors} == {"no"}
+    assert errors[-1]["retry_after"] > seconds, errors[-1]
+
+
+@then("the first engine refused at most {most:d} request")
+def step_engine_refused(context, most):
+    assert 0 < context.engine.refused <= most, context.engine.refused
--- a/src/brassdrum/daemon/attempts.py
+++ b/src/brassdrum/daemon/attempts.py
@@ -14,6 +14,7 @@
     DeadlineExceededError,
     EndpointEndedError,
     EndpointFailedError,
+    EndpointPausedError,
     EndpointUnreachableError,
     NoEndpointError,
     Ran,
@@ -125,6 +126,12 @@
 
     def _record_endpoint_result(self, placement: Placement, error: BrassdrumError) -> None:
         now = self._core.clock.monotonic()
+        asked = isinstance(error, EndpointPausedError | EndpointFailedError)
+        if asked and error.retry_after is not None:
+            # A pause that the endpoint asks for is not a failure.
+            with self._core.dispatcher.lock:
+                placement.state.pause.extend(error.retry_after, now)
+            return
         if isinstance(
             error, EndpointFailedError | DeadlineExceededError | EndpointUnreachableError
         ):
--- a/src/brassdrum/daemon/dispatcher.py
+++ b/src/brassdrum/daemon/dispatcher.py
@@ -111,6 +111,12 @@
         states = self.fleet.states_by_target.get(work.target, [])
         if any(state.usable(now) for state in states):
             return
+        paused = [state.pause.until for state in states if state.pause.is_active(now)]
+        if paused:
+            raise NoEndpointError(
+                f"All endpoints for {work.target} have asked for a pause.",
+                retry_after=min(paused) - now,
+            )
         raise NoEndpointError(
             f"No live endpoint serves {work.target}.", retry_after=_RESTART_RETRY_AFTER_SECONDS
         )
--- a/src/brassdrum/endpoints/engine.py
+++ b/src/brassdrum/endpoints/engine.py
@@ -15,6 +15,7 @@
 from brassdrum.errors import (
     BrassdrumError,
     EndpointFailedError,
+    EndpointPausedError,
     EndpointUnreachableError,
     InvalidRequestError,
     NoEndpointError,
@@ -27,6 +28,7 @@
     ExchangeFailedError,
     HttpPool,
 )
+from brassdrum.outcomes.pauses import parse_retry_after
 
 __all__ = ["CacheEvent", "EngineClient", "EngineLoad", "EngineRequest", "EngineConnection"]
 
@@ -255,8 +257,12 @@
         message = str(error.get("message", f"status {status}"))
         if status in (400, 404, 422):
             return InvalidRequestError(f"Endpoint {self.name} rejected the request: {message}")
-        if status in (409, 429, 503) and error.get("ran") == Ran.NO.value:
-            return NoEndpointError(
-                f"Endpoint {self.name} refused the request: {message}", ran=Ran.NO
+        pause = parse_retry_after(exchange.header("Retry-After")) if status in (429, 503) else None
+        if status not in (409, 429, 503) or error.get("ran") != Ran.NO.value:
+            return EndpointFailedError(f"Endpoint {self.name} failed: {message}", retry_after=pause)
+        if pause is not None:
+            return EndpointPausedError(
+                f"Endpoint {self.name} takes no requests for {pause:g} s: {message}",
+                retry_after=pause,
             )
-        return EndpointFailedError(f"Endpoint {self.name} failed: {message}")
+        return NoEndpointError(f"Endpoint {self.name} refused the request: {message}", ran=Ran.NO)
--- a/src/brassdrum/errors.py
+++ b/src/brassdrum/errors.py
@@ -20,6 +20,7 @@
     "DeadlineExceededError",
     "NoEndpointError",
     "EndpointUnreachableError",
+    "EndpointPausedError",
     "EndpointFailedError",
     "EndpointEndedError",
     "ContentQuarantinedError",
@@ -173,6 +174,10 @@
     """Refuse a request whose endpoint took no connection; callers see no difference."""
 
 
+class EndpointPausedError(NoEndpointError):
+    """Refuse a request that an endpoint rejected, as it will all others for ``retry_after``."""
+
+
 class EndpointFailedError(BrassdrumError):
     """Fail a request whose endpoint failed and which may not be repeated."""
 
--- a/src/brassdrum/routing/state.py
+++ b/src/brassdrum/routing/state.py
@@ -7,6 +7,7 @@
 from brassdrum.admission.work import LengthBand, Work
 from brassdrum.contracts.documents import Endpoint
 from brassdrum.outcomes.breaker import CircuitBreaker
+from brassdrum.outcomes.pauses import Pause
 
 __all__ = ["EndpointLoad", "EndpointState", "LoadReport", "OwnRequest", "PeerLoad"]
 
@@ -65,6 +66,7 @@
     available_since: float
     breaker: CircuitBreaker = field(default_factory=CircuitBreaker)
     leaving: bool = False
+    pause: Pause = field(default_factory=Pause)
     report: LoadReport | None = None
     peers_by_daemon: dict[str, PeerLoad] = field(default_factory=dict)
     own_requests_by_id: dict[str, OwnRequest] = field(default_factory=dict)
@@ -72,7 +74,7 @@
 
     def usable(self, now: float) -> bool:
         """Return whether the endpoint accepts new requests."""
-        return not self.leaving and self.breaker.allows(now)
+        return not self.leaving and not self.pause.is_active(now) and self.breaker.allows(now)
 
     def own_queued_tokens(self) -> int:
         """Return the prompt tokens of this daemon's requests that await their first token."""
--- a/src/brassdrum/settings.py
+++ b/src/brassdrum/settings.py
@@ -123,6 +123,7 @@
     cross: float = 0.0
     repeat: float = 0.0
     drop_answer: float = 0.0
+    pause_seconds: Annotated[float, Field(ge=0)] = 0.0
     refuse: float = 0.0
     hang: float = 0.0
     ends_on: str = ""
--- a/src/brassdrum/standins/engine.py
+++ b/src/brassdrum/standins/engine.py
@@ -59,6 +59,7 @@
         self.settings = settings
         self.model = EngineModel(settings)
         self.started = 0
+        self.refused = 0
         self.draining = False
         self.ended = False
         self.started_at: list[float] = []
@@ -115,7 +116,9 @@
         if content.model not in self.settings.models:
             raise InvalidRequestError(f"The engine has no model {content.model!r}.")
         if self._happens(self._faults.refuse):
-            raise _RefusedError("The engine is full.")
+            self.refused += 1
+            pause = self._faults.pause_seconds or None
+            raise _RefusedError("The engine is full.", retry_after=pause)
         text = content.prompt_text()
         if self._faults.ends_on and self._faults.ends_on in text:
             self._end()
