Let the soak's replicas limit their rate, ask for rest and say that they leave

Three faults, drawn apart from the others in most runs, and a check each from what callers and replicas see: the platform's bounds, from daemons that nothing disturbed. The names check of the adapter knows the new headers too.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -30,6 +30,9 @@
       | a run names another organisation         | only what was asked             |
       | an endpoint ran a request long after     | no work for a leaving endpoint  |
       | a taken key is served long after         | accepted changes are in force   |
+      | a leaving endpoint got more            | no work for an endpoint that says it leaves |
+      | an endpoint got more than it takes     | limits that endpoints name are kept |
+      | an endpoint got requests in its pause  | endpoints get the rest that they ask for |
       | memory stays held                        | memory is given back            |
       | a caller still waits                     | every request ends              |
       | a request ended six replicas and went on | no request ends replicas for ever |
--- a/features/steps/gateway_adapter_steps.py
+++ b/features/steps/gateway_adapter_steps.py
@@ -236,7 +236,7 @@
     r"x-attempt-id|x-replica|x-deadline|x-not-executed|x-prompt-prefix|x-expect|x-helpers|x-tenant"
     r"|x-token-usage|at-server|keyed\.|log-(read|append|newest|join)|path_prefix"
     r"|(timeout|goal|hold|grace|stall|gap_aim|config_apply)_ms|brassdrum_boot|node_name"
-    r"|api_keys|listen_addrs",
+    r"|api_keys|listen_addrs|server-(limit|leaving)|store-era",
     re.IGNORECASE,
 )
 GATEWAY = Path(brassdrum.__file__).parent
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -8,10 +8,10 @@
 
 from behave import given, then, when
 
-from brassdrum.soak.checks import History, Result, judge
+from brassdrum.soak.checks import History, NamedLimit, Result, judge
 from brassdrum.soak.plan import FAULT_KINDS, draw_plan
 from brassdrum.soak.proxy import Proxy
-from brassdrum.soak.replicas import Run, whole_answer
+from brassdrum.soak.replicas import Arrival, Run, whole_answer
 from brassdrum.soak.run import ACTIONS, Soak, SoakSize
 from brassdrum.standins.ports import free_port
 from features.support import StepThread
@@ -58,10 +58,14 @@
     assert promise in {violation.promise for violation in context.found}, context.found
 
 
-def result(kind="hold", status=200, body=None, key="key-1", sent_at=0.0, retry_after=0.0):
-    body = whole_answer(kind, "a") if body is None else body
+def result(
+    kind="hold", status=200, body=None, key="key-1", sent_at=0.0, retry_after=0.0, request="a"
+):
+    body = whole_answer(kind, request) if body is None else body
     ended_at = sent_at + 0.1
-    return Result("a", kind, "daemon-1", key, sent_at, ended_at, status, True, body, retry_after)
+    return Result(
+        request, kind, "daemon-1", key, sent_at, ended_at, status, True, body, retry_after
+    )
 
 
 def run(at=0.0, organisation="org-1", request="a"):
@@ -84,6 +88,24 @@
     "a taken key is served long after": History(
         [result(sent_at=9.0)], [run(at=9.0)], revoked_at_by_key={"key-1": 1.0}
     ),
+    "a leaving endpoint got more": History(
+        [result(), result(sent_at=3.0, request="b")],
+        [run(), run(at=3.0, request="b")],
+        [Arrival("a", "replica-1", 0.0), Arrival("b", "replica-1", 3.0)],
+        said_leaving={"replica-1"},
+    ),
+    "an endpoint got more than it takes": History(
+        [result()],
+        [run()],
+        [Arrival("a", "replica-1", 5.0 + number / 10) for number in range(12)],
+        [NamedLimit("replica-1", 1.0, 1.0)],
+    ),
+    "an endpoint got requests in its pause": History(
+        [result()],
+        [run()],
+        [Arrival("a", "replica-1", 1.0, 2.0)]
+        + [Arrival("a", "replica-1", 2.0 + number / 10) for number in range(3)],
+    ),
     "memory stays held": History([result()], [run()], held_at_end=5),
     "a request ended six replicas and went on": History(
         [result(kind="ending", status=502)], [ending(float(at)) for at in range(12)]
--- a/src/brassdrum/platform/standin.py
+++ b/src/brassdrum/platform/standin.py
@@ -8,14 +8,15 @@
 import threading
 import time
 from collections.abc import Callable, Mapping
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from http.server import ThreadingHTTPServer
 from pathlib import Path
-from urllib.parse import parse_qs, urlsplit
 
 from brassdrum.soak.records import CopiedRecords
 from brassdrum.soak.replicas import (
     ENDING_PATH,
     EVENTS,
+    PAUSE_SECONDS,
+    Arrival,
     HeldMemory,
     ReplicaFaults,
     ReplicaRequest,
@@ -24,16 +25,17 @@
     event,
     expected,
 )
+from brassdrum.soak.store_server import store_handler
 
 __all__ = ["Replica", "Store", "boot_file", "caller_headers"]
 
 _CONFIGURATION_TOPIC = "keyed.op"
 _ENDPOINT_TOPIC = "keyed.servers"
-_SILENCE_SECONDS = 5.0
 _EVENT_SECONDS = 0.02
 _KINDS = {"hold": "non_idempotent", "check": "idempotent", "text": "streaming"}
 _HOST = "soak.example"
 _SERVICE = "pool"
+_ERA_HEADER = "Store-Era"
 _KV_TOKENS = 100_000
 
 
@@ -72,7 +74,7 @@
         self.fault = ""
         self.records = CopiedRecords((_CONFIGURATION_TOPIC, _ENDPOINT_TOPIC))
         self._version = 0
-        self._server = ThreadingHTTPServer(("127.0.0.1", 0), _handler_for(self))
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), store_handler(self, _ERA_HEADER))
         self._server.daemon_threads = True
         self.address = f"127.0.0.1:{self._server.server_port}"
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
@@ -153,44 +155,6 @@
         return b'{"offset":0,"end_offset":1}'
 
 
-def _handler_for(store: Store) -> type[BaseHTTPRequestHandler]:
-    class Handler(BaseHTTPRequestHandler):
-        protocol_version = "HTTP/1.1"
-
-        def do_GET(self) -> None:
-            """Answer a read."""
-            self._answer(lambda topic: store.newest(topic))
-
-        def do_POST(self) -> None:
-            """Answer an append."""
-            record = self.rfile.read(int(self.headers["Content-Length"]))
-            self._answer(lambda topic: store.append(topic, record))
-
-        def _answer(self, act: Callable[[str], bytes]) -> None:
-            fault = store.fault
-            if fault == "silent":
-                time.sleep(_SILENCE_SECONDS)
-                self.close_connection = True
-                return
-            if fault == "slow":
-                time.sleep(0.25)
-            topic = parse_qs(urlsplit(self.path).query)["topic"][0]
-            body, status = (b"", 503) if fault == "busy" else (act(topic), 200)
-            if fault == "lost":
-                self.close_connection = True
-                return
-            self.send_response(status)
-            self.send_header("Store-Era", str(store.records.era))
-            self.send_header("Content-Length", str(len(body)))
-            self.end_headers()
-            self.wfile.write(body)
-
-        def log_message(self, *_arguments: object) -> None:
-            """Write nothing."""
-
-    return Handler
-
-
 class Replica(ReplicaServer):
     """Serve requests and record each run."""
 
@@ -198,13 +162,14 @@
         self,
         name: str,
         runs: list[Run],
+        arrivals: list[Arrival],
         chance: Callable[[], float],
         on_ended: Callable[[], None] | None = None,
     ) -> None:
         self.name = name
         self._on_ended = on_ended
         self.faults = ReplicaFaults()
-        self._runs = runs
+        self._runs, self._arrivals = runs, arrivals
         self._chance = chance
         self._memory = HeldMemory(_KV_TOKENS)
         self._lock = threading.Lock()
@@ -226,6 +191,13 @@
         if headers.get("x-expect-replica") != self.name:
             self._answer(connection, request, 421, b"", "X-Replica-Id: other\r\n")
             return True
+        rests = self.faults.rest > 0 and self._chance() < self.faults.rest
+        pause = PAUSE_SECONDS if rests else 0.0
+        self._arrivals.append(Arrival(headers["x-attempt-id"], self.name, time.monotonic(), pause))
+        if rests:
+            extra = f"X-Not-Executed: 1\r\nRetry-After: {pause}\r\n"
+            self._answer(connection, request, 503, b"", extra)
+            return True
         if self._chance() < self.faults.refuse:
             self._answer(connection, request, 503, b"", "X-Not-Executed: 1\r\n")
             return True
@@ -262,7 +234,7 @@
     def _stream(self, connection: socket.socket, request: ReplicaRequest) -> bool:
         headers = request.header_by_name
         start = f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {headers['x-attempt-id']}\r\n"
-        start += "X-Replica-Seal: s1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        start += f"{self._signals()}X-Replica-Seal: s1\r\nTransfer-Encoding: chunked\r\n\r\n"
         connection.sendall(start.encode())
         cut = self._chance() < self.faults.cut
         for number in range(int(headers.get("last-event-id", "0")) + 1, EVENTS + 1):
@@ -274,6 +246,11 @@
         connection.sendall(b"0\r\n\r\n")
         return True
 
+    def _signals(self) -> str:
+        limit = self.faults.limit
+        said = "" if limit is None else f"Server-Limit: {limit}\r\n"
+        return said + ("Server-Leaving: 1\r\n" if self.faults.leaving else "")
+
     def _order(self, order: Mapping[str, object]) -> int:
         ticket = str(order["id"])
         if order["op"] == "release":
@@ -291,5 +268,5 @@
         extra: str,
     ) -> None:
         echoed = request.header_by_name.get("x-attempt-id", "")
-        head = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {echoed}\r\n{extra}"
+        head = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {echoed}\r\n{self._signals()}{extra}"
         connection.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
--- a/src/brassdrum/soak/actions.py
+++ b/src/brassdrum/soak/actions.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from brassdrum.registry import Registry
+from brassdrum.soak.checks import NamedLimit
 from brassdrum.soak.plan import PlannedFault
 
 if TYPE_CHECKING:
@@ -17,6 +18,8 @@
 
 _LINK_MODES = ("delay", "reset", "one_way", "silent")
 _WRITTEN_AGAIN_SECONDS = 1.5
+_LIMITS = (0.5, 1.0, 4.0, 10.0)
+_REST_SHARE = 0.7
 _STORE_FAULTS = ("busy", "silent", "slow", "lost")
 
 FaultAction = Callable[["Soak", PlannedFault], None]
@@ -114,6 +117,32 @@
     soak.history.revoked_at_by_key[key] = time.monotonic()
 
 
+@ACTIONS.register("limit")
+def limit(soak: Soak, fault: PlannedFault) -> None:
+    """Let a replica take few requests a second until the end of the run."""
+    replica = soak.pick_replica(fault)
+    replica.faults.limit = _LIMITS[fault.variant % len(_LIMITS)]
+    soak.history.limits.append(NamedLimit(replica.name, replica.faults.limit, time.monotonic()))
+
+
+@ACTIONS.register("rest")
+def rest(soak: Soak, fault: PlannedFault) -> None:
+    """Let a replica ask for a pause with most of its answers."""
+    faults = soak.pick_replica(fault).faults
+    faults.rest = _REST_SHARE
+    soak.after(fault.seconds, lambda: setattr(faults, "rest", 0.0))
+
+
+@ACTIONS.register("say_leaving")
+def say_leaving(soak: Soak, fault: PlannedFault) -> None:
+    """Let a replica say that it leaves; the list shows it ready, another one comes."""
+    replica = soak.pick_replica(fault)
+    soak.add_replica()
+    soak.replicas.remove(replica)
+    replica.faults.leaving = True
+    soak.history.said_leaving.add(replica.name)
+
+
 @ACTIONS.register("copy_store")
 def copy_store(soak: Soak, fault: PlannedFault) -> None:
     """Let the store come back from a copy; writers outside the system write again, but later."""
--- a/src/brassdrum/soak/checks.py
+++ b/src/brassdrum/soak/checks.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass, field
 
 from brassdrum.registry import Registry
-from brassdrum.soak.replicas import Run, whole_answer
+from brassdrum.soak.replicas import Arrival, Run, whole_answer
 
-__all__ = ["CHECKS", "History", "Result", "Violation", "judge"]
+__all__ = ["CHECKS", "History", "NamedLimit", "Result", "Violation", "judge"]
 
 _PROMISED_NOT_RUN = (408, 421, 429, 503)
 # Three ends are proof; three more sends are borne after the time in which all daemons hear of it.
@@ -20,6 +20,12 @@
 _QUARANTINE_SECONDS = 60.0
 # A change is in force within 2 s; the rest covers what is under way and a busy machine.
 _IN_FORCE_SECONDS = 4.5
+# What endpoints say of themselves: the platform's bounds.
+_DRAIN_SECONDS = 2.0
+_TOLD_SECONDS = 3.0
+_LIMIT_WINDOW_SECONDS = 4.0
+_PAUSE_GRACE_SECONDS = 0.5
+_MORE_IN_PAUSE = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,12 +44,24 @@
     retry_after: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """Hold the requests a second that a replica takes since a time."""
+
+    replica: str
+    limit: float
+    since: float
+
+
 @dataclass(slots=True)
 class History:
     """Hold all that a soak saw."""
 
     results: list[Result] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    limits: list[NamedLimit] = field(default_factory=list)
+    said_leaving: set[str] = field(default_factory=set)
     organisation_by_key: dict[str, str] = field(default_factory=dict)
     revoked_at_by_key: dict[str, float] = field(default_factory=dict)
     left_at_by_replica: dict[str, float] = field(default_factory=dict)
@@ -139,6 +157,68 @@
             yield Violation("no work for a leaving endpoint", run.request, run.replica)
 
 
+@CHECKS.register("no work for an endpoint that says it leaves")
+def said_leaving(history: History) -> Iterator[Violation]:
+    """Find requests sent to a replica long after its daemon had forwarded that it leaves."""
+    result_by_request = {result.request: result for result in history.results}
+    told_at: dict[tuple[str, str], float] = {}
+    for arrival in sorted(history.arrivals, key=lambda each: each.at):
+        result = result_by_request.get(arrival.request)
+        if result is None or arrival.replica not in history.said_leaving:
+            continue
+        key = result.daemon, arrival.replica
+        since = told_at.get(key)
+        late = since is not None and result.sent_at > since + _DRAIN_SECONDS
+        if late and history.calm(result.daemon, since, arrival.at):
+            promise = "no work for an endpoint that says it leaves"
+            yield Violation(promise, arrival.request, arrival.replica)
+        if result.status == 200 and arrival.replica in history.said_leaving:
+            told_at.setdefault(key, result.ended_at)
+
+
+@CHECKS.register("limits that endpoints name are kept")
+def limits(history: History) -> Iterator[Violation]:
+    """Find windows with more requests than a replica takes, from daemons that nothing disturbed."""
+    daemon_by_request = {result.request: result.daemon for result in history.results}
+    for named in history.limits:
+        begin = named.since + _TOLD_SECONDS
+        times = [
+            each.at
+            for each in history.arrivals
+            if each.replica == named.replica
+            and each.at > begin
+            and history.calm(daemon_by_request.get(each.request, ""), named.since, each.at)
+        ]
+        allowed = 1.5 * named.limit * _LIMIT_WINDOW_SECONDS + 5
+        for at in times:
+            count = sum(1 for each in times if at <= each < at + _LIMIT_WINDOW_SECONDS)
+            if count > allowed:
+                detail = f"{named.replica}: {count} requests in 4 s, limit {named.limit}"
+                yield Violation("limits that endpoints name are kept", "", detail)
+                break
+
+
+@CHECKS.register("endpoints get the rest that they ask for")
+def rests(history: History) -> Iterator[Violation]:
+    """Find replicas that got more than two requests of a daemon in a pause they had asked for."""
+    daemon_by_request = {result.request: result.daemon for result in history.results}
+    for asked in history.arrivals:
+        daemon = daemon_by_request.get(asked.request)
+        end = asked.at + asked.pause
+        if not asked.pause or daemon is None or not history.calm(daemon, asked.at, end):
+            continue
+        count = sum(
+            1
+            for each in history.arrivals
+            if each.replica == asked.replica
+            and asked.at + _PAUSE_GRACE_SECONDS < each.at < end
+            and daemon_by_request.get(each.request) == daemon
+        )
+        if count > _MORE_IN_PAUSE:
+            detail = f"{asked.replica} got {count} of {daemon}"
+            yield Violation("endpoints get the rest that they ask for", asked.request, detail)
+
+
 @CHECKS.register("accepted changes are in force")
 def in_force(history: History) -> Iterator[Violation]:
     """Find requests served with a key that was taken away longer ago than the bound."""
--- a/src/brassdrum/soak/plan.py
+++ b/src/brassdrum/soak/plan.py
@@ -29,11 +29,16 @@
     "drain": "a replica reports that it leaves and another one comes",
     "revoke": "a key is taken away and another one is given",
     "copy_store": "the store comes back from a copy made a moment ago",
+    "limit": "a replica limits its requests from then on",
+    "rest": "a replica turns requests away and asks for a pause",
+    "say_leaving": "a replica says that it leaves, long before the list does",
 }.items():
     FAULT_KINDS.register(_name)(_meaning)
 # Drawn apart from the others, so that the plans of seeds stay as they were.
 _COPY_KIND = "copy_store"
 _COPY_SHARE = 0.5
+_SIGNAL_KINDS = ("limit", "rest", "say_leaving")
+_SIGNAL_SHARE = 0.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +55,7 @@
 def draw_plan(seed: int, seconds: float) -> list[PlannedFault]:
     """Return the faults of a run in time order."""
     rng = random.Random(seed)
-    kinds = [kind for kind in FAULT_KINDS if kind != _COPY_KIND]
+    kinds = [kind for kind in FAULT_KINDS if kind not in (_COPY_KIND, *_SIGNAL_KINDS)]
     count = max(1, round((seconds - _QUIET_START_SECONDS) * _FAULTS_PER_SECOND))
     faults = [
         PlannedFault(
@@ -63,6 +68,7 @@
         for _ in range(count)
     ]
     faults.extend(_store_copies(seed, seconds))
+    faults.extend(_endpoint_signals(seed, seconds))
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -73,3 +79,20 @@
         return []
     at = rng.uniform(_QUIET_START_SECONDS, seconds)
     return [PlannedFault(at, _COPY_KIND, rng.uniform(_SHORTEST_SECONDS, _LONGEST_SECONDS), 0, 0)]
+
+
+def _endpoint_signals(seed: int, seconds: float) -> list[PlannedFault]:
+    """Return what replicas ask for: each kind in most of the runs, in the first half."""
+    rng = random.Random(f"{seed} signals")
+    latest = max(_QUIET_START_SECONDS, seconds / 2)
+    return [
+        PlannedFault(
+            at=rng.uniform(0.2, latest),
+            kind=kind,
+            seconds=rng.uniform(_SHORTEST_SECONDS, _LONGEST_SECONDS),
+            choice=rng.randrange(1000),
+            variant=rng.randrange(1000),
+        )
+        for kind in _SIGNAL_KINDS
+        if rng.random() < _SIGNAL_SHARE
+    ]
--- a/src/brassdrum/soak/replicas.py
+++ b/src/brassdrum/soak/replicas.py
@@ -9,9 +9,11 @@
 from typing import BinaryIO
 
 __all__ = [
+    "Arrival",
     "ENDING_PATH",
     "EVENTS",
     "HeldMemory",
+    "PAUSE_SECONDS",
     "ReplicaFaults",
     "ReplicaRequest",
     "ReplicaServer",
@@ -24,6 +26,8 @@
 
 # A request to a path that begins so ends each replica that runs it.
 ENDING_PATH = "/text/ends-"
+# The rest that a replica asks for.
+PAUSE_SECONDS = 2.0
 # Events of one stream: enough for a cut in the middle.
 EVENTS = 6
 
@@ -40,10 +44,27 @@
     ending: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Hold one request that reached a replica; ``pause`` is the rest in seconds it asked for."""
+
+    request: str
+    replica: str
+    at: float
+    pause: float = 0.0
+
+
 @dataclass(slots=True)
 class ReplicaFaults:
-    """Hold what a replica does wrong, each as a share of its requests."""
+    """Hold what a replica does wrong, each as a share of its requests, and what it asks for.
+
+    It takes ``limit`` requests a second, says that it is ``leaving``, and answers a share of
+    ``rest`` with a pause.
+    """
 
+    limit: float | None = None
+    leaving: bool = False
+    rest: float = 0.0
     fail: float = 0.0
     lose: float = 0.0
     cut: float = 0.0
--- a/src/brassdrum/soak/run.py
+++ b/src/brassdrum/soak/run.py
@@ -207,7 +207,11 @@
         self._replica_count += 1
         name = f"replica-{self.seed}-{self._replica_count}"
         replica = Replica(
-            name, self.history.runs, self.random.random, lambda: self.replica_ends(replica)
+            name,
+            self.history.runs,
+            self.history.arrivals,
+            self.random.random,
+            lambda: self.replica_ends(replica),
         )
         link = Proxy(replica.own_address)
         replica.address = link.address
