--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -92,7 +92,7 @@
         [result(), result(sent_at=3.0, request="b")],
         [run(), run(at=3.0, request="b")],
         [Arrival("a", "replica-1", 0.0), Arrival("b", "replica-1", 3.0)],
-        said_leaving={"replica-1"},
+        said_leaving_at_by_replica={"replica-1": -1.0},
     ),
     "an endpoint got more than it takes": History(
         [result()],
--- a/src/brassdrum/soak/actions.py
+++ b/src/brassdrum/soak/actions.py
@@ -140,7 +140,7 @@
     soak.add_replica()
     soak.replicas.remove(replica)
     replica.faults.leaving = True
-    soak.history.said_leaving.add(replica.name)
+    soak.history.said_leaving_at_by_replica[replica.name] = time.monotonic()
 
 
 @ACTIONS.register("copy_store")
--- a/src/brassdrum/soak/checks.py
+++ b/src/brassdrum/soak/checks.py
@@ -61,7 +61,7 @@
     runs: list[Run] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
-    said_leaving: set[str] = field(default_factory=set)
+    said_leaving_at_by_replica: dict[str, float] = field(default_factory=dict)
     organisation_by_key: dict[str, str] = field(default_factory=dict)
     revoked_at_by_key: dict[str, float] = field(default_factory=dict)
     left_at_by_replica: dict[str, float] = field(default_factory=dict)
@@ -164,15 +164,19 @@
     told_at: dict[tuple[str, str], float] = {}
     for arrival in sorted(history.arrivals, key=lambda each: each.at):
         result = result_by_request.get(arrival.request)
-        if result is None or arrival.replica not in history.said_leaving:
+        said_at = history.said_leaving_at_by_replica.get(arrival.replica)
+        # A response to what arrived before may not say so yet.
+        if result is None or said_at is None or arrival.at <= said_at:
             continue
         key = result.daemon, arrival.replica
         since = told_at.get(key)
         late = since is not None and result.sent_at > since + _DRAIN_SECONDS
         if late and history.calm(result.daemon, since, arrival.at):
             promise = "no work for an endpoint that says it leaves"
-            yield Violation(promise, arrival.request, arrival.replica)
-        if result.status == 200 and arrival.replica in history.said_leaving:
+            ago = f"{result.sent_at - since:.1f} s after it had told {result.daemon}"
+            detail = f"{arrival.replica} {ago}, status {result.status}"
+            yield Violation(promise, arrival.request, detail)
+        if result.status == 200:
             told_at.setdefault(key, result.ended_at)
 
 
