Part the peer's status from its messages, and the gate of a send from the exchange

Durations and rates are encoded in one place, wire.py. No behaviour changed; 206 scenarios of the ten features nearest to it pass.

--- a/features/steps/endpoint_limit_steps.py
+++ b/features/steps/endpoint_limit_steps.py
@@ -9,7 +9,6 @@
 from brassdrum.bench.limits import WINDOW_SECONDS, LimitPlan, allowed_requests, play_limit
 from brassdrum.gateway.model import DaemonAddress, EndpointSignals
 from brassdrum.gateway.peering.peer_messages import (
-    PeerStatus,
     PermitReply,
     PermitRequest,
     Report,
@@ -17,6 +16,7 @@
     decode_message,
     encode_message,
 )
+from brassdrum.gateway.peering.peer_status import PeerStatus
 from brassdrum.gateway.placing.load import LoadTable
 from brassdrum.gateway.placing.placement import Candidate, PlacementRequest
 from brassdrum.gateway.placing.policies import policies
--- a/features/steps/endpoint_signal_steps.py
+++ b/features/steps/endpoint_signal_steps.py
@@ -11,7 +11,7 @@
 from brassdrum.gateway.guards.crash_guard import CrashGuard
 from brassdrum.gateway.model import EndpointSignals
 from brassdrum.gateway.net.upstream import EndpointPool
-from brassdrum.gateway.peering.peer_messages import PeerStatus
+from brassdrum.gateway.peering.peer_status import PeerStatus
 from brassdrum.gateway.placing.load import LoadTable
 from brassdrum.gateway.throttling.signals import SignalNotice
 from brassdrum.http_pool import HttpPool
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -15,15 +15,14 @@
 from brassdrum.gateway.peering.peer_messages import (
     Acknowledgement,
     Digest,
-    DrainNotice,
     ForwardedDigest,
     Hello,
-    PeerStatus,
     Report,
     Sender,
     decode_message,
     encode_message,
 )
+from brassdrum.gateway.peering.peer_status import DrainNotice, PeerStatus
 from brassdrum.gateway.placing.load import EndpointLoad, LoadRow, LoadShare, LoadTable, endpoint_key
 from brassdrum.gateway.placing.placement import (
     Candidate,
--- a/features/steps/peer_group_steps.py
+++ b/features/steps/peer_group_steps.py
@@ -13,7 +13,7 @@
 from brassdrum.bench.load.network import SimulatedNetwork
 from brassdrum.gateway.following.suspicion import FailureDetector
 from brassdrum.gateway.model import DaemonAddress
-from brassdrum.gateway.peering.peer_messages import PeerStatus
+from brassdrum.gateway.peering.peer_status import PeerStatus
 from brassdrum.gateway.peering.peers import Peers
 from brassdrum.gateway.peering.spreading import fanout_branches
 from brassdrum.gateway.placing.load import LoadShare, LoadTable
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -9,12 +9,12 @@
 
 from brassdrum.gateway.model import DaemonAddress
 from brassdrum.gateway.peering.peer_messages import (
-    PeerStatus,
     Report,
     Sender,
     decode_message,
     encode_message,
 )
+from brassdrum.gateway.peering.peer_status import PeerStatus
 from brassdrum.outcomes.quarantine import ContentStatus, CrashReport, ObservedCrash, Quarantine
 
 CONTENTS = st.sampled_from([f"{number:016x}" for number in range(6)])
--- a/features/steps/suspension_steps.py
+++ b/features/steps/suspension_steps.py
@@ -14,7 +14,7 @@
 from brassdrum.gateway.following.routing_state import RoutingState
 from brassdrum.gateway.model import Bounds
 from brassdrum.gateway.net.loop import EventLoop
-from brassdrum.gateway.peering.peer_messages import PeerStatus
+from brassdrum.gateway.peering.peer_status import PeerStatus
 from brassdrum.leadership.holder import LeaseManager
 from brassdrum.leadership.lease import Lease
 from features.gateway_world import FakeStore, engine_entry
--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -25,7 +25,7 @@
     Reservation,
 )
 from brassdrum.gateway.net.upstream import OutgoingRequest
-from brassdrum.gateway.peering.peer_messages import PeerStatus
+from brassdrum.gateway.peering.peer_status import PeerStatus
 from brassdrum.gateway.peering.peers import Peers
 from brassdrum.gateway.placing.choosing import EndpointSelector
 from brassdrum.gateway.placing.costs import prefill_ms
--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -13,7 +13,7 @@
 from brassdrum.gateway.model import EndpointSignals
 from brassdrum.gateway.net.loop import EventLoop
 from brassdrum.gateway.net.upstream import EndpointPool
-from brassdrum.gateway.peering.peer_messages import DrainNotice, PeerStatus
+from brassdrum.gateway.peering.peer_status import DrainNotice, PeerStatus
 from brassdrum.gateway.throttling.signals import EndpointSignalTable, SignalChange
 from brassdrum.telemetry import log_events
 
--- a/src/brassdrum/gateway/following/follower.py
+++ b/src/brassdrum/gateway/following/follower.py
@@ -25,7 +25,7 @@
     StoreRecord,
 )
 from brassdrum.gateway.net.loop import EventLoop, Timer
-from brassdrum.gateway.peering.peer_messages import PeerStatus
+from brassdrum.gateway.peering.peer_status import PeerStatus
 from brassdrum.gateway.peering.peers import Peers
 from brassdrum.http_pool import ConnectFailedError, ExchangeFailedError, HttpPool
 from brassdrum.telemetry import log_events
--- a/src/brassdrum/gateway/peering/group.py
+++ b/src/brassdrum/gateway/peering/group.py
@@ -10,7 +10,8 @@
     FailureNotice,
     unexpired_notices,
 )
-from brassdrum.gateway.peering.peer_messages import Acknowledgement, PeerStatus, Report, Sender
+from brassdrum.gateway.peering.peer_messages import Acknowledgement, Report, Sender
+from brassdrum.gateway.peering.peer_status import PeerStatus
 from brassdrum.gateway.placing.load import EndpointLoad, LoadRow
 from brassdrum.gateway.throttling.signals import (
     SignalNotice,
--- a/src/brassdrum/gateway/peering/peer_messages.py
+++ b/src/brassdrum/gateway/peering/peer_messages.py
@@ -6,21 +6,17 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from brassdrum.gateway.following.suspicion import FailureNotice
 from brassdrum.gateway.model import DaemonAddress
+from brassdrum.gateway.peering.peer_status import PeerStatus, read_status, write_status
 from brassdrum.gateway.peering.wire import FieldReader, FieldWriter
 from brassdrum.gateway.placing.load import LoadRow
-from brassdrum.gateway.throttling.signals import SignalNotice
-from brassdrum.outcomes.quarantine import CrashReport, ObservedCrash
 
 __all__ = [
     "Acknowledgement",
     "Digest",
-    "DrainNotice",
     "ForwardedDigest",
     "Hello",
     "Message",
-    "PeerStatus",
     "PermitReply",
     "PermitRequest",
     "Report",
@@ -30,19 +26,6 @@
 ]
 
 _FORMAT_VERSION = 9
-# Encoding of an unknown age; other ages are in ms.
-_NO_AGE = 0xFFFFFFFF
-# Ages are in ms, so that simultaneous endpoint crashes are recognised.
-_AGE_BYTES = 3
-_NEVER_SERVED = 0xFFFFFF
-_CONTENT_BYTES = 8
-# Rate limits are sent per 1000 seconds.
-_RATE_UNITS = 1000
-_NO_LIMIT = 0xFFFFFFFF
-# Count in a message that says nothing about signals.
-_NOT_TOLD = 0xFF
-# One bit for each of the up to 12 endpoint crashes kept per request content.
-_BITMASK_BYTES = 2
 # Digest flags.
 _LISTS_MEMBERS, _STEPS_DOWN, _COVERS_FLEET = 1, 2, 4
 
@@ -56,36 +39,6 @@
     PERMIT_REPLY = 6
 
 
-@dataclass(frozen=True, slots=True)
-class DrainNotice:
-    """An endpoint was found to be draining ``age`` seconds ago."""
-
-    endpoint: str
-    age: float
-
-
-@dataclass(frozen=True, slots=True)
-class PeerStatus:
-    """Version of a daemon's configuration, and the endpoint failures it observed.
-
-    ``age`` is in seconds, None before the first read of the store. ``reads`` is the number of the
-    store read that the configuration is from, ``era`` the era of the store. ``recent_failures``
-    names endpoints that recently failed a request for any reason. ``signals`` is what endpoints
-    said of themselves, None in messages that leave that as it was.
-    """
-
-    version: int
-    digest: str
-    age: float | None
-    reads: int
-    failing: tuple[FailureNotice, ...] = ()
-    draining: tuple[DrainNotice, ...] = ()
-    recent_failures: tuple[str, ...] = ()
-    endings: tuple[CrashReport, ...] = ()
-    era: int | None = None
-    signals: tuple[SignalNotice, ...] | None = ()
-
-
 @dataclass(frozen=True, slots=True)
 class Sender:
     """Sender of a message.
@@ -206,7 +159,7 @@
             writer.uint(_Kind.REPORT, 1)
             _write_sender(writer, message.sender)
             writer.uint(message.leaves_group, 1)
-            _write_status(writer, message.status)
+            write_status(writer, message.status)
             _write_rows(writer, message.rows)
         case Digest():
             writer.uint(_Kind.DIGEST, 1)
@@ -222,14 +175,14 @@
             writer.uint(message.number, 4)
             writer.host(message.reply_host)
             writer.text(message.endpoint)
-            writer.uint(_per_1000_seconds(message.rate), 4)
-            writer.uint(_age_ms(message.max_wait), _AGE_BYTES)
+            writer.rate(message.rate)
+            writer.duration(message.max_wait)
             writer.uint(message.relayed, 1)
         case PermitReply():
             writer.uint(_Kind.PERMIT_REPLY, 1)
             writer.uint(message.number, 4)
             writer.uint(message.granted, 1)
-            writer.uint(_age_ms(message.wait), _AGE_BYTES)
+            writer.duration(message.wait)
     return writer.bytes()
 
 
@@ -249,7 +202,7 @@
         case _Kind.REPORT:
             sender = _read_sender(reader)
             leaves_group = bool(reader.uint(1))
-            return Report(sender, _read_status(reader), _read_rows(reader), leaves_group)
+            return Report(sender, read_status(reader), _read_rows(reader), leaves_group)
         case _Kind.DIGEST:
             return _read_digest(reader)
         case _Kind.FORWARDED_DIGEST:
@@ -260,12 +213,12 @@
                 reader.uint(4),
                 reader.host(),
                 reader.text(),
-                reader.uint(4) / _RATE_UNITS,
-                reader.uint(_AGE_BYTES) / 1000,
+                reader.rate() or 0.0,
+                reader.duration(),
                 bool(reader.uint(1)),
             )
         case _Kind.PERMIT_REPLY:
-            return PermitReply(reader.uint(4), bool(reader.uint(1)), reader.uint(_AGE_BYTES) / 1000)
+            return PermitReply(reader.uint(4), bool(reader.uint(1)), reader.duration())
 
 
 def _write_digest(writer: FieldWriter, message: Digest) -> None:
@@ -278,7 +231,7 @@
     writer.uint(flags, 1)
     writer.uint(message.daemon_count, 2)
     writer.uint(message.aggregator_count, 2)
-    _write_status(writer, message.status)
+    write_status(writer, message.status)
     writer.uint(message.partition, 2)
     writer.uint(message.partition_count, 2)
     _write_rows(writer, message.rows)
@@ -290,7 +243,7 @@
     sender = _read_sender(reader)
     flags = reader.uint(1)
     daemon_count, aggregator_count = reader.uint(2), reader.uint(2)
-    status = _read_status(reader)
+    status = read_status(reader)
     partition, partition_count = reader.uint(2), reader.uint(2)
     rows = _read_rows(reader)
     acknowledgements = tuple(Acknowledgement(*each) for each in reader.hosts(4))
@@ -344,138 +297,6 @@
     return tuple(addresses)
 
 
-def _write_status(writer: FieldWriter, status: PeerStatus) -> None:
-    # The version is -1 before the first configuration.
-    writer.uint(status.version + 1, 6)
-    writer.text(status.digest)
-    writer.uint(_NO_AGE if status.age is None else round(status.age * 1000), 4)
-    writer.uint(status.reads, 4)
-    # 0 stands for no era.
-    writer.uint(0 if status.era is None else status.era + 1, 4)
-    writer.uint(len(status.failing), 2)
-    for each in status.failing:
-        writer.text(each.endpoint)
-        writer.uint(_age_ms(each.left), _AGE_BYTES)
-        writer.uint(_age_ms(each.span), _AGE_BYTES)
-    writer.uint(len(status.draining), 2)
-    for each in status.draining:
-        writer.text(each.endpoint)
-        writer.uint(_age_ms(each.age), _AGE_BYTES)
-    writer.uint(len(status.recent_failures), 1)
-    for name in status.recent_failures:
-        writer.text(name)
-    writer.uint(len(status.endings), 1)
-    for ending in status.endings:
-        _write_ending(writer, ending)
-    _write_signals(writer, status.signals)
-
-
-def _write_signals(writer: FieldWriter, signals: tuple[SignalNotice, ...] | None) -> None:
-    if signals is None:
-        writer.uint(_NOT_TOLD, 1)
-        return
-    writer.uint(len(signals), 1)
-    for notice in signals:
-        writer.text(notice.endpoint)
-        writer.uint(notice.draining, 1)
-        rate = _NO_LIMIT if notice.rate_limit is None else _per_1000_seconds(notice.rate_limit)
-        writer.uint(rate, 4)
-        writer.uint(_age_ms(notice.age), _AGE_BYTES)
-
-
-def _read_signals(reader: FieldReader) -> tuple[SignalNotice, ...] | None:
-    count = reader.uint(1)
-    if count == _NOT_TOLD:
-        return None
-    signals = []
-    for _ in range(count):
-        endpoint, draining = reader.text(), bool(reader.uint(1))
-        rate, age_ms = reader.uint(4), reader.uint(_AGE_BYTES)
-        rate_limit = None if rate == _NO_LIMIT else rate / _RATE_UNITS
-        signals.append(SignalNotice(endpoint, rate_limit, age_ms / 1000, draining))
-    return tuple(signals)
-
-
-def _per_1000_seconds(rate: float) -> int:
-    return min(_NO_LIMIT - 1, round(rate * _RATE_UNITS))
-
-
-def _write_ending(writer: FieldWriter, ending: CrashReport) -> None:
-    """Append the endpoint crashes attributed to one request content."""
-    writer.uint(int(ending.content, 16), _CONTENT_BYTES)
-    served_age_ms = (
-        _NEVER_SERVED
-        if ending.served_age is None
-        else min(_NEVER_SERVED - 1, _age_ms(ending.served_age))
-    )
-    writer.uint(served_age_ms, _AGE_BYTES)
-    writer.uint(len(ending.crashes), 1)
-    writer.uint(_bitmask(end.soon for end in ending.crashes), _BITMASK_BYTES)
-    writer.uint(_bitmask(end.lived for end in ending.crashes), _BITMASK_BYTES)
-    for end in ending.crashes:
-        writer.uint(end.endpoint, 4)
-        writer.uint(_age_ms(end.age), _AGE_BYTES)
-
-
-def _bitmask(values: Iterable[bool]) -> int:
-    return sum(value << bit for bit, value in enumerate(values))
-
-
-def _age_ms(age: float) -> int:
-    return max(0, round(age * 1000))
-
-
-def _read_ending(reader: FieldReader) -> CrashReport:
-    content = f"{reader.uint(_CONTENT_BYTES):0{2 * _CONTENT_BYTES}x}"
-    served_age_ms = reader.uint(_AGE_BYTES)
-    count = reader.uint(1)
-    soon, lived = reader.uint(_BITMASK_BYTES), reader.uint(_BITMASK_BYTES)
-    ends = tuple(
-        ObservedCrash(
-            reader.uint(4),
-            reader.uint(_AGE_BYTES) / 1000,
-            bool(soon >> bit & 1),
-            bool(lived >> bit & 1),
-        )
-        for bit in range(count)
-    )
-    return CrashReport(
-        content, ends, None if served_age_ms == _NEVER_SERVED else served_age_ms / 1000
-    )
-
-
-def _read_status(reader: FieldReader) -> PeerStatus:
-    version = reader.uint(6) - 1
-    digest = reader.text()
-    age = reader.uint(4)
-    reads = reader.uint(4)
-    era = reader.uint(4)
-    failing = tuple(
-        FailureNotice(reader.text(), reader.uint(_AGE_BYTES) / 1000, reader.uint(_AGE_BYTES) / 1000)
-        for _ in range(reader.uint(2))
-    )
-    draining = tuple(
-        DrainNotice(reader.text(), reader.uint(_AGE_BYTES) / 1000) for _ in range(reader.uint(2))
-    )
-    recent_failures = tuple(reader.text() for _ in range(reader.uint(1)))
-    endings = tuple(_read_ending(reader) for _ in range(reader.uint(1)))
-    signals = _read_signals(reader)
-    known_age = None if age == _NO_AGE else age / 1000
-    known_era = era - 1 if era else None
-    return PeerStatus(
-        version,
-        digest,
-        known_age,
-        reads,
-        failing=failing,
-        draining=draining,
-        recent_failures=recent_failures,
-        endings=endings,
-        era=known_era,
-        signals=signals,
-    )
-
-
 def _write_rows(writer: FieldWriter, rows: tuple[LoadRow, ...]) -> None:
     writer.uint(len(rows), 2)
     for row in rows:
--- a/src/brassdrum/gateway/peering/peers.py
+++ b/src/brassdrum/gateway/peering/peers.py
@@ -9,23 +9,21 @@
 from __future__ import annotations
 
 import logging
-import math
 import random
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from collections.abc import Callable
+from dataclasses import dataclass
 
-from brassdrum.gateway.following.suspicion import longest_notices
 from brassdrum.gateway.model import DaemonAddress
 from brassdrum.gateway.net.datagrams import DatagramTransport
 from brassdrum.gateway.net.loop import Timer, Timers
 from brassdrum.gateway.peering.directory import PeerDirectory
 from brassdrum.gateway.peering.group import Group
+from brassdrum.gateway.peering.merged_status import MergedStatus
 from brassdrum.gateway.peering.peer_messages import (
     Digest,
     ForwardedDigest,
     Hello,
     Message,
-    PeerStatus,
     PermitReply,
     PermitRequest,
     Report,
@@ -33,13 +31,13 @@
     decode_message,
     encode_message,
 )
+from brassdrum.gateway.peering.peer_status import PeerStatus
 from brassdrum.gateway.peering.pending_reports import PendingReports
 from brassdrum.gateway.peering.publishers import Aggregators
 from brassdrum.gateway.peering.row_teller import RowPublisher, RowUpdate
 from brassdrum.gateway.peering.spreading import fanout_branches
 from brassdrum.gateway.placing.load import LoadTable
 from brassdrum.gateway.throttling.permits import PermitBroker
-from brassdrum.gateway.throttling.signals import SignalNotice, newest_notices
 from brassdrum.telemetry import log_events
 
 __all__ = ["Peers"]
@@ -77,11 +75,7 @@
 _PROBES_PER_ZONE = 3
 # Heartbeats between daemon lists; directory entries outlive this interval.
 _HEARTBEATS_PER_DAEMON_LIST = 4
-# Limit for each list of endpoints in a message.
-_MAX_ENDPOINTS_PER_KIND = 64
 _FETCH_SECONDS_PER_DAEMON = 0.004
-# What endpoints said is repeated for this long after a change; else heartbeats carry it.
-_REPEAT_SIGNALS_SECONDS = 0.5
 
 
 @dataclass(slots=True)
@@ -95,22 +89,6 @@
     aggregator_count: int = 0
 
 
-class _SignalChanges:
-    """Track when what peers are told of endpoints last changed."""
-
-    def __init__(self) -> None:
-        self._signals: frozenset[tuple[str, float | None, bool]] = frozenset()
-        self._changed_at = -math.inf
-
-    def is_recent(self, notices: Iterable[SignalNotice], now: float) -> bool:
-        """Return whether the notices changed just now or a short time ago."""
-        signals = frozenset((each.endpoint, each.rate_limit, each.draining) for each in notices)
-        if signals != self._signals:
-            self._signals = signals
-            self._changed_at = now
-        return now - self._changed_at < _REPEAT_SIGNALS_SECONDS
-
-
 class Peers:
     """Exchange load and configuration status with all live daemons."""
 
@@ -137,7 +115,6 @@
         self._own = own
         self._incarnation = incarnation
         self._table = table
-        self._local_status = local_status
         self._on_knowledge = on_knowledge
         self._on_notices = on_notices
         self._random = rng
@@ -157,7 +134,7 @@
         self._publish_timer: Timer | None = None
         self._report_timer: Timer | None = None
         self._discovery_done = False
-        self._signal_changes = {fleet: _SignalChanges() for fleet in (False, True)}
+        self._status = MergedStatus(local_status, self._group, self._aggregators)
         self._permits = PermitBroker(loop, self, rate_limit, incarnation)
         datagrams.listen(self._handle_datagram)
         loop.call_later(0.0, self._send_heartbeat)
@@ -374,7 +351,9 @@
         if self.report_target is not None:
             self._send(
                 self.report_target,
-                Report(self._next_sender(), self._group_status(), leaves_group=True),
+                Report(
+                    self._next_sender(), self._status.build(self._loop.now()), leaves_group=True
+                ),
             )
         if not self.is_aggregator:
             return
@@ -391,7 +370,11 @@
         found = None if successor is None else self._directory.address(successor)
         known = () if found is None else (found,)
         return Digest(
-            self._next_sender(), self._group_status(), 0, known_daemons=known, steps_down=True
+            self._next_sender(),
+            self._status.build(self._loop.now()),
+            0,
+            known_daemons=known,
+            steps_down=True,
         )
 
     def _check_aggregator(self, now: float) -> None:
@@ -431,7 +414,10 @@
         changed, self._table.changed_own_keys = self._table.changed_own_keys, set()
         sender = self._next_sender()
         rows = self._pending_reports.rows_to_send(changed, sender.sequence)
-        self._send(aggregator, Report(sender, self._group_status(heartbeat=heartbeat), rows))
+        self._send(
+            aggregator,
+            Report(sender, self._status.build(self._loop.now(), heartbeat=heartbeat), rows),
+        )
 
     def _publish(self, *, heartbeat: bool = False) -> None:
         """Send changes of the group to other aggregators, and changes of the fleet to members.
@@ -464,7 +450,7 @@
     ) -> Digest:
         return Digest(
             self._next_sender(),
-            self._group_status(fleet=fleet, heartbeat=lists_members),
+            self._status.build(self._loop.now(), fleet=fleet, heartbeat=lists_members),
             self.live if fleet else self._group.daemon_count,
             1 + self._aggregators.live_count(),
             fleet,
@@ -526,37 +512,6 @@
         self._sequence += 1
         return Sender(self._name, self._own, self._incarnation, self._sequence, self.leaving)
 
-    def _group_status(self, *, fleet: bool = False, heartbeat: bool = False) -> PeerStatus:
-        """Return the status of this daemon and its group, or of the whole ``fleet``."""
-        status = self._local_status()
-        now = self._loop.now()
-        signals = self._known_signals(status, now, fleet=fleet)
-        changed = self._signal_changes[fleet].is_recent(signals, now)
-        others = self._aggregators.failing(now) if fleet else []
-        failing = longest_notices([*status.failing, *self._group.failing(now), *others])
-        return replace(
-            status,
-            failing=failing[:_MAX_ENDPOINTS_PER_KIND],
-            # Members would take their own failures for those of another daemon.
-            recent_failures=(
-                () if fleet else self._recent_failures(status)[:_MAX_ENDPOINTS_PER_KIND]
-            ),
-            draining=status.draining[:_MAX_ENDPOINTS_PER_KIND],
-            signals=signals if heartbeat or changed else None,
-        )
-
-    def _known_signals(
-        self, status: PeerStatus, now: float, *, fleet: bool
-    ) -> tuple[SignalNotice, ...]:
-        others = self._aggregators.signals(now) if fleet else []
-        found = newest_notices([*(status.signals or ()), *self._group.signals(now), *others])
-        return found[:_MAX_ENDPOINTS_PER_KIND]
-
-    def _recent_failures(self, status: PeerStatus) -> tuple[str, ...]:
-        return tuple(
-            sorted({*status.recent_failures, *self._group.recent_failures(self._loop.now())})
-        )
-
     def _send(self, host: str, message: Message) -> None:
         self._send_bytes(host, encode_message(message))
 
--- a/src/brassdrum/gateway/peering/wire.py
+++ b/src/brassdrum/gateway/peering/wire.py
@@ -9,12 +9,18 @@
 
 from brassdrum.gateway.placing.load import EndpointLoad, LoadRow
 
-__all__ = ["FieldReader", "FieldWriter", "quantized"]
+__all__ = ["DURATION_BYTES", "FieldReader", "FieldWriter", "duration_ms", "quantized"]
 
 # Token counts are encoded in this unit, so that two bytes hold up to 4 million.
 _TOKEN_UNIT = 64
 _MAX_UINT16 = 0xFFFF
 _MAX_UINT8 = 0xFF
+# Durations are in ms, so that simultaneous endpoint crashes are recognised.
+DURATION_BYTES = 3
+# Rates are encoded per 1000 seconds.
+_RATE_UNITS = 1000
+_RATE_BYTES = 4
+_NO_RATE = 0xFFFFFFFF
 # Flags of the optional fields in a row; an absent field is 0 or implied by another one.
 _READING, _MEMORY, _STREAMED, _CALLS, _HELPING, _PART = 1, 2, 4, 8, 16, 32
 _FORMAT_BY_FLAG = {
@@ -46,6 +52,11 @@
     return socket.inet_ntoa(data)
 
 
+def duration_ms(seconds: float) -> int:
+    """Return the encoding of a duration."""
+    return max(0, round(seconds * 1000))
+
+
 def _token_units(tokens: int) -> int:
     return min(_MAX_UINT16, (tokens + _TOKEN_UNIT // 2) // _TOKEN_UNIT)
 
@@ -72,6 +83,15 @@
         self._data.append(len(data))
         self._data += data
 
+    def duration(self, seconds: float) -> None:
+        """Append seconds, in ms; longer ones saturate at 4.6 hours."""
+        self.uint(duration_ms(seconds), DURATION_BYTES)
+
+    def rate(self, per_second: float | None) -> None:
+        """Append a rate, or None."""
+        rate = _NO_RATE if per_second is None else round(per_second * _RATE_UNITS)
+        self.uint(min(_NO_RATE - (per_second is not None), rate), _RATE_BYTES)
+
     def host(self, value: str) -> None:
         """Append an IPv4 address."""
         self._data += socket.inet_aton(value)
@@ -134,6 +154,15 @@
         """Read a string."""
         return self._read(self.uint(1)).decode()
 
+    def duration(self) -> float:
+        """Read seconds."""
+        return self.uint(DURATION_BYTES) / 1000
+
+    def rate(self) -> float | None:
+        """Read a rate per second, or None."""
+        rate = self.uint(_RATE_BYTES)
+        return None if rate == _NO_RATE else rate / _RATE_UNITS
+
     def host(self) -> str:
         """Read an IPv4 address."""
         return _host_name(self._read(4))
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -17,13 +17,7 @@
 from brassdrum.gateway.net.callers import CallerConnection
 from brassdrum.gateway.net.loop import Timer
 from brassdrum.gateway.net.upstream import CallFailure, OutgoingRequest
-from brassdrum.gateway.placing.placement import (
-    SLOT_WAIT_PATIENCE_SHARE,
-    Decision,
-    Placement,
-    PlacementRequest,
-    decide,
-)
+from brassdrum.gateway.placing.placement import Decision, Placement, PlacementRequest, decide
 from brassdrum.gateway.request.attempt import Attempt, helper_name
 from brassdrum.gateway.request.events import EventOrderError, EventStreamReader
 from brassdrum.gateway.request.exchange_host import ExchangeContext
@@ -33,9 +27,9 @@
     caller_timeout,
     retry_after_header,
 )
+from brassdrum.gateway.request.send_gate import SendGate
 from brassdrum.gateway.request.silence_watch import StallWatchdog
-from brassdrum.gateway.throttling.permits import MAX_WAIT_SECONDS, Permit
-from brassdrum.gateway.throttling.throttle import EndpointOpening
+from brassdrum.gateway.throttling.permits import Permit
 from brassdrum.outcomes.fingerprint import content_fingerprint
 from brassdrum.outcomes.quarantine import ContentStatus
 from brassdrum.telemetry import log_events
@@ -101,8 +95,7 @@
         self._reader = EventStreamReader(request.resume_after)
         self._watchdog = StallWatchdog(context.loop, self)
         self._postponed_send: Timer | None = None
-        # Allows the next send to an endpoint that limits its rate.
-        self.permit: Permit | None = None
+        self._gate = SendGate(context, self)
         self._waiting = False
         self._waiting_for_slot = False
         self._deadline_timer = context.loop.call_at(
@@ -116,6 +109,16 @@
             return self.organisation.priority
         return self.route.priority
 
+    @property
+    def permit(self) -> Permit | None:
+        """Return the permit for the next send to an endpoint that limits its rate."""
+        return self._gate.permit
+
+    @property
+    def finished(self) -> bool:
+        """Return whether the request has its final response."""
+        return self._finished
+
     @property
     def time_left(self) -> float:
         """Return the seconds until the deadline for the complete response."""
@@ -136,7 +139,7 @@
 
     def start(self) -> None:
         """Make the first attempt."""
-        self._dispatch()
+        self.dispatch()
 
     def caller_disconnected(self) -> None:
         """Cancel the request after its caller has disconnected."""
@@ -148,7 +151,7 @@
         if self._finished:
             return
         self._cancel_attempt()
-        self._fail(detail)
+        self.fail(detail)
 
     def attempt_response_started(self, attempt: Attempt, reply: Reply) -> None:
         """Retry the request if the endpoint did not execute it."""
@@ -240,7 +243,7 @@
         self._context.response_interrupted(attempt, lost)
         self._handle_lost_attempt(attempt, detail, certain=False)
 
-    def _dispatch(self) -> None:
+    def dispatch(self) -> None:
         """Place the request and start an attempt; no other attempt may be in flight."""
         self._watchdog.stop()
         standing = self._context.crash_guard.standing(
@@ -252,7 +255,7 @@
             return
         if standing is ContentStatus.UNDECIDED:
             # Reports of other daemons may still decide whether this content crashes endpoints.
-            self._postpone(
+            self.postpone(
                 self._context.crash_guard.settles_in(self.content_fingerprint, self.tried_endpoints)
             )
             return
@@ -260,7 +263,7 @@
         placement = self._context.place(self, need)
         if placement is None:
             self._stop_waiting()
-            self._wait_for_opening(need)
+            self._gate.wait_for_opening(need)
             return
         verdict = decide(need, placement)
         if verdict is Decision.WAIT and not self._context.may_wait(self):
@@ -274,12 +277,12 @@
                 if placement.endpoint_full
                 else "others would lose more by it"
             )
-            self._fail(detail, self._context.wait_queue.retry_after_seconds())
+            self.fail(detail, self._context.wait_queue.retry_after_seconds())
             return
-        if not self._has_permit(placement.entry.id):
-            self._request_permit(placement.entry.id, 0.0)
+        if not self._gate.admits(placement.entry.id):
+            self._gate.request_permit(placement.entry.id, 0.0)
             return
-        self.permit = None
+        self._gate.permit = None
         self.send_count += 1
         self.tried_endpoints.add(placement.entry.id)
         self._context.crash_guard.request_sent(standing, placement.entry.id)
@@ -288,73 +291,9 @@
         self._attempt = Attempt(self._context, self, placement)
         self._attempt.start()
 
-    def _has_permit(self, endpoint: str) -> bool:
-        """Return whether the request may be sent to an endpoint as far as its rate is limited."""
-        if not self._context.throttle.needs_permit(endpoint):
-            return True
-        held = self.permit
-        return (
-            held is not None
-            and held.endpoint == endpoint
-            and held.is_valid(self._context.loop.now())
-        )
-
-    def _wait_for_opening(self, need: PlacementRequest) -> None:
-        """Wait for the endpoint that has room first, or refuse the request if that is too late."""
-        opening = self._context.next_opening(self, need)
-        if opening is None:
-            self._fail("no endpoint is available for the request")
-            return
-        max_wait = self._max_opening_wait(need, opening)
-        if opening.seconds > max_wait:
-            self._fail("every endpoint asks for fewer requests", opening.seconds)
-        elif opening.needs_permit:
-            self._request_permit(opening.endpoint, max_wait)
-        else:
-            self._postpone(opening.seconds)
-
-    def _max_opening_wait(self, need: PlacementRequest, opening: EndpointOpening) -> float:
-        """Return for how many seconds the request may wait for an endpoint that is closed.
-
-        A slot is booked, so even a late request may wait for it. A pause binds this daemon alone:
-        a request that would be late is better off at another one.
-        """
-        if not self._context.may_wait(self):
-            return 0.0
-        start_ms = need.waited_ms + opening.first_event_ms
-        if not opening.needs_permit:
-            return (need.objective_ms - start_ms) / 1000
-        latest_ms = need.patience_ms * SLOT_WAIT_PATIENCE_SHARE
-        return min(MAX_WAIT_SECONDS, (latest_ms - start_ms) / 1000)
-
-    def _request_permit(self, endpoint: str, max_wait: float) -> None:
-        """Ask for a permit; dispatch again when it allows a send or another endpoint is needed."""
-        self.permit = None
-
-        def decided(permit: Permit) -> None:
-            if self._finished:
-                return
-            wait = permit.send_at - self._context.loop.now()
-            self._log_decision(
-                log_events.PERMIT,
-                endpoint=endpoint,
-                granted=permit.granted,
-                wait_ms=round(wait * 1000),
-                max_wait_ms=round(max_wait * 1000),
-            )
-            if permit.granted:
-                self.permit = permit
-            # A refusal within the time that was asked for is worth a second try after the wait.
-            if wait > 0 and (permit.granted or wait <= max_wait):
-                self._postpone(wait)
-            else:
-                self._dispatch()
-
-        self._context.throttle.request_permit(endpoint, max_wait, decided)
-
     def retry_placement(self) -> bool:
         """Send the request if a placement suits now; return False while all slots are in use."""
-        self._dispatch()
+        self.dispatch()
         return not self._waiting_for_slot
 
     def _wait(self, placement: Placement) -> bool:
@@ -368,7 +307,7 @@
         if self._waiting:
             return True
         self._waiting = True
-        self._log_decision(
+        self.log_decision(
             log_events.WAITING,
             harm=round(placement.interference_tokens),
             late=round(placement.lateness_tokens),
@@ -385,7 +324,7 @@
 
     def _log_placement(self, placement: Placement, standing: ContentStatus) -> None:
         age = self._context.endpoint_monitor.list_age()
-        self._log_decision(
+        self.log_decision(
             log_events.PLACED,
             endpoint=placement.entry.id,
             helpers=[each.entry.id for each in placement.helpers],
@@ -400,7 +339,7 @@
             standing=standing.name.lower(),
         )
 
-    def _log_decision(self, event: LogEvent, **values: object) -> None:
+    def log_decision(self, event: LogEvent, **values: object) -> None:
         """Log a decision, and keep it for the log line of a failed request."""
         self._context.log_decision(
             event, request=self.request.id, content=self.content_fingerprint, **values
@@ -458,11 +397,11 @@
             self._resend(f"the endpoint answered {reply.status}")
             return
         if self._response_started:
-            self._fail(f"the endpoint answered {reply.status} to a resumed stream")
+            self.fail(f"the endpoint answered {reply.status} to a resumed stream")
             return
         if reply.status in _NOT_EXECUTED_STATUSES and not self.route.repeatable:
             # Forwarding the status would tell the caller that the request was not executed.
-            self._fail(f"the endpoint answered {reply.status} and may have run the request")
+            self.fail(f"the endpoint answered {reply.status} and may have run the request")
             return
         self._finish(Outcome.FAILED, reply.status, "the endpoint's own failure")
         self._connection.send_response(reply.status, reply.headers, bytes(attempt.body))
@@ -480,7 +419,7 @@
         if allowed and (self.send_count == 0 or self._context.consume_retry(self.service)):
             self._resend(detail)
             return
-        self._fail(detail)
+        self.fail(detail)
 
     def _handle_lost_attempt(self, attempt: Attempt, detail: str, *, certain: bool) -> None:
         attempt.finish()
@@ -491,7 +430,7 @@
         if self.route.repeatable and self._consume_resend():
             self._resend(detail)
             return
-        self._fail(detail)
+        self.fail(detail)
 
     def _consume_resend(self) -> bool:
         if self.send_count >= self.route.max_attempts or self.time_left < _MIN_RESEND_SECONDS:
@@ -500,7 +439,7 @@
 
     def _resend(self, detail: str) -> None:
         assert self._attempt is not None
-        self._log_decision(
+        self.log_decision(
             log_events.SENT_AGAIN,
             endpoint=self._attempt.endpoint,
             reason=detail,
@@ -509,7 +448,7 @@
             budget=round(self._context.retries_left(self.service), 1),
         )
         self._reader = EventStreamReader(self._reader.last_id)
-        self._dispatch()
+        self.dispatch()
 
     def restart_stall_timer(self, placement: Placement | None) -> None:
         """Restart the stall watchdog if the request may be sent again."""
@@ -563,9 +502,9 @@
         if self._finished:
             return
         self._cancel_attempt()
-        self._fail("the deadline of the request or its route has passed")
+        self.fail("the deadline of the request or its route has passed")
 
-    def _fail(self, detail: str, retry_after: float | None = None) -> None:
+    def fail(self, detail: str, retry_after: float | None = None) -> None:
         """Send the final response of a request that was not served."""
         if retry_after is None:
             opening_seconds = self._context.seconds_until_open(self.service)
@@ -586,7 +525,7 @@
         """Refuse a request with quarantined content, which crashes the endpoints that run it."""
         detail = "requests with this content end the endpoints that run them"
         if self._response_started or self._may_have_run:
-            self._fail(detail)
+            self.fail(detail)
             return
         # Not limited by the caller's timeout, since an earlier retry would be refused as well.
         self._refuse(
@@ -596,9 +535,10 @@
             ),
         )
 
-    def _postpone(self, seconds: float) -> None:
+    def postpone(self, seconds: float) -> None:
+        """Dispatch the request again after some seconds."""
         self._stop_waiting()
-        self._postponed_send = self._context.loop.call_later(seconds, self._dispatch)
+        self._postponed_send = self._context.loop.call_later(seconds, self.dispatch)
 
     def _refuse(self, detail: str, headers: Headers) -> None:
         self._finish(Outcome.REFUSED, 503, detail)
