--- a/src/brassdrum/bench/limits.py
+++ b/src/brassdrum/bench/limits.py
@@ -89,7 +89,8 @@
 class LimitResult:
     """The requests that an endpoint got: the most in any window, what it allows, the share used.
 
-    ``bytes_per_second`` is what the busiest daemon sent to others.
+    ``bytes_per_second`` is what the busiest daemon sent to others, ``datagrams_per_second`` what
+    all of them did.
     """
 
     most: int
@@ -99,6 +100,7 @@
     served: int
     refused: int
     bytes_per_second: float
+    datagrams_per_second: float
 
 
 def allowed_requests(limit: float) -> float:
@@ -134,7 +136,7 @@
     (engine,) = fleets[0].engine_by_id.values()
     counted = [at for at in engine.arrivals if at >= engine.arrivals[0] + _GRACE_SECONDS]
     count = result.by_kind["quick"]
-    sent = max(each.sent_bytes for each in fleets[0].network.traffic_by_host.values())
+    traffic = fleets[0].network.traffic_by_host.values()
     return LimitResult(
         most=_most_in_window(counted),
         allowed=allowed_requests(plan.limit),
@@ -142,7 +144,8 @@
         asked=count.asked,
         served=count.timely + count.late,
         refused=count.refused,
-        bytes_per_second=sent / plan.seconds,
+        bytes_per_second=max(each.sent_bytes for each in traffic) / plan.seconds,
+        datagrams_per_second=sum(each.sent for each in traffic) / plan.seconds,
     )
 
 
--- a/src/brassdrum/cli/bench.py
+++ b/src/brassdrum/cli/bench.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import argparse
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from pathlib import Path
 
 from brassdrum.cli.output import print_json, print_rows
@@ -103,6 +103,22 @@
     return 0
 
 
+def _run_limits(options: argparse.Namespace) -> int:
+    from brassdrum.bench.limits import LimitPlan, play_limit
+
+    rows = []
+    for daemons in options.daemons:
+        for limit in options.limit:
+            plan = LimitPlan(limit, daemons, options.demand, seed=options.seed)
+            plan = replace(plan, trouble=options.trouble, seconds=options.seconds)
+            rows.append({"daemons": daemons, "limit": limit, **asdict(play_limit(plan))})
+    if options.json:
+        print_json(rows)
+        return 0
+    print_rows(tuple(rows[0]), [list(row.values()) for row in rows])
+    return 0
+
+
 def _run_source(options: argparse.Namespace) -> int:
     from brassdrum.bench.source import PacedSource, PacedSourceSettings
 
@@ -153,6 +169,15 @@
     endings.add_argument("--seeds", type=int, default=4)
     endings.add_argument("--json", action="store_true", help="print JSON")
     endings.set_defaults(run=_run_endings)
+    limits = actions.add_parser("limits", help="an endpoint that limits its rate, simulated")
+    limits.add_argument("--daemons", nargs="+", type=int, default=[6, 12, 60])
+    limits.add_argument("--limit", nargs="+", type=float, default=[1.0, 10.0], help="per second")
+    limits.add_argument("--demand", type=float, default=2.0, help="times the limit")
+    limits.add_argument("--trouble", default="none", help="as lost messages, replaced daemons")
+    limits.add_argument("--seconds", type=float, default=20.0)
+    limits.add_argument("--seed", type=int, default=1)
+    limits.add_argument("--json", action="store_true", help="print JSON")
+    limits.set_defaults(run=_run_limits)
     run = actions.add_parser("run", help="compare routing policies on a seeded workload")
     run.add_argument("experiment", type=Path, metavar="EXPERIMENT.json")
     run.add_argument("--output", type=Path, help="write one JSON line a run")
--- a/src/brassdrum/gateway/measures.py
+++ b/src/brassdrum/gateway/measures.py
@@ -126,6 +126,11 @@
             "Endpoints that limit their requests.",
             lambda: sources.signals.limited_count,
         )
+        self._add_gauge(
+            "permits_granted",
+            "Requests to endpoints with a limit that this daemon let go.",
+            lambda: sources.peers.permits.granted_count,
+        )
         self._add_gauge("store_calls", "Calls to the store.", lambda: sources.store.calls)
         self._add_gauge(
             "connections_opened", "Connections opened.", lambda: sources.pool.connections_opened
