Close five gaps in what endpoints say, found on reading the code again

- An entry that the store lost and that comes back was a new endpoint to us: what it had said was forgotten with the entry, and it would have been used after it had said that it leaves.
It is kept for 60 s (endpoint_leaving.feature, "An entry that is lost...").
- A group's member that becomes an aggregator counted itself as the owner before, and scheduled at once (endpoint_limits.feature, "A daemon that starts to schedule...").
- A suspended daemon read a permit before its timeout ran, and sent seconds late ("A reply that comes after its timeout...").
- What an endpoint said in an answer was passed over while its entry was not listed.
- The flush interval was computed for each endpoint of each placement, and endpoints were filtered though none had asked for anything.

--- a/features/endpoint_leaving.feature
+++ b/features/endpoint_leaving.feature
@@ -59,3 +59,12 @@
     Then the daemon uses 1 endpoint
     When a response to a request sent after that says nothing
     Then the daemon uses 2 endpoints
+
+  # Guards against using it again because the store lost its entry for a while.
+  Scenario: An entry that is lost and comes back is the same endpoint
+    Given a daemon that knows 2 endpoints
+    And the first said that it leaves
+    When the list misses the first for 5 s and then shows it ready
+    Then the daemon uses 1 endpoint
+    When the list misses the first for 90 s and then shows it ready
+    Then the daemon uses 2 endpoints
--- a/features/endpoint_limits.feature
+++ b/features/endpoint_limits.feature
@@ -94,3 +94,16 @@
       | 12      | 10    | 0.5    | replaced daemons | nobody is refused  |
       | 60      | 1     | 2      | lost messages    | the limit is used  |
       | 60      | 10    | 0.5    | none             | nobody is refused  |
+
+  # Guards against a group's member that becomes its aggregator and schedules at once.
+  Scenario: A daemon that starts to schedule waits until no other can
+    Given a daemon that has scheduled nothing while others did
+    When it becomes an aggregator and owns endpoints
+    Then it waits 1 s before it schedules them
+
+  # Guards against a permit that a suspended daemon reads seconds later.
+  Scenario: A reply that comes after its timeout allows nothing
+    Given a daemon that asked another one for a permit
+    When the reply is read 0.2 s later
+    Then the request was not allowed
+    And a reply within 0.1 s allows it
--- a/features/steps/endpoint_limit_steps.py
+++ b/features/steps/endpoint_limit_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from brassdrum.bench.limits import WINDOW_SECONDS, LimitPlan, allowed_requests, play_limit
+from brassdrum.bench.load.loop import SimulatedLoop
 from brassdrum.gateway.model import DaemonAddress, EndpointSignals
 from brassdrum.gateway.peering.peer_messages import (
     PermitReply,
@@ -21,6 +22,7 @@
 from brassdrum.gateway.placing.placement import Candidate, PlacementRequest
 from brassdrum.gateway.placing.policies import policies
 from brassdrum.gateway.throttling.ownership import OwnerSelector
+from brassdrum.gateway.throttling.permits import PermitBroker
 from brassdrum.gateway.throttling.schedule import SendSchedule
 from brassdrum.gateway.throttling.signals import EndpointSignalTable, SignalNotice
 from brassdrum.platform.dialect import PlatformDialect
@@ -285,3 +287,74 @@
 @then("nobody is refused")
 def step_none_refused(context):
     assert context.result.refused == 0, context.result
+
+
+@given("a daemon that has scheduled nothing while others did")
+def step_member(context):
+    context.selector = OwnerSelector("10.0.0.1")
+    context.selector.set_members(frozenset(), 10.0)
+
+
+@when("it becomes an aggregator and owns endpoints")
+def step_becomes_aggregator(context):
+    context.selector.set_members(frozenset({"10.0.0.1"}), 20.0)
+    assert context.selector.owner(ENDPOINT) == "10.0.0.1"
+
+
+@then("it waits {seconds:g} s before it schedules them")
+def step_it_waits(context, seconds):
+    assert math.isclose(context.selector.seconds_until_settled(ENDPOINT, 20.0), seconds)
+    assert context.selector.seconds_until_settled(ENDPOINT, 20.0 + seconds) == 0.0
+
+
+class LateLoop(SimulatedLoop):
+    """A loop whose process is suspended: time passes, and timers run after what was received."""
+
+    def suspend(self, seconds):
+        """Let time pass without running timers."""
+        self._now += seconds
+
+
+class OtherOwner:
+    """A transport to the aggregator that owns all endpoints."""
+
+    own_host = "10.0.0.1"
+    report_target = "10.0.0.2"
+
+    def __init__(self):
+        self.sent = []
+
+    def member_hosts(self):
+        """Return no host: this daemon is no aggregator."""
+        return frozenset()
+
+    def send_message(self, host, message):
+        """Record a message."""
+        self.sent.append(message)
+
+
+@given("a daemon that asked another one for a permit")
+def step_asked(context):
+    context.loop, context.transport, context.permits = LateLoop(), OtherOwner(), []
+    context.broker = PermitBroker(context.loop, context.transport, lambda _: 1.0, 1)
+    context.broker.request(ENDPOINT, 1.0, 0.0, context.permits.append)
+
+
+@when("the reply is read {seconds:g} s later")
+def step_late_reply(context, seconds):
+    context.loop.suspend(seconds)
+    context.broker.handle_reply(PermitReply(context.transport.sent[-1].number, True, 0.0))
+
+
+@then("the request was not allowed")
+def step_not_allowed(context):
+    context.loop.advance(0.1)
+    assert [permit.granted for permit in context.permits] == [False]
+
+
+@then("a reply within {seconds:g} s allows it")
+def step_allowed(context, seconds):
+    context.broker.request(ENDPOINT, 1.0, 0.0, context.permits.append)
+    step_late_reply(context, seconds)
+    context.loop.advance(1.0)
+    assert [permit.granted for permit in context.permits] == [False, True]
--- a/features/steps/endpoint_signal_steps.py
+++ b/features/steps/endpoint_signal_steps.py
@@ -23,6 +23,8 @@
 from features.steps.site_steps import caller
 from features.support import eventually
 
+READ_SECONDS = 0.5
+
 
 @given("the first endpoint says that it leaves while the list shows it ready")
 def step_says_it_leaves(context):
@@ -110,7 +112,7 @@
 
     def read_list(self, entries):
         """Take a list that is read from the store now."""
-        self.loop.advance(0.5)
+        self.loop.advance(READ_SECONDS)
         changes = self.routing_state.apply_store_list(entries, self.loop.now())
         self.monitor.on_endpoints_changed(changes, "store")
 
@@ -294,3 +296,12 @@
 @then("the first engine refused at most {most:d} request")
 def step_engine_refused(context, most):
     assert 0 < context.engine.refused <= most, context.engine.refused
+
+
+@when("the list misses the first for {seconds:g} s and then shows it ready")
+def step_entry_lost(context, seconds):
+    known = context.known
+    for _ in range(int(seconds / READ_SECONDS)):
+        known.read_list(known.entries[1:])
+    assert known.first.id not in known.routing_state.endpoints_by_id
+    known.read_list(known.entries)
--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -73,8 +73,6 @@
 
     def signals_received(self, endpoint: str, signals: EndpointSignals, sent_at: float) -> None:
         """Record what an endpoint asks for in a response to a request sent at a time."""
-        if endpoint not in self._routing_state.endpoints_by_id:
-            return
         change = self.signals.record(endpoint, signals, sent_at, self._loop.now())
         self._signal_changed(change, "endpoint")
         if signals.pause is not None:
@@ -169,7 +167,7 @@
                 )
         known = set(self._routing_state.endpoints_by_id)
         self._failure_detector.retain(known)
-        self.signals.retain(known)
+        self.signals.retain(known, self._loop.now())
         self._routing_state.set_said_draining(self.signals.draining())
         self._on_changed()
 
--- a/src/brassdrum/gateway/placing/choosing.py
+++ b/src/brassdrum/gateway/placing/choosing.py
@@ -59,11 +59,19 @@
         Endpoints that have no room by what they ask for are left out, but for that of a ``permit``.
         """
         self._table.refresh(now)
-        propagation_ms = self._flush_seconds() * _PROPAGATION_FLUSHES * 1000
-        request = replace(request, propagation_ms=propagation_ms)
+        flush_seconds = self._flush_seconds()
+        request = replace(request, propagation_ms=flush_seconds * _PROPAGATION_FLUSHES * 1000)
 
         def place(among: Sequence[EndpointEntry]) -> Placement | None:
-            candidates = [self._candidate(entry, suspect, now, late=late) for entry in among]
+            candidates = [
+                self._candidate(
+                    entry,
+                    suspect,
+                    now - self._backoff_seconds(entry.id, flush_seconds, late=late),
+                    late=late,
+                )
+                for entry in among
+            ]
             return policy(request, candidates, engine, self._random)
 
         placement = place(self._throttle.open_entries(entries, permit))
@@ -73,14 +81,18 @@
         return placement
 
     def _candidate(
-        self, entry: EndpointEntry, suspect: Callable[[str], bool], now: float, *, late: bool
+        self,
+        entry: EndpointEntry,
+        suspect: Callable[[str], bool],
+        claimed_since: float,
+        *,
+        late: bool,
     ) -> Candidate:
-        backoff_seconds = self._backoff_seconds(entry.id, self._flush_seconds(), late=late)
         return Candidate(
             entry,
             self._table.total(entry.id),
             suspect(entry.id),
-            self._table.slots_freed_since(entry.id, now - backoff_seconds, own=late),
+            self._table.slots_freed_since(entry.id, claimed_since, own=late),
             self._throttle.needs_permit(entry.id),
         )
 
--- a/src/brassdrum/gateway/throttling/ownership.py
+++ b/src/brassdrum/gateway/throttling/ownership.py
@@ -5,6 +5,7 @@
 import zlib
 from collections import deque
 from dataclasses import dataclass
+from itertools import pairwise
 
 __all__ = ["OwnerSelector"]
 
@@ -44,15 +45,11 @@
     def seconds_until_settled(self, endpoint: str, now: float) -> float:
         """Return for how long this daemon, the owner, has to wait until no other can be."""
         left = self._history[0].since + _SETTLE_SECONDS - now
-        for each in self._history:
-            if _rendezvous(endpoint, each.hosts) not in (self._own_host, None):
-                left = max(left, self._end(each) + _SETTLE_SECONDS - now)
+        for earlier, later in pairwise(self._history):
+            if _rendezvous(endpoint, earlier.hosts) != self._own_host:
+                left = max(left, later.since + _SETTLE_SECONDS - now)
         return max(0.0, left)
 
-    def _end(self, membership: _Membership) -> float:
-        following = self._history.index(membership) + 1
-        return self._history[following].since
-
 
 def _rendezvous(endpoint: str, hosts: frozenset[str]) -> str | None:
     def weight(host: str) -> tuple[int, str]:
--- a/src/brassdrum/gateway/throttling/permits.py
+++ b/src/brassdrum/gateway/throttling/permits.py
@@ -65,6 +65,7 @@
 @dataclass(frozen=True, slots=True)
 class _PendingRequest:
     endpoint: str
+    asked_at: float
     on_decided: Callable[[Permit], None]
     timer: Timer
 
@@ -107,7 +108,9 @@
             return
         number = self._last_number = (self._last_number + 1) % _REQUEST_NUMBERS
         timer = self._loop.call_later(_REPLY_TIMEOUT_SECONDS, lambda: self._timed_out(number))
-        self._pending_by_number[number] = _PendingRequest(endpoint, on_decided, timer)
+        self._pending_by_number[number] = _PendingRequest(
+            endpoint, self._loop.now(), on_decided, timer
+        )
         message = PermitRequest(number, own_host, endpoint, rate, max_wait)
         self._transport.send_message(host, message)
 
@@ -127,9 +130,11 @@
 
     def handle_reply(self, message: PermitReply) -> None:
         """Complete a request; replies that come after the timeout are ignored."""
-        pending = self._pending_by_number.pop(message.number, None)
-        if pending is None:
+        pending = self._pending_by_number.get(message.number)
+        # A suspended daemon reads the reply before the timer of the timeout runs.
+        if pending is None or self._loop.now() - pending.asked_at > _REPLY_TIMEOUT_SECONDS:
             return
+        del self._pending_by_number[message.number]
         pending.timer.cancel()
         slot = SendSlot(message.granted, message.wait)
         pending.on_decided(self._permit(pending.endpoint, slot))
--- a/src/brassdrum/gateway/throttling/signals.py
+++ b/src/brassdrum/gateway/throttling/signals.py
@@ -20,6 +20,8 @@
 
 # How long peers are told that an endpoint has taken back what it said.
 _WITHDRAWN_NOTICE_SECONDS = 4.0
+# How long an endpoint is remembered that is not listed.
+_GONE_SECONDS = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +99,7 @@
 
     def __init__(self) -> None:
         self._pause_by_endpoint: dict[str, Pause] = {}
+        self._gone_at_by_endpoint: dict[str, float] = {}
         self._statement_by_endpoint: dict[str, _Statement] = {}
 
     @property
@@ -105,6 +108,11 @@
         statements = self._statement_by_endpoint.values()
         return sum(1 for each in statements if each.rate_limit is not None)
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no endpoint has asked for anything."""
+        return not self._statement_by_endpoint and not self._pause_by_endpoint
+
     def rate_limit(self, endpoint: str) -> float | None:
         """Return the requests per second that an endpoint takes, or None without a limit."""
         return self._statement(endpoint).rate_limit
@@ -164,11 +172,19 @@
         statement = _Statement(notice.rate_limit, notice.draining, stated_at, from_peer=True)
         return self._set(notice.endpoint, statement)
 
-    def retain(self, endpoints: set[str]) -> None:
-        """Forget all endpoints but the given ones."""
-        for by_endpoint in (self._statement_by_endpoint, self._pause_by_endpoint):
-            for endpoint in [each for each in by_endpoint if each not in endpoints]:
-                del by_endpoint[endpoint]
+    def retain(self, listed: set[str], now: float) -> None:
+        """Forget the endpoints that have not been listed for a while.
+
+        An entry that the store lost and that comes back is the same endpoint still.
+        """
+        known = self._statement_by_endpoint.keys() | self._pause_by_endpoint.keys()
+        self._gone_at_by_endpoint = {
+            endpoint: self._gone_at_by_endpoint.get(endpoint, now) for endpoint in known - listed
+        }
+        for endpoint, gone_at in self._gone_at_by_endpoint.items():
+            if now - gone_at > _GONE_SECONDS:
+                self._statement_by_endpoint.pop(endpoint, None)
+                self._pause_by_endpoint.pop(endpoint, None)
 
     def _statement(self, endpoint: str) -> _Statement:
         return self._statement_by_endpoint.get(endpoint, _NOTHING_SAID)
--- a/src/brassdrum/gateway/throttling/throttle.py
+++ b/src/brassdrum/gateway/throttling/throttle.py
@@ -56,6 +56,8 @@
 
         With a valid permit these are its endpoint and those that need none.
         """
+        if self._signals.is_empty:
+            return list(entries)
         now = self._loop.now()
         if permit is None or not permit.is_valid(now):
             return [entry for entry in entries if self._closed_until(entry.id) <= now]
