--- a/src/brassdrum/bench/limits.py
+++ b/src/brassdrum/bench/limits.py
@@ -111,10 +111,13 @@
 def play_limit(plan: LimitPlan) -> LimitResult:
     """Return what an endpoint with a limit got from daemons that share it, and what callers got."""
     fleets: list[Fleet] = []
+    began_at = 0.0
 
     def adjust(daemon: SimulatedDaemon) -> None:
+        nonlocal began_at
         if not fleets:
             fleets.append(daemon.fleet)
+            began_at = daemon.loop.now()
             (engine,) = daemon.fleet.engine_by_id.values()
             engine.rate_limit = plan.limit
 
@@ -136,6 +139,7 @@
     (engine,) = fleets[0].engine_by_id.values()
     counted = [at for at in engine.arrivals if at >= engine.arrivals[0] + _GRACE_SECONDS]
     count = result.by_kind["quick"]
+    seconds = fleets[0].loop.now() - began_at
     traffic = fleets[0].network.traffic_by_host.values()
     return LimitResult(
         most=_most_in_window(counted),
@@ -144,8 +148,8 @@
         asked=count.asked,
         served=count.timely + count.late,
         refused=count.refused,
-        bytes_per_second=max(each.sent_bytes for each in traffic) / plan.seconds,
-        datagrams_per_second=sum(each.sent for each in traffic) / plan.seconds,
+        bytes_per_second=max(each.sent_bytes for each in traffic) / seconds,
+        datagrams_per_second=sum(each.sent for each in traffic) / seconds,
     )
 
 
--- a/src/brassdrum/bench/load/play.py
+++ b/src/brassdrum/bench/load/play.py
@@ -35,6 +35,7 @@
 # A long answer that began at the end of a run needs this much longer.
 _AFTERWARDS_SECONDS = 16.0
 _LOOK_SECONDS = 0.5
+_HOSTS_PER_NET = 250
 # The first daemon introduces the others to each other, which takes them less than this.
 _SEED_HOST = "10.0.0.0"
 _ACQUAINTED_SECONDS = 2.5
@@ -108,7 +109,7 @@
     engine_by_id = {name: SimulatedEngine(loop, name, ENGINE) for name in names}
     fleet = Fleet(loop, network, ENGINE, engine_by_id, policy, [])
     for number in range(daemons):
-        address = DaemonAddress(f"10.{number % zones}.0.{number}", f"zone-{number % zones}")
+        address = DaemonAddress(_host(number, zones), f"zone-{number % zones}")
         daemon_rng = random.Random(seed * 100 + number)
         daemon = SimulatedDaemon(f"daemon-{number}", address, fleet, daemon_rng)
         daemon.peers.add_seed(_SEED_HOST)
@@ -251,6 +252,10 @@
             return
 
 
+def _host(number: int, zones: int) -> str:
+    return f"10.{number % zones}.{number // _HOSTS_PER_NET}.{number % _HOSTS_PER_NET}"
+
+
 def _route(kind: Kind) -> Route:
     return Route(
         kind.name,
