Believe the list over an endpoint's word only when it is ready for 10 s on end

Found on reading the diff: a list that showed the endpoint draining, ready, draining and ready again (stale reads of the store) won 10 s after the first 'ready', so that a leaving endpoint could be used again. Test failed first: endpoint_leaving.feature, 'A list that goes back and forth does not win'.

--- a/features/endpoint_leaving.feature
+++ b/features/endpoint_leaving.feature
@@ -46,6 +46,15 @@
     Then the daemon uses 1 endpoint
     And the daemon uses 2 endpoints 10 s later
 
+  # Guards against a list that is read from behind: ready, draining and ready again within 10 s.
+  Scenario: A list that goes back and forth does not win
+    Given a daemon that knows 2 endpoints
+    And the first said that it leaves
+    When the list shows the first draining and then ready again
+    And the list shows the first draining and then ready again 8 s later
+    Then the daemon uses 1 endpoint 3 s later
+    And the daemon uses 2 endpoints 7 s later
+
   Scenario: An endpoint that starts again under its name is used at once
     Given a daemon that knows 2 endpoints
     And the first said that it leaves
--- a/features/steps/endpoint_signal_steps.py
+++ b/features/steps/endpoint_signal_steps.py
@@ -19,6 +19,7 @@
 from brassdrum.platform.dialect import PlatformDialect
 from brassdrum.standins.site import MODEL
 from features.gateway_world import SERVICE, engine_entry
+from features.steps.exchange_steps import start_exchange
 from features.steps.gateway_steps import send_request
 from features.steps.site_steps import caller
 from features.support import eventually
@@ -191,6 +192,7 @@
     assert len(usable) == count, [entry.id for entry in usable]
 
 
+@then("the daemon uses {count:d} endpoint {seconds:g} s later")
 @then("the daemon uses {count:d} endpoints {seconds:g} s later")
 def step_uses_later(context, count, seconds):
     context.known.loop.advance(seconds + 0.1)
@@ -305,3 +307,35 @@
         known.read_list(known.entries[1:])
     assert known.first.id not in known.routing_state.endpoints_by_id
     known.read_list(known.entries)
+
+
+@when("the list shows the first draining and then ready again {seconds:g} s later")
+def step_drains_again(context, seconds):
+    known = context.known
+    while seconds > 0:
+        known.read_list(known.entries)
+        seconds -= READ_SECONDS
+    step_drains_and_returns(context)
+
+
+@given("a request that is in progress at one of 3 endpoints")
+def step_in_progress(context):
+    start_exchange(context)
+
+
+@when("the other endpoints ask for a pause")
+def step_others_pause(context):
+    daemon = context.daemon
+    for entry in daemon.entries:
+        if entry.id not in context.exchange.tried_endpoints:
+            daemon.signals.record(entry.id, EndpointSignals(pause=3.0), 0.0, daemon.loop.now())
+
+
+@then("its attempt may be replaced")
+def step_replaceable(context):
+    assert context.exchange.can_replace_attempt()
+
+
+@then("its attempt is kept")
+def step_kept_attempt(context):
+    assert not context.exchange.can_replace_attempt()
--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -43,6 +43,8 @@
         self._guard = guard
         self.signals = EndpointSignalTable()
         self._failure_detector = FailureDetector()
+        # When the list began to show endpoints ready that it had shown draining.
+        self._ready_since_by_endpoint: dict[str, float] = {}
         self._follower: Follower | None = None
 
     def set_follower(self, follower: Follower) -> None:
@@ -162,9 +164,12 @@
             if change.change == "restarted" and change.address is not None:
                 self._pool.close_idle(change.address)
             if change.change == "back":
+                self._ready_since_by_endpoint[change.endpoint] = self._loop.now()
                 self._loop.call_later(
                     _LIST_WINS_SECONDS, lambda each=change.endpoint: self._believe_list(each)
                 )
+            elif change.change in ("draining", "gone"):
+                self._ready_since_by_endpoint.pop(change.endpoint, None)
         known = set(self._routing_state.endpoints_by_id)
         self._failure_detector.retain(known)
         self.signals.retain(known, self._loop.now())
@@ -173,10 +178,12 @@
 
     def _believe_list(self, endpoint: str) -> None:
         """Use an endpoint again if the list still shows it ready, whatever it said before."""
-        entry = self._routing_state.endpoints_by_id.get(endpoint)
-        if entry is not None and not entry.draining:
-            change = self.signals.list_shows_ready(endpoint, self._loop.now())
-            self._signal_changed(change, "list")
+        ready_since = self._ready_since_by_endpoint.get(endpoint)
+        now = self._loop.now()
+        if ready_since is None or now - ready_since < _LIST_WINS_SECONDS:
+            return
+        del self._ready_since_by_endpoint[endpoint]
+        self._signal_changed(self.signals.list_shows_ready(endpoint, now), "list")
 
     def _log_suspect(self, endpoint: str, detail: str, certain: bool) -> None:
         log_events.ENDPOINT_SUSPECT.write(
--- a/src/brassdrum/gateway/throttling/permits.py
+++ b/src/brassdrum/gateway/throttling/permits.py
@@ -13,8 +13,8 @@
 
 __all__ = ["MAX_WAIT_SECONDS", "Permit", "PermitBroker", "PermitTransport"]
 
-# Covers two hops between zones, a loaded event loop and one retransmission less than a caller
-# notices; datagrams are not repeated.
+# Covers two hops between zones and a loaded event loop. Datagrams are not repeated: a lost one
+# costs the request this wait.
 _REPLY_TIMEOUT_SECONDS = 0.15
 # Pause before an owner that did not reply, or is not settled at another daemon, is asked again.
 _RETRY_SECONDS = 0.2
