Keep a stalled attempt while no other endpoint takes requests

Found on reading the diff: a stalled attempt was cancelled for a second send although all other endpoints had asked for a pause, so the caller got a failure instead of a late answer. Test failed first: endpoint_pauses.feature, 'A stalled attempt is kept...'.

--- a/features/endpoint_pauses.feature
+++ b/features/endpoint_pauses.feature
@@ -72,3 +72,10 @@
     When 5 completions are sent one after the other
     Then all of them are refused as not run, the last with a Retry-After of more than 20 s
     And the first engine refused at most 1 request
+
+  # Guards against giving up an attempt that is merely slow while no other endpoint takes requests.
+  Scenario: A stalled attempt is kept while all other endpoints pause
+    Given a request that is in progress at one of 3 endpoints
+    Then its attempt may be replaced
+    When the other endpoints ask for a pause
+    Then its attempt is kept
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -92,7 +92,8 @@
         self.harm = 0.0
         self.crash_guard = CrashGuard(self.loop, self.load_table)
         self.wait_queue = WaitQueue(self.loop, lambda seconds: seconds)
-        self.throttle = EndpointThrottle(self.loop, EndpointSignalTable(), broker=None)
+        self.signals = EndpointSignalTable()
+        self.throttle = EndpointThrottle(self.loop, self.signals, broker=None)
         self._numbers = itertools.count()
 
     def place(self, exchange, need):
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -496,7 +496,8 @@
 
     def _has_other_endpoint(self, attempt: Attempt) -> bool:
         usable = self._context.routing_state.usable(self.service)
-        return any(entry.id != attempt.endpoint for entry in usable)
+        open_entries = self._context.throttle.open_entries(usable)
+        return any(entry.id != attempt.endpoint for entry in open_entries)
 
     def _deadline_expired(self) -> None:
         if self._finished:
