Let a daemon that has just begun to schedule, or hears lost ones again, wait longer

Cause, from the grants of each daemon: a member that becomes an aggregator knows no other one for up to 1.6 s, and two of them scheduled one after the other without a gap; and a daemon that was cut off had scheduled for itself alone and went on at once. Class: a belief that is right in a full view is acted on in a partial one.

A daemon that has just become a member waits 1.5 s (1 s before), and both sides of a cut 0.5 s when they hear each other again as the same processes. Tests failed first: "After a cut both sides wait..." and "A large fleet whose aggregators are cut off..."; "waits 1 s" is 1.5 s now.

--- a/features/endpoint_limits.feature
+++ b/features/endpoint_limits.feature
@@ -49,7 +49,7 @@
     Given daemons that share 40 endpoints
     When a daemon joins
     Then only endpoints of the new daemon change their owner
-    And the new daemon waits 1 s before it schedules them
+    And the new daemon waits 1.5 s before it schedules them
     And the others schedule theirs without a pause
 
   Scenario Outline: A schedule keeps to its rate and uses it
@@ -99,7 +99,7 @@
   Scenario: A daemon that starts to schedule waits until no other can
     Given a daemon that has scheduled nothing while others did
     When it becomes an aggregator and owns endpoints
-    Then it waits 1 s before it schedules them
+    Then it waits 1.5 s before it schedules them
 
   # Guards against a permit that a suspended daemon reads seconds later.
   Scenario: A reply that comes after its timeout allows nothing
@@ -107,3 +107,18 @@
     When the reply is read 0.2 s later
     Then the request was not allowed
     And a reply within 0.1 s allows it
+
+  # Guards against two schedules after a cut: each side has scheduled what the other owns.
+  Scenario Outline: After a cut both sides wait before they schedule
+    Given a daemon that owns endpoints with another one, which falls silent
+    When the other one comes back as the <process> process
+    Then the daemon waits <seconds> s before it schedules its own endpoints
+
+    Examples:
+      | process | seconds |
+      | same    | 0.5     |
+      | new     | 0       |
+
+  Scenario: A large fleet whose aggregators are cut off and come back keeps to a limit
+    When 195 daemons play 2 times a limit of 10 a second with cut aggregators
+    Then the endpoint gets no more than it takes and every caller has its answer
--- a/features/steps/endpoint_limit_steps.py
+++ b/features/steps/endpoint_limit_steps.py
@@ -21,7 +21,7 @@
 from brassdrum.gateway.placing.load import LoadTable
 from brassdrum.gateway.placing.placement import Candidate, PlacementRequest
 from brassdrum.gateway.placing.policies import policies
-from brassdrum.gateway.throttling.ownership import OwnerSelector
+from brassdrum.gateway.throttling.ownership import Member, OwnerSelector
 from brassdrum.gateway.throttling.permits import PermitBroker
 from brassdrum.gateway.throttling.schedule import SendSchedule
 from brassdrum.gateway.throttling.signals import EndpointSignalTable, SignalNotice
@@ -161,13 +161,17 @@
         assert decode_message(encode_message(message)) == message, message
 
 
+def members(hosts, incarnation=1):
+    return frozenset(Member(host, incarnation) for host in hosts)
+
+
 @given("daemons that share {count:d} endpoints")
 def step_owners(context, count):
     context.names = [f"endpoint-{number}" for number in range(count)]
     hosts = [f"10.0.0.{number}" for number in range(1, 5)]
     context.selectors = {host: OwnerSelector(host) for host in hosts}
     for selector in context.selectors.values():
-        selector.set_members(frozenset(hosts), 10.0)
+        selector.set_members(members(hosts), 10.0)
     context.owners = {name: context.selectors[hosts[0]].owner(name) for name in context.names}
     assert set(context.owners.values()) == set(hosts)
 
@@ -176,9 +180,8 @@
 def step_joins(context):
     context.joined = "10.0.0.9"
     context.selectors[context.joined] = OwnerSelector(context.joined)
-    hosts = frozenset(context.selectors)
     for selector in context.selectors.values():
-        selector.set_members(hosts, 20.0)
+        selector.set_members(members(context.selectors), 20.0)
 
 
 @then("only endpoints of the new daemon change their owner")
@@ -297,7 +300,7 @@
 
 @when("it becomes an aggregator and owns endpoints")
 def step_becomes_aggregator(context):
-    context.selector.set_members(frozenset({"10.0.0.1"}), 20.0)
+    context.selector.set_members(members(["10.0.0.1"]), 20.0)
     assert context.selector.owner(ENDPOINT) == "10.0.0.1"
 
 
@@ -324,8 +327,8 @@
     def __init__(self):
         self.sent = []
 
-    def member_hosts(self):
-        """Return no host: this daemon is no aggregator."""
+    def members(self):
+        """Return no member: this daemon is no aggregator."""
         return frozenset()
 
     def send_message(self, host, message):
@@ -358,3 +361,27 @@
     step_late_reply(context, seconds)
     context.loop.advance(1.0)
     assert [permit.granted for permit in context.permits] == [False, True]
+
+
+@given("a daemon that owns endpoints with another one, which falls silent")
+def step_falls_silent(context):
+    context.selector = OwnerSelector("10.0.0.1")
+    context.selector.set_members(members(["10.0.0.1", "10.0.0.2"]), 10.0)
+    names = [f"endpoint-{number}" for number in range(40)]
+    context.names = [name for name in names if context.selector.owner(name) == "10.0.0.1"]
+    context.selector.set_members(members(["10.0.0.1"]), 20.0)
+    assert context.names
+
+
+@when("the other one comes back as the {process} process")
+def step_comes_back(context, process):
+    own = members(["10.0.0.1"])
+    other = members(["10.0.0.2"], 1 if process == "same" else 2)
+    context.selector.set_members(own | other, 30.0)
+
+
+@then("the daemon waits {seconds:g} s before it schedules its own endpoints")
+def step_waits_again(context, seconds):
+    for name in context.names:
+        assert context.selector.owner(name) == "10.0.0.1"
+        assert math.isclose(context.selector.seconds_until_settled(name, 30.0), seconds)
--- a/src/brassdrum/bench/limits.py
+++ b/src/brassdrum/bench/limits.py
@@ -49,6 +49,12 @@
         fleet.loop.call_later(at + _OUTAGE_SECONDS, lambda each=daemon: _bring_back(fleet, each))
 
 
+@troubles.register("cut aggregators")
+def cut_aggregators(fleet: Fleet) -> None:
+    """Cut off three of the daemons that schedule, in turn; they come back as they were."""
+    fleet.loop.call_later(_TROUBLE_AT_SECONDS, lambda: _cut_aggregators(fleet))
+
+
 @troubles.register("cut in two")
 def cut_in_two(fleet: Fleet) -> None:
     """Let the two halves of the daemons lose each other for a while; both reach the endpoint."""
@@ -62,6 +68,15 @@
     fleet.loop.call_later(end, network.cut_ways.clear)
 
 
+def _cut_aggregators(fleet: Fleet) -> None:
+    aggregators = [daemon for daemon in fleet.daemons if daemon.peers.is_aggregator]
+    for number, daemon in enumerate(aggregators[:_REPLACED_DAEMONS]):
+        after = number * _REPLACEMENT_GAP_SECONDS
+        fleet.loop.call_later(after, lambda each=daemon: _take_away(fleet, each))
+        after += _OUTAGE_SECONDS
+        fleet.loop.call_later(after, lambda each=daemon: _bring_back(fleet, each))
+
+
 def _take_away(fleet: Fleet, daemon: SimulatedDaemon) -> None:
     fleet.daemons.remove(daemon)
     fleet.network.cut.add(daemon.peers.own_host)
--- a/src/brassdrum/gateway/peering/peers.py
+++ b/src/brassdrum/gateway/peering/peers.py
@@ -37,6 +37,7 @@
 from brassdrum.gateway.peering.row_teller import RowPublisher, RowUpdate
 from brassdrum.gateway.peering.spreading import fanout_branches
 from brassdrum.gateway.placing.load import LoadTable
+from brassdrum.gateway.throttling.ownership import Member
 from brassdrum.gateway.throttling.permits import PermitBroker
 from brassdrum.telemetry import log_events
 
@@ -158,10 +159,11 @@
         """Return the host of the aggregator of this daemon, or None if it is one itself."""
         return None if self.is_aggregator else self._aggregator_host
 
-    def member_hosts(self) -> frozenset[str]:
-        """Return the hosts of all aggregators that are not about to stop."""
-        own = set() if self.leaving or not self.is_aggregator else {self._own.host}
-        return self._aggregators.live_hosts() | own
+    def members(self) -> frozenset[Member]:
+        """Return all aggregators that are not about to stop."""
+        schedules = self.is_aggregator and not self.leaving
+        own = {Member(self._own.host, self._incarnation)} if schedules else set()
+        return self._aggregators.live_members() | own
 
     def send_message(self, host: str, message: PermitRequest | PermitReply) -> None:
         """Send a datagram; it may get lost."""
--- a/src/brassdrum/gateway/peering/publishers.py
+++ b/src/brassdrum/gateway/peering/publishers.py
@@ -6,6 +6,7 @@
 
 from brassdrum.gateway.following.suspicion import FailureNotice, unexpired_notices
 from brassdrum.gateway.peering.peer_messages import Digest, Sender
+from brassdrum.gateway.throttling.ownership import Member
 from brassdrum.gateway.throttling.signals import (
     SignalNotice,
     aged_notices,
@@ -86,10 +87,12 @@
             for notice in aged_notices(each.signals, now - each.heard_at)
         ]
 
-    def live_hosts(self) -> frozenset[str]:
-        """Return the hosts of the aggregators that are not leaving."""
+    def live_members(self) -> frozenset[Member]:
+        """Return the aggregators that are not leaving."""
         return frozenset(
-            host for host, each in self._aggregator_by_host.items() if not each.sender.leaving
+            Member(host, each.sender.incarnation)
+            for host, each in self._aggregator_by_host.items()
+            if not each.sender.leaving
         )
 
     def name(self, host: str) -> str | None:
@@ -111,7 +114,7 @@
 
     def live_count(self) -> int:
         """Return the number of aggregators that are not leaving."""
-        return len(self.live_hosts())
+        return len(self.live_members())
 
     def remove(self, host: str) -> Sender | None:
         """Remove an aggregator; return its last sender information."""
--- a/src/brassdrum/gateway/throttling/permits.py
+++ b/src/brassdrum/gateway/throttling/permits.py
@@ -8,7 +8,7 @@
 
 from brassdrum.gateway.net.loop import Timer, Timers
 from brassdrum.gateway.peering.peer_messages import PermitReply, PermitRequest
-from brassdrum.gateway.throttling.ownership import OwnerSelector
+from brassdrum.gateway.throttling.ownership import Member, OwnerSelector
 from brassdrum.gateway.throttling.schedule import SendSchedule, SendSlot
 
 __all__ = ["MAX_WAIT_SECONDS", "Permit", "PermitBroker", "PermitTransport"]
@@ -38,8 +38,8 @@
     def report_target(self) -> str | None:
         """Return the host of the aggregator of this daemon, or None if it is one itself."""
 
-    def member_hosts(self) -> frozenset[str]:
-        """Return the hosts of all aggregators that are not about to stop."""
+    def members(self) -> frozenset[Member]:
+        """Return all aggregators that are not about to stop."""
 
     def send_message(self, host: str, message: PermitRequest | PermitReply) -> None:
         """Send a datagram; it may get lost."""
@@ -95,7 +95,7 @@
 
     def members_changed(self) -> None:
         """Follow the aggregators that are alive; call often enough to notice each change."""
-        self._owners.set_members(self._transport.member_hosts(), self._loop.now())
+        self._owners.set_members(self._transport.members(), self._loop.now())
 
     def request(
         self, endpoint: str, rate: float, max_wait: float, on_decided: Callable[[Permit], None]
