--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -240,6 +240,12 @@
     connection.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
+def reject(connection, request, *headers):
+    """Reject a request as not executed."""
+    extra = ["X-Not-Executed: 1", *headers]
+    send_response(connection, 503, b"", request, seal=False, extra=extra)
+
+
 def event(number):
     """Return an encoded server-sent event."""
     return b"id: %d\ndata: token %d\n\n" % (number, number)
@@ -298,8 +304,7 @@
 @behaviours.register("rejection before a stop")
 def leaving_rejection(endpoint, connection, request):
     """Reject the request as not executed and say that the endpoint is about to stop."""
-    extra = ["X-Not-Executed: 1", "Server-Leaving: 1"]
-    send_response(connection, 503, b"", request, seal=False, extra=extra)
+    reject(connection, request, "Server-Leaving: 1")
 
 
 @behaviours.register("stream before a stop")
@@ -311,15 +316,13 @@
 @behaviours.register("rejection for 30 s")
 def pause(endpoint, connection, request):
     """Reject the request as not executed, and all others for 30 seconds."""
-    extra = ["X-Not-Executed: 1", "Retry-After: 30"]
-    send_response(connection, 503, b"", request, seal=False, extra=extra)
+    reject(connection, request, "Retry-After: 30")
 
 
 @behaviours.register("rejection for 0.3 s")
 def short_pause(endpoint, connection, request):
     """Reject the request as not executed, and all others for a moment."""
-    extra = ["X-Not-Executed: 1", "Retry-After: 0.3"]
-    send_response(connection, 503, b"", request, seal=False, extra=extra)
+    reject(connection, request, "Retry-After: 0.3")
 
 
 @behaviours.register("plain 503 for 30 s")
@@ -343,7 +346,7 @@
 @behaviours.register("not executed")
 def not_run(endpoint, connection, request):
     """Reject the request as not executed."""
-    send_response(connection, 503, b"", request, seal=False, extra=["X-Not-Executed: 1"])
+    reject(connection, request)
 
 
 @behaviours.register("another endpoint")
--- a/src/brassdrum/endpoints/engine.py
+++ b/src/brassdrum/endpoints/engine.py
@@ -21,6 +21,7 @@
     NoEndpointError,
     Ran,
 )
+from brassdrum.header_values import parse_decimal
 from brassdrum.http_pool import (
     Connected,
     ConnectFailedError,
@@ -28,7 +29,6 @@
     ExchangeFailedError,
     HttpPool,
 )
-from brassdrum.outcomes.pauses import parse_retry_after
 
 __all__ = ["CacheEvent", "EngineClient", "EngineLoad", "EngineRequest", "EngineConnection"]
 
@@ -257,7 +257,7 @@
         message = str(error.get("message", f"status {status}"))
         if status in (400, 404, 422):
             return InvalidRequestError(f"Endpoint {self.name} rejected the request: {message}")
-        pause = parse_retry_after(exchange.header("Retry-After")) if status in (429, 503) else None
+        pause = parse_decimal(exchange.header("Retry-After")) if status in (429, 503) else None
         if status not in (409, 429, 503) or error.get("ran") != Ran.NO.value:
             return EndpointFailedError(f"Endpoint {self.name} failed: {message}", retry_after=pause)
         if pause is not None:
--- a/src/brassdrum/gateway/net/upstream.py
+++ b/src/brassdrum/gateway/net/upstream.py
@@ -24,8 +24,8 @@
 # Connections are not reused this close to the idle timeout that the endpoint announces: a request
 # in flight when the endpoint closes the connection would be lost.
 _KEEP_ALIVE_MARGIN_SECONDS = 0.5
-# Detects an unreachable host, so that the request can be retried. Round trips take about 5 ms; long
-# enough for two lost packets and half a second of queueing on a slow link.
+# Detects an unreachable host, so that the request can be retried. Long enough for two lost packets
+# and half a second of queueing on a slow link.
 _ACK_TIMEOUT_SECONDS = 1.0
 _MAX_IDLE_PER_ADDRESS = 32
 _MAX_HEADER_BYTES = 65536
--- a/src/brassdrum/gateway/request/send_gate.py
+++ b/src/brassdrum/gateway/request/send_gate.py
@@ -2,45 +2,27 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import TYPE_CHECKING
 
 from brassdrum.gateway.placing.placement import SLOT_WAIT_PATIENCE_SHARE, PlacementRequest
 from brassdrum.gateway.request.exchange_host import ExchangeContext
 from brassdrum.gateway.throttling.permits import MAX_WAIT_SECONDS, Permit
 from brassdrum.gateway.throttling.throttle import EndpointOpening
 from brassdrum.telemetry import log_events
-from brassdrum.telemetry.log_events import LogEvent
 
-__all__ = ["GatedRequest", "SendGate"]
+if TYPE_CHECKING:
+    from brassdrum.gateway.request.exchange import Exchange
 
-
-class GatedRequest(Protocol):
-    """A request that is dispatched again when an endpoint may take it."""
-
-    @property
-    def finished(self) -> bool:
-        """Return whether the request has its final response."""
-
-    def dispatch(self) -> None:
-        """Place the request again."""
-
-    def postpone(self, seconds: float) -> None:
-        """Dispatch the request again after some seconds."""
-
-    def fail(self, detail: str, retry_after: float | None = None) -> None:
-        """Send the final response of a request that was not served."""
-
-    def log_decision(self, event: LogEvent, **values: object) -> None:
-        """Log a decision about the request."""
+__all__ = ["SendGate"]
 
 
 class SendGate:
     """Obtain permits for the sends of one request, or wait until an endpoint opens."""
 
-    def __init__(self, context: ExchangeContext, request: GatedRequest) -> None:
+    def __init__(self, context: ExchangeContext, exchange: Exchange) -> None:
         self.permit: Permit | None = None
         self._context = context
-        self._request = request
+        self._exchange = exchange
 
     def admits(self, endpoint: str) -> bool:
         """Return whether the request may be sent to an endpoint as far as its rate is limited."""
@@ -55,31 +37,31 @@
 
     def wait_for_opening(self, need: PlacementRequest) -> None:
         """Wait for the endpoint that has room first, or refuse the request if that is too late."""
-        opening = self._context.next_opening(self._request, need)
+        opening = self._context.next_opening(self._exchange, need)
         if opening is None:
-            self._request.fail("no endpoint is available for the request")
+            self._exchange.fail("no endpoint is available for the request")
             return
         max_wait = self._max_wait(need, opening)
         if opening.seconds > max_wait:
-            self._request.fail("every endpoint asks for fewer requests", opening.seconds)
+            self._exchange.fail("every endpoint asks for fewer requests", opening.seconds)
         elif opening.needs_permit:
             self.request_permit(opening.endpoint, max_wait)
         else:
-            self._request.postpone(opening.seconds)
+            self._exchange.postpone(opening.seconds)
 
     def request_permit(self, endpoint: str, max_wait: float) -> None:
         """Ask for a permit; dispatch again when it allows a send or another endpoint is needed."""
         self.permit = None
 
         def decided(permit: Permit) -> None:
-            if not self._request.finished:
+            if not self._exchange.finished:
                 self._permit_decided(permit, max_wait)
 
         self._context.throttle.request_permit(endpoint, max_wait, decided)
 
     def _permit_decided(self, permit: Permit, max_wait: float) -> None:
         wait = permit.send_at - self._context.loop.now()
-        self._request.log_decision(
+        self._exchange.log_decision(
             log_events.PERMIT,
             endpoint=permit.endpoint,
             granted=permit.granted,
@@ -90,9 +72,9 @@
             self.permit = permit
         # A refusal within the time that was asked for is worth a second try after the wait.
         if wait > 0 and (permit.granted or wait <= max_wait):
-            self._request.postpone(wait)
+            self._exchange.postpone(wait)
         else:
-            self._request.dispatch()
+            self._exchange.dispatch()
 
     def _max_wait(self, need: PlacementRequest, opening: EndpointOpening) -> float:
         """Return for how many seconds the request may wait for an endpoint that is closed.
@@ -100,7 +82,7 @@
         A slot is booked, so even a late request may wait for it. A pause binds this daemon alone:
         a request that would be late is better off at another one.
         """
-        if not self._context.may_wait(self._request):
+        if not self._context.may_wait(self._exchange):
             return 0.0
         start_ms = need.waited_ms + opening.first_event_ms
         if not opening.needs_permit:
--- a/src/brassdrum/gateway/throttling/permits.py
+++ b/src/brassdrum/gateway/throttling/permits.py
@@ -65,7 +65,6 @@
 @dataclass(frozen=True, slots=True)
 class _PendingRequest:
     endpoint: str
-    asked_at: float
     on_decided: Callable[[Permit], None]
     timer: Timer
 
@@ -108,9 +107,7 @@
             return
         number = self._last_number = (self._last_number + 1) % _REQUEST_NUMBERS
         timer = self._loop.call_later(_REPLY_TIMEOUT_SECONDS, lambda: self._timed_out(number))
-        self._pending_by_number[number] = _PendingRequest(
-            endpoint, self._loop.now(), on_decided, timer
-        )
+        self._pending_by_number[number] = _PendingRequest(endpoint, on_decided, timer)
         message = PermitRequest(number, own_host, endpoint, rate, max_wait)
         self._transport.send_message(host, message)
 
@@ -132,7 +129,7 @@
         """Complete a request; replies that come after the timeout are ignored."""
         pending = self._pending_by_number.get(message.number)
         # A suspended daemon reads the reply before the timer of the timeout runs.
-        if pending is None or self._loop.now() - pending.asked_at > _REPLY_TIMEOUT_SECONDS:
+        if pending is None or self._loop.now() > pending.timer.when:
             return
         del self._pending_by_number[message.number]
         pending.timer.cancel()
--- a/src/brassdrum/outcomes/pauses.py
+++ b/src/brassdrum/outcomes/pauses.py
@@ -5,21 +5,12 @@
 import math
 from dataclasses import dataclass
 
-__all__ = ["Pause", "parse_retry_after"]
+__all__ = ["Pause"]
 
 # A mistaken value does not exclude an endpoint for good.
 _MAX_PAUSE_SECONDS = 600.0
 
 
-def parse_retry_after(value: str | None) -> float | None:
-    """Return the seconds that a Retry-After header asks for, or None without a valid number."""
-    try:
-        seconds = math.nan if value is None else float(value)
-    except ValueError:
-        return None
-    return seconds if 0 <= seconds < math.inf else None
-
-
 @dataclass(slots=True)
 class Pause:
     """The time in which one endpoint takes no requests of this daemon.
--- a/src/brassdrum/platform/dialect.py
+++ b/src/brassdrum/platform/dialect.py
@@ -4,7 +4,6 @@
 
 import json
 import logging
-import math
 
 from brassdrum.errors import InvalidRequestError
 from brassdrum.gateway.model import (
@@ -17,7 +16,7 @@
     ReplyKind,
     RequestHead,
 )
-from brassdrum.outcomes.pauses import parse_retry_after
+from brassdrum.header_values import parse_decimal
 
 __all__ = ["PlatformDialect"]
 
@@ -127,11 +126,10 @@
             return None
         value_by_name = {name.lower(): value for name, value in headers}
         rejected = status in _REJECTED
-        retry_after = value_by_name.get(_RETRY_AFTER, b"")
         return EndpointSignals(
             rate_limit=_amount(value_by_name.get(_RATE_LIMIT)),
             draining=value_by_name.get(_DRAINING) == b"1",
-            pause=parse_retry_after(retry_after.decode("latin-1")) if rejected else None,
+            pause=_amount(value_by_name.get(_RETRY_AFTER)) if rejected else None,
         )
 
     def encode_reserve(self, ticket: str, tokens: int, seconds: float, *, wait: bool) -> bytes:
@@ -186,13 +184,9 @@
     """Return a decimal number that an endpoint sent, or None without a valid one."""
     if value is None:
         return None
-    try:
-        amount = float(value)
-    except ValueError:
-        amount = math.nan
-    if not 0 <= amount <= _LARGEST_COUNT:
+    amount = parse_decimal(value.decode("latin-1"))
+    if amount is None:
         _logger.warning("header ignored", extra={"value": repr(value[:40])})
-        return None
     return amount
 
 
