Play late messages between daemons too, and state the rule on limits once

One in twenty comes 0.4 s late, after later ones. The soak's check had its own copy of the rule's figures; it asks bench.limits now.

--- a/features/endpoint_limits.feature
+++ b/features/endpoint_limits.feature
@@ -88,6 +88,8 @@
       | 6       | 1     | 0.5    | none             | nobody is refused  |
       | 6       | 10    | 2      | none             | the limit is used  |
       | 6       | 10    | 0.5    | lost messages    | nobody is refused  |
+      | 6       | 10    | 2      | late messages    | the limit is used  |
+      | 12      | 10    | 0.5    | late messages    | nobody is refused  |
       | 6       | 10    | 2      | replaced daemons | the limit is used  |
       | 6       | 50    | 2      | lost messages    | the limit is used  |
       | 12      | 1     | 2      | replaced daemons | the limit is used  |
--- a/src/brassdrum/bench/limits.py
+++ b/src/brassdrum/bench/limits.py
@@ -11,7 +11,14 @@
 from brassdrum.gateway.placing.policies import policies
 from brassdrum.registry import Registry
 
-__all__ = ["LimitPlan", "LimitResult", "allowed_requests", "play_limit", "troubles"]
+__all__ = [
+    "WINDOW_SECONDS",
+    "LimitPlan",
+    "LimitResult",
+    "allowed_requests",
+    "play_limit",
+    "troubles",
+]
 
 WINDOW_SECONDS = 4.0
 # The platform's rule: in each window one and a half times the limit, and five requests.
@@ -40,6 +47,12 @@
     fleet.network.loss = _LOSS_SHARE
 
 
+@troubles.register("late messages")
+def delay_messages(fleet: Fleet) -> None:
+    """Let one in twenty messages between daemons come late, after later ones."""
+    fleet.network.late = _LOSS_SHARE
+
+
 @troubles.register("replaced daemons")
 def replace_daemons(fleet: Fleet) -> None:
     """Take three daemons away one after the other; they come back later."""
--- a/src/brassdrum/bench/load/network.py
+++ b/src/brassdrum/bench/load/network.py
@@ -11,6 +11,7 @@
 __all__ = ["SimulatedDatagrams", "SimulatedNetwork", "Traffic"]
 
 _WAY_SECONDS = 0.001
+_LATE_SECONDS = 0.4
 
 
 @dataclass(slots=True)
@@ -25,11 +26,15 @@
 
 @dataclass(slots=True)
 class SimulatedNetwork:
-    """Hold the hosts of a run; ``loss`` is the share of datagrams that get lost."""
+    """Hold the hosts of a run.
+
+    ``loss`` is the share of datagrams that get lost, ``late`` of those that later ones overtake.
+    """
 
     loop: SimulatedLoop
     rng: random.Random
     loss: float = 0.0
+    late: float = 0.0
     cut: set[str] = field(default_factory=set)
     cut_ways: set[tuple[str, str]] = field(default_factory=set)
     traffic_by_host: dict[str, Traffic] = field(default_factory=dict)
@@ -55,7 +60,9 @@
         traffic.sent_bytes += len(data)
         if self._blocked(source, host) or self.rng.random() < self.loss:
             return
-        self.loop.call_later(_WAY_SECONDS, lambda: self._arrive(source, host, data))
+        late = self.late > 0 and self.rng.random() < self.late
+        seconds = _LATE_SECONDS if late else _WAY_SECONDS
+        self.loop.call_later(seconds, lambda: self._arrive(source, host, data))
 
     def _arrive(self, source: str, host: str, data: bytes) -> None:
         received = self._received_by_host.get(host)
--- a/src/brassdrum/soak/checks.py
+++ b/src/brassdrum/soak/checks.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+from brassdrum.bench.limits import WINDOW_SECONDS, allowed_requests
 from brassdrum.registry import Registry
 from brassdrum.soak.replicas import Arrival, Run, whole_answer
 
@@ -23,7 +24,6 @@
 # What endpoints say of themselves: the platform's bounds.
 _DRAIN_SECONDS = 2.0
 _TOLD_SECONDS = 3.0
-_LIMIT_WINDOW_SECONDS = 4.0
 _PAUSE_GRACE_SECONDS = 0.5
 _MORE_IN_PAUSE = 2
 
@@ -193,9 +193,9 @@
             and each.at > begin
             and history.calm(daemon_by_request.get(each.request, ""), named.since, each.at)
         ]
-        allowed = 1.5 * named.limit * _LIMIT_WINDOW_SECONDS + 5
+        allowed = allowed_requests(named.limit)
         for at in times:
-            count = sum(1 for each in times if at <= each < at + _LIMIT_WINDOW_SECONDS)
+            count = sum(1 for each in times if at <= each < at + WINDOW_SECONDS)
             if count > allowed:
                 detail = f"{named.replica}: {count} requests in 4 s, limit {named.limit}"
                 yield Violation("limits that endpoints name are kept", "", detail)
