--- a/src/brassdrum/gateway/placing/load.py
+++ b/src/brassdrum/gateway/placing/load.py
@@ -8,16 +8,22 @@
 from dataclasses import dataclass, field, replace
 from functools import lru_cache
 
-__all__ = ["EndpointLoad", "LoadRow", "LoadShare", "LoadTable", "endpoint_key"]
+__all__ = [
+    "MAX_BACKOFF_SECONDS",
+    "EndpointLoad",
+    "LoadRow",
+    "LoadShare",
+    "LoadTable",
+    "endpoint_key",
+]
 
 # Tolerated excess over a predicted prefill: passes that are running finish first.
 _PREFILL_TOLERANCE_FACTOR = 1.3
 # The share of a prefill that still counts at each refresh after its predicted end.
 _OVERDUE_PREFILL_SHARE = 0.9
 
-# Freed slots older than this are open to all daemons; longer than the longest back-off, which is
-# 0.5 s at 60 daemons.
-_FREED_SLOT_SECONDS = 0.6
+# The longest back-off of any daemon; slots that were freed earlier are open to all.
+MAX_BACKOFF_SECONDS = 1.5
 
 
 @lru_cache(maxsize=4096)
@@ -322,7 +328,7 @@
             return
         freed = self._freed_by_key[key]
         freed.append(_FreedSlots(now, slots, own))
-        while freed[0].freed_at < now - _FREED_SLOT_SECONDS:
+        while freed[0].freed_at < now - MAX_BACKOFF_SECONDS:
             freed.popleft()
 
     def _change_own(self, endpoint: str, load: EndpointLoad, sign: int) -> None:
--- a/src/brassdrum/gateway/placing/placement.py
+++ b/src/brassdrum/gateway/placing/placement.py
@@ -26,6 +26,7 @@
     "should_wait",
     "usable_memory",
     "usable_pause_ms",
+    "wait_limit_ms",
     "would_queue",
 ]
 
@@ -74,7 +75,9 @@
     """An endpoint that may serve the request, with the load of all daemons there.
 
     ``claimed_slots`` are free but left for now to other daemons. A ``limited`` endpoint asks for
-    fewer requests, so it does no work for the prompts of others.
+    fewer requests, so it does no work for the prompts of others; ``asked_at`` is when this daemon
+    last asked for a permit there. ``slowdown`` is how many times as long its passes take as those
+    of the service's cost model.
     """
 
     entry: EndpointEntry
@@ -82,11 +85,23 @@
     suspect: bool = False
     claimed_slots: int = 0
     limited: bool = False
+    asked_at: float = -math.inf
+    slowdown: float = 1.0
 
     def is_full(self, engine: EngineModel) -> bool:
         """Return whether every slot is in use or claimed."""
         return self.load.streams + self.claimed_slots >= engine.slots
 
+    @property
+    def pending_prefill_ms(self) -> float:
+        """Return how long the pending prefill takes at the endpoint's speed."""
+        return self.load.pending_prefill_ms * self.slowdown
+
+    def wait_ms(self, engine: EngineModel) -> float:
+        """Return how long the pending prefill and the next pass of its streams take."""
+        pass_ms = next_decode_pass_ms(engine, self.load) + self.load.pending_prefill_ms
+        return pass_ms * self.slowdown
+
 
 @dataclass(frozen=True, slots=True)
 class Helper:
@@ -102,7 +117,9 @@
 
     ``first_event_ms`` is the time to the first event, ``best_first_event_ms`` what it would be if
     half of the largest group of engines were idle. ``interference_tokens`` is the loss of other
-    streams that stall or come late, ``lateness_tokens`` the loss of this request.
+    streams that stall or come late, ``lateness_tokens`` the loss of this request. ``slowdown`` is
+    the factor of the endpoint by which ``first_event_ms`` was multiplied. A request that ``queues``
+    waits inside the endpoint for the slot that is freed next, for a time that isn't predicted.
     """
 
     entry: EndpointEntry
@@ -114,6 +131,8 @@
     lateness_tokens: float = 0.0
     best_first_event_ms: float = 0.0
     endpoint_full: bool = False
+    slowdown: float = 1.0
+    queues: bool = False
 
     @property
     def total_prefill_ms(self) -> float:
@@ -166,6 +185,12 @@
     return placement.interference_tokens > 0 and best < _LATE_WAIT_OBJECTIVES
 
 
+def wait_limit_ms(request: PlacementRequest, placement: Placement) -> float:
+    """Return how long a request may still wait for less loaded engines, 0 if it may not."""
+    best = request.waited_ms + placement.best_first_event_ms
+    return max(0.0, request.objective_ms * _WAIT_OBJECTIVES - best)
+
+
 def is_worth_serving(request: PlacementRequest, placement: Placement) -> bool:
     """Return whether a request gains more than it costs others before its caller gives up."""
     if request.waited_ms + placement.first_event_ms >= request.patience_ms:
@@ -177,7 +202,7 @@
     """Return the share of the engines in use by streams or pending prefill, from 0 to 1."""
     used = 0.0
     for each in candidates:
-        prefill = each.load.pending_prefill_ms / _FULL_PREFILL_MS
+        prefill = each.pending_prefill_ms / _FULL_PREFILL_MS
         used += min(1.0, each.load.streams / engine.slots + prefill)
     return used / len(candidates)
 
@@ -214,11 +239,18 @@
 ) -> Placement:
     """Return the placement of a request at one endpoint without helpers."""
     cost = 0.0 if engine is None else prefill_ms(engine, request.prompt_tokens)
-    wait = chosen.load.pending_prefill_ms + (
-        next_decode_pass_ms(engine, chosen.load) if engine is not None else 0.0
-    )
+    wait = chosen.pending_prefill_ms if engine is None else chosen.wait_ms(engine)
     share = LoadShare(chosen.entry.id, cost, request.total_tokens, request.max_pause_ms)
-    first = wait + cost
+    first = wait + cost * chosen.slowdown
     return Placement(
-        chosen.entry, (), (share,), first, reason, interference_tokens, 0.0, first, full
+        entry=chosen.entry,
+        helpers=(),
+        shares=(share,),
+        first_event_ms=first,
+        reason=reason,
+        interference_tokens=interference_tokens,
+        # Waiting may lead to an endpoint of usual speed.
+        best_first_event_ms=first / chosen.slowdown,
+        endpoint_full=full,
+        slowdown=chosen.slowdown,
     )
--- a/src/brassdrum/gateway/placing/splitting.py
+++ b/src/brassdrum/gateway/placing/splitting.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from brassdrum.gateway.model import EngineModel
-from brassdrum.gateway.placing.costs import decode_pass_ms, next_decode_pass_ms, prefill_ms
+from brassdrum.gateway.placing.costs import decode_pass_ms, prefill_ms
 from brassdrum.gateway.placing.harm import (
     blocked_tokens,
     delayed_prefill_tokens,
@@ -27,12 +27,12 @@
     usable_pause_ms,
 )
 
-__all__ = ["place_long_prompt"]
+__all__ = ["MAX_GROUP_ENGINES", "place_long_prompt"]
 
 # Target prefill time of a part; streams at the same engine stall for as long.
 _TARGET_PART_MS = 60.0
-# The platform's limit on helpers beside the engine that receives the request.
-_MAX_HELPERS = 16
+# The engine that receives the request and the helpers that the platform allows beside it.
+MAX_GROUP_ENGINES = 17
 # The number of least loaded engines considered for groups: four times the largest group.
 _MAX_CONSIDERED = 68
 # Waiting is assumed to free half of the largest possible group, hence twice its prefill time.
@@ -61,12 +61,11 @@
     utilization = fleet_utilization(candidates, engine)
     best: _Group | None = None
     available = max(1, sum(1 for state in states if not state.candidate.limited))
-    for count in range(1, min(_MAX_HELPERS + 1, available) + 1):
+    for count in range(1, min(MAX_GROUP_ENGINES, available) + 1):
         group = _group(request, states, count, engine, utilization)
-        distance = abs(count - fewest)
-        if best is None or (group.loss_tokens, distance) < (
+        if best is None or (group.loss_tokens, abs(group.usual_parts - fewest)) < (
             best.loss_tokens,
-            abs(best.count - fewest),
+            abs(best.usual_parts - fewest),
         ):
             best = group
     assert best is not None
@@ -102,17 +101,30 @@
             headroom_ms=headroom_ms if load.helper_prefills < engine.slots else -math.inf,
             stall_tokens=stalled_stream_tokens(load) + 1.0,
             tighter_streams=_tighter_streams(load, request),
-            load_ms=load.pending_prefill_ms + _STREAM_WEIGHT_MS * load.streams,
-            wait_ms=next_decode_pass_ms(engine, load) + load.pending_prefill_ms,
+            load_ms=each.pending_prefill_ms + _STREAM_WEIGHT_MS * load.streams,
+            wait_ms=each.wait_ms(engine),
             tie_breaker=tie_breaker,
         )
 
     @property
-    def load_rank(self) -> tuple[float, float, float]:
-        return self.stall_tokens, self.load_ms, self.tie_breaker
+    def load_rank(self) -> tuple[float, float, float, float]:
+        return self.stall_tokens, self.load_ms, self.candidate.slowdown, self.tie_breaker
+
+    def part_ms(self, part: float) -> float:
+        """Return how long a part that takes ``part`` ms at usual speed takes here."""
+        return part * self.candidate.slowdown
+
+    def extra_ms(self, part: float) -> float:
+        """Return how much longer a part takes here than at usual speed."""
+        return part * (self.candidate.slowdown - 1.0)
+
+    def first_event_ms(self, part: float) -> float:
+        """Return the time to the first event as far as this engine's part decides it."""
+        return self.part_ms(part) + self.wait_ms
 
     def interference_tokens(self, part: float) -> float:
-        """Return the loss of other requests here if a part of this duration is added."""
+        """Return the loss of other requests here if a part is added."""
+        part = self.part_ms(part)
         stalled = 0.0 if self.headroom_ms >= part else self.stall_tokens
         return stalled + delayed_prefill_tokens(self.candidate.load, part)
 
@@ -130,6 +142,14 @@
     def count(self) -> int:
         return len(self.helpers) + 1
 
+    @property
+    def usual_parts(self) -> float:
+        """Return into how many parts engines of usual speed split the prompt in the same time.
+
+        Of groups with the same loss, the one closest to the wanted number of parts is chosen.
+        """
+        return self.count / max(each.slowdown for each in [self.head, *self.helpers])
+
     @property
     def loss_tokens(self) -> float:
         return self.interference_tokens + self.lateness_tokens
@@ -153,7 +173,7 @@
             state.full,
             state.interference_tokens(part),
             state.tighter_streams,
-            state.load_ms,
+            state.load_ms + state.extra_ms(part),
             state.tie_breaker,
         ),
     )
@@ -162,26 +182,23 @@
         (state for state in states if state is not head and not state.candidate.limited),
         key=lambda state: (
             state.interference_tokens(part),
-            state.candidate.load.pending_prefill_ms,
+            state.candidate.pending_prefill_ms + state.extra_ms(part),
             state.tie_breaker,
         ),
     )
     members = [head, *helpers]
-    late = _request_lateness_tokens(request, part + max(state.wait_ms for state in members))
+    first_event_ms = max(state.first_event_ms(part) for state in members)
+    late = _request_lateness_tokens(request, first_event_ms)
     interference = sum(
-        state.interference_tokens(part) for state in members
-    ) + count * blocked_tokens(part, utilization)
+        state.interference_tokens(part) + blocked_tokens(state.part_ms(part), utilization)
+        for state in members
+    )
     return _Group(head.candidate, [state.candidate for state in helpers], interference, late)
 
 
 def _headroom_ms(candidate: Candidate, engine: EngineModel, own_max_pause_ms: int) -> float:
     """Return how long a part may last before a stream there exceeds its allowed pause."""
-    load = candidate.load
-    return (
-        usable_pause_ms(load, own_max_pause_ms)
-        - next_decode_pass_ms(engine, load)
-        - load.pending_prefill_ms
-    )
+    return usable_pause_ms(candidate.load, own_max_pause_ms) - candidate.wait_ms(engine)
 
 
 def _request_lateness_tokens(request: PlacementRequest, first_event_ms: float) -> float:
@@ -192,9 +209,7 @@
 
 
 def _first_event_ms(engine: EngineModel, members: list[Candidate], part: float) -> float:
-    return part + max(
-        next_decode_pass_ms(engine, each.load) + each.load.pending_prefill_ms for each in members
-    )
+    return max(part * each.slowdown + each.wait_ms(engine) for each in members)
 
 
 def _tighter_streams(load: EndpointLoad, request: PlacementRequest) -> int:
@@ -220,18 +235,19 @@
         helpers.append(Helper(each.entry, stored))
     first = _first_event_ms(engine, [group.head, *group.helpers], part)
     reason = f"{group.count} parts of {part:.0f} ms, {len(stored_by_id)} stored apart"
-    best = prefill_ms(engine, request.prompt_tokens) / (_MAX_HELPERS + 1) * _BUSY_FACTOR
+    best = prefill_ms(engine, request.prompt_tokens) / MAX_GROUP_ENGINES * _BUSY_FACTOR
     best += decode_pass_ms(engine, 1, request.prompt_tokens)
     return Placement(
-        group.head.entry,
-        tuple(helpers),
-        tuple(shares),
-        first,
-        reason,
-        group.interference_tokens,
-        group.lateness_tokens,
-        best,
-        group.head.is_full(engine),
+        entry=group.head.entry,
+        helpers=tuple(helpers),
+        shares=tuple(shares),
+        first_event_ms=first,
+        reason=reason,
+        interference_tokens=group.interference_tokens,
+        lateness_tokens=group.lateness_tokens,
+        best_first_event_ms=best,
+        endpoint_full=group.head.is_full(engine),
+        slowdown=group.head.slowdown,
     )
 
 
@@ -248,13 +264,15 @@
         key=lambda each: (
             each.is_full(engine),
             each.limited,
+            # The slowest engine of the group decides its first event.
+            each.slowdown,
             each.load.memory,
-            each.load.pending_prefill_ms,
+            each.pending_prefill_ms,
             tie_breaker_by_id[each.entry.id],
         ),
     )
     fewest = math.ceil(request.total_tokens / (engine.memory_tokens * _STORED_MEMORY_SHARE))
-    most = min(len(by_load), _MAX_HELPERS + 1)
+    most = min(len(by_load), MAX_GROUP_ENGINES)
     # Prefers many small parts; falls back to larger ones if too few engines have memory for them.
     for count in [*range(fewest, most + 1), *range(min(fewest - 1, most), 1, -1)]:
         part = math.ceil(request.total_tokens / count)
@@ -282,11 +300,14 @@
     utilization = fleet_utilization(by_load, engine)
     states = {each.entry.id: _EngineState.of(each, request, engine, 0.0) for each in by_load}
     best: _Group | None = None
-    for count in range(len(storing), min(len(storing) + len(others), _MAX_HELPERS + 1) + 1):
+    for count in range(len(storing), min(len(storing) + len(others), MAX_GROUP_ENGINES) + 1):
         members = [*storing, *others[: count - len(storing)]]
         part = cost / count
-        interference = sum(states[each.entry.id].interference_tokens(part) for each in members)
-        interference += count * blocked_tokens(part, utilization)
+        interference = sum(
+            states[each.entry.id].interference_tokens(part)
+            + blocked_tokens(part * each.slowdown, utilization)
+            for each in members
+        )
         late = _request_lateness_tokens(request, _first_event_ms(engine, members, part))
         if best is None or interference + late <= best.loss_tokens:
             best = _Group(members[0], members[1:], interference, late)
--- a/src/brassdrum/gateway/request/attempt.py
+++ b/src/brassdrum/gateway/request/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from brassdrum.gateway.following.beliefs import EndpointMonitor
@@ -23,7 +24,9 @@
 from brassdrum.gateway.placing.load import LoadTable
 from brassdrum.gateway.placing.placement import Helper, Placement
 from brassdrum.gateway.placing.reservations import MemoryHold, ReservationManager
-from brassdrum.gateway.request.completeness import Framing, framing_of
+from brassdrum.gateway.request.completeness import Framing, content_length_of, framing_of
+from brassdrum.gateway.sharing.demand import DemandKey
+from brassdrum.gateway.sharing.ledger import DemandLedger
 from brassdrum.gateway.throttling.throttle import EndpointThrottle
 
 __all__ = ["Attempt", "CallAttempt", "AttemptContext", "AttemptOwner", "helper_name"]
@@ -39,6 +42,7 @@
     dialect: Dialect
     pool: EndpointPool
     load_table: LoadTable
+    demand_ledger: DemandLedger
     reservations: ReservationManager
     routing_state: RoutingState
     endpoint_monitor: EndpointMonitor
@@ -64,6 +68,10 @@
     route: Route
     service: str
 
+    @property
+    def demand_key(self) -> DemandKey:
+        """Return the key under which the request is counted."""
+
     def build_request(self, attempt: Attempt, placement: Placement) -> OutgoingRequest:
         """Return the request to send to the chosen endpoint."""
 
@@ -73,8 +81,8 @@
         ``placement`` is None once the first event has arrived.
         """
 
-    def reservation_refused(self, attempt: Attempt) -> None:
-        """Handle a refused memory reservation; the request was not sent."""
+    def reservation_unusable(self, attempt: Attempt, detail: str) -> None:
+        """Handle a memory reservation that is refused or too late; the request was not sent."""
 
     def attempt_unresponsive(self, attempt: Attempt) -> None:
         """Handle failed liveness checks; the memory reserved for the endpoint is released."""
@@ -107,6 +115,7 @@
         self.sent_at = sent_at
         self.reply: Reply | None = None
         self.framing = Framing.CLOSE
+        self.content_length: bytes | None = None
         self.body = bytearray()
         self.unsent = False
         self.retry_after: float | None = None
@@ -124,6 +133,21 @@
         """Return whether the request was sent over a pooled connection."""
         return self._call is not None and self._call.reused
 
+    @property
+    def request_taken(self) -> bool:
+        """Return whether the endpoint has taken the whole request."""
+        return self._call is None or not self._call.unsent_bytes
+
+    def set_read_gate(self, read_size: Callable[[], int]) -> None:
+        """Ask a function before each read how many bytes may be read; 0 pauses the response."""
+        if self._call is not None:
+            self._call.read_gate = read_size
+
+    def resume_reading(self) -> None:
+        """Read the response again after a pause."""
+        if self._call is not None and not self._finished:
+            self._call.resume_reading()
+
     @property
     def finished(self) -> bool:
         """Return whether the attempt is over."""
@@ -232,6 +256,7 @@
             self._context.loop.now(),
             self._placement.first_event_ms,
         )
+        self._context.demand_ledger.sent(self._load_key, self._owner.demand_key)
         self._context.load_changed()
         reservations = tuple(
             Reservation(
@@ -254,10 +279,22 @@
     def _reservation_answered(self, granted: bool) -> None:
         if self._finished:
             return
-        if granted:
-            self._send()
-        else:
-            self._owner.reservation_refused(self)
+        if not granted:
+            self._owner.reservation_unusable(self, "an endpoint refused the memory reservation")
+            return
+        zone = self._evacuated_zone()
+        if zone is not None:
+            detail = f"zone {zone} was evacuated before the memory reservation was granted"
+            self._owner.reservation_unusable(self, detail)
+            return
+        self._send()
+
+    def _evacuated_zone(self) -> str | None:
+        """Return an evacuated zone that has an endpoint of the placement, or None."""
+        evacuated = self._context.routing_state.evacuated_zones
+        placement = self._placement
+        entries = [placement.entry, *(helper.entry for helper in placement.helpers)]
+        return next((entry.zone for entry in entries if entry.zone in evacuated), None)
 
     def _send(self) -> None:
         address = self._placement.entry.address
@@ -276,6 +313,7 @@
         if self._first_event_seen or self._finished:
             return
         self._first_event_seen = True
+        self._context.endpoint_monitor.slowdowns.first_event_received(self._placement, self.sent_at)
         self._context.load_table.prefill_finished(self._load_key)
         self._context.load_changed()
 
@@ -287,6 +325,7 @@
         if self._reservation is not None:
             self._reservation.release()
         self._context.load_table.end(self._load_key, self._context.loop.now())
+        self._context.demand_ledger.ended(self._load_key)
         self._context.load_changed()
 
     def failed(self, *, certain: bool, detail: str) -> None:
@@ -332,6 +371,7 @@
             self._context.signals_received(self.endpoint, signals, self.sent_at)
         self.reply = self._context.dialect.read_reply(self._owner.request, status, headers)
         self.framing = framing_of(headers)
+        self.content_length = content_length_of(headers)
         self._owner.attempt_response_started(self, self.reply)
 
 
--- a/src/brassdrum/gateway/request/completeness.py
+++ b/src/brassdrum/gateway/request/completeness.py
@@ -6,7 +6,7 @@
 
 from brassdrum.gateway.model import Headers
 
-__all__ = ["ContentEnd", "Framing", "break_reason", "framing_of"]
+__all__ = ["ContentEnd", "Framing", "break_reason", "content_length_of", "framing_of"]
 
 
 class Framing(StrEnum):
@@ -34,6 +34,13 @@
     return Framing.LENGTH if b"content-length" in value_by_name else Framing.CLOSE
 
 
+def content_length_of(headers: Headers) -> bytes | None:
+    """Return the length that the headers of a response declare, or None without one."""
+    if framing_of(headers) is not Framing.LENGTH:
+        return None
+    return next(value for name, value in headers if name.lower() == b"content-length")
+
+
 def break_reason(framing: Framing, content: ContentEnd) -> str | None:
     """Return why an answer counts as broken off, or None if it is complete.
 
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -4,6 +4,7 @@
 
 import math
 
+from brassdrum.gateway.following.evacuations import refusal_detail
 from brassdrum.gateway.forwarding.forwarder import Forwarder
 from brassdrum.gateway.forwarding.terms import ForwardTerms
 from brassdrum.gateway.guards.endings import LostRequest
@@ -23,8 +24,9 @@
 from brassdrum.gateway.request.answer_progress import AnswerProgress
 from brassdrum.gateway.request.attempt import Attempt, CallAttempt, helper_name
 from brassdrum.gateway.request.completeness import ContentEnd, break_reason
+from brassdrum.gateway.request.delivery import AnswerDelivery, PacedFlow
 from brassdrum.gateway.request.events import EventOrderError, EventStreamReader
-from brassdrum.gateway.request.exchange_host import ExchangeContext
+from brassdrum.gateway.request.exchange_context import ExchangeContext
 from brassdrum.gateway.request.outcome import LatencyReport, Outcome, ResponseTiming
 from brassdrum.gateway.request.patience import (
     WaitDeadlines,
@@ -32,8 +34,10 @@
     retry_after_header,
 )
 from brassdrum.gateway.request.send_gate import SendGate
+from brassdrum.gateway.request.send_limits import SendLimits
 from brassdrum.gateway.request.silence_watch import StallWatchdog
 from brassdrum.gateway.request.story import RequestStory
+from brassdrum.gateway.sharing.demand import DemandKey, demand_key
 from brassdrum.gateway.throttling.permits import Permit
 from brassdrum.outcomes.fingerprint import (
     RequestTraits,
@@ -48,17 +52,16 @@
 
 # Endpoints enforce the deadline too; this leaves time for their own response to arrive.
 _DEADLINE_GRACE_SECONDS = 0.05
-# A request is not sent again with less time than this left.
-_MIN_RESEND_SECONDS = 0.05
 # About the time in which an endpoint frees a slot.
 _DEFAULT_RETRY_AFTER_SECONDS = 0.15
-_MAX_RESPONSE_BYTES = 64 << 20
+# An event is kept until it is complete and checked; tokens take some hundred bytes.
+_MAX_EVENT_BYTES = 1 << 20
 # Callers treat these statuses as a guarantee that the request was not executed.
 _NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
 
 class Exchange:
-    """Process one request: own its attempts and write the response to its caller."""
+    """Process one request: own its attempts and decide what is delivered to its caller."""
 
     def __init__(
         self,
@@ -70,33 +73,34 @@
         organisation: Organisation | None,
         arrived: float,
         forwarded: ForwardTerms | None = None,
+        flow: PacedFlow | None = None,
     ) -> None:
         self.traits = _traits(request, body, "" if organisation is None else organisation.name)
         self.request = request
         self.route = route
         self.organisation = organisation
+        self.organisation_name = None if organisation is None else organisation.name
         self.arrived = arrived
         self.timing = ResponseTiming(self.arrived)
         self.service = ""
         self.forwarder = Forwarder(context, self, forwarded)
         self.tried_endpoints: set[str] = set() if forwarded is None else set(forwarded.tried)
-        self.send_count = 0
         self._context = context
-        self._connection = connection
         self._body = body
         self._deadline = self.arrived + min(request.timeout, route.timeout)
         wait_timeout = caller_timeout(route, request)
         self.wait_deadlines = WaitDeadlines(self.arrived, route.objective, wait_timeout)
-        self._unsent_attempts = 0
         self.refused_by: set[str] = set()
         self._may_have_run = False
-        self._response_started = False
         self._finished = False
         self._attempt: CallAttempt | None = None
         self._progress = AnswerProgress(context, self.traits)
         self._reader = EventStreamReader(request.resume_after)
         self._watchdog = StallWatchdog(context.loop, self)
         self.story = RequestStory(context, self)
+        self._delivery = AnswerDelivery(connection, flow, self)
+        self._delivery.deliver_until(arrived + request.timeout)
+        self._sends = SendLimits(context, self, self._delivery)
         self._postponed_send: Timer | None = None
         self._gate = SendGate(context, self)
         self._waiting = False
@@ -111,9 +115,9 @@
         return None if self.forwarder.terms is None else self.forwarder.terms.sender
 
     @property
-    def _max_sends(self) -> int:
-        # The daemon that forwarded a request decides itself whether it is sent again.
-        return self.route.max_attempts if self.forwarder.terms is None else 1
+    def send_count(self) -> int:
+        """Return how often the request was sent, without attempts that reached no endpoint."""
+        return self._sends.count
 
     @property
     def priority(self) -> int:
@@ -122,6 +126,16 @@
             return self.organisation.priority
         return self.route.priority
 
+    @property
+    def demand_key(self) -> DemandKey:
+        """Return the key under which the request is counted across daemons."""
+        return demand_key(self.service, self.priority, self.organisation_name)
+
+    @property
+    def waits_for_slot(self) -> bool:
+        """Return whether the request waits because all slots are in use."""
+        return self._waiting_for_slot
+
     @property
     def permit(self) -> Permit | None:
         """Return the permit for the next send to an endpoint that limits its rate."""
@@ -181,6 +195,7 @@
     def attempt_response_started(self, attempt: CallAttempt, reply: Reply) -> None:
         """Retry the request if the endpoint did not execute it."""
         if reply.kind is ReplyKind.SUCCESS or reply.kind is ReplyKind.FAILURE:
+            self._delivery.pace(attempt)
             return
         attempt.cancel()
         if reply.kind is ReplyKind.UNVERIFIED:
@@ -192,16 +207,11 @@
         self._retry_not_executed(attempt, f"the endpoint answered {reply.status}, not run")
 
     def attempt_response_data(self, attempt: CallAttempt, content: bytes) -> None:
-        """Forward complete events; buffer a response that is not streamed."""
+        """Forward complete events, or what is due of an answer that is not streamed."""
         reply = attempt.reply
         assert reply is not None
         if reply.kind is ReplyKind.FAILURE or not self.route.streams:
-            attempt.body += content
-            if len(attempt.body) > _MAX_RESPONSE_BYTES:
-                attempt.cancel()
-                self._handle_lost_attempt(
-                    attempt, "the response exceeds the size limit", certain=False
-                )
+            self._delivery.keep(attempt, content)
             return
         try:
             events = self._reader.feed(content)
@@ -209,8 +219,32 @@
             attempt.cancel()
             self._handle_lost_attempt(attempt, str(error), certain=False)
             return
+        self._delivery.set_unfinished(len(self._reader.incomplete))
         if events:
             self._forward_events(attempt, reply, events)
+        if len(self._reader.incomplete) > _MAX_EVENT_BYTES and not self._finished:
+            attempt.cancel()
+            self._handle_lost_attempt(attempt, "an event exceeds the size limit", certain=False)
+
+    def forward_kept(self, attempt: CallAttempt) -> None:
+        """Forward a plain answer while it arrives; from here on it is not fetched again."""
+        reply = attempt.reply
+        assert reply is not None
+        if reply.kind is ReplyKind.FAILURE and self._failure_settled(attempt, reply):
+            return
+        self._watchdog.stop()
+        if attempt.request_taken:
+            self._body = b""
+            self._delivery.release_body()
+        self._delivery.forward(attempt, reply)
+
+    def answer_paused(self) -> None:
+        """Stop the watchdog: the endpoint is not silent, it waits for the caller."""
+        self._watchdog.stop()
+
+    def answer_resumed(self) -> None:
+        """Watch the endpoint again, which now may send."""
+        self.restart_stall_timer(None)
 
     def attempt_completed(self, attempt: CallAttempt) -> None:
         """Complete the response to the caller, unless the endpoint broke it off."""
@@ -218,7 +252,9 @@
         assert reply is not None
         attempt.finish()
         if reply.kind is ReplyKind.FAILURE:
-            self._handle_failure_reply(attempt, reply)
+            if self._delivery.forwarding or not self._failure_settled(attempt, reply):
+                self._finish(Outcome.FAILED, reply.status, "the endpoint's own failure")
+                self._delivery.send_whole(attempt, reply)
             return
         content = self._reader.content_end if self.route.streams else ContentEnd.OPAQUE
         reason = break_reason(attempt.framing, content)
@@ -229,17 +265,13 @@
         self._progress.completed()
         if not self.route.streams:
             self._finish(Outcome.SERVED, reply.status, "")
-            headers = self.forwarder.with_endpoint(reply.headers, attempt.endpoint)
-            self._connection.send_response(reply.status, headers, bytes(attempt.body))
+            self._delivery.send_whole(attempt, reply)
             return
-        if not self._response_started:
-            headers = self.forwarder.with_endpoint(reply.headers, attempt.endpoint)
-            self._connection.start_response(reply.status, headers)
-            self._response_started = True
+        self._delivery.start(attempt, reply)
         if self._reader.incomplete:
-            self._connection.send_data(self._reader.incomplete)
+            self._delivery.send(self._reader.incomplete)
         self._finish(Outcome.SERVED, reply.status, "")
-        self._connection.end_response()
+        self._delivery.end()
 
     def attempt_connection_lost(self, attempt: CallAttempt, how: CallFailure, detail: str) -> None:
         """Retry the request where its route permits that."""
@@ -257,6 +289,11 @@
         self, attempt: CallAttempt, detail: str, *, response_started: bool
     ) -> None:
         """Handle an answer that broke off, however that was found."""
+        if self._delivery.throttled:
+            # Endpoints cut off answers that stay unread; that says nothing against them.
+            detail = f"the caller read slowly, and the endpoint's answer broke off: {detail}"
+            self._handle_lost_attempt(attempt, detail, certain=None)
+            return
         reached = response_started or not attempt.reused_connection
         lost = LostRequest(self.request.id, self.traits, response_started, reached, attempt.sent_at)
         attempt.interrupted(lost)
@@ -286,12 +323,16 @@
             self._gate.wait_for_opening(need)
             return
         verdict = decide(need, placement)
+        if verdict is Decision.SEND and self._context.unknown_load.delays(need, placement):
+            verdict = Decision.WAIT
         if verdict is Decision.WAIT and not self._context.may_wait(self):
             verdict = Decision.SEND
+        if verdict is Decision.WAIT and self._refuse_early(need, placement):
+            return
         if verdict is Decision.WAIT and self._wait(placement):
             return
         self._stop_waiting(served=verdict is Decision.SEND)
-        if verdict is not Decision.SEND and not self._may_have_run and not self._response_started:
+        if verdict is not Decision.SEND and not self._may_have_run and not self._delivery.started:
             detail = (
                 "every place is taken"
                 if placement.endpoint_full
@@ -300,10 +341,10 @@
             self.fail(detail, self._context.wait_queue.retry_after_seconds())
             return
         if not self._gate.admits(placement.entry.id):
-            self._gate.request_permit(placement.entry.id, 0.0)
+            self._gate.ask_at_once(placement.entry.id, need)
             return
         self._gate.permit = None
-        self.send_count += 1
+        self._sends.record_send()
         self.tried_endpoints.add(placement.entry.id)
         self._context.crash_guard.request_sent(standing, placement.entry.id)
         self._log_placement(placement, standing)
@@ -312,6 +353,17 @@
         self._attempt = Attempt(self._context, self, placement)
         self._attempt.start()
 
+    def _refuse_early(self, need: PlacementRequest, placement: Placement) -> bool:
+        """Refuse a request whose wait would be in vain; return whether it was refused."""
+        if placement.endpoint_full or self._may_have_run or self._delivery.started:
+            return False
+        without_room = self._context.room.seconds_without_room(self.service, need, placement)
+        if without_room is None:
+            return False
+        self._stop_waiting()
+        self.fail("no engines will have room in time", without_room)
+        return True
+
     def _forward(self) -> None:
         """Hand the request to another daemon, since this one can reach no endpoint."""
         attempt = self.forwarder.next_attempt()
@@ -320,7 +372,7 @@
                 "no endpoint can be reached from this host", self._context.path.probe_interval
             )
             return
-        self.send_count += 1
+        self._sends.record_send()
         self.story.log(
             log_events.FORWARDED,
             host=attempt.host,
@@ -331,7 +383,7 @@
         self._attempt = attempt
         self._progress.sent()
         attempt.start(self._outgoing(self.forwarder.headers(self._reader.last_id)))
-        if self._has_sends_left():
+        if self._sends.may_send_again():
             self._watchdog.start(self.route.objective * 1000)
 
     def retry_placement(self) -> bool:
@@ -356,6 +408,7 @@
             late=round(placement.lateness_tokens),
             full=placement.endpoint_full,
             predicted_ms=round(placement.first_event_ms),
+            **self._context.wait_queue.turn_fields(self),
         )
         self._context.wait_queue.add(self)
         return True
@@ -386,11 +439,11 @@
         """Return the latencies of the request up to now."""
         return self.timing.report(self.route, self._context.loop.now())
 
-    def reservation_refused(self, attempt: Attempt) -> None:
-        """Place the request again after a helper refused to reserve memory."""
+    def reservation_unusable(self, attempt: Attempt, detail: str) -> None:
+        """Place the request again after a memory reservation was refused or came too late."""
         attempt.unsent = True
         self.tried_endpoints.discard(attempt.endpoint)
-        self._retry_not_executed(attempt, "an endpoint refused the memory reservation")
+        self._retry_not_executed(attempt, detail)
 
     def build_request(self, attempt: Attempt, placement: Placement) -> OutgoingRequest:
         """Return the request to send to the chosen endpoint."""
@@ -414,60 +467,55 @@
         self.timing.record_event(self._context.loop.now())
         attempt.first_event_received()
         self._progress.event_received()
-        if not self._response_started:
-            self._response_started = True
-            headers = self.forwarder.with_endpoint(reply.headers, attempt.endpoint)
-            self._connection.start_response(reply.status, headers)
-        self._connection.send_data(events)
+        self._delivery.start(attempt, reply)
+        self._delivery.send(events)
         if not self._finished:
             self.restart_stall_timer(None)
 
-    def _handle_failure_reply(self, attempt: CallAttempt, reply: Reply) -> None:
-        """Handle a failure reply; the endpoint executed the request."""
+    def _failure_settled(self, attempt: CallAttempt, reply: Reply) -> bool:
+        """Resend or fail after a failure reply; return False if the reply is for the caller.
+
+        The endpoint executed the request. The reply may still be arriving.
+        """
         self._may_have_run = True
         attempt.answered_failure(f"answered {reply.status}")
-        if reply.status >= 500 and self.route.repeatable and self._consume_resend():
+        if reply.status >= 500 and self._sends.consume_retry_after_run():
+            attempt.cancel()
             self._resend(f"the endpoint answered {reply.status}")
-            return
-        if self._response_started:
+            return True
+        if self._delivery.started:
+            attempt.cancel()
             self.fail(f"the endpoint answered {reply.status} to a resumed stream")
-            return
+            return True
         if reply.status in _NOT_EXECUTED_STATUSES and not self.route.repeatable:
             # Forwarding the status would tell the caller that the request was not executed.
+            attempt.cancel()
             self.fail(f"the endpoint answered {reply.status} and may have run the request")
-            return
-        self._finish(Outcome.FAILED, reply.status, "the endpoint's own failure")
-        headers = self.forwarder.with_endpoint(reply.headers, attempt.endpoint)
-        self._connection.send_response(reply.status, headers, bytes(attempt.body))
+            return True
+        return False
 
     def _retry_not_executed(self, attempt: CallAttempt, detail: str) -> None:
         attempt.finish()
         if attempt.unsent:
-            self.send_count -= 1
-            self._unsent_attempts += 1
-        can_retry = (
-            self._unsent_attempts <= attempt.max_unsent and self.time_left > _MIN_RESEND_SECONDS
-        )
-        allowed = self.send_count < self._max_sends and can_retry
-        if allowed and (self.send_count == 0 or self._context.consume_retry(self.service)):
+            self._sends.record_unsent()
+        if self._sends.consume_retry_unexecuted(attempt):
             self._resend(detail)
             return
         self.fail(detail, attempt.retry_after)
 
-    def _handle_lost_attempt(self, attempt: CallAttempt, detail: str, *, certain: bool) -> None:
+    def _handle_lost_attempt(
+        self, attempt: CallAttempt, detail: str, *, certain: bool | None
+    ) -> None:
+        """Send the request again or fail it; ``certain`` is None if no endpoint is at fault."""
         attempt.finish()
         self._may_have_run = True
-        attempt.failed(certain=certain, detail=detail)
-        if self.route.repeatable and self._consume_resend():
+        if certain is not None:
+            attempt.failed(certain=certain, detail=detail)
+        if self._sends.consume_retry_after_run():
             self._resend(detail)
             return
         self.fail(detail)
 
-    def _consume_resend(self) -> bool:
-        if self.send_count >= self._max_sends or self.time_left < _MIN_RESEND_SECONDS:
-            return False
-        return self._context.consume_retry(self.service)
-
     def _resend(self, detail: str) -> None:
         assert self._attempt is not None
         self.story.log(
@@ -479,12 +527,13 @@
             budget=round(self._context.retries_left(self.service), 1),
         )
         self._reader = EventStreamReader(self._reader.last_id)
+        self._delivery.detach()
         self.dispatch()
 
     def restart_stall_timer(self, placement: Placement | None) -> None:
         """Restart the stall watchdog if the request may be sent again."""
         self._watchdog.stop()
-        if self._has_sends_left():
+        if self._sends.may_send_again():
             self._watchdog.start(None if placement is None else placement.first_event_ms)
 
     def can_replace_attempt(self) -> bool:
@@ -511,9 +560,6 @@
             attempt, "the endpoint does not answer liveness checks", certain=True
         )
 
-    def _has_sends_left(self) -> bool:
-        return self.route.repeatable and self.send_count < self._max_sends
-
     def _can_replace(self, attempt: CallAttempt) -> bool:
         """Return whether a stalled attempt may be replaced by another one.
 
@@ -521,9 +567,7 @@
         """
         if self._finished or attempt is not self._attempt or attempt.finished:
             return False
-        if not self._has_sends_left() or not attempt.has_alternative:
-            return False
-        return self._context.retries_left(self.service) >= 1.0
+        return self._sends.may_replace(attempt)
 
     def _deadline_expired(self) -> None:
         if self._finished:
@@ -536,17 +580,20 @@
         if retry_after is None:
             opening_seconds = self._context.seconds_until_open(self.service)
             retry_after = max(_DEFAULT_RETRY_AFTER_SECONDS, opening_seconds)
-        if self._response_started:
+        if self._delivery.started:
             self._finish(Outcome.BROKEN_OFF, 0, detail)
-            self._connection.abort()
+            self._delivery.abort()
             return
         if not self._may_have_run:
             patience_left = self.request.timeout - (self._context.loop.now() - self.arrived)
+            detail = refusal_detail(
+                detail, self._context.routing_state.evacuated_zones_of(self.service)
+            )
             self._refuse(detail, retry_after_header(retry_after, patience_left))
             return
         status = 504 if self.time_left <= 0 else 502
         self._finish(Outcome.FAILED, status, detail)
-        self._connection.send_response(status, self.forwarder.with_failure([]), b"")
+        self._delivery.send_own(status, self.forwarder.with_failure([]))
 
     def _refuse_quarantined(self, judgement: Judgement) -> None:
         """Refuse a request that crashes the endpoints that run it."""
@@ -558,7 +605,7 @@
             seconds_left=round(reason.seconds_left, 1),
         )
         detail = "requests with this content or part end the endpoints that run them"
-        if self._response_started or self._may_have_run:
+        if self._delivery.started or self._may_have_run:
             self.fail(detail)
             return
         # Not limited by the caller's timeout, since an earlier retry would be refused as well.
@@ -575,7 +622,7 @@
     def _refuse(self, detail: str, headers: Headers) -> None:
         self._finish(Outcome.REFUSED, 503, detail)
         headers = self.forwarder.with_refusal(headers, self.send_count)
-        self._connection.send_response(503, headers, b"")
+        self._delivery.send_own(503, headers)
 
     def _cancel_attempt(self) -> None:
         if self._attempt is not None:
@@ -594,6 +641,7 @@
         self._finished = True
         self._deadline_timer.cancel()
         self._watchdog.stop()
+        self._delivery.detach()
         self._stop_waiting()
         if self._postponed_send is not None:
             self._postponed_send.cancel()
--- a/src/brassdrum/gateway/request/intake.py
+++ b/src/brassdrum/gateway/request/intake.py
@@ -28,6 +28,8 @@
 __all__ = ["Arrival", "IntakeContext", "RequestIntake"]
 
 _logger = logging.getLogger(__name__)
+# About the time in which slow readers take some hundred KB and make room for a body.
+_NO_ROOM_RETRY_AFTER_SECONDS = 0.5
 # Callers refused because of a planned stop should retry at another daemon immediately.
 _STOP_RETRY_AFTER_SECONDS = 0.01
 
@@ -71,9 +73,12 @@
         self._held_requests = HeldRequestQueue(context.loop, self._refuse_held)
 
     def handle(
-        self, connection: CallerConnection, head: RequestHead, body: bytes
+        self, connection: CallerConnection, head: RequestHead, body: bytes | None
     ) -> CallerHandler | None:
         """Begin to process a request; hold it if there is no configuration yet."""
+        if body is None:
+            self._refuse_body(Arrival(connection, b"", self._context.loop.now()), head)
+            return None
         if self._context.routing_state.configuration is None and not self._context.closing():
             held = self._hold(connection, head, body)
             if held is not None:
@@ -81,18 +86,25 @@
         return self._admit(head, Arrival(connection, body, self._context.loop.now()))
 
     def handle_forwarded(
-        self, connection: CallerConnection, head: RequestHead, body: bytes
+        self, connection: CallerConnection, head: RequestHead, body: bytes | None
     ) -> CallerHandler | None:
         """Process a request that another daemon has forwarded, as if it were a caller's own."""
         now = self._context.loop.now()
         try:
             terms = read_terms(head.headers)
         except InvalidRequestError as error:
-            self._refuse(Arrival(connection, body, now), Refusal(400, error.message))
+            self._refuse(Arrival(connection, body or b"", now), Refusal(400, error.message))
+            return None
+        if body is None:
+            self._refuse_body(Arrival(connection, b"", now, terms), head)
             return None
         own_head = replace(head, headers=without_forwarding(head.headers))
         return self._admit(own_head, Arrival(connection, body, now - terms.waited, terms))
 
+    def holds_requests(self) -> bool:
+        """Return whether requests wait for the first configuration."""
+        return len(self._held_requests) > 0
+
     def release_held(self) -> None:
         """Process the requests that were held."""
         self._held_requests.release(self._handle_held)
@@ -149,6 +161,17 @@
         arrival = Arrival(held.connection, held.body, held.arrived)
         self._refuse(arrival, Refusal(503, detail, seconds, held.request.id))
 
+    def _refuse_body(self, arrival: Arrival, head: RequestHead) -> None:
+        """Refuse a request whose body found no room among what connections buffer."""
+        name, seconds = "", _NO_ROOM_RETRY_AFTER_SECONDS
+        try:
+            request = self._context.dialect.read_request(head)
+            name, seconds = request.id, min(seconds, max_retry_after(request.timeout))
+        except InvalidRequestError:
+            pass  # It is refused all the same, under no name.
+        detail = "no room for the request body: callers or endpoints read slowly"
+        self._refuse(arrival, Refusal(503, detail, seconds, name))
+
     def _refuse(self, arrival: Arrival, refusal: Refusal) -> None:
         headers: Headers = []
         if arrival.forwarded is not None:
--- a/src/brassdrum/gateway/request/send_gate.py
+++ b/src/brassdrum/gateway/request/send_gate.py
@@ -2,25 +2,47 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from brassdrum.gateway.placing.placement import SLOT_WAIT_PATIENCE_SHARE, PlacementRequest
-from brassdrum.gateway.request.exchange_host import ExchangeContext
-from brassdrum.gateway.throttling.permits import MAX_WAIT_SECONDS, Permit
+from brassdrum.gateway.request.exchange_context import ExchangeContext, PlacedExchange
+from brassdrum.gateway.request.story import RequestStory
+from brassdrum.gateway.throttling.permits import Permit
+from brassdrum.gateway.throttling.rates import MAX_WAIT_SECONDS
 from brassdrum.gateway.throttling.throttle import EndpointOpening
 from brassdrum.telemetry import log_events
 
-if TYPE_CHECKING:
-    from brassdrum.gateway.request.exchange import Exchange
+__all__ = ["GatedExchange", "SendGate"]
 
-__all__ = ["SendGate"]
+# The shortest time for which a request asks for permits, however long it has waited before.
+_MIN_ASKING_MS = 500.0
+
+
+class GatedExchange(PlacedExchange, Protocol):
+    """The exchange of a request that is held back."""
+
+    story: RequestStory
+
+    @property
+    def finished(self) -> bool:
+        """Return whether the request has its final response."""
+
+    def dispatch(self) -> None:
+        """Place the request and send it."""
+
+    def postpone(self, seconds: float) -> None:
+        """Dispatch the request again after some seconds."""
+
+    def fail(self, detail: str, retry_after: float | None = None) -> None:
+        """Refuse the request or break it off; ``retry_after`` is in seconds."""
 
 
 class SendGate:
     """Obtain permits for the sends of one request, or wait until an endpoint opens."""
 
-    def __init__(self, context: ExchangeContext, exchange: Exchange) -> None:
+    def __init__(self, context: ExchangeContext, exchange: GatedExchange) -> None:
         self.permit: Permit | None = None
+        self._ask_until: float | None = None
         self._context = context
         self._exchange = exchange
 
@@ -49,6 +71,21 @@
         else:
             self._exchange.postpone(opening.seconds)
 
+    def ask_at_once(self, endpoint: str, need: PlacementRequest) -> None:
+        """Ask for a permit to send now, or refuse a request that has asked for too long.
+
+        A daemon that does not hear the owners would ask one endpoint after the other until the
+        caller leaves without an answer.
+        """
+        now = self._context.loop.now()
+        if self._ask_until is None:
+            left_ms = need.patience_ms * SLOT_WAIT_PATIENCE_SHARE - need.waited_ms
+            self._ask_until = now + max(_MIN_ASKING_MS, left_ms) / 1000
+        if now > self._ask_until:
+            self._exchange.fail("every endpoint asks for fewer requests")
+            return
+        self.request_permit(endpoint, 0.0)
+
     def request_permit(self, endpoint: str, max_wait: float) -> None:
         """Ask for a permit; dispatch again when it allows a send or another endpoint is needed."""
         self.permit = None
@@ -70,6 +107,7 @@
         )
         if permit.granted:
             self.permit = permit
+            self._ask_until = None
         # A refusal within the time that was asked for is worth a second try after the wait.
         if wait > 0 and (permit.granted or wait <= max_wait):
             self._exchange.postpone(wait)
--- a/src/brassdrum/gateway/request/story.py
+++ b/src/brassdrum/gateway/request/story.py
@@ -20,7 +20,7 @@
 
     loop: EventLoop
 
-    def log_decision(self, event: LogEvent, **values: object) -> None:
+    def log_event(self, event: LogEvent, **values: object) -> None:
         """Log a decision about a request."""
 
 
@@ -48,7 +48,7 @@
     def log(self, event: LogEvent, **values: object) -> None:
         """Log a decision and keep it."""
         subject = self._subject
-        self._context.log_decision(
+        self._context.log_event(
             event, request=subject.request.id, content=subject.traits.content, **values
         )
         if len(self.decisions) < _MAX_DECISIONS:
--- a/src/brassdrum/gateway/throttling/permits.py
+++ b/src/brassdrum/gateway/throttling/permits.py
@@ -9,18 +9,16 @@
 from brassdrum.gateway.net.loop import Timer, Timers
 from brassdrum.gateway.peering.peer_messages import PermitReply, PermitRequest
 from brassdrum.gateway.throttling.ownership import Member, OwnerSelector
+from brassdrum.gateway.throttling.rates import MAX_WAIT_SECONDS
 from brassdrum.gateway.throttling.schedule import SendSchedule, SendSlot
 
-__all__ = ["MAX_WAIT_SECONDS", "Permit", "PermitBroker", "PermitTransport"]
+__all__ = ["Permit", "PermitBroker", "PermitTransport"]
 
 # Covers two hops between zones and a loaded event loop. Datagrams are not repeated: a lost one
 # costs the request this wait.
 _REPLY_TIMEOUT_SECONDS = 0.15
 # Pause before an owner that did not reply, or is not settled at another daemon, is asked again.
 _RETRY_SECONDS = 0.2
-# The longest wait that is granted. What a former owner granted ahead adds to what the next one
-# grants, so it must be well below the window in which an endpoint counts its requests.
-MAX_WAIT_SECONDS = 1.5
 # A permit that is not used within this time has expired.
 _VALIDITY_SECONDS = 0.2
 _TIMER_TOLERANCE_SECONDS = 0.001
--- a/src/brassdrum/gateway/throttling/schedule.py
+++ b/src/brassdrum/gateway/throttling/schedule.py
@@ -31,7 +31,8 @@
 
     def __init__(self, rate: float, now: float) -> None:
         self._rate = max(_MIN_REQUESTS_PER_SECOND, rate)
-        self._booked_until = now
+        # The burst is earned: requests that were sent before the limit was known are not counted.
+        self._booked_until = now + (_BURST_REQUESTS - 1) / self._rate
 
     def reserve(self, rate: float, max_wait: float, now: float) -> SendSlot:
         """Reserve the next send time within ``max_wait`` seconds at a rate per second."""
@@ -45,7 +46,7 @@
         return SendSlot(True, wait)
 
     def is_idle(self, now: float) -> bool:
-        """Return whether nothing is booked, so that a new schedule would be the same."""
+        """Return whether nothing is booked, so that a new schedule grants no more."""
         return now >= self._booked_until
 
     def _set_rate(self, rate: float, now: float) -> None:
--- a/src/brassdrum/gateway/throttling/throttle.py
+++ b/src/brassdrum/gateway/throttling/throttle.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from brassdrum.gateway.model import EndpointEntry
 from brassdrum.gateway.net.loop import Timers
 from brassdrum.gateway.throttling.permits import Permit, PermitBroker
+from brassdrum.gateway.throttling.rates import EndpointRates
 from brassdrum.gateway.throttling.signals import EndpointSignalTable
 
 __all__ = ["EndpointOpening", "EndpointThrottle"]
 
+# Pause before an endpoint that is withheld is considered again; peers that come back are heard
+# within about a heartbeat.
+_WITHHELD_SECONDS = 0.5
+_MAX_REMEMBERED_ASKS = 1024
+
 
 @dataclass(frozen=True, slots=True)
 class EndpointOpening:
@@ -35,15 +42,27 @@
     refusal names.
     """
 
-    def __init__(self, loop: Timers, signals: EndpointSignalTable, broker: PermitBroker) -> None:
+    def __init__(
+        self,
+        loop: Timers,
+        signals: EndpointSignalTable,
+        broker: PermitBroker,
+        rates: EndpointRates | None = None,
+    ) -> None:
         self._loop = loop
         self._signals = signals
+        self._rates = rates or EndpointRates(loop.now, signals)
         self._broker = broker
         self._refused_until_by_endpoint: dict[str, float] = {}
+        self._asked_at_by_endpoint: dict[str, float] = {}
 
     def needs_permit(self, endpoint: str) -> bool:
         """Return whether a request to an endpoint needs a permit."""
-        return self._signals.rate_limit(endpoint) is not None
+        return self._rates.limit(endpoint) is not None
+
+    def asked_at(self, endpoint: str) -> float:
+        """Return when a permit for an endpoint was last asked for here."""
+        return self._asked_at_by_endpoint.get(endpoint, -math.inf)
 
     def is_paused(self, endpoint: str) -> bool:
         """Return whether an endpoint has asked this daemon for a pause that lasts."""
@@ -56,7 +75,7 @@
 
         With a valid permit these are its endpoint and those that need none.
         """
-        if self._signals.is_empty:
+        if self._rates.is_empty:
             return list(entries)
         now = self._loop.now()
         if permit is None or not permit.is_valid(now):
@@ -85,7 +104,7 @@
         self, endpoint: str, max_wait: float, on_decided: Callable[[Permit], None]
     ) -> None:
         """Ask for a permit within ``max_wait`` seconds; the endpoint stays closed if refused."""
-        rate = self._signals.rate_limit(endpoint)
+        rate = self._rates.limit(endpoint)
         if rate is None:
             # The limit was lifted meanwhile.
             on_decided(Permit(endpoint, True, self._loop.now()))
@@ -96,6 +115,11 @@
                 self._record_refusal(endpoint, permit.send_at)
             on_decided(permit)
 
+        if self._rates.is_withheld(endpoint):
+            decided(Permit(endpoint, False, self._loop.now() + _WITHHELD_SECONDS))
+            return
+        self._record_ask(endpoint)
+        max_wait = min(max_wait, self._rates.max_wait(endpoint))
         self._broker.request(endpoint, rate, max_wait, decided)
 
     def _closed_until(self, endpoint: str) -> float:
@@ -104,6 +128,14 @@
             return paused_until
         return max(paused_until, self._refused_until_by_endpoint.get(endpoint, paused_until))
 
+    def _record_ask(self, endpoint: str) -> None:
+        # In the order of time, so that the oldest are dropped first.
+        asked = self._asked_at_by_endpoint
+        asked.pop(endpoint, None)
+        asked[endpoint] = self._loop.now()
+        while len(asked) > _MAX_REMEMBERED_ASKS:
+            del asked[next(iter(asked))]
+
     def _record_refusal(self, endpoint: str, until: float) -> None:
         now = self._loop.now()
         refused = self._refused_until_by_endpoint
--- a/src/brassdrum/http_pool.py
+++ b/src/brassdrum/http_pool.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
+from brassdrum.deferred_http import ConnectFailedError, ExchangeFailedError
+
 __all__ = ["ConnectFailedError", "Connected", "Exchange", "ExchangeFailedError", "HttpPool"]
 
 _MAX_IDLE = 64
@@ -18,14 +20,6 @@
 _FAILURES = (OSError, http.client.HTTPException)
 
 
-class ConnectFailedError(Exception):
-    """Tell that no byte of the request left this process."""
-
-
-class ExchangeFailedError(Exception):
-    """Tell that the request may have arrived but its answer did not."""
-
-
 @dataclass(frozen=True, slots=True)
 class Connected:
     """Hold the socket of a connection that a request is about to use."""
--- a/src/brassdrum/platform/dialect.py
+++ b/src/brassdrum/platform/dialect.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import logging
 
 from brassdrum.errors import InvalidRequestError
 from brassdrum.gateway.model import (
@@ -16,7 +15,7 @@
     ReplyKind,
     RequestHead,
 )
-from brassdrum.header_values import parse_decimal
+from brassdrum.header_values import optional_decimal
 
 __all__ = ["PlatformDialect"]
 
@@ -41,6 +40,8 @@
 _RATE_LIMIT = b"server-limit"
 _DRAINING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
+# Milliseconds for which the endpoint stays cold.
+_COLD_LEFT = b"x-cold-remaining"
 
 _HOP_BY_HOP = set(
     b"connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer "
@@ -55,7 +56,6 @@
 _WRONG_ENDPOINT = 421
 # With these an endpoint turns requests of this daemon away, for a time that it may name.
 _REJECTED = (429, 503)
-_logger = logging.getLogger(__name__)
 
 
 class PlatformDialect:
@@ -132,10 +132,12 @@
             return None
         value_by_name = {name.lower(): value for name, value in headers}
         rejected = status in _REJECTED
+        cold_ms = optional_decimal(value_by_name.get(_COLD_LEFT))
         return EndpointSignals(
-            rate_limit=_amount(value_by_name.get(_RATE_LIMIT)),
+            rate_limit=optional_decimal(value_by_name.get(_RATE_LIMIT)),
             draining=value_by_name.get(_DRAINING) == b"1",
-            pause=_amount(value_by_name.get(_RETRY_AFTER)) if rejected else None,
+            pause=optional_decimal(value_by_name.get(_RETRY_AFTER)) if rejected else None,
+            cold_seconds=None if cold_ms is None else cold_ms / 1000,
         )
 
     def encode_reserve(self, ticket: str, tokens: int, seconds: float, *, wait: bool) -> bytes:
@@ -191,16 +193,6 @@
     return tuple(filter(None, (entry.partition(":")[0].strip() for entry in entries)))
 
 
-def _amount(value: bytes | None) -> float | None:
-    """Return a decimal number that an endpoint sent, or None without a valid one."""
-    if value is None:
-        return None
-    amount = parse_decimal(value.decode("latin-1"))
-    if amount is None:
-        _logger.warning("header ignored", extra={"value": repr(value[:40])})
-    return amount
-
-
 def _number(value: bytes) -> int:
     text = value.strip()
     if not text.isdigit() or int(text) > _LARGEST_COUNT:
--- a/src/brassdrum/platform/documents.py
+++ b/src/brassdrum/platform/documents.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+import functools
+import math
 from typing import Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
-
 from brassdrum.errors import InvalidDocumentError
 from brassdrum.gateway.model import (
     CallerLimits,
@@ -18,6 +18,7 @@
     RouteTarget,
     Service,
 )
+from brassdrum.json_fields import Document, Field, FieldError
 
 __all__ = ["decode_configuration", "decode_endpoint"]
 
@@ -30,12 +31,12 @@
 _NO_TIMEOUT_MS = 600_000
 
 
-class _Backend(BaseModel):
+class _Backend(Document):
     service: str
     weight: float = 1.0
 
 
-class _Route(BaseModel):
+class _Route(Document):
     name: str
     host: str
     path_prefix: str
@@ -72,7 +73,7 @@
         )
 
 
-class _Runtime(BaseModel):
+class _Runtime(Document):
     slots: int
     # The memory of an engine, in tokens.
     kv_tokens: int
@@ -102,64 +103,84 @@
         )
 
 
-class _Service(BaseModel):
+class _Service(Document):
     name: str
     max_conns: int = 0
     runtime: _Runtime | None = None
+    # How long an endpoint is cold after its start, and the requests a second that it takes then.
+    cold_s: float | None = None
+    cold_per_s: float | None = None
 
 
-class _Limits(BaseModel):
+class _Limits(Document):
     max_header_bytes: int = 16384
     max_body_bytes: int = 4 << 20
     header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15000.0
 
 
-class _Tenant(BaseModel):
+class _Tenant(Document):
     name: str
     api_keys: list[str] = Field(default_factory=list)
     priority: int | None = None
 
 
-class _Configuration(BaseModel):
+class _Configuration(Document):
     version: int
     routes: list[_Route] = Field(default_factory=list)
     services: list[_Service] = Field(default_factory=list)
-    limits: _Limits = Field(default_factory=_Limits)
+    limits: _Limits = Field(default_factory=lambda: _Limits.check({}))
     tenants: list[_Tenant] = Field(default_factory=list)
 
 
-class _Server(BaseModel):
+class _Server(Document, strict=True):
     """Take an entry only as an endpoint writes it: all fields, each of its type.
 
     Others may write there too; what they write names no endpoint.
     """
 
-    model_config = ConfigDict(strict=True)
-
     service: str = Field(min_length=1)
-    address: str = Field(pattern=r"^[0-9.]+:[0-9]+$")
+    address: str = Field(pattern=r"^[0-9.]+:[0-9]+\Z")
     zone: str
     version: str
     slots: int = Field(ge=1)
     state: Literal["ready", "draining"]
-    cold_left_ms: float
+    cold_left_ms: float = Field(allow_inf_nan=False)
     # Counts the orders that the endpoint has taken; not used here.
     seq: int
     # The Unix millisecond of its start; endpoints of older deployments do not tell it.
     born: int | None = None
 
 
+def _cold_bounds(
+    service: str, seconds: float | None, rate: float | None
+) -> tuple[float, float | None]:
+    """Return how long endpoints are cold and their rate meanwhile, None without a bound.
+
+    Raise ``InvalidDocumentError`` for values that are negative or not finite.
+    """
+    for name, value in (("cold_s", seconds), ("cold_per_s", rate)):
+        if value is not None and not (math.isfinite(value) and value >= 0):
+            raise InvalidDocumentError(
+                f"Service {service} has {name} {value:g}: give a finite number of at least 0; for "
+                "endpoints without a bound while cold write 0 or leave it out."
+            )
+    return seconds or 0.0, rate or None
+
+
 def decode_configuration(text: bytes) -> FleetConfiguration:
     """Return a configuration, or raise ``InvalidDocumentError``."""
     try:
-        content = _Configuration.model_validate_json(text)
-    except ValidationError as error:
+        content = _Configuration.parse(text)
+    except FieldError as error:
         raise InvalidDocumentError(f"The configuration is not understood: {error}.") from error
     limits = content.limits
     services = {
         each.name: Service(
-            each.name, each.max_conns, None if each.runtime is None else each.runtime.decode()
+            each.name,
+            each.max_conns,
+            None if each.runtime is None else each.runtime.decode(),
+            *_cold_bounds(each.name, each.cold_s, each.cold_per_s),
         )
         for each in content.services
     }
@@ -180,11 +201,13 @@
     )
 
 
+# Most entries are as they were at the last read; two fleets of 600 endpoints fit.
+@functools.lru_cache(maxsize=1200)
 def decode_endpoint(name: str, text: bytes) -> EndpointEntry:
     """Return an entry of the list of endpoints, or raise ``InvalidDocumentError``."""
     try:
-        content = _Server.model_validate_json(text)
-    except ValidationError as error:
+        content = _Server.parse(text)
+    except FieldError as error:
         raise InvalidDocumentError(f"Endpoint entry {name} is not understood: {error}.") from error
     return EndpointEntry(
         name=name,
@@ -194,4 +217,5 @@
         slots=content.slots,
         draining=content.state == "draining",
         born=content.born,
+        cold_seconds=max(0.0, content.cold_left_ms) / 1000,
     )
--- a/src/brassdrum/platform/serve.py
+++ b/src/brassdrum/platform/serve.py
@@ -21,8 +21,8 @@
 _LINES_PER_SECOND = 200
 
 
-def serve(level: str, policy: str) -> int:
-    """Serve until the platform stops the process."""
+def serve(level: str, **options: str | bool) -> int:
+    """Serve until the platform stops the process; ``options`` replace settings of the gateway."""
     path = settings_path()
     settings = read_settings(path)
     clock = SystemClock()
@@ -30,11 +30,11 @@
         level, settings.gateway.name, sys.stdout, clock, _LINES_PER_SECOND
     )
     store = PlatformStore(settings.store)
-    daemon = GatewayDaemon(replace(settings.gateway, policy=policy), store, PlatformDialect())
+    daemon = GatewayDaemon(replace(settings.gateway, **options), store, PlatformDialect())
     daemon.stop_on_signals(signal.SIGTERM, signal.SIGINT)
 
     def reload() -> GatewaySettings:
-        return replace(read_settings(path).gateway, policy=policy)
+        return replace(read_settings(path).gateway, **options)
 
     daemon.reload_on_signal(signal.SIGHUP, reload)
     daemon.reload_on_change(SettingsFile(path).changed, reload)
--- a/src/brassdrum/platform/store.py
+++ b/src/brassdrum/platform/store.py
@@ -6,17 +6,28 @@
 import json
 import logging
 import threading
+from collections.abc import Iterator
+from dataclasses import dataclass
 from urllib.parse import quote
 
+from brassdrum.deferred_http import ConnectFailedError, DeferredHttpPool, ExchangeFailedError
 from brassdrum.errors import PlatformUnavailableError
-from brassdrum.gateway.model import DaemonAddress, EndpointEntry, FleetConfiguration, StoreRecord
-from brassdrum.http_pool import ConnectFailedError, ExchangeFailedError, HttpPool
+from brassdrum.gateway.model import (
+    DaemonAddress,
+    EndpointEntry,
+    FleetConfiguration,
+    OperatorRecords,
+    StoreRecord,
+)
 from brassdrum.platform.documents import decode_configuration, decode_endpoint
 
 __all__ = ["PlatformStore"]
 
-_CONFIGURATION_TOPIC = "keyed.op"
+_OPERATOR_TOPIC = "keyed.op"
 _CONFIGURATION_KEY = "config"
+_EVACUATION_PREFIX = "evacuate/"
+# Messages to peers carry names of at most 255 bytes, up to 4 a character.
+_MAX_ZONE_LENGTH = 63
 _ENDPOINT_TOPIC = "keyed.servers"
 _DAEMON_TOPIC = "keyed.brassdrum-daemons"
 _QUARANTINE_TOPIC = "keyed.brassdrum-quarantine"
@@ -29,30 +40,59 @@
 _HTTP_NOT_FOUND = 404
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """An answer of the store; ``content`` is None where it does not know the topic."""
+
+    content: bytes | None
+    era: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class _Page:
+    """Newest records of a topic; ``revision`` rises with each record that is appended."""
+
+    items: list[dict]
+    more: bool
+    revision: int
+    era: int | None
+
+
 class PlatformStore:
     """Use the newest record of each key in the platform's topics."""
 
     def __init__(self, address: str) -> None:
-        self._pool = HttpPool(f"http://{address}", _CALL_SECONDS)
+        self._pool = DeferredHttpPool(f"http://{address}", _CALL_SECONDS)
         self._lock = threading.Lock()
         self.calls = 0
         self.era: int | None = None
 
-    def configuration(self) -> StoreRecord | None:
-        """Return the newest configuration as it was written, or None before the first."""
-        for record in self._newest(_CONFIGURATION_TOPIC):
-            if record.key == _CONFIGURATION_KEY:
-                return record
-        return None
+    def operator_records(self) -> OperatorRecords:
+        """Return the newest configuration as it was written, and the evacuated zones."""
+        pages = list(self._pages(_OPERATOR_TOPIC))
+        items = [item for page in pages for item in page.items if isinstance(item, dict)]
+        named = [
+            record
+            for item in items
+            if item.get("key") == _CONFIGURATION_KEY
+            if (record := _record(item)) is not None
+        ]
+        # The first page's era and revision: later pages may hold newer records, never older ones.
+        return OperatorRecords(
+            named[0] if named else None,
+            frozenset(zone for zone in map(_evacuated_zone, items) if zone is not None),
+            pages[0].revision,
+            pages[0].era,
+        )
 
     def endpoints(self) -> list[StoreRecord]:
         """Return the whole list of endpoints."""
         return self._newest(_ENDPOINT_TOPIC)
 
-    def daemons(self) -> list[DaemonAddress]:
-        """Return the addresses of daemons that announced themselves."""
-        found = map(_address, self._newest(_DAEMON_TOPIC))
-        return [address for address in found if address is not None]
+    def daemons(self) -> dict[str, DaemonAddress]:
+        """Return the addresses of daemons that announced themselves, by name."""
+        found = {record.key: _address(record) for record in self._newest(_DAEMON_TOPIC)}
+        return {name: address for name, address in found.items() if address is not None}
 
     def announce(self, name: str, address: DaemonAddress) -> None:
         """Tell other daemons where this one is."""
@@ -81,56 +121,65 @@
         self._call("POST", f"/log-append?topic={topic}&part=0", framed)
 
     def _newest(self, topic: str) -> list[StoreRecord]:
-        records: list[StoreRecord] = []
+        items = (item for page in self._pages(topic) for item in page.items)
+        return [record for record in map(_record, items) if record is not None]
+
+    def _pages(self, topic: str) -> Iterator[_Page]:
         after = ""
         while True:
             page = self._page(topic, after)
-            items = page["items"]
-            records.extend(record for record in map(_record, items) if record is not None)
-            if not page.get("has_more") or not items:
-                return records
-            after = f"&after={quote(str(items[-1].get('key')), safe='')}"
-
-    def _page(self, topic: str, after: str) -> dict:
-        body = self._call("GET", f"/log-newest?topic={topic}&part=0{after}")
-        if body is None:
-            return {"items": []}
+            yield page
+            if not page.more or not page.items:
+                return
+            after = f"&after={quote(str(page.items[-1].get('key')), safe='')}"
+
+    def _page(self, topic: str, after: str) -> _Page:
+        answer = self._call("GET", f"/log-newest?topic={topic}&part=0{after}")
+        if answer.content is None:
+            return _Page([], False, 0, answer.era)
         try:
-            page = json.loads(body)
+            page = json.loads(answer.content)
         except ValueError as error:
             raise PlatformUnavailableError(f"The store sent no JSON: {error}.") from error
         if not isinstance(page, dict) or not isinstance(page.get("items"), list):
             # An answer that broke off must not look like a topic without records.
             raise PlatformUnavailableError("The store sent a page without its records.")
-        return page
+        revision = page.get("end_offset")
+        return _Page(
+            page["items"],
+            bool(page.get("has_more")),
+            revision if isinstance(revision, int) and revision > 0 else 0,
+            answer.era,
+        )
 
-    def _call(self, method: str, path: str, body: bytes | None = None) -> bytes | None:
-        """Return the body of an answer, or None where the store does not know the topic."""
+    def _call(self, method: str, path: str, body: bytes | None = None) -> _Answer:
+        """Return an answer of the store, or raise ``PlatformUnavailableError``."""
         self.calls += 1
         try:
             exchange = self._pool.request(method, path, body, timeout=_CALL_SECONDS)
             status, answer = exchange.status, exchange.read()
         except (ConnectFailedError, ExchangeFailedError) as error:
             raise PlatformUnavailableError(f"The store does not answer: {error}.") from error
-        self._note_era(exchange.header(_ERA_HEADER))
+        era = self._note_era(exchange.header(_ERA_HEADER))
         if status == _HTTP_NOT_FOUND:
-            return None
+            return _Answer(None, era)
         if status != _HTTP_OK:
             raise PlatformUnavailableError(f"The store answered {status} to {method} {path}.")
-        return answer
+        return _Answer(answer, era)
 
-    def _note_era(self, text: str | None) -> None:
-        """Keep the newest era that an answer told; one on the way may still tell an earlier one."""
+    def _note_era(self, text: str | None) -> int | None:
+        """Return the era of an answer; keep the newest, since answers may overtake each other."""
         if text is None:
-            return
+            return None
         try:
             era = int(text)
         except ValueError:
             _logger.warning("era not readable", extra={"era": text[:40]})
-            return
+            return None
         with self._lock:
             if self.era is None or era > self.era:
                 self.era = era
+        return era
 
 
 def _record(item: dict) -> StoreRecord | None:
@@ -144,6 +193,18 @@
         return None
 
 
+def _evacuated_zone(item: dict) -> str | None:
+    """Return the zone that a record evacuates, or None; an empty value deletes the record."""
+    key = item.get("key")
+    if not isinstance(key, str) or not key.startswith(_EVACUATION_PREFIX) or not item.get("value"):
+        return None
+    zone = key.removeprefix(_EVACUATION_PREFIX)
+    if not zone or len(zone) > _MAX_ZONE_LENGTH or not zone.isprintable():
+        _logger.warning("record not readable", extra={"record": key[:80], "error": "no zone name"})
+        return None
+    return zone
+
+
 def _address(record: StoreRecord) -> DaemonAddress | None:
     """Return where a daemon is, or None where the record cannot be read; the others hold."""
     try:
--- a/src/brassdrum/soak/actions.py
+++ b/src/brassdrum/soak/actions.py
@@ -8,8 +8,9 @@
 from typing import TYPE_CHECKING
 
 from brassdrum.registry import Registry
-from brassdrum.soak.checks import NamedLimit
+from brassdrum.soak.history import ColdSpan, Evacuation, NamedLimit
 from brassdrum.soak.plan import PlannedFault
+from brassdrum.soak.replicas import COLD_RATE, ZONES
 
 if TYPE_CHECKING:
     from brassdrum.soak.run import Soak
@@ -22,6 +23,7 @@
 _REST_SHARE = 0.7
 _UNFRAMED_SHARE = 0.8
 _CUT_MODES = ("reset", "silent", "live")
+_SLOW_READERS = 4
 _STORE_FAULTS = ("busy", "silent", "slow", "lost")
 
 FaultAction = Callable[["Soak", PlannedFault], None]
@@ -85,7 +87,9 @@
 @ACTIONS.register("link")
 def harm_link(soak: Soak, fault: PlannedFault) -> None:
     """Harm the way to a replica."""
-    link = soak.links[soak.pick_replica(fault).name]
+    replica = soak.pick_replica(fault).name
+    soak.harm(replica, fault.seconds)
+    link = soak.links[replica]
     link.set_mode(_LINK_MODES[fault.variant % len(_LINK_MODES)])
     soak.after(fault.seconds, lambda: link.set_mode("pass"))
 
@@ -169,3 +173,40 @@
     count = 1 + fault.choice % max(1, len(soak.daemons) - 1)
     cut = [soak.daemons[(fault.choice + number) % len(soak.daemons)] for number in range(count)]
     soak.cut_off(cut, _CUT_MODES[fault.variant % len(_CUT_MODES)], fault.seconds)
+
+
+@ACTIONS.register("evacuate")
+def evacuate(soak: Soak, fault: PlannedFault) -> None:
+    """Evacuate a zone and take it back into service after the span of the fault."""
+    zone = ZONES[fault.choice % len(ZONES)]
+    soak.store.evacuate(zone)
+    accepted_at = time.monotonic()
+    soak.history.evacuations.append(Evacuation(zone, accepted_at, accepted_at + fault.seconds))
+    soak.after(fault.seconds, lambda: soak.store.take_back(zone))
+
+
+@ACTIONS.register("turn_cold")
+def turn_cold(soak: Soak, fault: PlannedFault) -> None:
+    """Let a replica be cold for the span of the fault, one whose link holds nothing up.
+
+    A silent link lets through at once what was sent before the replica turned cold; with such links
+    2 of 7 runs of seeds 6598 and 6666 reached the bound of 8 requests in a second.
+    """
+    open_now = [each for each in soak.replicas if soak.links[each.name].mode != "silent"]
+    if not open_now:
+        return
+    replica = open_now[fault.choice % len(open_now)]
+    turned_at = time.monotonic()
+    replica.turn_cold(fault.seconds)
+    soak.history.cold_spans.append(
+        ColdSpan(replica.name, COLD_RATE, turned_at, turned_at + fault.seconds)
+    )
+    soak.keep_listed(replica)
+
+
+@ACTIONS.register("read_slowly")
+def read_slowly(soak: Soak, fault: PlannedFault) -> None:
+    """Let callers ask for long answers and read nothing for the span of the fault, then slowly."""
+    for number in range(_SLOW_READERS):
+        daemon = soak.daemons[(fault.choice + number) % len(soak.daemons)]
+        soak.callers.read_slowly(daemon, f"s{soak.seed}-{number}", fault.seconds)
--- a/src/brassdrum/soak/checks.py
+++ b/src/brassdrum/soak/checks.py
@@ -4,13 +4,14 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
 
 from brassdrum.bench.limits import WINDOW_SECONDS, allowed_requests
 from brassdrum.registry import Registry
-from brassdrum.soak.replicas import Arrival, Run, whole_answer
+from brassdrum.soak.history import History, Result, Violation
+from brassdrum.soak.load_checks import cold_bound, evacuated_zones, slow_readers
+from brassdrum.soak.replicas import Run, whole_answer
 
-__all__ = ["CHECKS", "CutOff", "History", "NamedLimit", "Result", "Violation", "judge"]
+__all__ = ["CHECKS", "judge"]
 
 _PROMISED_NOT_RUN = (408, 421, 429, 503)
 # Three ends are proof; three more sends are borne after the time in which all daemons hear of it.
@@ -33,79 +34,11 @@
 _FAILED_SHARE = 1 / 50
 
 
-@dataclass(frozen=True, slots=True)
-class Result:
-    """Hold one request as its caller saw it; status 0 when the connection ended first."""
-
-    request: str
-    kind: str
-    daemon: str
-    key: str
-    sent_at: float
-    ended_at: float
-    status: int
-    whole: bool
-    body: bytes
-    retry_after: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class NamedLimit:
-    """Hold the requests a second that a replica takes since a time."""
-
-    replica: str
-    limit: float
-    since: float
-
-
-@dataclass(frozen=True, slots=True)
-class CutOff:
-    """Hold a span in which daemons reached no replica."""
-
-    daemons: frozenset[str]
-    since: float
-    until: float
-
-
-@dataclass(slots=True)
-class History:
-    """Hold all that a soak saw."""
-
-    results: list[Result] = field(default_factory=list)
-    runs: list[Run] = field(default_factory=list)
-    arrivals: list[Arrival] = field(default_factory=list)
-    limits: list[NamedLimit] = field(default_factory=list)
-    cuts: list[CutOff] = field(default_factory=list)
-    said_leaving_at_by_replica: dict[str, float] = field(default_factory=dict)
-    organisation_by_key: dict[str, str] = field(default_factory=dict)
-    revoked_at_by_key: dict[str, float] = field(default_factory=dict)
-    left_at_by_replica: dict[str, float] = field(default_factory=dict)
-    disturbed_by_daemon: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
-    held_at_end: int = 0
-    unfinished: int = 0
-
-    def calm(self, daemon: str, since: float, until: float) -> bool:
-        """Return whether no fault touched a daemon, or the store for all, in a span.
-
-        Without a name it is a daemon that closed its connection, or ended, right after the request.
-        """
-        if not daemon:
-            return False
-        spans = self.disturbed_by_daemon.get(daemon, []) + self.disturbed_by_daemon.get("all", [])
-        return not any(start <= until and since <= end for start, end in spans)
-
-
-@dataclass(frozen=True, slots=True)
-class Violation:
-    """Name a broken promise and the request that shows it."""
-
-    promise: str
-    request: str
-    detail: str
-
-
 Check = Callable[[History], Iterator[Violation]]
 CHECKS: Registry[Check] = Registry("soak check")
+CHECKS.register("no work for an evacuated zone")(evacuated_zones)
+CHECKS.register("cold endpoints get no more than they bear")(cold_bound)
+CHECKS.register("slow readers get their whole answer")(slow_readers)
 
 
 def judge(history: History) -> list[Violation]:
@@ -353,6 +286,15 @@
         yield Violation("memory is given back", "", f"{history.held_at_end} tokens held")
 
 
+@CHECKS.register("no daemon logs an error")
+def logged_errors(history: History) -> Iterator[Violation]:
+    """Find unexpected exceptions that daemons logged; the handler that raised did not finish."""
+    for daemon, errors in history.errors_by_daemon.items():
+        for error in sorted(set(errors)):
+            detail = f"{error} ({errors.count(error)} times)"
+            yield Violation("no daemon logs an error", daemon, detail)
+
+
 @CHECKS.register("every request ends")
 def ends(history: History) -> Iterator[Violation]:
     """Find callers that still wait at the end."""
--- /dev/null
+++ b/src/brassdrum/soak/history.py
@@ -0,0 +1,145 @@
+"""Hold what callers and replicas of a soak saw, and what is named broken."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from brassdrum.soak.replicas import Arrival, Run
+
+__all__ = [
+    "ColdSpan",
+    "CutOff",
+    "Evacuation",
+    "History",
+    "NamedLimit",
+    "Result",
+    "RECOVERY_SECONDS",
+    "Violation",
+]
+
+# A daemon that was disturbed needs this long to know the newest state again.
+RECOVERY_SECONDS = 3.5
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """Hold one request as its caller saw it; status 0 when the connection ended first."""
+
+    request: str
+    kind: str
+    daemon: str
+    key: str
+    sent_at: float
+    ended_at: float
+    status: int
+    whole: bool
+    body: bytes
+    retry_after: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """Hold the requests a second that a replica takes since a time."""
+
+    replica: str
+    limit: float
+    since: float
+
+
+@dataclass(frozen=True, slots=True)
+class CutOff:
+    """Hold a span in which daemons reached no replica."""
+
+    daemons: frozenset[str]
+    since: float
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Evacuation:
+    """Hold a span from the store's acceptance of an evacuation's record to its deletion."""
+
+    zone: str
+    since: float
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class ColdSpan:
+    """Hold the requests a second that a replica takes while cold, and for what span."""
+
+    replica: str
+    rate: float
+    since: float
+    until: float
+
+
+@dataclass(slots=True)
+class History:
+    """Hold all that a soak saw."""
+
+    results: list[Result] = field(default_factory=list)
+    runs: list[Run] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    limits: list[NamedLimit] = field(default_factory=list)
+    cuts: list[CutOff] = field(default_factory=list)
+    evacuations: list[Evacuation] = field(default_factory=list)
+    cold_spans: list[ColdSpan] = field(default_factory=list)
+    zone_by_replica: dict[str, str] = field(default_factory=dict)
+    harmed_by_replica: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    said_leaving_at_by_replica: dict[str, float] = field(default_factory=dict)
+    organisation_by_key: dict[str, str] = field(default_factory=dict)
+    revoked_at_by_key: dict[str, float] = field(default_factory=dict)
+    left_at_by_replica: dict[str, float] = field(default_factory=dict)
+    disturbed_by_daemon: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    errors_by_daemon: dict[str, list[str]] = field(default_factory=dict)
+    held_at_end: int = 0
+    unfinished: int = 0
+
+    def calm(self, daemon: str, since: float, until: float) -> bool:
+        """Return whether no fault touched a daemon, or the store for all, in a span.
+
+        Without a name it is a daemon that closed its connection, or ended, right after the request.
+        """
+        if not daemon:
+            return False
+        spans = self.disturbed_by_daemon.get(daemon, []) + self.disturbed_by_daemon.get("all", [])
+        return not _overlaps(spans, since, until)
+
+    def runs_on(self, daemon: str, since: float, until: float) -> bool:
+        """Return whether a daemon was neither ended nor paused in a span.
+
+        Faults that are noted for one daemon are of these two kinds. Answers do not pass the store,
+        and need no state that is learnt after a fault.
+        """
+        spans = self.disturbed_by_daemon.get(daemon, [])
+        return not _overlaps(
+            [(start, end - RECOVERY_SECONDS) for start, end in spans], since, until
+        )
+
+    def path_kept(self, arrival: Arrival, until: float) -> bool:
+        """Return whether the daemon that sent a request, and its way to the replica, stayed whole.
+
+        Without a name the daemon is unknown.
+        """
+        daemon, since = arrival.daemon, arrival.at
+        harmed = self.harmed_by_replica.get(arrival.replica, [])
+        harmed = harmed + [(cut.since, cut.until) for cut in self.cuts if daemon in cut.daemons]
+        return (
+            bool(daemon)
+            and self.runs_on(daemon, since, until)
+            and not _overlaps(harmed, since, until)
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """Name a broken promise and the request that shows it."""
+
+    promise: str
+    request: str
+    detail: str
+
+
+def _overlaps(spans: list[tuple[float, float]], since: float, until: float) -> bool:
+    return any(start <= until and since <= end for start, end in spans)
--- a/src/brassdrum/soak/plan.py
+++ b/src/brassdrum/soak/plan.py
@@ -34,6 +34,9 @@
     "say_leaving": "a replica says that it leaves, long before the list does",
     "unframe": "a replica's streams have no length and no chunks, and many end inside an event",
     "cut_off": "some daemons, not all, reach no replica, while callers and peers reach them",
+    "evacuate": "the operator evacuates a zone and takes it back into service",
+    "turn_cold": "a replica takes few requests a second for a while, from all daemons together",
+    "read_slowly": "callers read long answers slowly",
 }.items():
     FAULT_KINDS.register(_name)(_meaning)
 # Drawn apart from the others, so that the plans of seeds stay as they were.
@@ -47,6 +50,17 @@
 _CUT_SHARE = 0.6
 # Long enough that the time in which a daemon may still find out is over.
 _CUT_SECONDS = 5.0
+_LOAD_SHARE = 0.7
+# Daemons have 5 s to obey; the rest shows whether they do.
+_SHORTEST_EVACUATION_SECONDS = 6.0
+_LONGEST_EVACUATION_SECONDS = 8.0
+# The share of a long run that an evacuation lasts. Daemons are judged only while no fault disturbs
+# them, so that a short one would judge few requests.
+_EVACUATION_SHARE = 0.6
+_TAKEN_BACK_SECONDS = 1.0
+_SHORTEST_COLD_SECONDS = 1.5
+_LONGEST_COLD_SECONDS = 4.0
+_LONGEST_STALL_SECONDS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +77,8 @@
 def draw_plan(seed: int, seconds: float) -> list[PlannedFault]:
     """Return the faults of a run in time order."""
     rng = random.Random(seed)
-    drawn_apart = (_COPY_KIND, *_SIGNAL_KINDS, *_ANSWER_KINDS, _CUT_KIND)
+    load_kinds = [draw.kind for draw in _LOAD_DRAWS]
+    drawn_apart = (_COPY_KIND, *_SIGNAL_KINDS, *_ANSWER_KINDS, _CUT_KIND, *load_kinds)
     kinds = [kind for kind in FAULT_KINDS if kind not in drawn_apart]
     count = max(1, round((seconds - _QUIET_START_SECONDS) * _FAULTS_PER_SECOND))
     faults = [
@@ -80,6 +95,7 @@
     faults.extend(_drawn_apart(seed, "signals", _SIGNAL_KINDS, _SIGNAL_SHARE, seconds / 2))
     faults.extend(_drawn_apart(seed, "answers", _ANSWER_KINDS, _ANSWER_SHARE, seconds))
     faults.extend(_cuts(seed, seconds))
+    faults.extend(_load_faults(seed, seconds))
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -92,6 +108,48 @@
     return [PlannedFault(at, _CUT_KIND, _CUT_SECONDS, rng.randrange(1000), rng.randrange(1000))]
 
 
+@dataclass(frozen=True, slots=True)
+class _LoadDraw:
+    """Hold how long a kind of fault lasts, and how long before the end of a run it is over.
+
+    Its longest span grows to a ``share`` of the run where that is longer.
+    """
+
+    kind: str
+    shortest: float
+    longest: float
+    before_end: float = 0.0
+    share: float = 0.0
+
+
+_LOAD_DRAWS = (
+    _LoadDraw(
+        "evacuate",
+        _SHORTEST_EVACUATION_SECONDS,
+        _LONGEST_EVACUATION_SECONDS,
+        before_end=_TAKEN_BACK_SECONDS,
+        share=_EVACUATION_SHARE,
+    ),
+    _LoadDraw("turn_cold", _SHORTEST_COLD_SECONDS, _LONGEST_COLD_SECONDS),
+    _LoadDraw("read_slowly", _SHORTEST_SECONDS, _LONGEST_STALL_SECONDS),
+)
+
+
+def _load_faults(seed: int, seconds: float) -> list[PlannedFault]:
+    """Return one fault of each kind in most of the runs that are long enough for it."""
+    rng = random.Random(f"{seed} load")
+    faults = []
+    for draw in _LOAD_DRAWS:
+        drawn = rng.random() < _LOAD_SHARE
+        longest = max(draw.longest, draw.share * seconds)
+        length = rng.uniform(draw.shortest, longest)
+        part, choice, variant = rng.random(), rng.randrange(1000), rng.randrange(1000)
+        latest = seconds - length - draw.before_end
+        if drawn and latest > 0:
+            faults.append(PlannedFault(part * latest, draw.kind, length, choice, variant))
+    return faults
+
+
 def _store_copies(seed: int, seconds: float) -> list[PlannedFault]:
     """Return a return of the store from a copy, in half of the runs."""
     rng = random.Random(f"{seed} {_COPY_KIND}")
--- a/src/brassdrum/soak/proxy.py
+++ b/src/brassdrum/soak/proxy.py
@@ -73,9 +73,12 @@
         """Let all processes reach the target again; what was held up is lost."""
         self._cut_by_process.clear()
         with self._lock:
-            silenced, self._silenced = self._silenced, set()
+            silenced = set(self._silenced)
+        # Nothing passes before the reset: what was held up must not arrive after the cut.
         for connection in silenced:
             _reset(connection)
+        with self._lock:
+            self._silenced -= silenced
 
     def process_behind(self, accepted: socket.socket) -> int | None:
         """Return the process that a connection to the target came from, None if it is unknown."""
@@ -141,6 +144,8 @@
                     time.sleep(_DELAY_SECONDS)
                 while self._holds_back(source, sink, answers):
                     time.sleep(_POLL_SECONDS)
+                _raise_if_reset(source)
+                _raise_if_reset(sink)
                 sink.sendall(data)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
@@ -150,11 +155,17 @@
 def _receive(source: socket.socket) -> bytes:
     """Return what a connection sends; raise ``ConnectionResetError`` once it has been reset."""
     data = source.recv(_READ_BYTES)
-    if not data and source.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, len(_ABORT)) == _ABORT:
-        raise ConnectionResetError("reset by the proxy")
+    if not data:
+        _raise_if_reset(source)
     return data
 
 
+def _raise_if_reset(connection: socket.socket) -> None:
+    """Raise ``ConnectionResetError`` once the proxy has reset a connection."""
+    if connection.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, len(_ABORT)) == _ABORT:
+        raise ConnectionResetError("reset by the proxy")
+
+
 def _reset(connection: socket.socket) -> None:
     """Let the connection's close reset it, and wake the thread that reads it and closes it."""
     try:
--- a/src/brassdrum/soak/records.py
+++ b/src/brassdrum/soak/records.py
@@ -21,6 +21,8 @@
         self.era = 1
         self._written_again = frozenset(written_again)
         self._lock = threading.Lock()
+        self._end_by_topic: dict[str, int] = {}
+        self._copied_end_by_topic: dict[str, int] = {}
         self._by_topic: _Records = {}
         self._copy: _Records = {}
         self._true: _Records = {}
@@ -28,12 +30,14 @@
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Write a record."""
         with self._lock:
+            self._count(topic)
             for records in (self._by_topic, self._true):
                 records.setdefault(topic, {})[key] = value
 
     def drop(self, topic: str, key: str) -> None:
         """Let a record lapse."""
         with self._lock:
+            self._count(topic)
             for records in (self._by_topic, self._true):
                 records.get(topic, {}).pop(key, None)
 
@@ -42,15 +46,22 @@
         with self._lock:
             return dict(self._by_topic.get(topic, {}))
 
+    def end_offset(self, topic: str) -> int:
+        """Return the number of records that were ever appended to a topic."""
+        with self._lock:
+            return self._end_by_topic.get(topic, 0)
+
     def keep_copy(self) -> None:
         """Make a copy."""
         with self._lock:
             self._copy = _copied(self._by_topic)
+            self._copied_end_by_topic = dict(self._end_by_topic)
 
     def come_back(self) -> None:
         """Lose what was written since the copy was made."""
         with self._lock:
             self._by_topic = _copied(self._copy)
+            self._end_by_topic = dict(self._copied_end_by_topic)
             self.era += 1
 
     def write_again(self) -> None:
@@ -58,6 +69,10 @@
         with self._lock:
             for topic in self._written_again:
                 self._by_topic[topic] = dict(self._true.get(topic, {}))
+                self._count(topic)
+
+    def _count(self, topic: str) -> None:
+        self._end_by_topic[topic] = self._end_by_topic.get(topic, 0) + 1
 
 
 def _copied(by_topic: _Records) -> _Records:
--- a/src/brassdrum/soak/replicas.py
+++ b/src/brassdrum/soak/replicas.py
@@ -8,13 +8,17 @@
 from dataclasses import dataclass, field
 from typing import BinaryIO
 
+from brassdrum.soak.long_answers import LONG_KIND, long_digest
+
 __all__ = [
     "Arrival",
+    "COLD_RATE",
     "ENDING_PART",
     "ENDING_PATH",
     "EVENTS",
     "HeldMemory",
     "PAUSE_SECONDS",
+    "ZONES",
     "ReplicaFaults",
     "ReplicaRequest",
     "ReplicaServer",
@@ -34,6 +38,9 @@
 PAUSE_SECONDS = 2.0
 # Events of one stream: enough for a cut in the middle.
 EVENTS = 6
+# Cold replicas bear this many requests a second; a replica gets some 30 while it is warm.
+COLD_RATE = 2.0
+ZONES = ("zone-a", "zone-b")
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +79,8 @@
 
     Of its streams, ``unframed`` have neither length nor chunks; half of these end inside an event.
     It takes ``limit`` requests a second, says that it is ``leaving``, and answers a share of
-    ``rest`` with a pause.
+    ``rest`` with a pause. It breaks off a share of ``break_long`` of its long answers, and with
+    ``hide_cold`` it does not say that it is cold.
     """
 
     limit: float | None = None
@@ -85,6 +93,8 @@
     refuse: float = 0.0
     spoil: float = 0.0
     repeat: float = 0.0
+    break_long: float = 0.0
+    hide_cold: bool = False
 
 
 @dataclass(slots=True)
@@ -156,6 +166,7 @@
         self.own_address = f"127.0.0.1:{self._server.getsockname()[1]}"
         # Daemons reach a replica through a proxy, which has another address.
         self.address = self.own_address
+        self.zone = ZONES[0]
         threading.Thread(target=self._accept, daemon=True).start()
 
     def close(self) -> None:
@@ -163,6 +174,10 @@
         self._closed = True
         self._server.close()
 
+    def remaining_cold_ms(self) -> int:
+        """Return for how long the replica says that it stays cold."""
+        return 0
+
     def handle(self, connection: socket.socket, request: ReplicaRequest) -> bool:
         """Answer a request; return whether the connection stays open."""
         raise NotImplementedError
@@ -199,7 +214,9 @@
 
 
 def whole_answer(kind: str, request: str) -> bytes:
-    """Return what a caller must receive."""
+    """Return what a caller must receive, of a long answer its digest."""
+    if kind == LONG_KIND:
+        return long_digest(request)
     if kind == "text":
         return b"".join(event(request, number) for number in range(1, EVENTS + 1))
     return expected(request, spoilt=False)
--- a/src/brassdrum/soak/run.py
+++ b/src/brassdrum/soak/run.py
@@ -2,48 +2,49 @@
 
 from __future__ import annotations
 
-import http.client
-import os
+import math
 import random
-import signal
-import subprocess
-import sys
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 from pathlib import Path
 
-from brassdrum.platform.settings import PATH_VARIABLE
-from brassdrum.platform.standin import Replica, Store, boot_file, caller_headers
+from brassdrum.platform.standin import Replica, Store, boot_file
 from brassdrum.soak.actions import ACTIONS
-from brassdrum.soak.checks import CutOff, History, Result, Violation, judge
+from brassdrum.soak.callers import Callers, Keys
+from brassdrum.soak.checks import judge
 from brassdrum.soak.connections import ConnectionOwners, addresses_of
+from brassdrum.soak.history import RECOVERY_SECONDS, CutOff, History, Violation
 from brassdrum.soak.plan import PlannedFault, draw_plan
+from brassdrum.soak.processes import DaemonProcess
 from brassdrum.soak.proxy import Proxy
-from brassdrum.soak.replicas import ENDING_PART, ENDING_PATH
+from brassdrum.soak.replicas import ZONES
 from brassdrum.standins.ports import free_port
 
-__all__ = ["DaemonProcess", "Soak", "SoakReport", "SoakSize"]
+__all__ = ["PLANTS", "EndsBy", "Soak", "SoakReport", "SoakSize"]
 
-_PATIENCE_SECONDS = 6.0
-_CALLER_TIMEOUT_SECONDS = 25.0
 _READY_SECONDS = 30.0
 _RESTART_SECONDS = 0.2
 # Held memory ends by itself after 3.2 s; then nothing may be left.
 _SETTLE_SECONDS = 5.0
-# A daemon that was disturbed needs this long to know the newest state again.
-_TOUCH_SECONDS = 3.5
-_GIANT_TOKENS = 150_000
-_GIANT_SHARE = 0.04
-_KINDS = ("text", "hold", "check")
-# Every fourth caller asks for the same each time, as a page that is polled does.
-_SAME_CONTENT_CALLERS = 4
-# A part that the prompts of all callers share.
-_SHARED_PART = "shared"
-# The caller whose request ends replicas comes again after up to this.
-_ENDING_PAUSE_SECONDS = 0.6
+# Entries of replicas on the platform are at most 1.2 s old.
+_LISTED_AGAIN_SECONDS = 0.4
+# What a planted fault lets each replica do wrong.
+_REPLICA_PLANTS = {
+    "repeat": ("repeat", 0.3),
+    "spoil": ("spoil", 0.3),
+    "hide_cold": ("hide_cold", True),
+    "break_long": ("break_long", 1.0),
+}
+# Other faults are left out beside these, since they may hide what is planted.
+_PLAYED_KIND_BY_PLANT = {
+    "hide_evacuations": "evacuate",
+    "hide_cold": "turn_cold",
+    "break_long": "read_slowly",
+}
+PLANTS = ("hide_evacuations", *_REPLICA_PLANTS)
 
 
 class EndsBy(StrEnum):
@@ -75,88 +76,6 @@
     violations: list[Violation]
 
 
-class DaemonProcess:
-    """Start, signal and restart one daemon; ends only the process that it started itself."""
-
-    def __init__(self, name: str, host: str, boot: Path, log: Path, ports: tuple[int, int]) -> None:
-        self.name = name
-        self.host = host
-        self.port, self.ready_port = ports
-        self.wanted = True
-        self._boot = boot
-        self._log = log
-        self._process: subprocess.Popen | None = None
-
-    def start(self) -> None:
-        """Start the process unless it runs."""
-        if self._process is not None and self._process.poll() is None:
-            return
-        environment = {**os.environ, PATH_VARIABLE: str(self._boot)}
-        with self._log.open("ab") as log:
-            self._process = subprocess.Popen(
-                [sys.executable, "-m", "brassdrum", "gateway"], env=environment, stdout=log
-            )
-
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal to the process that this object started."""
-        if self._process is not None and self._process.poll() is None:
-            self._process.send_signal(number)
-
-    @property
-    def process_id(self) -> int | None:
-        """Return the id of the process, None before the first start."""
-        return None if self._process is None else self._process.pid
-
-    def ended(self) -> bool:
-        """Return whether the process has ended."""
-        return self._process is None or self._process.poll() is not None
-
-    def close(self) -> None:
-        """End the process."""
-        self.wanted = False
-        self.send(signal.SIGCONT)
-        self.send(signal.SIGKILL)
-        if self._process is not None:
-            self._process.wait()
-
-    def ready(self) -> bool:
-        """Return whether the daemon calls itself ready."""
-        connection = http.client.HTTPConnection(self.host, self.ready_port, timeout=1)
-        try:
-            connection.request("GET", "/readiness")
-            return connection.getresponse().status == 200
-        except (OSError, http.client.HTTPException):
-            return False
-        finally:
-            connection.close()
-
-
-@dataclass(frozen=True, slots=True)
-class _Sending:
-    """Hold what a caller asks for, with which key."""
-
-    request: str
-    kind: str
-    key: str
-    tokens: int
-    parts: str = ""
-
-
-@dataclass(slots=True)
-class _Keys:
-    """Hold the keys in force and give out new ones."""
-
-    by_organisation: dict[str, list[str]] = field(default_factory=dict)
-    count: int = 0
-
-    def issue(self, organisation: str) -> str:
-        """Return a new key of an organisation."""
-        self.count += 1
-        key = f"key-{organisation}-{self.count}"
-        self.by_organisation.setdefault(organisation, []).append(key)
-        return key
-
-
 class Soak:
     """Run one seed."""
 
@@ -166,7 +85,7 @@
         self.history = History()
         self.random = random.Random(seed)
         self.store = Store()
-        self.keys = _Keys()
+        self.keys = Keys()
         self._folder = folder
         self._plant = plant
         self._stop = threading.Event()
@@ -175,7 +94,15 @@
         self.replicas: list[Replica] = []
         self.links: dict[str, Proxy] = {}
         self.store_links: list[Proxy] = []
+        self.store.hide_evacuations = plant == "hide_evacuations"
         self.daemons: list[DaemonProcess] = []
+        self.callers = Callers(
+            seed,
+            self.daemons,
+            self.keys,
+            self.history,
+            ends_by_part=size.ends_by is EndsBy.PART,
+        )
         self._cut: dict[DaemonProcess, str] = {}
         # All that ran, also those that have ended.
         self._daemon_by_process: dict[int, str] = {}
@@ -183,24 +110,25 @@
 
     def run(self) -> SoakReport:
         """Play the plan of the seed and judge."""
-        plan = draw_plan(self.seed, self.size.seconds)
+        only = _PLAYED_KIND_BY_PLANT.get(self._plant)
+        plan = [
+            fault
+            for fault in draw_plan(self.seed, self.size.seconds)
+            if only is None or fault.kind == only
+        ]
         try:
             self._set_up()
-            callers = [
-                threading.Thread(target=self._call_on, args=(number,), daemon=True)
-                for number in range(self.size.callers)
-            ]
-            callers.append(threading.Thread(target=self._end_replicas, daemon=True))
-            keeper = threading.Thread(target=self._keep_running, daemon=True)
-            for thread in (*callers, keeper):
-                thread.start()
+            self.callers.start(self.size.callers)
+            threading.Thread(target=self._keep_running, daemon=True).start()
             self._play(plan)
             self._stop.set()
-            for thread in callers:
-                thread.join(_CALLER_TIMEOUT_SECONDS + 5)
-            self.history.unfinished = sum(thread.is_alive() for thread in callers)
+            self.callers.stop()
+            self.history.unfinished = self.callers.join()
             time.sleep(_SETTLE_SECONDS)
             self.history.held_at_end = sum(replica.held() for replica in self.replicas)
+            self.history.errors_by_daemon = {
+                daemon.name: daemon.logged_errors() for daemon in self.daemons
+            }
         finally:
             self._tear_down()
         results = self.history.results
@@ -215,9 +143,14 @@
     def disturb(self, daemon: str, seconds: float) -> None:
         """Note that a daemon cannot be held to times for a span and what follows it."""
         now = time.monotonic()
-        span = (now, now + seconds + _TOUCH_SECONDS)
+        span = (now, now + seconds + RECOVERY_SECONDS)
         self.history.disturbed_by_daemon.setdefault(daemon, []).append(span)
 
+    def harm(self, replica: str, seconds: float) -> None:
+        """Note that answers of a replica may break off for a span."""
+        now = time.monotonic()
+        self.history.harmed_by_replica.setdefault(replica, []).append((now, now + seconds))
+
     def cut_off(self, cut: list[DaemonProcess], how: str, seconds: float) -> None:
         """Cut daemons off from all replicas for a span, also after a restart."""
         now = time.monotonic()
@@ -242,7 +175,7 @@
             link.end_cuts()
 
     def after(self, seconds: float, action: Callable[[], None]) -> None:
-        """Act later, unless the soak is over by then."""
+        """Act later, in a thread of its own."""
         timer = threading.Timer(seconds, action)
         timer.daemon = True
         timer.start()
@@ -261,10 +194,12 @@
         )
         link = Proxy(replica.own_address, owners=self._owners)
         replica.address = link.address
-        if self._plant == "repeat":
-            replica.faults.repeat = 0.3
-        if self._plant == "spoil":
-            replica.faults.spoil = 0.3
+        zones = [each.zone for each in self.replicas]
+        replica.zone = min(ZONES, key=zones.count)
+        self.history.zone_by_replica[name] = replica.zone
+        if self._plant in _REPLICA_PLANTS:
+            fault, value = _REPLICA_PLANTS[self._plant]
+            setattr(replica.faults, fault, value)
         self.links[name] = link
         for daemon in list(self._cut):
             self._apply_cut(daemon, [link])
@@ -278,11 +213,21 @@
             if replica not in self.replicas:
                 return
             self.replicas.remove(replica)
+        self.harm(replica.name, math.inf)
         self.links[replica.name].close()
         replica.close()
         self.add_replica()
         self.after(1.0, lambda: self.store.remove_replica(replica.name))
 
+    def keep_listed(self, replica: Replica) -> None:
+        """Write the entry of a replica in service again and again until it is warm."""
+        with self._lock:
+            if replica not in self.replicas:
+                return
+            self.store.list_replica(replica, draining=False)
+        if replica.remaining_cold_ms():
+            self.after(_LISTED_AGAIN_SECONDS, lambda: self.keep_listed(replica))
+
     def configure(self) -> None:
         """Write the keys that are in force now."""
         self.store.configure(self.keys.by_organisation)
@@ -330,7 +275,8 @@
         boot = self._folder / f"{name}.json"
         ports = (free_port(), free_port())
         daemon = DaemonProcess(name, host, boot, self._folder / f"{name}.log", ports)
-        boot_file(boot, name, daemon.host, (*ports, peer_port), link.address)
+        zone = ZONES[number % len(ZONES)]
+        boot_file(boot, name, daemon.host, (*ports, peer_port), link.address, zone)
         return daemon
 
     def _start(self, daemon: DaemonProcess) -> None:
@@ -342,6 +288,7 @@
         self.history.organisation_by_key[self.keys.issue(organisation)] = organisation
 
     def _tear_down(self) -> None:
+        self.callers.stop()
         self._stop.set()
         for daemon in self.daemons:
             daemon.close()
@@ -363,93 +310,9 @@
             for daemon in self.daemons:
                 if daemon.wanted and daemon.ended():
                     time.sleep(_RESTART_SECONDS)
+                    if self._stop.is_set():
+                        return
                     self.disturb(daemon.name, 0.0)
                     self._start(daemon)
                     self._apply_cut(daemon, list(self.links.values()))
             time.sleep(0.05)
-
-    def _call_on(self, number: int) -> None:
-        rng = random.Random(self.seed * 1000 + number)
-        count = 0
-        while not self._stop.is_set():
-            daemon = rng.choice(self.daemons)
-            connection = http.client.HTTPConnection(
-                daemon.host, daemon.port, timeout=_CALLER_TIMEOUT_SECONDS
-            )
-            # A connection stays in use until it breaks or the daemon closes it.
-            usable = True
-            while usable and not self._stop.is_set():
-                count += 1
-                request = f"r{self.seed}-{number}-{count}"
-                same = number % _SAME_CONTENT_CALLERS == 0
-                content = "x" if same else request
-                usable = self._call(connection, daemon, rng, request, content)
-                time.sleep(rng.uniform(0.0, 0.02))
-            connection.close()
-
-    def _end_replicas(self) -> None:
-        """Come again and again with requests that end each replica that runs one."""
-        rng = random.Random(f"ending {self.seed}")
-        count = 0
-        while not self._stop.wait(rng.uniform(0.0, _ENDING_PAUSE_SECONDS)):
-            count += 1
-            daemon = rng.choice(self.daemons)
-            connection = http.client.HTTPConnection(
-                daemon.host, daemon.port, timeout=_CALLER_TIMEOUT_SECONDS
-            )
-            request = f"e{self.seed}-{count}"
-            by_part = self.size.ends_by is EndsBy.PART
-            parts = f"{_SHARED_PART},{ENDING_PART},{request}" if by_part else ""
-            path = f"/text/{request}" if by_part else f"{ENDING_PATH}{self.seed}"
-            sending = _Sending(request, "ending", self._ending_key(), 1000, parts)
-            self._send(connection, sending, daemon, path)
-            connection.close()
-
-    def _ending_key(self) -> str:
-        # The newest key of one organisation: an older one may have been taken away.
-        return self.keys.by_organisation["org-1"][-1]
-
-    def _call(
-        self,
-        connection: http.client.HTTPConnection,
-        daemon: DaemonProcess,
-        rng: random.Random,
-        request: str,
-        content: str,
-    ) -> bool:
-        kind = rng.choice(_KINDS)
-        key = rng.choice(list(self.history.organisation_by_key))
-        giant = kind == "text" and rng.random() < _GIANT_SHARE
-        tokens = _GIANT_TOKENS if giant else 1000 if kind == "text" else 0
-        sending = _Sending(request, kind, key, tokens, f"{_SHARED_PART},{content}")
-        return self._send(connection, sending, daemon, f"/{kind}/{content}")
-
-    def _send(
-        self,
-        connection: http.client.HTTPConnection,
-        sending: _Sending,
-        daemon: DaemonProcess,
-        path: str,
-    ) -> bool:
-        """Send a request, note what became of it; return whether the connection is of use."""
-        request, kind, key = sending.request, sending.kind, sending.key
-        headers = caller_headers(request, key, _PATIENCE_SECONDS, sending.tokens, sending.parts)
-        sent_at = time.monotonic()
-        status, whole, body, usable, retry_after = 0, False, b"", False, 0.0
-        try:
-            method = "GET" if kind == "check" else "POST"
-            connection.request(method, path, headers=headers)
-            response = connection.getresponse()
-            status = response.status
-            retry_after = float(response.headers.get("Retry-After", "0"))
-            body = response.read()
-            whole, usable = True, not response.will_close
-        except (OSError, http.client.HTTPException):
-            usable = False
-        ended_at = time.monotonic()
-        result = Result(
-            request, kind, daemon.name, key, sent_at, ended_at, status, whole, body, retry_after
-        )
-        with self._lock:
-            self.history.results.append(result)
-        return usable
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -102,6 +102,13 @@
     "The store does not answer this daemon; what it knows is `age` seconds old.",
     "Look whether other daemons lost it too; peers hand their knowledge on meanwhile.",
 )
+NOT_ANNOUNCED = LOG_EVENTS.add(
+    "daemon not announced",
+    Topic.LIFE,
+    "error",
+    "The store did not take the address of this daemon or hand out the list of daemons.",
+    "None; it is tried again every 2 s, and peers hand the address on meanwhile.",
+)
 STORE_BACK = LOG_EVENTS.add("store back", Topic.LIFE, "age", "The store answers again.")
 STORE_RESTORED = LOG_EVENTS.add(
     "store restored",
@@ -143,6 +150,31 @@
     "An entry of the list names no endpoint to use; logged once until it changes.",
     "Correct what the endpoint writes of itself.",
 )
+ZONE_EVACUATED = LOG_EVENTS.add(
+    "zone evacuated",
+    Topic.LIFE,
+    "zone revision source endpoints",
+    "The operator has evacuated a zone: its `endpoints` get no more requests; `source` is the "
+    "store or the host of the daemon that told.",
+    "None while that is intended; else delete the operator's record.",
+)
+ZONE_TAKEN_BACK = LOG_EVENTS.add(
+    "zone taken back",
+    Topic.LIFE,
+    "zone revision source endpoints",
+    "The operator has taken a zone back: its `endpoints` offer one slot each at first and all of "
+    "them after 5 s. `source` is the store, the host of the daemon that told, or `restored store` "
+    "where a store that came back from a copy has lacked the operator's record for 6 s.",
+    "None while that is intended; else write the operator's record again.",
+)
+ZONE_UNKNOWN = LOG_EVENTS.add(
+    "evacuated zone unknown",
+    Topic.LIFE,
+    "zone revision error",
+    "The operator has evacuated a zone in which no endpoint was ever listed; nothing else "
+    "changes. Logged once until it is taken back.",
+    "Correct the zone's name in the operator's record, or delete the record.",
+)
 ENDPOINT_CHANGED = LOG_EVENTS.add(
     "endpoint changed",
     Topic.BELIEF,
@@ -164,6 +196,36 @@
     "the endpoint itself or the host of the daemon that told.",
     "Look at the endpoint: it asks for relief.",
 )
+ENDPOINT_COLD = LOG_EVENTS.add(
+    "endpoint cold",
+    Topic.BELIEF,
+    "endpoint seconds limit source",
+    "An endpoint is cold for `seconds` and takes `limit` requests a second from all daemons "
+    "meanwhile, or any number; `source` is the list, the endpoint itself or the host of the "
+    "daemon that told.",
+    "Expected after a start. If it comes back without one, look at the endpoint.",
+)
+ENDPOINT_WARM = LOG_EVENTS.add(
+    "endpoint warm",
+    Topic.BELIEF,
+    "endpoint",
+    "The cold time of an endpoint is over as far as this daemon knows.",
+)
+ENDPOINT_SLOW = LOG_EVENTS.add(
+    "endpoint slow",
+    Topic.BELIEF,
+    "endpoint factor observations age",
+    "An endpoint takes `factor` times as long to its first events as the others of its service, by "
+    "`observations` of all daemons, the newest of which was heard `age` seconds ago; fewer "
+    "requests go there.",
+    "Look at the endpoint: see slow-endpoints.md.",
+)
+ENDPOINT_USUAL = LOG_EVENTS.add(
+    "endpoint at usual speed",
+    Topic.BELIEF,
+    "endpoint",
+    "An endpoint is no longer slower than the others, or there are too few observations of it.",
+)
 ENDPOINT_PAUSED = LOG_EVENTS.add(
     "endpoint paused",
     Topic.BELIEF,
@@ -269,8 +331,11 @@
 WAITING = LOG_EVENTS.add(
     "waiting",
     Topic.REQUEST,
-    "request content harm late full predicted_ms",
-    "The request waits, since now it would be late or make others late.",
+    "request content harm late full predicted_ms yields yields_to",
+    "The request waits, since now it would be late or make others late. Without `harm`, `late` and "
+    "`full`, it would be split by a daemon that has just started and does not know the load of the "
+    "fleet yet. If it `yields`, slots are left to waiting requests of the priority and "
+    "organisation that `yields_to` names.",
 )
 PERMIT = LOG_EVENTS.add(
     "permit",
@@ -297,6 +362,20 @@
     "request content endpoint reason sends after_event budget",
     "The attempt failed and the request may be repeated.",
 )
+PAUSED = LOG_EVENTS.add(
+    "response paused",
+    Topic.REQUEST,
+    "request content endpoint unsent buffered",
+    "The caller reads more slowly than the endpoint sends; the endpoint waits. Once a response.",
+    "None, unless many: see slow-readers.md.",
+)
+NOT_READ = LOG_EVENTS.add(
+    "response not read",
+    Topic.FAILURE,
+    "unsent",
+    "The caller did not take its whole answer in its time; its connection was closed.",
+    "Look at the caller, or at the network to it.",
+)
 REFUSED = LOG_EVENTS.add(
     "refused",
     Topic.FAILURE,
