Tell peers of endpoints whose address was reused, and avoid them as exited ones

Cause: an endpoint that was found gone because another one answers at its address (421) was removed from this daemon's list alone. The next list still showed it, with no memory of what had been seen, and peers sent there as well. Exited endpoints that broke off an answer were already avoided for 6 s and told. Ruled out: a 421 for another reason. The gateway sends no expected version of weights, so only another endpoint answers so. Change: where entries name their start, both findings take one way: the endpoint is avoided for 6 s and peers are told, and the one that answered 421 leaves the list besides. Entries without a start are served as before.

--- a/features/endpoint_list.feature
+++ b/features/endpoint_list.feature
@@ -45,5 +45,12 @@
       | names         | 6       |
       | does not name | 0.8     |
 
+  # Guards against daemons that send to a reused address again because their list still shows it.
+  Scenario: An endpoint whose address was reused is avoided though the next list shows it
+    Given an endpoint whose entry names its start
+    When its address is found to belong to another endpoint and the next list still shows it
+    Then peers are told that it fails
+    And it is avoided for 6 seconds and not longer
+
   Scenario: Requests name the endpoint, not its incarnation
     Then a request to a restarted endpoint carries the endpoint's name
--- a/features/steps/endpoint_list_steps.py
+++ b/features/steps/endpoint_list_steps.py
@@ -166,6 +166,23 @@
     context.monitor.endpoint_exited(context.endpoint_id)
 
 
+@when("its address is found to belong to another endpoint and the next list still shows it")
+def step_address_reused(context):
+    listed = context.routing_state.endpoints_by_id[context.endpoint_id]
+    context.monitor.address_reused(context.endpoint_id)
+    assert not context.routing_state.usable(SERVICE)
+    context.loop.advance(0.1)
+    changes = context.routing_state.apply_store_list([listed], context.loop.now())
+    context.monitor.on_endpoints_changed(changes, "store")
+    assert context.routing_state.usable(SERVICE) == [listed]
+
+
+@then("peers are told that it fails")
+def step_told(context):
+    failing = [notice.endpoint for notice in context.monitor.build_peer_update().failing]
+    assert failing == [context.endpoint_id], failing
+
+
 @then("it is avoided for {seconds:g} seconds and not longer")
 def step_avoided(context, seconds):
     context.loop.advance(seconds - 0.1 - 0.01)
--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -13,7 +13,7 @@
 from brassdrum.gateway.following.slowdown_monitor import SlowdownMonitor
 from brassdrum.gateway.following.suspicion import FailureDetector
 from brassdrum.gateway.guards.crash_guard import CrashGuard
-from brassdrum.gateway.model import EndpointSignals
+from brassdrum.gateway.model import EndpointEntry, EndpointSignals
 from brassdrum.gateway.net.loop import EventLoop
 from brassdrum.gateway.net.upstream import EndpointPool
 from brassdrum.gateway.peering.peer_status import DrainNotice, PeerStatus
@@ -82,17 +82,21 @@
             self._log_suspect(endpoint, detail, certain)
 
     def endpoint_exited(self, endpoint: str) -> None:
-        """Record that an endpoint's process has exited.
-
-        Where entries name their start, no later process has the same id, so the endpoint is avoided
-        for about as long as its entry may stay in the list.
-        """
+        """Record that an endpoint's process has exited."""
         detail = "endpoint process exited"
         entry = self._routing_state.endpoints_by_id.get(endpoint)
         if entry is None or entry.born is None:
             self.endpoint_failed(endpoint, certain=True, detail=detail)
-        elif self._failure_detector.record_exit(endpoint, self._loop.now()):
-            self._log_suspect(endpoint, detail, True)
+        else:
+            self._avoid_until_unlisted(entry, detail)
+
+    def _avoid_until_unlisted(self, entry: EndpointEntry, detail: str) -> None:
+        """Avoid an exited endpoint for about as long as its entry may stay in the list.
+
+        The entry names its start, so no later process has the same id.
+        """
+        if self._failure_detector.record_exit(entry.id, self._loop.now()):
+            self._log_suspect(entry.id, detail, True)
 
     def endpoint_answered_failure(self, endpoint: str, detail: str) -> None:
         """Record an error response; the endpoint is avoided if most responses are errors."""
@@ -122,14 +126,19 @@
             self.signals_received(endpoint, signals, -math.inf)
 
     def address_reused(self, endpoint: str) -> None:
-        """Remove an endpoint whose address now belongs to another one."""
+        """Remove an endpoint whose address now belongs to another one.
+
+        The next list may still show it; peers that have that list learn here that it has exited.
+        """
         entry = self._routing_state.endpoints_by_id.get(endpoint)
+        if entry is None:
+            return
+        detail = "address reused"
+        if entry.born is not None:
+            self._avoid_until_unlisted(entry, detail)
         self._routing_state.address_reused(endpoint)
-        if entry is not None:
-            self._pool.close_idle(entry.address)
-            self._log_endpoint_change(
-                EndpointChange(endpoint, entry.service, "gone"), "address reused"
-            )
+        self._pool.close_idle(entry.address)
+        self._log_endpoint_change(EndpointChange(endpoint, entry.service, "gone"), detail)
 
     def build_peer_update(self) -> PeerStatus:
         """Return the state that is sent to peers."""
