Move the grouping of the fleet and the recipients of messages out of the peer exchange

Ruled out: a split of receiving and sending; both need the aggregator's state and the tables. Change: a class Topology answers these questions from the directory, the aggregators and the group. One interval of an aggregator's heartbeats, which was written twice, is in one place. No behaviour changes.

--- a/src/brassdrum/gateway/peering/peers.py
+++ b/src/brassdrum/gateway/peering/peers.py
@@ -40,6 +40,7 @@
 from brassdrum.gateway.peering.remote_daemons import RemoteDaemons
 from brassdrum.gateway.peering.row_teller import RowPublisher, RowUpdate
 from brassdrum.gateway.peering.spreading import fanout_branches
+from brassdrum.gateway.peering.topology import Topology
 from brassdrum.gateway.placing.load import LoadTable
 from brassdrum.gateway.placing.slowdown import SlowdownTable
 from brassdrum.gateway.throttling.ownership import Member
@@ -56,10 +57,6 @@
 _MAX_FLUSH_SECONDS = 0.08
 # Reports have a single receiver and are delayed for this fraction of the time.
 _REPORT_FLUSH_FRACTION = 0.25
-# Larger fleets form groups: 12 ungrouped daemons send 11 datagrams a change. The hysteresis
-# prevents switching at each restart of a daemon.
-_MAX_UNGROUPED_DAEMONS = 12
-_GROUPING_HYSTERESIS_DAEMONS = 2
 # Heartbeat intervals of aggregators and of members.
 _HEARTBEAT_SECONDS = 0.4
 _MEMBER_HEARTBEAT_SECONDS = 0.8
@@ -71,10 +68,6 @@
 # At startup, time to wait for replies of the seeds, and again for those of the zone.
 _DISCOVERY_SECONDS = 0.25
 _MAX_START_PROBES = 16
-# Larger fleets list only the daemons of one zone, and the aggregators.
-_MAX_FULLY_LISTED_DAEMONS = 24
-# Zones without a known aggregator are probed through this many random daemons per heartbeat.
-_PROBES_PER_ZONE = 3
 # The load of the fleet counts as known once this share of the known daemons takes part.
 _KNOWN_FLEET_SHARE = 0.8
 # Heartbeats between daemon lists; directory entries outlive this interval.
@@ -136,11 +129,11 @@
         self._rows_for_groups = RowPublisher(lambda key: self._group.total(key))
         self._rows_for_members = RowPublisher(table.total_by_key)
         self._group = Group(table.own_row, self._rows_for_groups.mark_changed)
+        self._topology = Topology(own, self._directory, self._aggregators, self._group, rng)
         self._pending_reports = PendingReports(table.own_row)
         self._probe_list = ProbeList(rng)
         self._aggregator_host: str | None = None
         self._aggregator_state = _AggregatorState(0.0, 0.0)
-        self._grouped = False
         self._publish_timer: Timer | None = None
         self._report_timer: Timer | None = None
         self._discovery_done = False
@@ -245,7 +238,7 @@
 
     def _ask_for_remote_daemons(self) -> None:
         """Ask an aggregator of each zone which of its daemons reach the endpoints."""
-        if not self.path_lost or not self._grouped:
+        if not self.path_lost or not self._topology.grouped:
             return
         if self.report_target is not None:
             self._probe(self.report_target)
@@ -311,7 +304,11 @@
     def _heartbeat_seconds(self) -> float:
         if not self.is_aggregator:
             return _MEMBER_HEARTBEAT_SECONDS
-        return _HEARTBEAT_SECONDS if self._grouped else _HEARTBEAT_SECONDS * self._flush_scale()
+        return self._aggregator_heartbeat_seconds()
+
+    def _aggregator_heartbeat_seconds(self) -> float:
+        scale = 1.0 if self._topology.grouped else self._flush_scale()
+        return _HEARTBEAT_SECONDS * scale
 
     def _send_heartbeat(self) -> None:
         now = self._loop.now()
@@ -336,10 +333,8 @@
             self._probe_list.add_lost(address.host)
         for host in self._group.silent_hosts(now, _EXPIRY_HEARTBEATS * _MEMBER_HEARTBEAT_SECONDS):
             self._drop_member(host)
-        heartbeat = (
-            _HEARTBEAT_SECONDS if self._grouped else _HEARTBEAT_SECONDS * self._flush_scale()
-        )
-        for sender in self._aggregators.expire(now, _EXPIRY_HEARTBEATS * heartbeat):
+        timeout = _EXPIRY_HEARTBEATS * self._aggregator_heartbeat_seconds()
+        for sender in self._aggregators.expire(now, timeout):
             self._table.drop_publisher(sender.name)
             _log_peer_lost(sender)
 
@@ -368,11 +363,9 @@
         now = self._loop.now()
         if not self._discovery_done:
             return
-        known = max(self.live, 1 + len(self._directory))
-        margin = _GROUPING_HYSTERESIS_DAEMONS if self._grouped else 0
-        self._grouped = known > _MAX_UNGROUPED_DAEMONS - margin
+        self._topology.update_grouping(self.live)
         aggregator = self._own.host
-        if self._grouped:
+        if self._topology.grouped:
             candidates = self._directory.candidates(self._own.zone, now, own=not self.leaving)
             aggregator = candidates[0].host if candidates else self._own.host
         if aggregator != self._aggregator_host:
@@ -418,7 +411,7 @@
         if not self.is_aggregator:
             return
         data = encode_message(self._step_down_digest(successor))
-        for host in self._publish_targets():
+        for host in self._topology.publish_targets():
             self._send_bytes(host, data)
         self._forward_to_members(data)
         for host in self._group.hosts:
@@ -491,13 +484,16 @@
         self._heartbeats_sent += heartbeat
         own = self._build_digest(
             self._rows_for_groups.take_changed(
-                self._loop.now(), include_partition=heartbeat or self._grouped
+                self._loop.now(), include_partition=heartbeat or self._topology.grouped
             ),
             lists_members=heartbeat,
             single_receiver=False,
         )
         data = encode_message(own)
-        for host in [*self._publish_targets(), *(self._discovery_targets() if heartbeat else ())]:
+        targets = self._topology.publish_targets()
+        if heartbeat:
+            targets = [*targets, *self._topology.discovery_targets()]
+        for host in targets:
             self._send_bytes(host, data)
         changed, self._table.changed_remote_keys = self._table.changed_remote_keys, set()
         self._rows_for_members.mark_changed(changed)
@@ -522,7 +518,7 @@
         now = self._loop.now()
         status = self._status.build(now, fleet=fleet, heartbeat=lists_members)
         if not single_receiver:
-            targets = self._group.hosts if fleet else self._publish_targets()
+            targets = self._group.hosts if fleet else self._topology.publish_targets()
             status = self.demand.paced(status, now, targets, fleet=fleet, heartbeat=lists_members)
         return Digest(
             self._next_sender(),
@@ -542,28 +538,14 @@
         """Return whether this heartbeat carries the daemon list."""
         return self._heartbeats_sent % _HEARTBEATS_PER_DAEMON_LIST == 0
 
-    def _publish_targets(self) -> list[str]:
-        if self._grouped:
-            return self._aggregators.hosts
-        members = set(self._group.hosts)
-        return [each.host for each in self._directory.addresses() if each.host not in members]
-
     def _daemons_to_list(self) -> tuple[DaemonAddress, ...]:
-        """Return the daemons of the zone, and the aggregators of other groups."""
-        named = self._directory.addresses(self._listed_zone(self._own.zone))
+        """Return the daemons of the zone, and the aggregators."""
+        named = self._topology.listed_daemons(self._own.zone)
         return tuple(dict.fromkeys([*named, *self._known_aggregators()]))
 
-    def _discovery_targets(self) -> list[str]:
-        """Return the hosts that may not know this aggregator."""
-        if not self._grouped:
-            return []
-        known = {*self._group.hosts, *self._aggregators.hosts}
-        zone = self._own.zone
-        found = [each.host for each in self._directory.addresses(zone) if each.host not in known]
-        for other in self._directory.zones() - self._aggregators.zones() - {zone}:
-            hosts = [each.host for each in self._directory.addresses(other)]
-            found.extend(self._random.sample(hosts, min(_PROBES_PER_ZONE, len(hosts))))
-        return found
+    def _known_aggregators(self) -> tuple[DaemonAddress, ...]:
+        own = (self._own,) if self.is_aggregator else ()
+        return (*self._topology.known_aggregators(), *own)
 
     def _forward_to_members(self, digest: bytes) -> None:
         for branch in fanout_branches(self._group.hosts, self._random):
@@ -613,7 +595,7 @@
         if address.host == self._own.host:
             return
         first = self._directory.mark_heard(hello.sender, now)
-        if self.path_lost and self._grouped and not hello.wants_reply:
+        if self.path_lost and self._topology.grouped and not hello.wants_reply:
             # Only an aggregator knows which daemons of its zone have lost their path.
             if address in hello.aggregators:
                 self._remote_daemons.put(address.zone, hello.known_daemons)
@@ -622,30 +604,20 @@
         self._directory.add_live(hello.aggregators, now)
         self._probe_list.found(address.host)
         if hello.wants_reply:
-            known = tuple(self._directory.addresses(self._listed_zone(address.zone)))
-            if hello.sender.path_lost and self._grouped:
+            known = self._topology.listed_daemons(address.zone)
+            if hello.sender.path_lost and self._topology.grouped:
                 known = self._zone_forward_targets()
             self._send(address.host, Hello(self._next_sender(), known, self._known_aggregators()))
         elif any(each.zone == self._own.zone for each in hello.aggregators):
             self._discovery_done = True
         self._choose_aggregator()
-        if self.is_aggregator and not self._grouped and first:
+        if self.is_aggregator and not self._topology.grouped and first:
             self._send_snapshot(address.host)
 
     def _zone_forward_targets(self) -> tuple[DaemonAddress, ...]:
         """Return the daemons of this zone that may reach the endpoints."""
-        targets = self._directory.forward_targets()
         own = () if self.path_lost or self.leaving else (self._own,)
-        return (*(each for each in targets if each.zone == self._own.zone), *own)
-
-    def _listed_zone(self, zone: str) -> str | None:
-        """Return the zone whose daemons are listed, or None to list all."""
-        return None if len(self._directory) <= _MAX_FULLY_LISTED_DAEMONS else zone
-
-    def _known_aggregators(self) -> tuple[DaemonAddress, ...]:
-        found = (self._directory.address(host) for host in self._aggregators.hosts)
-        known = tuple(each for each in found if each is not None)
-        return (*known, self._own) if self.is_aggregator else known
+        return (*self._topology.forward_targets(), *own)
 
     def _send_snapshot(self, host: str, *, fleet: bool = False) -> None:
         """Send all rows to a new member or aggregator."""
@@ -733,10 +705,7 @@
         self._merge_rows(digest, now)
         self._on_notices(host, digest.status)
         self._on_knowledge(host, digest.status)
-        covered_zones = {*self._aggregators.zones(), self._own.zone} if self._grouped else set()
-        self._directory.add(
-            [each for each in digest.known_daemons if each.zone not in covered_zones], now
-        )
+        self._directory.add(self._topology.unaggregated(digest.known_daemons), now)
         if taken.first:
             self._send_snapshot(host)
         if self._group.hosts:
