Let the gateway and the simulated daemon place requests by the same code

Cause: the choice of the endpoints for a request, the next opening and the seconds until one opens stood twice, in the daemon and in the daemon of `bench load`. The simulated one passed over requests that run in isolation, so it did not play that part of the decision. Ruled out: a shared base class for both daemons; they differ in nearly all else. Change: RequestPlacer composes the list of endpoints, the selector, the throttle, the crash guard and the fair order. Exchanges ask it through their context. The cost model of a service is found in the routing state. Conclusion: no behaviour changes in the gateway. One step of the fair shares reaches the selector through the placer.

--- a/features/steps/fair_share_gateway_steps.py
+++ b/features/steps/fair_share_gateway_steps.py
@@ -82,7 +82,7 @@
     context.gateways = [RunningGateway(store, number + 2, port) for number in range(count)]
     for gateway in context.gateways:
         context.stack.push(gateway.close)
-        gateway.daemon._endpoint_selector._flush_seconds = lambda: LONG_FLUSH_SECONDS
+        gateway.daemon.placer._selector._flush_seconds = lambda: LONG_FLUSH_SECONDS
     for gateway in context.gateways:
         eventually(gateway.ready, f"{gateway.host} is ready")
     eventually(
--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -35,22 +35,21 @@
 from brassdrum.gateway.path.path_watch import PathWatch
 from brassdrum.gateway.peering.peer_status import PeerStatus
 from brassdrum.gateway.peering.peers import Peers
-from brassdrum.gateway.placing.choosing import EndpointSelector, Selection
-from brassdrum.gateway.placing.costs import prefill_ms
+from brassdrum.gateway.placing.choosing import EndpointSelector
 from brassdrum.gateway.placing.load import LoadTable
-from brassdrum.gateway.placing.placement import Placement, PlacementRequest
 from brassdrum.gateway.placing.policies import Policy
 from brassdrum.gateway.placing.room_sampler import RoomSampler
 from brassdrum.gateway.placing.unknown_load import UnknownLoad
 from brassdrum.gateway.request.attempt import Attempt
-from brassdrum.gateway.request.exchange_context import PlacedExchange, TrackedExchange
+from brassdrum.gateway.request.exchange_context import TrackedExchange
 from brassdrum.gateway.request.outcome import Outcome
+from brassdrum.gateway.request.placer import PlacedExchange, RequestPlacer
 from brassdrum.gateway.request.waiting import WaitQueue
 from brassdrum.gateway.sharing.fair_order import FairOrder
 from brassdrum.gateway.sharing.ledger import DemandLedger
 from brassdrum.gateway.throttling.rates import EndpointRates
 from brassdrum.gateway.throttling.signals import EndpointSignalTable
-from brassdrum.gateway.throttling.throttle import EndpointOpening, EndpointThrottle
+from brassdrum.gateway.throttling.throttle import EndpointThrottle
 from brassdrum.telemetry.log_events import PLACED, LogEvent
 
 __all__ = ["SERVICE", "Fleet", "Prediction", "SimulatedDaemon"]
@@ -297,6 +296,7 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self._entries = fleet.entries()
+        self._model = fleet.model
         self.endpoints_by_id = {each.id: each for each in self._entries}
         service = Service(SERVICE, 0, fleet.model, cold_rate=fleet.cold_rate)
         self.configuration = FleetConfiguration(1, (), {SERVICE: service}, ())
@@ -305,6 +305,10 @@
         """Return all endpoints."""
         return self._entries
 
+    def engine_model(self, _service: str) -> EngineModel:
+        """Return the model of all engines."""
+        return self._model
+
     def evacuated_zones_of(self, _service: str) -> frozenset[str]:
         """Return none: no zone of a run is evacuated."""
         return self.evacuated_zones
@@ -392,7 +396,7 @@
             address, self.peers.forward_targets, random.Random(f"forward {name}")
         )
         self.throttle = EndpointThrottle(self.loop, self.signals, self.peers.permits, rates)
-        self._chooser = EndpointSelector(
+        selector = EndpointSelector(
             name,
             self.load_table,
             self.throttle,
@@ -401,6 +405,16 @@
             lambda: self.peers.live,
             slowdown=slowdowns.factor,
         )
+        self.placer = RequestPlacer(
+            self.loop,
+            self.routing_state,
+            selector,
+            self.throttle,
+            self.crash_guard,
+            self.fair_order,
+            lambda _: False,
+            lambda: fleet.policy,
+        )
         self._numbers = itertools.count()
         self.unknown_load = UnknownLoad(
             self.loop, lambda: self.peers.knows_fleet_load, random.Random(f"start {name}")
@@ -409,42 +423,6 @@
             self.loop, self.load_table, lambda: [SERVICE], self.routing_state.usable
         )
 
-    def place(self, exchange: PlacedExchange, need: PlacementRequest) -> Placement | None:
-        """Return where to send a request now."""
-        now = self.loop.now()
-        selection = Selection(
-            self.fleet.policy,
-            need,
-            self._usable_entries(exchange),
-            lambda _: False,
-            self.fleet.model,
-            now,
-            exchange.permit,
-        )
-        return self._chooser.select(
-            selection,
-            late=now > exchange.wait_deadlines.timely_until,
-            turn=self.fair_order.turn(exchange.demand_key),
-        )
-
-    def next_opening(
-        self, exchange: PlacedExchange, need: PlacementRequest
-    ) -> EndpointOpening | None:
-        """Return the engine that takes a request first."""
-        opening = self.throttle.next_opening(self._usable_entries(exchange))
-        if opening is None:
-            return None
-        return replace(opening, first_event_ms=prefill_ms(self.fleet.model, need.prompt_tokens))
-
-    def seconds_until_open(self, service: str) -> float:
-        """Return the seconds until some engine takes requests, 0 if one does."""
-        opening = self.throttle.next_opening(self.routing_state.usable(service))
-        return 0.0 if opening is None else opening.seconds
-
-    def _usable_entries(self, exchange: PlacedExchange) -> list[EndpointEntry]:
-        entries = self.routing_state.usable(SERVICE)
-        return [entry for entry in entries if entry.id not in exchange.tried_endpoints]
-
     def _status(self) -> PeerStatus:
         notices = tuple(self.signals.notices(self.loop.now()))
         endings = self.crash_guard.peer_updates()
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -29,7 +29,6 @@
     Dialect,
     EndpointEntry,
     EndpointSignals,
-    EngineModel,
     GatewaySettings,
     RequestHead,
     Route,
@@ -43,10 +42,8 @@
 from brassdrum.gateway.pages import Page
 from brassdrum.gateway.path.path_watch import PathWatch
 from brassdrum.gateway.peering.peers import Peers
-from brassdrum.gateway.placing.choosing import EndpointSelector, Selection
-from brassdrum.gateway.placing.costs import prefill_ms
+from brassdrum.gateway.placing.choosing import EndpointSelector
 from brassdrum.gateway.placing.load import LoadTable
-from brassdrum.gateway.placing.placement import Placement, PlacementRequest
 from brassdrum.gateway.placing.policies import policies
 from brassdrum.gateway.placing.reservations import ReservationManager
 from brassdrum.gateway.placing.room_sampler import RoomSampler
@@ -55,15 +52,16 @@
 from brassdrum.gateway.request.admission import AdmittedRequest
 from brassdrum.gateway.request.attempt import Attempt
 from brassdrum.gateway.request.exchange import Exchange
-from brassdrum.gateway.request.exchange_context import PlacedExchange, TrackedExchange
+from brassdrum.gateway.request.exchange_context import TrackedExchange
 from brassdrum.gateway.request.intake import Arrival, RequestIntake
 from brassdrum.gateway.request.outcome import Outcome
+from brassdrum.gateway.request.placer import PlacedExchange, RequestPlacer
 from brassdrum.gateway.request.retry_budget import SharedRetryBudget
 from brassdrum.gateway.request.waiting import WaitQueue
 from brassdrum.gateway.sharing.fair_order import FairOrder
 from brassdrum.gateway.sharing.ledger import DemandLedger
 from brassdrum.gateway.stopping import PlannedStop, estimate_duration
-from brassdrum.gateway.throttling.throttle import EndpointOpening, EndpointThrottle
+from brassdrum.gateway.throttling.throttle import EndpointThrottle
 from brassdrum.outcomes.fingerprint import PromptPart
 from brassdrum.telemetry import log_events
 from brassdrum.telemetry.log_events import LogEvent
@@ -221,7 +219,7 @@
             peers.permits,
             self.endpoint_monitor.rates,
         )
-        self._endpoint_selector = EndpointSelector(
+        selector = EndpointSelector(
             settings.name,
             self.load_table,
             self.throttle,
@@ -231,6 +229,16 @@
             self.routing_state.evacuation.taken_back_at,
             self.endpoint_monitor.slowdowns.factor,
         )
+        self.placer = RequestPlacer(
+            self.loop,
+            self.routing_state,
+            selector,
+            self.throttle,
+            self.crash_guard,
+            self.fair_order,
+            self.endpoint_monitor.is_suspect,
+            lambda: self._policy,
+        )
         for host in settings.seeds:
             self._peers.add_seed(host)
         self.forward_targets = ForwardTargets(
@@ -337,7 +345,7 @@
         """Return whether a planned stop would abort a request that is accepted now."""
         if self._planned_stop is None:
             return False
-        duration = estimate_duration(route, request, self._engine_model(service))
+        duration = estimate_duration(route, request, self.routing_state.engine_model(service))
         return not self._planned_stop.accepts(self.loop.now(), duration)
 
     def begin_exchange(self, admitted: AdmittedRequest, arrival: Arrival, service: str) -> Exchange:
@@ -368,61 +376,13 @@
         """Randomize a delay, so that daemons don't act simultaneously."""
         return seconds * self._random.uniform(0.6, 1.4)
 
-    def _engine_model(self, service: str) -> EngineModel | None:
-        configuration = self.routing_state.configuration
-        assert configuration is not None
-        entry = configuration.services_by_name.get(service)
-        return None if entry is None else entry.engine
-
     # ExchangeContext interface, used by exchanges and attempts.
 
-    def place(self, exchange: PlacedExchange, need: PlacementRequest) -> Placement | None:
-        """Return the best placement for a request now, or None without a usable endpoint."""
-        now = self.loop.now()
-        selection = Selection(
-            self._policy,
-            need,
-            self._usable_entries(exchange),
-            self.endpoint_monitor.is_suspect,
-            self._engine_model(exchange.service),
-            now,
-            exchange.permit,
-        )
-        return self._endpoint_selector.select(
-            selection,
-            late=now > exchange.wait_deadlines.timely_until,
-            turn=self.fair_order.turn(exchange.demand_key),
-        )
-
-    def next_opening(
-        self, exchange: PlacedExchange, need: PlacementRequest
-    ) -> EndpointOpening | None:
-        """Return the endpoint that takes a request first, or None without a usable endpoint."""
-        opening = self.throttle.next_opening(self._usable_entries(exchange))
-        engine = self._engine_model(exchange.service)
-        if opening is None or engine is None:
-            return opening
-        return replace(opening, first_event_ms=prefill_ms(engine, need.prompt_tokens))
-
-    def seconds_until_open(self, service: str) -> float:
-        """Return the seconds until some endpoint of a service takes requests, 0 if one does."""
-        opening = self.throttle.next_opening(self.routing_state.usable(service))
-        return 0.0 if opening is None else opening.seconds
-
-    def _usable_entries(self, exchange: PlacedExchange) -> list[EndpointEntry]:
-        """Return the endpoints that a request may be sent to, as far as their own wishes allow."""
-        usable = self.crash_guard.eligible_endpoints(
-            self.crash_guard.judge(exchange.traits, exchange.tried_endpoints).status,
-            self.routing_state.usable(exchange.service),
-            self.endpoint_monitor.is_suspect,
-        )
-        return [entry for entry in usable if entry.id not in exchange.tried_endpoints]
-
     def may_wait(self, exchange: PlacedExchange) -> bool:
         """Return whether a request may wait for a better placement before a planned stop ends."""
         if self._planned_stop is None:
             return True
-        engine = self._engine_model(exchange.service)
+        engine = self.routing_state.engine_model(exchange.service)
         duration = estimate_duration(exchange.route, exchange.request, engine)
         return self._planned_stop.may_wait(self.loop.now(), duration)
 
--- a/src/brassdrum/gateway/following/routing_state.py
+++ b/src/brassdrum/gateway/following/routing_state.py
@@ -10,7 +10,13 @@
 
 from brassdrum.gateway.following.evacuations import EvacuationState
 from brassdrum.gateway.following.restored_list import RestoredListFilter
-from brassdrum.gateway.model import EndpointEntry, FleetConfiguration, Organisation, Route
+from brassdrum.gateway.model import (
+    EndpointEntry,
+    EngineModel,
+    FleetConfiguration,
+    Organisation,
+    Route,
+)
 
 __all__ = ["EndpointChange", "RoutingState"]
 
@@ -115,6 +121,12 @@
         services = self.configuration.services_by_name.values()
         return [each.name for each in services if each.engine is not None]
 
+    def engine_model(self, service: str) -> EngineModel | None:
+        """Return the cost model of a service, or None if its endpoints are no engines."""
+        assert self.configuration is not None
+        entry = self.configuration.services_by_name.get(service)
+        return None if entry is None else entry.engine
+
     def usable(self, service: str) -> list[EndpointEntry]:
         """Return the endpoints of a service that accept new requests."""
         return self._entries_by_service.get(service, [])
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -317,7 +317,7 @@
             self._forward()
             return
         need = self.need()
-        placement = self._context.place(self, need)
+        placement = self._context.placer.place(self, need)
         if placement is None:
             self._stop_waiting()
             self._gate.wait_for_opening(need)
@@ -578,7 +578,7 @@
     def fail(self, detail: str, retry_after: float | None = None) -> None:
         """Send the final response of a request that was not served."""
         if retry_after is None:
-            opening_seconds = self._context.seconds_until_open(self.service)
+            opening_seconds = self._context.placer.seconds_until_open(self.service)
             retry_after = max(_DEFAULT_RETRY_AFTER_SECONDS, opening_seconds)
         if self._delivery.started:
             self._finish(Outcome.BROKEN_OFF, 0, detail)
--- a/src/brassdrum/gateway/request/exchange_context.py
+++ b/src/brassdrum/gateway/request/exchange_context.py
@@ -7,44 +7,18 @@
 from brassdrum.gateway.forwarding.forwarded_attempt import ForwardContext
 from brassdrum.gateway.guards.crash_guard import CrashGuard
 from brassdrum.gateway.model import DeclaredRequest, Route
-from brassdrum.gateway.placing.placement import Placement, PlacementRequest
 from brassdrum.gateway.placing.room_sampler import RoomSampler
 from brassdrum.gateway.placing.unknown_load import UnknownLoad
 from brassdrum.gateway.request.attempt import AttemptContext
 from brassdrum.gateway.request.outcome import LatencyReport, Outcome
-from brassdrum.gateway.request.patience import WaitDeadlines
+from brassdrum.gateway.request.placer import PlacedExchange, RequestPlacer
 from brassdrum.gateway.request.send_limits import RetryBudget
 from brassdrum.gateway.request.story import RequestStory
 from brassdrum.gateway.request.waiting import WaitQueue
-from brassdrum.gateway.sharing.demand import DemandKey
-from brassdrum.gateway.throttling.permits import Permit
-from brassdrum.gateway.throttling.throttle import EndpointOpening
 from brassdrum.outcomes.fingerprint import RequestTraits
 from brassdrum.telemetry.log_events import LogEvent
 
-__all__ = ["EndpointPath", "ExchangeContext", "PlacedExchange", "TrackedExchange"]
-
-
-class PlacedExchange(Protocol):
-    """The exchange of a request for which the daemon chooses an endpoint.
-
-    ``tried_endpoints`` are those that have had the request; it is not sent to them again.
-    """
-
-    request: DeclaredRequest
-    route: Route
-    service: str
-    traits: RequestTraits
-    tried_endpoints: set[str]
-    wait_deadlines: WaitDeadlines
-
-    @property
-    def permit(self) -> Permit | None:
-        """Return the permit for the next send to an endpoint that limits its rate."""
-
-    @property
-    def demand_key(self) -> DemandKey:
-        """Return the key under which the request is counted across daemons."""
+__all__ = ["EndpointPath", "ExchangeContext", "TrackedExchange"]
 
 
 class TrackedExchange(Protocol):
@@ -98,17 +72,7 @@
     room: RoomSampler
     unknown_load: UnknownLoad
     crash_guard: CrashGuard
-
-    def place(self, exchange: PlacedExchange, need: PlacementRequest) -> Placement | None:
-        """Return the best placement for a request now, or None without a usable endpoint."""
-
-    def next_opening(
-        self, exchange: PlacedExchange, need: PlacementRequest
-    ) -> EndpointOpening | None:
-        """Return the endpoint that takes a request first, or None without a usable endpoint."""
-
-    def seconds_until_open(self, service: str) -> float:
-        """Return the seconds until some endpoint of a service takes requests, 0 if one does."""
+    placer: RequestPlacer
 
     def may_wait(self, exchange: PlacedExchange) -> bool:
         """Return whether a request may wait for a better placement."""
--- a/src/brassdrum/gateway/request/send_gate.py
+++ b/src/brassdrum/gateway/request/send_gate.py
@@ -5,7 +5,8 @@
 from typing import Protocol
 
 from brassdrum.gateway.placing.placement import SLOT_WAIT_PATIENCE_SHARE, PlacementRequest
-from brassdrum.gateway.request.exchange_context import ExchangeContext, PlacedExchange
+from brassdrum.gateway.request.exchange_context import ExchangeContext
+from brassdrum.gateway.request.placer import PlacedExchange
 from brassdrum.gateway.request.story import RequestStory
 from brassdrum.gateway.throttling.permits import Permit
 from brassdrum.gateway.throttling.rates import MAX_WAIT_SECONDS
@@ -59,7 +60,7 @@
 
     def wait_for_opening(self, need: PlacementRequest) -> None:
         """Wait for the endpoint that has room first, or refuse the request if that is too late."""
-        opening = self._context.next_opening(self._exchange, need)
+        opening = self._context.placer.next_opening(self._exchange, need)
         if opening is None:
             self._exchange.fail("no endpoint is available for the request")
             return
