Let the fake daemon of the exchange steps place requests as the context now asks

Ruled out: other fakes; no other step defines these calls. Change: the fake daemon is its own placer. No check is altered.

--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -99,9 +99,10 @@
 
 
 class FakeDaemon:
-    """Provide the context of an exchange."""
+    """Provide the context of an exchange, and place its request."""
 
     def __init__(self):
+        self.placer = self
         self.loop = SimulatedLoop()
         self.dialect = PlatformDialect()
         self.pool = FakeEndpointPool()
