Name what is sent to peers and who competes in plain words

Cause: names like told, news, crowd and row_teller were left from the first parts of the work on load and had to be explained. Ruled out: names on the wire, in logs and in metrics; they stay. Conclusion: membership/peers.py and signals.py keep a few of these words.

--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -36,7 +36,7 @@
 from brassdrum.gateway.placing.load import LoadShare, LoadTable, endpoint_key
 from brassdrum.gateway.placing.placement import PlacementRequest
 from brassdrum.gateway.placing.policies import policies
-from brassdrum.gateway.throttling.cold import ColdNotice, ColdTable, told_notices
+from brassdrum.gateway.throttling.cold import ColdNotice, ColdTable, notices_to_send
 from brassdrum.gateway.throttling.rates import EndpointRates
 from brassdrum.gateway.throttling.schedule import SendSchedule
 from brassdrum.gateway.throttling.signals import EndpointSignalTable
@@ -268,7 +268,7 @@
 
 @then("the peers are told that it stays cold for {seconds:g} s")
 def step_told(context, seconds):
-    (notice,) = told_notices(context.watch.notices(), heartbeat=False)
+    (notice,) = notices_to_send(context.watch.notices(), heartbeat=False)
     assert notice.key == endpoint_key(ENTRY.id)
     assert seconds <= notice.left <= seconds + 0.5, notice
 
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -492,7 +492,7 @@
 
 @then("the other daemon has evacuated zone {zone:w}")
 def step_pulled(context, zone):
-    assert context.pulled_state.evacuation.told == record_of(f"zone-{zone}")
+    assert context.pulled_state.evacuation.announced == record_of(f"zone-{zone}")
 
 
 @then("a snapshot of the previous release takes no zone back there")
--- a/features/steps/peer_group_steps.py
+++ b/features/steps/peer_group_steps.py
@@ -24,7 +24,7 @@
 )
 from brassdrum.gateway.peering.peer_status import PeerStatus
 from brassdrum.gateway.peering.peers import Peers
-from brassdrum.gateway.peering.row_teller import RowPublisher
+from brassdrum.gateway.peering.row_publisher import RowPublisher
 from brassdrum.gateway.peering.spreading import fanout_branches
 from brassdrum.gateway.peering.wire import FieldWriter
 from brassdrum.gateway.placing.load import EndpointLoad, LoadShare, LoadTable
--- a/features/steps/slow_endpoint_steps.py
+++ b/features/steps/slow_endpoint_steps.py
@@ -298,7 +298,7 @@
         lambda: PeerStatus(1, "", 0.5, 1),
         Group(lambda _: None, lambda _: None),
         Aggregators(),
-        SimpleNamespace(told_rows=lambda *_, **__: ()),
+        SimpleNamespace(rows_to_send=lambda *_, **__: ()),
         table,
     )
     assert status.build(START).slowdown is None
--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -161,7 +161,7 @@
             endings=self._guard.peer_updates(),
             era=self._routing_state.era,
             signals=tuple(self.signals.notices(now)),
-            evacuations=self._routing_state.evacuation.told,
+            evacuations=self._routing_state.evacuation.announced,
             cold=self.cold.notices(),
         )
 
--- a/src/brassdrum/gateway/following/cold_watch.py
+++ b/src/brassdrum/gateway/following/cold_watch.py
@@ -64,15 +64,15 @@
     def list_read(self, seconds_by_endpoint: Mapping[str, float], read_at: float) -> None:
         """Record a list that shows for how long each endpoint stays cold."""
         now = self._loop.now()
-        news = False
+        changed = False
         for endpoint, seconds in seconds_by_endpoint.items():
             joined = endpoint not in self._listed
             if self.table.record_list(endpoint, seconds, read_at, now, joined=joined):
                 self._log_cold(endpoint, "list", now)
-                news = news or not joined
+                changed = changed or not joined
         self._listed = set(seconds_by_endpoint)
         self._schedule_warm()
-        if news:
+        if changed:
             self._announce(heard=True)
 
     def response_received(self, endpoint: str, seconds: float) -> None:
@@ -90,16 +90,16 @@
             return
         endpoint_by_key = {key: each for each, key in self._key_by_endpoint().items()}
         now = self._loop.now()
-        news = False
+        changed = False
         for notice in found:
             endpoint = endpoint_by_key.get(notice.key)
             if endpoint is None:
                 continue
             if self.table.apply_notice(endpoint, notice, now):
                 self._log_cold(endpoint, host, now)
-                news = True
+                changed = True
         self._schedule_warm()
-        if news:
+        if changed:
             self._announce(heard=False)
 
     def notices(self) -> tuple[ColdNotice, ...]:
--- a/src/brassdrum/gateway/following/evacuations.py
+++ b/src/brassdrum/gateway/following/evacuations.py
@@ -76,7 +76,7 @@
     def __init__(self) -> None:
         self.record = Evacuations()
         self.zones: frozenset[str] = frozenset()
-        self._told = False
+        self._is_announced = False
         self._held_zones: frozenset[str] = frozenset()
         self._held_until = -math.inf
         self._taken_back_at_by_zone: dict[str, float] = {}
@@ -84,9 +84,9 @@
         self._unknown_zones: set[str] = set()
 
     @property
-    def told(self) -> Evacuations | None:
+    def announced(self) -> Evacuations | None:
         """Return what peers are told, None before any zone was evacuated."""
-        return self.record if self._told else None
+        return self.record if self._is_announced else None
 
     def apply_read(self, record: Evacuations, now: float) -> list[ZoneChange]:
         """Apply what was read from the store; return the changes."""
@@ -99,7 +99,7 @@
         """
         if record is None:
             return []
-        self._told = True
+        self._is_announced = True
         return self._apply(record, now)
 
     def refresh(self, now: float) -> list[ZoneChange]:
@@ -133,7 +133,7 @@
         # Once the restored store has a record again, deleting it takes the zone back at once.
         self._held_zones -= merged.zones
         self.record = merged
-        self._told = self._told or bool(merged.zones)
+        self._is_announced = self._is_announced or bool(merged.zones)
         return self.refresh(now)
 
     def _update(self, now: float) -> list[ZoneChange]:
--- a/src/brassdrum/gateway/following/follower.py
+++ b/src/brassdrum/gateway/following/follower.py
@@ -90,9 +90,9 @@
             "leaving": list(self.leaving),
             "era": self.era,
         }
-        told = self.evacuations
-        if told is not None:
-            content["evacuations"] = [told.era, told.revision, sorted(told.zones)]
+        known = self.evacuations
+        if known is not None:
+            content["evacuations"] = [known.era, known.revision, sorted(known.zones)]
         if self.cold is not None:
             content["cold"] = self.cold
         return zlib.compress(json.dumps(content).encode(), _COMPRESSION_LEVEL)
@@ -110,8 +110,10 @@
             StoreRecord(key, base64.b64decode(entry)) for key, entry in content["endpoints"]
         )
         # Daemons of earlier releases send none.
-        told = content.get("evacuations")
-        evacuations = None if told is None else Evacuations(frozenset(told[2]), told[0], told[1])
+        evacuations = None
+        if content.get("evacuations") is not None:
+            era, revision, zones = content["evacuations"]
+            evacuations = Evacuations(frozenset(zones), era, revision)
         return cls(
             record,
             endpoints,
@@ -205,7 +207,7 @@
     def snapshot(self) -> bytes:
         """Return the encoded state for peers, cached until the state changes."""
         known = self._routing_state
-        evacuations = known.evacuation.told
+        evacuations = known.evacuation.announced
         cold = self._cold.seconds_left_by_endpoint()
         # The seconds left fall, so a snapshot with cold endpoints is reused for a moment only.
         moment = int(self._loop.now() / _COLD_REUSE_SECONDS) if cold else 0
--- a/src/brassdrum/gateway/guards/crash_guard.py
+++ b/src/brassdrum/gateway/guards/crash_guard.py
@@ -159,11 +159,11 @@
         own_ends = set(map(endpoint_key, tried))
         judgement = self._quarantine.judge(traits, self._loop.now(), own_ends)
         if judgement.status is ContentStatus.QUARANTINED:
-            news = set(judgement.causes) - self._quarantined_traits
-            if news:
+            new_causes = set(judgement.causes) - self._quarantined_traits
+            if new_causes:
                 # Write the records before the caller is refused: this daemon may be replaced
                 # before its next review.
-                self._observed_traits |= news
+                self._observed_traits |= new_causes
                 self._name_parts(traits)
                 self._review()
         if judgement.status is ContentStatus.SUSPECT and any(map(self._is_probing, tried)):
--- a/src/brassdrum/gateway/peering/fleet_demand.py
+++ b/src/brassdrum/gateway/peering/fleet_demand.py
@@ -46,7 +46,7 @@
         self._group_pacing = DemandPacing()
         self._fleet_pacing = DemandPacing()
 
-    def told_rows(self, now: float, *, fleet: bool) -> tuple[DemandRow, ...]:
+    def rows_to_send(self, now: float, *, fleet: bool) -> tuple[DemandRow, ...]:
         """Return the sum of this daemon and its group, or of the ``fleet``, for a message."""
         rows = self.fleet_rows(now) if fleet else self._group_rows(now)
         return bounded_rows(rows, _MAX_SUMMED_ROWS)
--- a/src/brassdrum/gateway/peering/merged_status.py
+++ b/src/brassdrum/gateway/peering/merged_status.py
@@ -13,7 +13,7 @@
 from brassdrum.gateway.peering.peer_status import PeerStatus
 from brassdrum.gateway.peering.publishers import Aggregators
 from brassdrum.gateway.placing.slowdown import SlowdownReport, SlowdownTable
-from brassdrum.gateway.throttling.cold import told_notices
+from brassdrum.gateway.throttling.cold import notices_to_send
 from brassdrum.gateway.throttling.signals import SignalNotice, newest_notices
 
 __all__ = ["MergedStatus"]
@@ -66,8 +66,8 @@
             draining=status.draining[:_MAX_ENDPOINTS_PER_KIND],
             signals=signals if heartbeat or changed else None,
             evacuations=self._evacuations(status, now, fleet=fleet, heartbeat=heartbeat),
-            cold=told_notices(status.cold, heartbeat=heartbeat),
-            demand=self._demand.told_rows(now, fleet=fleet),
+            cold=notices_to_send(status.cold, heartbeat=heartbeat),
+            demand=self._demand.rows_to_send(now, fleet=fleet),
             slowdown=self._slowdown(now, fleet=fleet) if heartbeat else None,
             # Members only receive from their aggregator, so fleet digests need not say it.
             keeps_demand=not fleet,
--- a/src/brassdrum/gateway/peering/peers.py
+++ b/src/brassdrum/gateway/peering/peers.py
@@ -38,7 +38,7 @@
 from brassdrum.gateway.peering.probe_list import ProbeList
 from brassdrum.gateway.peering.publishers import Aggregators
 from brassdrum.gateway.peering.remote_daemons import RemoteDaemons
-from brassdrum.gateway.peering.row_teller import RowPublisher, RowUpdate
+from brassdrum.gateway.peering.row_publisher import RowPublisher, RowUpdate
 from brassdrum.gateway.peering.spreading import fanout_branches
 from brassdrum.gateway.peering.topology import Topology
 from brassdrum.gateway.placing.load import LoadTable
--- a/src/brassdrum/gateway/throttling/cold.py
+++ b/src/brassdrum/gateway/throttling/cold.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-__all__ = ["LIST_MARGIN_SECONDS", "ColdNotice", "ColdTable", "told_notices"]
+__all__ = ["LIST_MARGIN_SECONDS", "ColdNotice", "ColdTable", "notices_to_send"]
 
 # The list and messages of peers are some ms old on arrival, and an end that is too early breaks the
 # bound.
@@ -38,10 +38,10 @@
     recent: bool = field(default=False, compare=False)
 
 
-def told_notices(notices: Iterable[ColdNotice], *, heartbeat: bool) -> tuple[ColdNotice, ...]:
+def notices_to_send(notices: Iterable[ColdNotice], *, heartbeat: bool) -> tuple[ColdNotice, ...]:
     """Return the notices that a message carries: all in a heartbeat, else recent ones."""
-    told = [each for each in notices if heartbeat or each.recent]
-    return tuple(sorted(told, key=lambda each: -each.left)[:_MAX_NOTICES])
+    sent = [each for each in notices if heartbeat or each.recent]
+    return tuple(sorted(sent, key=lambda each: -each.left)[:_MAX_NOTICES])
 
 
 @dataclass(frozen=True, slots=True)
