Write where the threads of a daemon were when a fault in native code ends it

Nothing was left to trace it by. Ruled out: the code of the gateway itself, which has no native parts; which library or the interpreter it was is not known. Conclusion: not mended; the next one can be traced.

--- a/features/explaining.feature
+++ b/features/explaining.feature
@@ -61,3 +61,9 @@
     Given a gateway whose metrics port is in use
     When a caller sends a "check"
     Then the response is 200 with body "endpoint name"
+
+  # Guards against a daemon that ends by a fault in native code and leaves nothing to trace it by.
+  Scenario: A daemon that a fault in native code ends writes where its threads were
+    Given the process of a daemon that reaches no store
+    When a fault in native code ends it
+    Then its standard error names the fault and where its main thread was
--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -4,6 +4,9 @@
 import json
 import logging
 import os
+import signal
+import subprocess
+import sys
 import tempfile
 from dataclasses import replace
 from pathlib import Path
@@ -12,6 +15,9 @@
 
 from brassdrum.clock import ManualClock, SystemClock
 from brassdrum.errors import InvalidDocumentError
+from brassdrum.platform.settings import PATH_VARIABLE
+from brassdrum.platform.standin import boot_file
+from brassdrum.standins.ports import free_port
 from brassdrum.telemetry import log_events
 from brassdrum.telemetry.bounded_logs import BoundedJsonHandler
 from brassdrum.telemetry.log_events import LOG_EVENTS, markdown_table
@@ -212,3 +218,34 @@
 def step_new_settings(context):
     daemon = context.gateways[0].daemon
     eventually(lambda: daemon.settings.bounds.grace == 9.0, "the settings are in force")
+
+
+@given("the process of a daemon that reaches no store")
+def step_daemon_process(context):
+    folder = tempfile.TemporaryDirectory()
+    context.stack.push(folder.cleanup)
+    path = Path(folder.name) / "boot.json"
+    ports = (free_port(), free_port(), free_port())
+    boot_file(path, "daemon-1", "127.0.0.1", ports, f"127.0.0.1:{free_port()}")
+    context.process = subprocess.Popen(
+        [sys.executable, "-m", "brassdrum", "gateway"],
+        env={**os.environ, PATH_VARIABLE: str(path)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    context.stack.push(context.process.kill)
+    assert "daemon started" in context.process.stdout.readline()
+
+
+@when("a fault in native code ends it")
+def step_native_fault(context):
+    context.process.send_signal(signal.SIGILL)
+    _, context.standard_error = context.process.communicate(timeout=30)
+
+
+@then("its standard error names the fault and where its main thread was")
+def step_native_fault_shown(context):
+    assert context.process.returncode == -signal.SIGILL
+    assert "Illegal instruction" in context.standard_error, context.standard_error
+    assert "serve.py" in context.standard_error, context.standard_error
