Ignore events of a connection that was closed in the same round of the event loop

Cause: the event loop collects all ready sockets of a round first. A connection under way that the handler of an earlier event closed was still told of its own event and asked its closed socket for the result: OSError 9 in the event loop. Ruled out: reads, writes, accepts and datagrams, which handle such errors; the check of callers that have left, which asks open connections only. Change: a closed transport ignores events. The new scenario failed before with the same line, "event handler failed". Conclusion: the error cost no request, but hid behind a stack trace in the log.

--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -1,13 +1,19 @@
 """Steps on the attempts of one exchange, in simulated time."""
 
 import itertools
+import logging
+import socket
 from types import SimpleNamespace
+from unittest import mock
 
 from behave import given, then, when
 
 from brassdrum.bench.load.loop import SimulatedLoop
+from brassdrum.clock import SystemClock
 from brassdrum.gateway.guards.crash_guard import CrashGuard
 from brassdrum.gateway.model import DeclaredRequest, EndpointEntry, RouteKind
+from brassdrum.gateway.net.loop import EventLoop
+from brassdrum.gateway.net.transport import Transport
 from brassdrum.gateway.net.upstream import CallFailure, EndpointCall
 from brassdrum.gateway.placing.load import LoadTable
 from brassdrum.gateway.placing.placement import Placement
@@ -239,3 +245,49 @@
 @then("the caller receives one response")
 def step_one_response(context):
     assert len(context.connection.statuses) == 1, context.connection.statuses
+
+
+class ClosingOwner:
+    """Close the other connection once the own one is established."""
+
+    def __init__(self):
+        self.other = None
+        self.established = False
+
+    def connection_made(self):
+        """Close the other connection."""
+        self.established = True
+        self.other.close()
+
+
+@given("two connections that are established at the same time, each of which closes the other")
+def step_connections(context):
+    context.event_loop = EventLoop(SystemClock())
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.stack.push(listener.close)
+    context.owners, transports = [ClosingOwner(), ClosingOwner()], []
+    for owner in context.owners:
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.connect_ex(listener.getsockname())
+        transports.append(Transport(context.event_loop, sock, owner, connecting=True))
+        context.stack.push(transports[-1].close)
+    for owner, other in zip(context.owners, reversed(transports), strict=True):
+        owner.other = other
+    for _ in context.owners:
+        accepted, _ = listener.accept()
+        context.stack.push(accepted.close)
+
+
+@when("the event loop handles both events in one round")
+def step_one_round(context):
+    with mock.patch.object(logging.getLogger("brassdrum.gateway.net.loop"), "exception") as log:
+        context.event_loop.call_later(0.1, context.event_loop.stop)
+        context.event_loop.run()
+    context.logged = log.call_args_list
+
+
+@then("one connection is established and the event loop logs no error")
+def step_one_established(context):
+    assert sum(owner.established for owner in context.owners) == 1
+    assert context.logged == [], context.logged
--- a/src/brassdrum/gateway/net/transport.py
+++ b/src/brassdrum/gateway/net/transport.py
@@ -174,6 +174,9 @@
         self._loop.watch(self._socket, events, self._on_ready)
 
     def _on_ready(self, events: int) -> None:
+        if self.closed:
+            # Closed by the handler of an earlier event of the same round.
+            return
         if self._connecting:
             self._finish_connect()
             return
