--- a/features/environment.py
+++ b/features/environment.py
@@ -30,7 +30,8 @@
     """Give each scenario a stack of things to close."""
     context.stack = Stack()
     context.answers = []
-    if scenario.name in known_red():
+    # Names of rows in scenario outlines end in a space.
+    if scenario.name.strip() in known_red():
         scenario.skip("listed in KNOWN-RED.txt")
 
 
