--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -128,7 +128,7 @@
     def address_reused(self, endpoint: str) -> None:
         """Remove an endpoint whose address now belongs to another one.
 
-        The next list may still show it; peers that have that list learn here that it has exited.
+        The next list may still show it, so it is also marked as failing, which peers are told.
         """
         entry = self._routing_state.endpoints_by_id.get(endpoint)
         if entry is None:
--- a/src/brassdrum/gateway/following/follower.py
+++ b/src/brassdrum/gateway/following/follower.py
@@ -112,7 +112,8 @@
         # Daemons of earlier releases send none.
         evacuations = None
         if content.get("evacuations") is not None:
-            era, revision, zones = content["evacuations"]
+            # Later releases may append fields.
+            era, revision, zones, *_ = content["evacuations"]
             evacuations = Evacuations(frozenset(zones), era, revision)
         return cls(
             record,
--- a/src/brassdrum/platform/serve.py
+++ b/src/brassdrum/platform/serve.py
@@ -25,7 +25,8 @@
 def serve(level: str, **options: str | bool) -> int:
     """Serve until the platform stops the process; ``options`` replace settings of the gateway."""
     # A fault in native code ends the process without a log line.
-    faulthandler.enable()
+    if sys.stderr is not None:
+        faulthandler.enable()
     path = settings_path()
     settings = read_settings(path)
     clock = SystemClock()
