Hand the fleet of a simulated run to what begins it, and return it with the result

Cause: five benches and a step kept a list only to catch the fleet from the first daemon that was adjusted, since `begin` got nothing; the mechanism was wrong, not its users. Ruled out: a fleet that callers build themselves; then each would repeat the order of daemons and draws. Change: `begin` gets the fleet, the result holds it and how long the daemons ran. Conclusion: six copies of a way around are gone.

--- a/features/steps/slow_endpoint_steps.py
+++ b/features/steps/slow_endpoint_steps.py
@@ -386,6 +386,7 @@
     context.monitor = SlowdownMonitor(
         context.loop, context.routing_state, lambda each: each in context.suspects
     )
+    context.monitor.enabled = True
     context.lines = LogLines()
     logger = logging.getLogger("brassdrum.gateway.following.slowdown_monitor")
     logger.addHandler(context.lines)
@@ -594,6 +595,7 @@
         self.slowdowns = SlowdownMonitor(
             loop, SimpleNamespace(endpoints_by_id=entries), lambda _: False
         )
+        self.slowdowns.enabled = True
         self.peers = Peers(
             loop,
             network.join(self.address.host),
@@ -714,30 +716,26 @@
 
 def simulate(context, seed, *, learn):
     """Return the result of a run, and the engines that daemons took for slow with the times."""
-    found, fleets, starts = [], [], []
+    found = []
 
     def adjust(daemon):
-        fleets[:] = [daemon.fleet]
         daemon.endpoint_monitor.slowdowns.enabled = learn
 
-    def begin():
-        (fleet,) = fleets
+    def begin(fleet):
         if context.change is not None:
             for engine in fleet.engine_by_id.values():
                 fleet.loop.call_later(
                     _CHANGE_AT_SECONDS,
                     lambda each=engine: setattr(each, "slowdown", context.change),
                 )
-        look()
+        look(fleet, fleet.loop.now())
 
-    def look():
-        (fleet,) = fleets
+    def look(fleet, began_at):
         now = fleet.loop.now()
-        starts.append(now)
         for daemon in fleet.daemons:
             slow = daemon.endpoint_monitor.slowdowns.table.slow_by_key(now)
-            found.extend((now - starts[0], key) for key in slow if slow[key].factor >= _SLOW_FACTOR)
-        fleet.loop.call_later(_LOOK_SECONDS, look)
+            found.extend((now - began_at, key) for key in slow if slow[key].factor >= _SLOW_FACTOR)
+        fleet.loop.call_later(_LOOK_SECONDS, lambda: look(fleet, began_at))
 
     result = play(
         short_prompts,
--- a/src/brassdrum/bench/cold.py
+++ b/src/brassdrum/bench/cold.py
@@ -162,34 +162,26 @@
 
 def play_cold(plan: ColdPlan) -> ColdResult:
     """Return what cold engines got from daemons that share them, and what callers got."""
-    fleets: list[Fleet] = []
     rng = random.Random(plan.seed)
 
-    def adjust(daemon: SimulatedDaemon) -> None:
-        if not fleets:
-            fleets.append(daemon.fleet)
-
-    def turn_cold() -> None:
-        fleet = fleets[0]
+    def turn_cold(fleet: Fleet) -> None:
         until = fleet.loop.now() + plan.cold_seconds
         for engine in list(fleet.engine_by_id.values())[: plan.cold]:
             engine.cold_until = until
         if plan.listed:
             _read_list(rng.choice(fleet.daemons), _listed_seconds(fleet))
-            fleet.loop.call_later(_COPY_SECONDS, read_lists)
+            fleet.loop.call_later(_COPY_SECONDS, lambda: read_lists(fleet))
 
-    def read_lists() -> None:
-        fleet = fleets[0]
+    def read_lists(fleet: Fleet) -> None:
         for daemon in fleet.daemons:
             _read_list(daemon, _listed_seconds(fleet))
-        fleet.loop.call_later(_READ_SECONDS, read_lists)
+        fleet.loop.call_later(_READ_SECONDS, lambda: read_lists(fleet))
 
-    def begin() -> None:
-        fleet = fleets[0]
+    def begin(fleet: Fleet) -> None:
         if plan.listed:
             for daemon in fleet.daemons:
                 _read_list(daemon, _listed_seconds(fleet))
-        fleet.loop.call_later(_COLD_AT_SECONDS, turn_cold)
+        fleet.loop.call_later(_COLD_AT_SECONDS, lambda: turn_cold(fleet))
         cold_troubles.get(plan.trouble)(fleet, rng)
 
     result = play(
@@ -201,13 +193,13 @@
         daemons=plan.daemons,
         engines=plan.engines,
         zones=plan.zones,
-        adjust=adjust,
         begin=begin,
         cold_rate=plan.cold_rate,
     )
-    engines = list(fleets[0].engine_by_id.values())[: plan.cold]
+    all_engines = list(result.fleet.engine_by_id.values())
+    engines = all_engines[: plan.cold]
     count = result.by_kind["quick"]
-    all_arrivals = sum(len(each.arrivals) for each in fleets[0].engine_by_id.values())
+    all_arrivals = sum(len(each.arrivals) for each in all_engines)
     times = sorted(each.first_event for each in result.first_tries if each.first_event is not None)
     return ColdResult(
         most=max(_most_while_cold(each, plan.cold_seconds) for each in engines),
--- a/src/brassdrum/bench/crowd.py
+++ b/src/brassdrum/bench/crowd.py
@@ -142,10 +142,9 @@
 
 def play_crowd(plan: CrowdPlan) -> CrowdResult:
     """Return how a crowded daemon served the first tries that it had read."""
-    fleets: list[Fleet] = []
 
-    def begin() -> None:
-        for engine in fleets[0].engine_by_id.values():
+    def begin(fleet: Fleet) -> None:
+        for engine in fleet.engine_by_id.values():
             engine.rate_limit = plan.rate_limit
 
     balancer = _Balancer(plan)
@@ -158,11 +157,10 @@
         daemons=plan.daemons,
         engines=max(_FEWEST_ENGINES, plan.daemons),
         zones=plan.zones,
-        adjust=lambda daemon: fleets.append(daemon.fleet),
         begin=begin,
         connect=balancer.connect,
     )
-    fleet = fleets[0]
+    fleet = result.fleet
     before, crowded = [], []
     elsewhere = 0
     for tried in result.first_tries:
--- a/src/brassdrum/bench/cuts.py
+++ b/src/brassdrum/bench/cuts.py
@@ -62,17 +62,11 @@
 
 def play_cut(plan: CutPlan) -> CutResult:
     """Return how callers of cut-off daemons and of the others were served."""
-    fleets: list[Fleet] = []
     cut: list[SimulatedDaemon] = []
     cut_at = 0.0
 
-    def adjust(daemon: SimulatedDaemon) -> None:
-        if not fleets:
-            fleets.append(daemon.fleet)
-
-    def begin() -> None:
+    def begin(fleet: Fleet) -> None:
         nonlocal cut_at
-        fleet = fleets[0]
         troubles.get(plan.trouble)(fleet)
         ordered = (
             sorted(fleet.daemons, key=lambda each: each.zone) if plan.by_zone else (fleet.daemons)
@@ -90,10 +84,9 @@
         daemons=plan.daemons,
         engines=plan.engines or max(_FEWEST_ENGINES, plan.daemons),
         zones=plan.zones,
-        adjust=adjust,
         begin=begin,
     )
-    fleet = fleets[0]
+    fleet = result.fleet
     hosts = {each.own_host for each in cut}
     late = [each for each in result.first_tries if each.at >= cut_at + _FOUND_OUT_SECONDS]
     at_cut = [each for each in late if each.host in hosts]
--- a/src/brassdrum/bench/limits.py
+++ b/src/brassdrum/bench/limits.py
@@ -78,19 +78,11 @@
 
 def play_limit(plan: LimitPlan) -> LimitResult:
     """Return what an endpoint with a limit got from daemons that share it, and what callers got."""
-    fleets: list[Fleet] = []
-    began_at = 0.0
 
-    def adjust(daemon: SimulatedDaemon) -> None:
-        nonlocal began_at
-        if not fleets:
-            fleets.append(daemon.fleet)
-            began_at = daemon.loop.now()
-            for engine in daemon.fleet.engine_by_id.values():
-                engine.rate_limit = plan.limit
-
-    def begin() -> None:
-        troubles.get(plan.trouble)(fleets[0])
+    def begin(fleet: Fleet) -> None:
+        for engine in fleet.engine_by_id.values():
+            engine.rate_limit = plan.limit
+        troubles.get(plan.trouble)(fleet)
 
     result = play(
         "quick",
@@ -101,22 +93,20 @@
         daemons=plan.daemons,
         engines=plan.engines,
         zones=plan.zones,
-        adjust=adjust,
         begin=begin,
         connect=None if plan.spread else _first_daemon,
     )
     # The first response that names the limit opens the count.
     counted_by_engine = [
         [at for at in engine.arrivals if at >= engine.arrivals[0] + _GRACE_SECONDS]
-        for engine in fleets[0].engine_by_id.values()
+        for engine in result.fleet.engine_by_id.values()
     ]
     counted_total = sum(len(counted) for counted in counted_by_engine)
     count = result.by_kind["quick"]
     first_events_ms = sorted(
         each.first_event * 1000 for each in result.first_tries if each.first_event is not None
     )
-    seconds = fleets[0].loop.now() - began_at
-    traffic = fleets[0].network.traffic_by_host.values()
+    traffic = result.fleet.network.traffic_by_host.values()
     return LimitResult(
         most=max(_most_in_window(counted) for counted in counted_by_engine),
         allowed=allowed_requests(plan.limit),
@@ -126,8 +116,8 @@
         refused=count.refused,
         median_ms=statistics.median(first_events_ms),
         p95_ms=first_events_ms[int(len(first_events_ms) * _HIGH_SHARE)],
-        bytes_per_second=max(each.sent_bytes for each in traffic) / seconds,
-        datagrams_per_second=sum(each.sent for each in traffic) / seconds,
+        bytes_per_second=max(each.sent_bytes for each in traffic) / result.seconds,
+        datagrams_per_second=sum(each.sent for each in traffic) / result.seconds,
     )
 
 
--- a/src/brassdrum/bench/load/flood.py
+++ b/src/brassdrum/bench/load/flood.py
@@ -76,25 +76,18 @@
     ``on_messages`` gets what daemons sent to each other during the flood; counting takes time.
     """
     sent = MessageBytes()
-    fleets: list[Fleet] = []
     began_at = 0.0
 
-    def take(daemon: SimulatedDaemon) -> None:
-        if not fleets:
-            fleets.append(daemon.fleet)
-        adjust(daemon)
-
-    def begin() -> None:
+    def begin(fleet: Fleet) -> None:
         nonlocal began_at
-        fleet = fleets[0]
         began_at = fleet.loop.now()
         troubles.get(plan.trouble)(fleet)
-        fleet.loop.call_later(plan.quiet, start_counting)
+        fleet.loop.call_later(plan.quiet, lambda: start_counting(fleet))
 
-    def start_counting() -> None:
-        _clear_traffic(fleets[0])
+    def start_counting(fleet: Fleet) -> None:
+        _clear_traffic(fleet)
         if on_messages is not None:
-            fleets[0].network.on_send = sent.add
+            fleet.network.on_send = sent.add
 
     result = play(
         _arrivals(plan),
@@ -105,11 +98,12 @@
         daemons=plan.daemons,
         engines=plan.engines,
         zones=plan.zones,
-        adjust=take,
+        adjust=adjust,
         begin=begin,
     )
-    traffic = fleets[0].network.traffic_by_host.values()
-    seconds = fleets[0].loop.now() - began_at - plan.quiet
+    fleet = result.fleet
+    traffic = fleet.network.traffic_by_host.values()
+    seconds = fleet.loop.now() - began_at - plan.quiet
     if on_messages is not None:
         on_messages(sent.table(seconds, plan.daemons))
     sums = [each.sent_bytes + each.got_bytes for each in traffic]
--- a/src/brassdrum/bench/load/play.py
+++ b/src/brassdrum/bench/load/play.py
@@ -76,18 +76,21 @@
 
 @dataclass(slots=True)
 class LoadResult:
-    """Hold the figures of one run; ``ratios`` are first events over their predictions.
+    """Hold the figures of one run, and its ``fleet`` as it was left.
 
-    ``queued`` counts requests that found no free place at their engine, ``served_at`` holds when
-    answers were complete.
+    ``ratios`` are first events over their predictions, ``queued`` counts requests that found no
+    free place at their engine, ``served_at`` holds when answers were complete, and ``seconds`` how
+    long the daemons ran.
     """
 
+    fleet: Fleet
     by_kind: dict[str, Count] = field(default_factory=dict)
     repeats: int = 0
     queued: int = 0
     ratios: list[float] = field(default_factory=list)
     first_tries: list[FirstTry] = field(default_factory=list)
     served_at: list[float] = field(default_factory=list)
+    seconds: float = 0.0
 
     @property
     def worth(self) -> float:
@@ -128,7 +131,7 @@
     engines: int = 21,
     zones: int = 1,
     adjust: Callable[[SimulatedDaemon], None] = lambda _: None,
-    begin: Callable[[], None] = lambda: None,
+    begin: Callable[[Fleet], None] = lambda _: None,
     connect: Connect | None = None,
     cold_rate: float | None = None,
     acquainted_seconds: float = _ACQUAINTED_SECONDS,
@@ -144,6 +147,7 @@
     """
     rng = random.Random(seed)
     loop = SimulatedLoop()
+    started_at = loop.now()
     names = [f"engine-{number}" for number in range(engines)]
     network = SimulatedNetwork(loop, random.Random(seed))
     engine_by_id = {name: SimulatedEngine(loop, name, ENGINE) for name in names}
@@ -158,8 +162,8 @@
         adjust(daemon)
         fleet.daemons.append(daemon)
     loop.advance(acquainted_seconds)
-    begin()
-    result = LoadResult()
+    begin(fleet)
+    result = LoadResult(fleet)
     callers = []
     draw = shapes.get(shape) if isinstance(shape, str) else shape
     for arrival in draw(rng, load * engines / 21, seconds):
@@ -170,6 +174,7 @@
     latest = loop.now() + _AFTERWARDS_SECONDS
     while loop.now() < latest and not all(caller.over for caller in callers):
         loop.advance(_LOOK_SECONDS)
+    result.seconds = loop.now() - started_at
     result.repeats = sum(daemon.repeats for daemon in fleet.daemons)
     result.queued = sum(engine.queued for engine in fleet.engine_by_id.values())
     return result
