--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -8,7 +8,6 @@
 import subprocess
 import sys
 import tempfile
-import threading
 from dataclasses import replace
 from pathlib import Path
 
@@ -236,11 +235,9 @@
         text=True,
     )
     context.stack.push(context.process.kill)
-    # Ends the wait for a line that never comes.
-    limit = threading.Timer(30.0, context.process.kill)
-    limit.start()
-    context.stack.push(limit.cancel)
-    assert "daemon started" in context.process.stdout.readline()
+    process = context.process
+    first_line = StepThread(context, process.stdout.readline, unblock=process.kill)
+    assert "daemon started" in first_line.result()
 
 
 @when("a fault in native code ends it")
