Count requests in flight when an endpoint turns cold against its bound

Counting what was answered before: it arrived before the endpoint was cold, or its answer would have said so. Change: ColdWatch looks up the requests in flight when it learns that an endpoint is cold; those beyond five delay the next permit by their time at the rate, at most 1 s. The property test of split fleets uses an endpoint that joined cold, since it asks at time 0. Bursts of more in flight still exceed the bound; no daemon can know earlier.

--- a/features/cold_endpoints.feature
+++ b/features/cold_endpoints.feature
@@ -82,6 +82,32 @@
     And the daemon runs for 1 s
     Then the log has one line "endpoint cold" and one "endpoint warm"
 
+  # Guards against permits in the same second as requests that were sent before an endpoint was
+  # known to be cold.
+  Scenario Outline: Requests in flight when an endpoint turns cold count against its bound
+    Given a daemon that knows an endpoint and a bound of 2 a second
+    And <count> requests in flight to that endpoint
+    When <source> shows that it is cold for 6 s
+    Then nothing is sent to it for <seconds> s
+
+    Examples:
+      | count | source     | seconds |
+      | 0     | the list   | 0       |
+      | 5     | a response | 0       |
+      | 6     | a response | 0.5     |
+      | 6     | the list   | 0.5     |
+      | 20    | a response | 1       |
+
+  # Guards against a pause that begins again with each response that says the same.
+  Scenario: An endpoint that goes on being cold is not withheld again
+    Given a daemon that knows an endpoint and a bound of 2 a second
+    And 20 requests in flight to that endpoint
+    When a response shows that it is cold for 6 s
+    And the daemon runs for 0.6 s
+    And a response shows that it is cold for 9 s
+    Then nothing is sent to it for 0.4 s
+    And 0.5 s later it is bound to 2 a second
+
   # Guards against two limits of which the higher one is kept.
   Scenario Outline: The lower of two limits counts
     Given a daemon that knows an endpoint and a bound of <cold> a second
@@ -163,13 +189,14 @@
 
   # Guards against a bound that nobody knows at first: the first response has to tell.
   Scenario Outline: An endpoint that turns cold unlisted is bound by its first response
-    When <daemons> daemons get 60 requests a second for 6 engines that turn cold at 2 a second unlisted
+    When <daemons> daemons get <requests> requests a second for 6 engines that turn cold at <rate> a second unlisted
     Then no cold engine gets more than the bound in any second
 
     Examples:
-      | daemons |
-      | 12      |
-      | 82      |
+      | daemons | requests | rate |
+      | 6       | 40       | 1    |
+      | 12      | 60       | 2    |
+      | 82      | 60       | 2    |
 
   # Guards against a request that asks one endpoint after the other for a permit: 6 asks a request.
   Scenario: Permits cost callers no more when they are spread over 12 daemons
--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -244,6 +244,20 @@
     assert context.rates.scheduled_rate(ENTRY.id) == rate
 
 
+@given("{count:d} requests in flight to that endpoint")
+def step_in_flight(context, count):
+    load_table = LoadTable()
+    for number in range(count):
+        load_table.start(f"r-{number}", [LoadShare(ENTRY.id, 0.0)], context.loop.now(), 10.0)
+    context.watch.set_load_table(load_table)
+
+
+@then("nothing is sent to it for {seconds:g} s")
+def step_withheld(context, seconds):
+    found = context.rates.withheld_seconds(ENTRY.id)
+    assert math.isclose(found, seconds, abs_tol=1e-6), found
+
+
 @then("it is not bound")
 def step_not_bound(context):
     assert context.rates.limit(ENTRY.id) is None, context.rates.limit(ENTRY.id)
@@ -336,7 +350,7 @@
     """Return when one part of a split fleet sends, asked for more than it grants."""
     rates = EndpointRates(lambda: 0.0, EndpointSignalTable(), _always_cold(), lambda _: rate)
     rates.set_fleet_share(lambda: share, lambda: share)
-    if rates.is_withheld(ENTRY.id):
+    if rates.withheld_seconds(ENTRY.id) > 0:
         return []
     rng = random.Random(seed)
     granted = rates.scheduled_rate(ENTRY.id)
@@ -353,7 +367,7 @@
 
 def _always_cold():
     table = ColdTable()
-    table.record_response(ENTRY.id, 60.0, 0.0)
+    table.record_list(ENTRY.id, 60.0, 0.0, 0.0, joined=True)
     return table
 
 
--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -393,6 +393,7 @@
         share = self.peers.fleet_share
         rates.set_fleet_share(lambda: share.value, lambda: share.settled)
         self.cold.set_announcer(self.peers)
+        self.cold.set_load_table(self.load_table)
         self.forward_targets = ForwardTargets(
             address, self.peers.forward_targets, random.Random(f"forward {name}")
         )
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -213,6 +213,7 @@
         share = peers.fleet_share
         self.endpoint_monitor.rates.set_fleet_share(lambda: share.value, lambda: share.settled)
         self.endpoint_monitor.cold.set_announcer(peers)
+        self.endpoint_monitor.cold.set_load_table(self.load_table)
         self.throttle = EndpointThrottle(
             self.loop,
             self.endpoint_monitor.signals,
--- a/src/brassdrum/gateway/following/cold_watch.py
+++ b/src/brassdrum/gateway/following/cold_watch.py
@@ -8,7 +8,7 @@
 
 from brassdrum.gateway.following.routing_state import RoutingState
 from brassdrum.gateway.net.loop import Timer, Timers
-from brassdrum.gateway.placing.load import endpoint_key
+from brassdrum.gateway.placing.load import LoadTable, endpoint_key
 from brassdrum.gateway.throttling.cold import ColdNotice, ColdTable
 from brassdrum.telemetry import log_events
 
@@ -16,6 +16,10 @@
 
 _logger = logging.getLogger(__name__)
 
+# Endpoints count their requests in windows of this length, and take some beyond their rate.
+_WINDOW_SECONDS = 1.0
+_TOLERATED_REQUESTS = 5
+
 
 class Announcer(Protocol):
     """Send the state of this daemon to its peers; implemented by them."""
@@ -38,6 +42,11 @@
         self._listed: set[str] = set()
         self._timer: Timer | None = None
         self._announcer: Announcer | None = None
+        self._load_table: LoadTable | None = None
+
+    def set_load_table(self, load_table: LoadTable) -> None:
+        """Set the table that tells how many requests an endpoint has when it turns cold."""
+        self._load_table = load_table
 
     def set_announcer(self, announcer: Announcer) -> None:
         """Set what tells peers at once that an endpoint has become cold."""
@@ -68,7 +77,7 @@
         for endpoint, seconds in seconds_by_endpoint.items():
             joined = endpoint not in self._listed
             if self.table.record_list(endpoint, seconds, read_at, now, joined=joined):
-                self._log_cold(endpoint, "list", now)
+                self._turned_cold(endpoint, "list", now)
                 changed = changed or not joined
         self._listed = set(seconds_by_endpoint)
         self._schedule_warm()
@@ -79,7 +88,7 @@
         """Record that an endpoint said for how long it stays cold."""
         now = self._loop.now()
         if self.table.record_response(endpoint, seconds, now):
-            self._log_cold(endpoint, "endpoint", now)
+            self._turned_cold(endpoint, "endpoint", now)
             self._announce(heard=True)
         self._schedule_warm()
 
@@ -96,7 +105,7 @@
             if endpoint is None:
                 continue
             if self.table.apply_notice(endpoint, notice, now):
-                self._log_cold(endpoint, host, now)
+                self._turned_cold(endpoint, host, now)
                 changed = True
         self._schedule_warm()
         if changed:
@@ -137,7 +146,11 @@
             log_events.ENDPOINT_WARM.write(_logger, endpoint=endpoint)
         self._schedule_warm()
 
-    def _log_cold(self, endpoint: str, source: str, now: float) -> None:
+    def _turned_cold(self, endpoint: str, source: str, now: float) -> None:
+        """Withhold an endpoint that was sent too many requests before it was known to be cold."""
+        withheld = self._excess_seconds(endpoint)
+        if withheld > 0:
+            self.table.withhold(endpoint, now + withheld)
         log_events.ENDPOINT_COLD.write(
             _logger,
             endpoint=endpoint,
@@ -145,3 +158,14 @@
             limit=self.rate(endpoint),
             source=source,
         )
+
+    def _excess_seconds(self, endpoint: str) -> float:
+        """Return how long an endpoint's rate takes for what it has in flight beyond its tolerance.
+
+        What was answered before did not say that it is cold, so it does not count.
+        """
+        rate = self.rate(endpoint)
+        if rate is None or self._load_table is None:
+            return 0.0
+        excess = self._load_table.total(endpoint).requests - _TOLERATED_REQUESTS
+        return min(_WINDOW_SECONDS, max(0, excess) / rate)
--- a/src/brassdrum/gateway/throttling/cold.py
+++ b/src/brassdrum/gateway/throttling/cold.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 __all__ = ["LIST_MARGIN_SECONDS", "ColdNotice", "ColdTable", "notices_to_send"]
 
@@ -51,6 +51,7 @@
     until: float
     changed_at: float
     hops: int | None
+    withheld_until: float = 0.0
 
 
 class ColdTable:
@@ -72,6 +73,16 @@
         state = self._state_by_endpoint.get(endpoint)
         return state is not None and now < state.until
 
+    def withhold(self, endpoint: str, until: float) -> None:
+        """Let nothing be sent to a cold endpoint before a time."""
+        state = self._state_by_endpoint[endpoint]
+        self._state_by_endpoint[endpoint] = replace(state, withheld_until=until)
+
+    def withheld_seconds(self, endpoint: str, now: float) -> float:
+        """Return for how long nothing may be sent to an endpoint."""
+        state = self._state_by_endpoint.get(endpoint)
+        return 0.0 if state is None else max(0.0, state.withheld_until - now)
+
     def seconds_left_by_endpoint(self, now: float) -> dict[str, float]:
         """Return for how long each cold endpoint stays cold."""
         states = self._state_by_endpoint.items()
@@ -142,10 +153,14 @@
         known = self._state_by_endpoint.get(endpoint)
         if until <= now or (known is not None and until <= known.until):
             return False
-        if known is None or until > known.until + tolerance:
+        if known is None:
             self._state_by_endpoint[endpoint] = _ColdState(until, now, hops)
-            return known is None or known.until <= now
+            return True
+        if until > known.until + tolerance:
+            state = replace(known, until=until, changed_at=now, hops=hops)
+            self._state_by_endpoint[endpoint] = state
+            return known.until <= now
         if hops in (0, None):
             # Not from peers: they would extend an end that they pass back and forth by each delay.
-            self._state_by_endpoint[endpoint] = _ColdState(until, known.changed_at, known.hops)
+            self._state_by_endpoint[endpoint] = replace(known, until=until)
         return False
--- a/src/brassdrum/gateway/throttling/rates.py
+++ b/src/brassdrum/gateway/throttling/rates.py
@@ -20,6 +20,9 @@
 # 0.2 s late make it 1.5 times in the worst second.
 _PART_FACTOR = 1.25
 _SMALLEST_PART = 0.25
+# Pause before an endpoint that such a part withholds is considered again; peers that come back are
+# heard within about a heartbeat.
+_WITHHELD_SECONDS = 0.5
 
 
 class EndpointRates:
@@ -75,10 +78,17 @@
         cold = self._limit_while_cold(endpoint) is not None
         return _MAX_COLD_WAIT_SECONDS if cold else MAX_WAIT_SECONDS
 
-    def is_withheld(self, endpoint: str) -> bool:
-        """Return whether an endpoint is cold and this daemon hears too few others to use it."""
-        withheld = self._fleet_share() < _SMALLEST_PART
-        return withheld and self._limit_while_cold(endpoint) is not None
+    def withheld_seconds(self, endpoint: str) -> float:
+        """Return for how long this daemon does not use an endpoint, as it is cold.
+
+        It got too many requests before it was known to be cold, or this daemon hears too few others
+        to share the bound with.
+        """
+        if self._limit_while_cold(endpoint) is None:
+            return 0.0
+        if self._fleet_share() < _SMALLEST_PART:
+            return _WITHHELD_SECONDS
+        return self._cold.withheld_seconds(endpoint, self._now())
 
     def _limit_while_cold(self, endpoint: str) -> float | None:
         if not self._cold.is_cold(endpoint, self._now()):
--- a/src/brassdrum/gateway/throttling/throttle.py
+++ b/src/brassdrum/gateway/throttling/throttle.py
@@ -14,9 +14,6 @@
 
 __all__ = ["EndpointOpening", "EndpointThrottle"]
 
-# Pause before an endpoint that is withheld is considered again; peers that come back are heard
-# within about a heartbeat.
-_WITHHELD_SECONDS = 0.5
 _MAX_REMEMBERED_ASKS = 1024
 
 
@@ -115,8 +112,9 @@
                 self._record_refusal(endpoint, permit.send_at)
             on_decided(permit)
 
-        if self._rates.is_withheld(endpoint):
-            decided(Permit(endpoint, False, self._loop.now() + _WITHHELD_SECONDS))
+        withheld = self._rates.withheld_seconds(endpoint)
+        if withheld > 0:
+            decided(Permit(endpoint, False, self._loop.now() + withheld))
             return
         self._record_ask(endpoint)
         max_wait = min(max_wait, self._rates.max_wait(endpoint))
