Say report and send where code said tell, and reports where it said words

Cause: names and log texts in figurative words (told, words, hear) that the field calls reports, sent and received. Ruled out: names on the wire, in logs and metrics: they stay. Conclusion: the features of endings, parts, quarantine, explaining, operators, the fleet, cold endpoints, structure and properties pass.

--- a/features/steps/ending_steps.py
+++ b/features/steps/ending_steps.py
@@ -87,7 +87,7 @@
     "while reports are {late:g} s late"
 )
 def step_parts_late(context, daemons, endpoints, late):
-    context.part_plan = PartPlan(daemons, endpoints, 4.0, words_late=late)
+    context.part_plan = PartPlan(daemons, endpoints, 4.0, reports_late=late)
 
 
 @given(
--- a/src/brassdrum/bench/endings.py
+++ b/src/brassdrum/bench/endings.py
@@ -1,4 +1,4 @@
-"""Play the decision on requests that end endpoints, over daemons with lost words.
+"""Play the decision on requests that end endpoints, over daemons that lose reports.
 
 All times are simulated.
 
@@ -31,10 +31,10 @@
     "plans",
 ]
 
-_WORDS_EACH_SECONDS = 0.1
-# A daemon that sees an end tells it after the pause in which its changes wait for others.
+_REPORT_INTERVAL_SECONDS = 0.1
+# A daemon that sees an end reports it after the pause in which its changes wait for others.
 _WORDS_AFTER_END_SECONDS = 0.005
-_WORD_SECONDS = 0.002
+_REPORT_SECONDS = 0.002
 _BACK_SECONDS = 3.3
 # From the start of a guilty request to its endpoint's end, least and most, as seen on engines.
 _END_SECONDS = (0.05, 0.4)
@@ -58,8 +58,8 @@
     guilty contents. ``at_once`` daemons get the first attempt of each in one moment. ``failures``
     times a number of endpoints ends in one moment for reasons of its own. Besides the
     ``callers``, so many as are ``popular`` ask for one healthy content again and again. Of
-    the words that daemons tell each other a share is ``words_lost``; the others are
-    ``words_late``.
+    the reports that daemons send each other a share is ``reports_lost``; the others are
+    ``reports_late``.
     """
 
     guilty: int
@@ -73,8 +73,8 @@
     endpoints: int = 40
     callers: int = 120
     popular: int = 0
-    words_lost: float = 0.1
-    words_late: float = 0.0
+    reports_lost: float = 0.1
+    reports_late: float = 0.0
     ends_after: tuple[float, float] = _END_SECONDS
 
     @property
@@ -169,12 +169,12 @@
         self._healthy_refused: set[str] = set()
         self._broken = 0
         self._contents = 0
-        self._tells_soon: set[int] = set()
+        self._sends_soon: set[int] = set()
 
     def run(self) -> EndingResult:
         """Play the plan."""
         plan = self._plan
-        self._start_telling()
+        self._start_sending()
         for _ in range(plan.callers):
             start = self._random.uniform(0.0, _HEALTHY_EACH_SECONDS)
             self._loop.call_later(start, self._healthy)
@@ -190,11 +190,11 @@
         self._loop.advance(plan.seconds)
         return EndingResult(tuple(self._ended), len(self._healthy_refused), self._broken)
 
-    def _start_telling(self) -> None:
+    def _start_sending(self) -> None:
         for daemon in range(self._plan.daemons):
             self._loop.call_later(
-                self._random.uniform(0.0, _WORDS_EACH_SECONDS),
-                lambda d=daemon: self._tell_each_time(d),
+                self._random.uniform(0.0, _REPORT_INTERVAL_SECONDS),
+                lambda d=daemon: self._send_each_interval(d),
             )
 
     # Callers.
@@ -291,33 +291,33 @@
         daemon = self._daemons[attempt.daemon]
         daemon.record_served(attempt.traits, self._loop.now(), attempt.sent_at)
 
-    def _tell_each_time(self, daemon: int) -> None:
-        self._tell(daemon)
-        self._loop.call_later(_WORDS_EACH_SECONDS, lambda: self._tell_each_time(daemon))
+    def _send_each_interval(self, daemon: int) -> None:
+        self._send_reports(daemon)
+        self._loop.call_later(_REPORT_INTERVAL_SECONDS, lambda: self._send_each_interval(daemon))
 
-    def _tell(self, daemon: int) -> None:
-        self._tells_soon.discard(daemon)
-        words = self._daemons[daemon].reports(self._loop.now())
-        if not words:
+    def _send_reports(self, daemon: int) -> None:
+        self._sends_soon.discard(daemon)
+        reports = self._daemons[daemon].reports(self._loop.now())
+        if not reports:
             return
-        for other in self._listeners(daemon):
-            if self._random.random() < self._plan.words_lost:
+        for other in self._recipients(daemon):
+            if self._random.random() < self._plan.reports_lost:
                 continue
             self._loop.call_later(
-                _WORD_SECONDS + self._plan.words_late, lambda o=other: self._hear(o, words)
+                _REPORT_SECONDS + self._plan.reports_late, lambda o=other: self._receive(o, reports)
             )
 
-    def _listeners(self, daemon: int) -> Iterable[int]:
-        """Return the daemons that hear what a daemon tells."""
+    def _recipients(self, daemon: int) -> Iterable[int]:
+        """Return the daemons that a daemon sends its reports to."""
         return (other for other in range(self._plan.daemons) if other != daemon)
 
-    def _hear(self, daemon: int, words: tuple[CrashReport, ...]) -> None:
-        self._daemons[daemon].merge_reports(words, self._loop.now())
+    def _receive(self, daemon: int, reports: tuple[CrashReport, ...]) -> None:
+        self._daemons[daemon].merge_reports(reports, self._loop.now())
 
-    def _tell_soon(self, daemon: int) -> None:
-        if daemon not in self._tells_soon:
-            self._tells_soon.add(daemon)
-            self._loop.call_later(_WORDS_AFTER_END_SECONDS, lambda: self._tell(daemon))
+    def _send_soon(self, daemon: int) -> None:
+        if daemon not in self._sends_soon:
+            self._sends_soon.add(daemon)
+            self._loop.call_later(_WORDS_AFTER_END_SECONDS, lambda: self._send_reports(daemon))
 
     # Endpoints.
 
@@ -345,7 +345,7 @@
 
     def _lose(self, attempt: Attempt, key: int, soon: bool) -> None:
         self._daemons[attempt.daemon].record_crash(attempt.traits, key, self._loop.now(), soon=soon)
-        self._tell_soon(attempt.daemon)
+        self._send_soon(attempt.daemon)
         self._begin(attempt)
 
     def _start_again(self, number: int) -> None:
--- a/src/brassdrum/bench/part_endings.py
+++ b/src/brassdrum/bench/part_endings.py
@@ -29,7 +29,7 @@
 _CALLERS = 12
 # Requests of one caller share a part, such as instructions.
 _PARTS_OF_CALLER = 4
-# In a fleet of more daemons than this, some hand on what the others tell.
+# In a fleet of more daemons than this, some hand on what the others report.
 _MESH_DAEMONS = 12
 _HUBS = 3
 # Mean seconds between healthy requests for one endpoint: three streams are there as a rule.
@@ -59,8 +59,8 @@
     first: bool = False
     served_before: bool = False
     healthy_seconds: float = _HEALTHY_SECONDS_BEFORE
-    words_lost: float = 0.1
-    words_late: float = 0.0
+    reports_lost: float = 0.1
+    reports_late: float = 0.0
     failures: int = 0
     failed_together: int = 0
     seconds: float = 24.0
@@ -72,7 +72,7 @@
         before = ", served before" if self.served_before else ""
         if self.healthy_seconds != _HEALTHY_SECONDS_BEFORE:
             before += f" for {self.healthy_seconds:g} s"
-        late = f", words {self.words_late} s late" if self.words_late else ""
+        late = f", reports {self.reports_late} s late" if self.reports_late else ""
         beside = (
             f", beside {self.failures} failures of {self.failed_together}" if self.failures else ""
         )
@@ -106,7 +106,7 @@
     healthy_refused: int = 0
     begun_before: Begun = field(default_factory=Begun)
     begun_after: Begun = field(default_factory=Begun)
-    bytes_told: int = 0
+    bytes_received: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,10 +131,10 @@
 
 
 def measure_parts(plan: PartPlan, seeds: Iterable[int]) -> PartPoint:
-    """Play a plan with each seed and sum up; ``bytes_a_second`` are told by each daemon."""
+    """Play a plan with each seed and sum up; ``bytes_a_second`` are received by each daemon."""
     results = [play_parts(plan, seed) for seed in seeds]
     ended = [count for result in results for count in result.ended] or [0]
-    told = sum(result.bytes_told for result in results)
+    received = sum(result.bytes_received for result in results)
     return PartPoint(
         plan=plan.label,
         seeds=len(results),
@@ -147,7 +147,7 @@
         healthy_refused=sum(result.healthy_refused for result in results),
         begun_before=_share([result.begun_before for result in results]),
         begun_after=_share([result.begun_after for result in results]),
-        bytes_a_second=round(told / (len(results) * plan.seconds * plan.daemons)),
+        bytes_a_second=round(received / (len(results) * plan.seconds * plan.daemons)),
     )
 
 
@@ -164,8 +164,8 @@
                 every=1.0,
                 daemons=plan.daemons,
                 endpoints=plan.endpoints,
-                words_lost=plan.words_lost,
-                words_late=plan.words_late,
+                reports_lost=plan.reports_lost,
+                reports_late=plan.reports_late,
                 failures=plan.failures,
                 failed_together=plan.failed_together,
                 seconds=plan.seconds,
@@ -186,7 +186,7 @@
     def play(self) -> PartResult:
         """Play once."""
         plan = self._parts
-        self._start_telling()
+        self._start_sending()
         self._loop.call_later(0.0, self._next_healthy)
         for guilty in range(plan.guilty):
             start = plan.healthy_seconds + self._random.uniform(0.0, 0.5)
@@ -268,14 +268,14 @@
             proven_at = self._proven_at[attempt.guilty]
             self._proven_at[attempt.guilty] = min(proven_at, self._loop.now())
 
-    def _listeners(self, daemon: int) -> Iterable[int]:
+    def _recipients(self, daemon: int) -> Iterable[int]:
         if self._parts.daemons <= _MESH_DAEMONS or daemon < _HUBS:
-            return super()._listeners(daemon)
+            return super()._recipients(daemon)
         return range(_HUBS)
 
-    def _hear(self, daemon: int, words: tuple[CrashReport, ...]) -> None:
-        super()._hear(daemon, words)
-        self._result.bytes_told += sum(report.size_bytes for report in words)
+    def _receive(self, daemon: int, reports: tuple[CrashReport, ...]) -> None:
+        super()._receive(daemon, reports)
+        self._result.bytes_received += sum(report.size_bytes for report in reports)
 
     # Endpoints.
 
@@ -302,7 +302,7 @@
     yield PartPlan(12, 40, 4.0, guilty=4, served_before=True, healthy_seconds=40.0, seconds=56.0)
     yield PartPlan(12, 40, 1.0, guilty=2)
     yield PartPlan(12, 40, 1.0, guilty=4)
-    yield PartPlan(12, 40, 4.0, words_late=0.2)
+    yield PartPlan(12, 40, 4.0, reports_late=0.2)
     yield PartPlan(12, 40, 4.0, failures=5, failed_together=8)
     yield PartPlan(12, 40, 4.0, guilty=0, failures=5, failed_together=8)
     yield PartPlan(12, 40, 4.0, guilty=0, failures=20, failed_together=2)
--- a/src/brassdrum/gateway/peering/demand_pacing.py
+++ b/src/brassdrum/gateway/peering/demand_pacing.py
@@ -19,23 +19,23 @@
 class DemandPacing:
     """Leave the rows out of digests while the keys that wait are the same.
 
-    Which keys wait decides who yields and is told at once; counts are told every
+    Which keys wait decides who yields and is sent at once; counts are sent every
     ``_REPEAT_SECONDS``.
     """
 
     def __init__(self) -> None:
         self._waiting: frozenset[DemandKey] = frozenset()
         self._copies_left = 0
-        self._told_at = -math.inf
+        self._sent_at = -math.inf
 
     def is_due(self, rows: Iterable[DemandRow], now: float) -> bool:
-        """Return whether the next digest carries the rows, which counts as telling them."""
+        """Return whether the next digest carries the rows, which counts as sending them."""
         waiting = frozenset(row.key for row in rows if row.waiting)
         if waiting != self._waiting:
             self._waiting = waiting
             self._copies_left = _COPIES
-        if not self._copies_left and now - self._told_at < _REPEAT_SECONDS:
+        if not self._copies_left and now - self._sent_at < _REPEAT_SECONDS:
             return False
         self._copies_left = max(0, self._copies_left - 1)
-        self._told_at = now
+        self._sent_at = now
         return True
--- a/src/brassdrum/gateway/request/answer_progress.py
+++ b/src/brassdrum/gateway/request/answer_progress.py
@@ -31,13 +31,13 @@
         self._traits = traits
         self._sent_at = 0.0
         self._began_at: float | None = None
-        self._survival_told = False
+        self._survival_reported = False
 
     def sent(self) -> None:
         """Begin anew with an attempt."""
         self._sent_at = self._context.loop.now()
         self._began_at = None
-        self._survival_told = False
+        self._survival_reported = False
 
     def event_received(self) -> None:
         """Note the first event, and tell once that the endpoint has survived it."""
@@ -45,9 +45,9 @@
         if self._began_at is None:
             self._began_at = now
             return
-        if self._survival_told or now - self._began_at < SURVIVAL_SECONDS:
+        if self._survival_reported or now - self._began_at < SURVIVAL_SECONDS:
             return
-        self._survival_told = True
+        self._survival_reported = True
         self._context.crash_guard.request_survived(self._traits, self._began_at)
 
     def completed(self) -> None:
--- a/src/brassdrum/gateway/throttling/signals.py
+++ b/src/brassdrum/gateway/throttling/signals.py
@@ -52,12 +52,12 @@
 
 
 def current_notices(
-    told: tuple[SignalNotice, ...] | None,
+    reported: tuple[SignalNotice, ...] | None,
     known: tuple[SignalNotice, ...] | None,
     seconds: float,
 ) -> tuple[SignalNotice, ...]:
-    """Return what a peer told, or what it told some seconds ago if it leaves that as it was."""
-    return tuple(aged_notices(known or (), seconds)) if told is None else told
+    """Return what a peer reported, or what was known some seconds ago if it reports no change."""
+    return tuple(aged_notices(known or (), seconds)) if reported is None else reported
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/brassdrum/membership/observers.py
+++ b/src/brassdrum/membership/observers.py
@@ -58,13 +58,13 @@
 
 
 class ReportSharing:
-    """Choose the reports to tell in a round: those that changed, and a part of the others.
+    """Choose the reports to send in a round: those that changed, and a part of the others.
 
     The part goes round, so that whoever missed a change hears of it within eight rounds.
     """
 
     def __init__(self) -> None:
-        self._told_by_endpoint: dict[str, tuple[int, int, int]] = {}
+        self._sent_by_endpoint: dict[str, tuple[int, int, int]] = {}
         self._round = 0
 
     def choose(self, reports: Sequence[EndpointReport]) -> list[EndpointReport]:
@@ -74,8 +74,8 @@
         for position, report in enumerate(reports):
             content = (report.streams, report.queued_tokens, report.kv_tokens_held)
             due = (position + self._round) % _REFRESH_ROUNDS == 0
-            if not due and self._told_by_endpoint.get(report.endpoint) == content:
+            if not due and self._sent_by_endpoint.get(report.endpoint) == content:
                 continue
-            self._told_by_endpoint[report.endpoint] = content
+            self._sent_by_endpoint[report.endpoint] = content
             chosen.append(report)
         return chosen
--- a/src/brassdrum/membership/peers.py
+++ b/src/brassdrum/membership/peers.py
@@ -26,11 +26,14 @@
 
 @dataclass(slots=True)
 class PeerRecord:
-    """Hold a daemon's last entry, as it was told, and when it last advanced, on our clock."""
+    """Hold a daemon's last entry and when it last advanced, on our clock.
+
+    ``received`` is the entry as it came, without the addresses of an earlier one.
+    """
 
     entry: DaemonEntry
     heard: float
-    told: DaemonEntry
+    received: DaemonEntry
     rounds_left: int = _FORWARD_ROUNDS
 
 
@@ -76,15 +79,15 @@
             known = self._records_by_name.get(entry.name)
             if known is not None and _order(entry) <= _order(known.entry):
                 continue
-            told = DaemonEntry()
-            told.CopyFrom(entry)
+            received = DaemonEntry()
+            received.CopyFrom(entry)
             same_life = known is not None and known.entry.incarnation == entry.incarnation
             if not entry.peer_address:
                 if not same_life:
                     # Its addresses come in one of the next rounds.
                     continue
                 _copy_addresses(known.entry, entry)
-            self._records_by_name[entry.name] = PeerRecord(entry, now, told)
+            self._records_by_name[entry.name] = PeerRecord(entry, now, received)
             newer.append(entry)
         return newer
 
@@ -95,7 +98,7 @@
             if record.rounds_left <= 0:
                 continue
             record.rounds_left -= 1
-            entries.append(record.told)
+            entries.append(record.received)
         return entries
 
     def all_entries(self) -> list[DaemonEntry]:
--- a/src/brassdrum/outcomes/quarantine.py
+++ b/src/brassdrum/outcomes/quarantine.py
@@ -69,7 +69,7 @@
 _ATTRIBUTION_DELAY_SECONDS_PER_TRAIT = 0.0002
 # Limit on the size of the reports in one datagram, in bytes.
 _MAX_REPORT_BYTES = 900
-# Blamed traits without news are told in turns, within this part of it.
+# Blamed traits without news are reported in turns, within this part of it.
 _MAX_KEPT_REPORT_BYTES = 300
 
 
@@ -284,11 +284,11 @@
                 news.append((not record.blamed, minor, -record.updated_at, trait))
             elif record.blamed:
                 kept.append(trait)
-        told = self._take_reports(self._rotate(kept), _MAX_KEPT_REPORT_BYTES)
-        self._last_kept = told[-1] if told else ""
-        bytes_left = _MAX_REPORT_BYTES - sum(map(self._size_bytes, told))
-        told += self._take_reports([trait for *_, trait in sorted(news)], bytes_left)
-        return tuple(self.report(trait, now) for trait in told)
+        reported = self._take_reports(self._rotate(kept), _MAX_KEPT_REPORT_BYTES)
+        self._last_kept = reported[-1] if reported else ""
+        bytes_left = _MAX_REPORT_BYTES - sum(map(self._size_bytes, reported))
+        reported += self._take_reports([trait for *_, trait in sorted(news)], bytes_left)
+        return tuple(self.report(trait, now) for trait in reported)
 
     def report(self, trait: str, now: float) -> CrashReport:
         """Return the report on one trait."""
@@ -316,7 +316,7 @@
         return changed
 
     def _rotate(self, kept: list[str]) -> list[str]:
-        """Return the traits in order, beginning after the last one that was told."""
+        """Return the traits in order, beginning after the last one that was reported."""
         kept.sort()
         start = bisect_right(kept, self._last_kept)
         return kept[start:] + kept[:start]
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -155,7 +155,7 @@
     Topic.LIFE,
     "zone revision source endpoints",
     "The operator has evacuated a zone: its `endpoints` get no more requests; `source` is the "
-    "store or the host of the daemon that told.",
+    "store or the host of the daemon that reported it.",
     "None while that is intended; else delete the operator's record.",
 )
 ZONE_TAKEN_BACK = LOG_EVENTS.add(
@@ -163,8 +163,9 @@
     Topic.LIFE,
     "zone revision source endpoints",
     "The operator has taken a zone back: its `endpoints` offer one slot each at first and all of "
-    "them after 5 s. `source` is the store, the host of the daemon that told, or `restored store` "
-    "where a store that came back from a copy has lacked the operator's record for 6 s.",
+    "them after 5 s. `source` is the store, the host of the daemon that reported it, or "
+    "`restored store` where a store that came back from a copy has lacked the operator's record "
+    "for 6 s.",
     "None while that is intended; else write the operator's record again.",
 )
 ZONE_UNKNOWN = LOG_EVENTS.add(
@@ -193,7 +194,7 @@
     Topic.BELIEF,
     "endpoint limit before source",
     "An endpoint named another limit of requests a second over all daemons, or none; `source` is "
-    "the endpoint itself or the host of the daemon that told.",
+    "the endpoint itself or the host of the daemon that reported it.",
     "Look at the endpoint: it asks for relief.",
 )
 ENDPOINT_COLD = LOG_EVENTS.add(
@@ -202,7 +203,7 @@
     "endpoint seconds limit source",
     "An endpoint is cold for `seconds` and takes `limit` requests a second from all daemons "
     "meanwhile, or any number; `source` is the list, the endpoint itself or the host of the "
-    "daemon that told.",
+    "daemon that reported it.",
     "Expected after a start. If it comes back without one, look at the endpoint.",
 )
 ENDPOINT_WARM = LOG_EVENTS.add(
@@ -238,7 +239,7 @@
     Topic.BELIEF,
     "endpoint draining source list_age",
     "An endpoint said in a response that it is about to stop, or no longer; the list may not know "
-    "it yet. `source` is the endpoint, the host of the daemon that told, or the list.",
+    "it yet. `source` is the endpoint, the host of the daemon that reported it, or the list.",
 )
 ENDPOINT_ENDED = LOG_EVENTS.add(
     "endpoint ended",
