Fill an endpoint that was avoided as failing by turns

Ruled out: long prompts that hold the slots (none were in flight from 18 to 26 s); late service (all but three short prompts that were served in the burst came in time by the daemons' clocks). Change: EndpointSelector remembers when it last saw an endpoint suspect. Afterwards the endpoint offers its slots one after the other within 1 s, at each daemon later by its back-off for freed slots. Not where half of the endpoints or more recover together.

--- /dev/null
+++ b/features/recovering_endpoints.feature
@@ -0,0 +1,31 @@
+Feature: An endpoint that was avoided as failing is used again without being overrun
+
+  # Guards against daemons that all send their waiting requests to the one empty endpoint at the
+  # moment in which they stop avoiding it: 75 requests in 30 ms, of which most were turned away.
+  Scenario Outline: The waiting requests of all daemons fill it by turns
+    Given <daemons> daemons with <waiting> requests of <kinds> each that wait for 5 full engines and a suspect one
+    When all daemons stop avoiding that engine at the same moment
+    Then at most <most> requests are sent to its 12 slots
+    And all its slots are used within 2.5 s
+
+    Examples:
+      | daemons | waiting | kinds           | most |
+      | 6       | 4       | one priority    | 18   |
+      | 58      | 4       | two priorities  | 18   |
+      | 82      | 1       | two priorities  | 18   |
+
+  Scenario: An endpoint that was not avoided offers all its slots
+    Then an endpoint that was never suspect is not among those that have recovered
+
+  # Guards against a service whose endpoints were all avoided, and that then offers next to nothing.
+  Scenario Outline: Endpoints that recover together offer all their slots
+    Given <suspect> of 6 endpoints that were suspect until 0.1 s ago
+    Then <recovered> of them count as recovered
+    And 3 s later none of them counts as recovered
+
+    Examples:
+      | suspect | recovered |
+      | 1       | 1         |
+      | 2       | 2         |
+      | 3       | 0         |
+      | 6       | 0         |
--- a/src/brassdrum/gateway/placing/choosing.py
+++ b/src/brassdrum/gateway/placing/choosing.py
@@ -5,11 +5,11 @@
 import math
 import random
 import zlib
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
 
 from brassdrum.gateway.model import EndpointEntry, EngineModel
-from brassdrum.gateway.placing.gradual_return import withheld_slots
+from brassdrum.gateway.placing.gradual_return import RECOVERY_SECONDS, Recoveries, withheld_slots
 from brassdrum.gateway.placing.load import MAX_BACKOFF_SECONDS, LoadTable
 from brassdrum.gateway.placing.placement import (
     Candidate,
@@ -56,6 +56,7 @@
 
     ``suspect`` tells whether an endpoint should be avoided, ``engine`` is the cost model of the
     service, and ``permit`` the one that the request holds for an endpoint that limits its rate.
+    ``recovered_at`` tells which endpoints have ceased to be suspect of late, and when.
     """
 
     policy: Policy
@@ -65,6 +66,7 @@
     engine: EngineModel | None
     now: float
     permit: Permit | None = None
+    recovered_at: Mapping[str, float] = field(default_factory=dict)
 
 
 class EndpointSelector:
@@ -90,6 +92,7 @@
         # When the zone with a name was taken back after an evacuation.
         self._taken_back_at = taken_back_at
         self._slowdown = slowdown
+        self._recoveries = Recoveries()
 
     def select(
         self, selection: Selection, *, late: bool, turn: Turn = PLAIN_TURN
@@ -109,7 +112,9 @@
             turn = replace(turn, goes_first=False)
         propagation_ms = flush_seconds * _PROPAGATION_FLUSHES * 1000
         request = replace(selection.request, propagation_ms=propagation_ms)
-        selection = replace(selection, request=request)
+        suspects = {each.id for each in entries if selection.suspect(each.id)}
+        recovered_at = self._recoveries.update([each.id for each in entries], suspects, now)
+        selection = replace(selection, request=request, recovered_at=recovered_at)
 
         def place(among: Sequence[EndpointEntry]) -> Placement | None:
             candidates = [
@@ -178,7 +183,7 @@
     def _candidate(
         self, selection: Selection, entry: EndpointEntry, claimed_since: float, *, last: bool
     ) -> Candidate:
-        withheld = self._withheld_slots(entry, selection.engine, selection.now)
+        withheld = self._withheld_slots(selection, entry, claimed_since)
         return Candidate(
             entry,
             self._table.total(entry.id),
@@ -189,10 +194,23 @@
             self._slowdown(entry.id),
         )
 
-    def _withheld_slots(self, entry: EndpointEntry, engine: EngineModel | None, now: float) -> int:
-        """Return how many slots an endpoint does not offer yet after an evacuation of its zone."""
-        slots = entry.slots if engine is None else engine.slots
-        return withheld_slots(slots, self._taken_back_at(entry.zone), now)
+    def _withheld_slots(
+        self, selection: Selection, entry: EndpointEntry, claimed_since: float
+    ) -> int:
+        """Return how many slots an endpoint does not offer yet.
+
+        Its zone was taken back after an evacuation, or it was suspect until of late: then daemons
+        take turns as for freed slots.
+        """
+        slots = entry.slots if selection.engine is None else selection.engine.slots
+        now = selection.now
+        withheld = withheld_slots(slots, self._taken_back_at(entry.zone), now)
+        recovered_at = selection.recovered_at.get(entry.id)
+        if recovered_at is None:
+            return withheld
+        if recovered_at > claimed_since:
+            return slots
+        return max(withheld, withheld_slots(slots, recovered_at, claimed_since, RECOVERY_SECONDS))
 
     def _backoff_seconds(
         self, endpoint: str, flush_seconds: float, turn: Turn, *, last: bool
--- a/src/brassdrum/gateway/placing/gradual_return.py
+++ b/src/brassdrum/gateway/placing/gradual_return.py
@@ -1,21 +1,59 @@
-"""Share of the slots that endpoints offer after their zone was taken back; does no I/O."""
+"""Share of the slots that endpoints offer after a time without requests; does no I/O."""
 
 from __future__ import annotations
 
-__all__ = ["withheld_slots"]
+from collections.abc import Iterable, Set
+
+from brassdrum.gateway.placing.load import MAX_BACKOFF_SECONDS
+
+__all__ = ["RECOVERY_SECONDS", "Recoveries", "withheld_slots"]
 
 # After a zone was taken back all its endpoints are empty, and may be cold: without this, every
 # daemon would fill them at once.
 _RETURN_SECONDS = 5.0
+# The same for an endpoint that was avoided as failing: all daemons would send what waits there at
+# once. Each daemon begins after its back-off.
+RECOVERY_SECONDS = 1.0
+_KEPT_SECONDS = RECOVERY_SECONDS + MAX_BACKOFF_SECONDS
+
+
+class Recoveries:
+    """Remember when endpoints stopped being suspect."""
+
+    def __init__(self) -> None:
+        self._suspect_at_by_endpoint: dict[str, float] = {}
+
+    def update(self, endpoints: Iterable[str], suspects: Set[str], now: float) -> dict[str, float]:
+        """Return when each of the endpoints that have recovered of late was last suspect.
+
+        If half of them have or more, requests spread over these, and none is returned.
+        """
+        recovered_at: dict[str, float] = {}
+        count = 0
+        for endpoint in endpoints:
+            count += 1
+            if endpoint in suspects:
+                self._suspect_at_by_endpoint[endpoint] = now
+                continue
+            suspect_at = self._suspect_at_by_endpoint.get(endpoint)
+            if suspect_at is None:
+                continue
+            if now - suspect_at >= _KEPT_SECONDS:
+                del self._suspect_at_by_endpoint[endpoint]
+                continue
+            recovered_at[endpoint] = suspect_at
+        return recovered_at if 2 * len(recovered_at) < count else {}
 
 
-def withheld_slots(slots: int, taken_back_at: float | None, now: float) -> int:
+def withheld_slots(
+    slots: int, since: float | None, now: float, seconds: float = _RETURN_SECONDS
+) -> int:
     """Return how many slots an endpoint does not offer yet.
 
-    It offers one slot at first and all of them after a while; ``taken_back_at`` is None for
-    endpoints whose zone was not evacuated.
+    It offers one slot at first and all of them after some seconds. ``since`` is when its zone was
+    taken back or it recovered, None without either.
     """
-    if taken_back_at is None or slots <= 1:
+    if since is None or slots <= 1:
         return 0
-    share = min(1.0, max(0.0, (now - taken_back_at) / _RETURN_SECONDS))
+    share = min(1.0, max(0.0, (now - since) / seconds))
     return slots - 1 - int((slots - 1) * share)
