Forget endpoints that are no longer listed, and describe how recovered ones are used

Cause: read again: the selector kept the last suspicion of endpoints that had left the list for ever. Ruled out: pruning by the list alone: each request sees the endpoints of its service only. Conclusion: recovering_endpoints.feature and evacuation.feature pass.

--- a/src/brassdrum/gateway/placing/choosing.py
+++ b/src/brassdrum/gateway/placing/choosing.py
@@ -56,7 +56,7 @@
 
     ``suspect`` tells whether an endpoint should be avoided, ``engine`` is the cost model of the
     service, and ``permit`` the one that the request holds for an endpoint that limits its rate.
-    ``recovered_at`` tells which endpoints have ceased to be suspect of late, and when.
+    ``recovered_at`` tells which endpoints were suspect until recently, and when they last were.
     """
 
     policy: Policy
@@ -199,7 +199,7 @@
     ) -> int:
         """Return how many slots an endpoint does not offer yet.
 
-        Its zone was taken back after an evacuation, or it was suspect until of late: then daemons
+        Its zone was taken back after an evacuation, or it was suspect until recently: then daemons
         take turns as for freed slots.
         """
         slots = entry.slots if selection.engine is None else selection.engine.slots
--- a/src/brassdrum/gateway/placing/gradual_return.py
+++ b/src/brassdrum/gateway/placing/gradual_return.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Set
+from collections.abc import Sequence, Set
 
 from brassdrum.gateway.placing.load import MAX_BACKOFF_SECONDS
 
@@ -23,26 +23,26 @@
     def __init__(self) -> None:
         self._suspect_at_by_endpoint: dict[str, float] = {}
 
-    def update(self, endpoints: Iterable[str], suspects: Set[str], now: float) -> dict[str, float]:
-        """Return when each of the endpoints that have recovered of late was last suspect.
+    def update(self, endpoints: Sequence[str], suspects: Set[str], now: float) -> dict[str, float]:
+        """Return when each of the endpoints that have recovered recently was last suspect.
 
         If half of them have or more, requests spread over these, and none is returned.
         """
+        self._forget_until(now - _KEPT_SECONDS)
         recovered_at: dict[str, float] = {}
-        count = 0
         for endpoint in endpoints:
-            count += 1
             if endpoint in suspects:
                 self._suspect_at_by_endpoint[endpoint] = now
                 continue
             suspect_at = self._suspect_at_by_endpoint.get(endpoint)
-            if suspect_at is None:
-                continue
-            if now - suspect_at >= _KEPT_SECONDS:
-                del self._suspect_at_by_endpoint[endpoint]
-                continue
-            recovered_at[endpoint] = suspect_at
-        return recovered_at if 2 * len(recovered_at) < count else {}
+            if suspect_at is not None:
+                recovered_at[endpoint] = suspect_at
+        return recovered_at if 2 * len(recovered_at) < len(endpoints) else {}
+
+    def _forget_until(self, end: float) -> None:
+        expired = [each for each, at in self._suspect_at_by_endpoint.items() if at <= end]
+        for endpoint in expired:
+            del self._suspect_at_by_endpoint[endpoint]
 
 
 def withheld_slots(
