Show the warnings of the daemons where a soak breaks a promise

Lines on single requests: there are hundreds. Change: the step that finds a broken promise adds the last 80 warnings on beliefs to its message, each cut at 300 characters.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -25,10 +25,31 @@
 SMALL = {"daemons": 2, "replicas": 3, "callers": 4}
 
 
+# Enough to follow a broken promise, without hiding the result of the feature.
+MOST_WARNINGS = 80
+LONGEST_WARNING = 300
+
+
+def daemon_warnings(folder):
+    """Return the last warnings of all daemons but those on single requests.
+
+    Their logs are removed with the run, and a broken promise may not show again.
+    """
+    texts = [log.read_text(errors="replace") for log in folder.glob("*.log")]
+    warnings = sorted(
+        line
+        for text in texts
+        for line in text.splitlines()
+        if '"level":"info"' not in line and '"request"' not in line
+    )
+    return [line[:LONGEST_WARNING] for line in warnings[-MOST_WARNINGS:]]
+
+
 def run_soak(context, seed, seconds, plant="", size=SMALL):
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(seed, SoakSize(**size, seconds=seconds), Path(folder), plant)
         context.report = soak.run()
+        context.warnings = daemon_warnings(Path(folder)) if context.report.violations else []
     context.soaked = soak.history
     context.found = context.report.violations
 
@@ -69,7 +90,7 @@
 @then("callers were served and no promise was broken")
 def step_kept(context):
     assert context.report.served > 0
-    assert context.found == [], context.found
+    assert context.found == [], "\n".join([str(context.found), *context.warnings])
 
 
 @then("no request that ends replicas was sent")
