Mend what a reader of the change on recovered endpoints found

Cause: a fresh reader of the diff found that a request which goes first could queue at a recovering endpoint for any of its slots; that endpoints still suspect, and recoveries of up to 2.5 s before, decided whether half of a service recovers together; and that a step on cold endpoints looked at the table alone. Change: slots that are not offered yet bind such requests too; half of the endpoints that are not suspect count, if they recovered within the last second; the step asks for a permit. Soak warnings keep tracebacks. Names and comments.

--- a/features/recovering_endpoints.feature
+++ b/features/recovering_endpoints.feature
@@ -17,15 +17,33 @@
   Scenario: An endpoint that was not avoided offers all its slots
     Then an endpoint that was never suspect is not among those that have recovered
 
+  # Guards against a request that goes first and queues for a slot that is not offered yet.
+  Scenario Outline: A request that goes first takes no more than the slots that are offered
+    Given a request that goes first, 5 full engines and one that recovered <seconds> s ago
+    And that engine has <count> requests
+    Then the request is placed at <where> engine
+
+    Examples:
+      | seconds | count | where   |
+      | 0.01    | 0     | that    |
+      | 0.01    | 3     | another |
+      | 1.6     | 3     | that    |
+
   # Guards against a service whose endpoints were all avoided, and that then offers next to nothing.
   Scenario Outline: Endpoints that recover together offer all their slots
-    Given <suspect> of 6 endpoints that were suspect until 0.1 s ago
+    Given <suspect> of 6 endpoints that were suspect, <still> of which still are after 0.1 s
     Then <recovered> of them count as recovered
     And 3 s later none of them counts as recovered
 
     Examples:
-      | suspect | recovered |
-      | 1       | 1         |
-      | 2       | 2         |
-      | 3       | 0         |
-      | 6       | 0         |
+      | suspect | still | recovered |
+      | 1       | 0     | 1         |
+      | 2       | 0     | 2         |
+      | 3       | 0     | 0         |
+      | 6       | 0     | 0         |
+      | 6       | 4     | 0         |
+
+  # Guards against earlier recoveries that switch the rule off for a later one.
+  Scenario: Endpoints that recovered before do not count against the next one
+    Given 2 of 6 endpoints that recovered 2 s before another one
+    Then the last one offers its slots one after the other
--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -37,6 +37,7 @@
 from brassdrum.gateway.placing.placement import PlacementRequest
 from brassdrum.gateway.placing.policies import policies
 from brassdrum.gateway.throttling.cold import ColdNotice, ColdTable, notices_to_send
+from brassdrum.gateway.throttling.permits import Permit
 from brassdrum.gateway.throttling.rates import EndpointRates
 from brassdrum.gateway.throttling.schedule import SendSchedule
 from brassdrum.gateway.throttling.signals import EndpointSignalTable
@@ -252,9 +253,25 @@
     context.watch.set_load_table(load_table)
 
 
+class _GrantingBroker:
+    """Grant each permit at once, as an owner with nothing booked does."""
+
+    def __init__(self, loop):
+        self._loop = loop
+
+    def request(self, endpoint, _rate, _max_wait, on_decided):
+        on_decided(Permit(endpoint, True, self._loop.now()))
+
+
 @then("nothing is sent to it for {seconds:g} s")
 def step_withheld(context, seconds):
-    found = context.rates.withheld_seconds(ENTRY.id)
+    broker = _GrantingBroker(context.loop)
+    throttle = EndpointThrottle(context.loop, context.signals, broker, context.rates)
+    permits = []
+    throttle.request_permit(ENTRY.id, 5.0, permits.append)
+    (permit,) = permits
+    assert permit.granted == (seconds == 0), permit
+    found = permit.send_at - context.loop.now()
     assert math.isclose(found, seconds, abs_tol=1e-6), found
 
 
--- a/features/steps/recovering_steps.py
+++ b/features/steps/recovering_steps.py
@@ -55,20 +55,26 @@
             live=lambda: world.daemons,
         )
 
+    def place(self, turn, waited_ms=0.0):
+        """Return where a request would go now."""
+        world = self._world
+        now = world.loop.now()
+        selection = Selection(
+            policies.get("least_harm"),
+            PlacementRequest(2000, 200, 300.0, PAUSE_MS, waited_ms=waited_ms),
+            world.entries,
+            lambda each: each == world.suspect and now < world.suspect_until,
+            ENGINE,
+            now,
+        )
+        return self._selector.select(selection, late=False, turn=turn)
+
     def review(self):
         """Send what finds a slot, as the queue of waiting requests does."""
         world = self._world
         now = world.loop.now()
         while self.waiting:
-            selection = Selection(
-                policies.get("least_harm"),
-                PlacementRequest(2000, 200, 300.0, PAUSE_MS),
-                world.entries,
-                lambda each: each == world.suspect and now < world.suspect_until,
-                ENGINE,
-                now,
-            )
-            placement = self._selector.select(selection, late=False, turn=self._turn)
+            placement = self.place(self._turn)
             if placement is None or placement.endpoint_full:
                 return
             self.waiting -= 1
@@ -92,10 +98,10 @@
             for number in range(6)
         ]
         self.suspect = self.entries[0].id
-        self._members = [_Daemon(n, self, waiting, kinds) for n in range(daemons)]
+        self.members = [_Daemon(n, self, waiting, kinds) for n in range(daemons)]
         self._sequence = 1
         rng = random.Random(1)
-        for member in self._members:
+        for member in self.members:
             self._review_later(member, rng.uniform(0.0, REVIEW_SECONDS))
 
     def report(self, sender):
@@ -104,10 +110,11 @@
         key = endpoint_key(self.suspect)
         rows = [LoadRow(key, sender.table.own_row(key).load.copy())]
         delay = 2 * max(0.004, SECONDS_PER_DAEMON * self.daemons)
-        self.loop.call_later(delay, lambda: self._deliver(sender, rows, self._sequence))
+        sequence = self._sequence
+        self.loop.call_later(delay, lambda: self._deliver(sender, rows, sequence))
 
     def _deliver(self, sender, rows, sequence):
-        for member in self._members:
+        for member in self.members:
             if member is not sender:
                 member.table.merge(sender.name, rows, self.loop.now(), sequence)
 
@@ -148,6 +155,32 @@
     assert sent >= SLOTS, (sent, context.world.sent_at)
 
 
+@given("a request that goes first, 5 full engines and one that recovered {seconds:g} s ago")
+def step_goes_first(context, seconds):
+    world = _World(1, 0, "one priority")
+    world.suspect_until = world.loop.now() + 0.1
+    world.loop.advance(0.09)
+    (context.member,) = world.members
+    context.member.place(Turn(goes_first=True, ahead=1, waiting=2), waited_ms=100.0)
+    world.loop.advance(0.01 + seconds)
+    context.world = world
+
+
+@given("that engine has {count:d} requests")
+def step_has_requests(context, count):
+    load = EndpointLoad(0.0, 1000, 1000, count, 0, {PAUSE_MS: count})
+    world = context.world
+    rows = [LoadRow(endpoint_key(world.suspect), load)]
+    context.member.table.merge("others", rows, world.loop.now(), 1)
+
+
+@then("the request is placed at {where} engine")
+def step_placed(context, where):
+    turn = Turn(goes_first=True, ahead=1, waiting=2)
+    placement = context.member.place(turn, waited_ms=100.0)
+    assert (placement.entry.id == context.world.suspect) == (where == "that"), placement
+
+
 @then("an endpoint that was never suspect is not among those that have recovered")
 def step_never_suspect(_context):
     recoveries = Recoveries()
@@ -156,18 +189,37 @@
     assert recoveries.update(names, set(), 1.1) == {"engine-1": 1.0}
 
 
-@given("{count:d} of 6 endpoints that were suspect until {seconds:g} s ago")
-def step_were_suspect(context, count, seconds):
+@given(
+    "{count:d} of 6 endpoints that were suspect, {still:d} of which still are after {seconds:g} s"
+)
+def step_were_suspect(context, count, still, seconds):
     names = [f"engine-{number}" for number in range(6)]
     recoveries = Recoveries()
     recoveries.update(names, set(names[:count]), 10.0)
-    context.recoveries = SimpleNamespace(names=names, table=recoveries, now=10.0 + seconds)
+    context.recoveries = SimpleNamespace(
+        names=names, table=recoveries, now=10.0 + seconds, suspects=set(names[:still])
+    )
 
 
 @then("{count:d} of them count as recovered")
 def step_recovered(context, count):
     found = context.recoveries
-    assert len(found.table.update(found.names, set(), found.now)) == count
+    assert len(found.table.update(found.names, found.suspects, found.now)) == count
+
+
+@given("{count:d} of 6 endpoints that recovered {seconds:g} s before another one")
+def step_staggered(context, count, seconds):
+    names = [f"engine-{number}" for number in range(6)]
+    recoveries = Recoveries()
+    recoveries.update(names, set(names[: count + 1]), 10.0)
+    recoveries.update(names, {names[count]}, 10.0 + seconds)
+    context.last = recoveries.update(names, set(), 10.1 + seconds), names[count]
+
+
+@then("the last one offers its slots one after the other")
+def step_last_withheld(context):
+    found, last = context.last
+    assert last in found, found
 
 
 @then("{seconds:g} s later none of them counts as recovered")
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -25,24 +25,25 @@
 SMALL = {"daemons": 2, "replicas": 3, "callers": 4}
 
 
-# Enough to follow a broken promise, without hiding the result of the feature.
+# Limits the output, so that the result of the feature stays visible.
 MOST_WARNINGS = 80
 LONGEST_WARNING = 300
 
 
 def daemon_warnings(folder):
-    """Return the last warnings of all daemons but those on single requests.
+    """Return the last warnings of all daemons but those on single requests, and tracebacks.
 
     Their logs are removed with the run, and a broken promise may not show again.
     """
-    texts = [log.read_text(errors="replace") for log in folder.glob("*.log")]
-    warnings = sorted(
-        line
-        for text in texts
-        for line in text.splitlines()
-        if '"level":"info"' not in line and '"request"' not in line
-    )
-    return [line[:LONGEST_WARNING] for line in warnings[-MOST_WARNINGS:]]
+    warnings, others = [], []
+    for log in sorted(folder.glob("*.log")):
+        for line in log.read_text(errors="replace").splitlines():
+            if not line.startswith("{"):
+                others.append(line)
+            elif '"level":"info"' not in line and '"request"' not in line:
+                warnings.append(line)
+    last = [*others[-MOST_WARNINGS:], *sorted(warnings)[-MOST_WARNINGS:]]
+    return [line[:LONGEST_WARNING] for line in last]
 
 
 def run_soak(context, seed, seconds, plant="", size=SMALL):
--- a/src/brassdrum/bench/endings.py
+++ b/src/brassdrum/bench/endings.py
@@ -33,8 +33,8 @@
 
 _REPORT_INTERVAL_SECONDS = 0.1
 # A daemon that sees an end reports it after the pause in which its changes wait for others.
-_WORDS_AFTER_END_SECONDS = 0.005
-_REPORT_SECONDS = 0.002
+_REPORT_DELAY_AFTER_END_SECONDS = 0.005
+_REPORT_TRANSIT_SECONDS = 0.002
 _BACK_SECONDS = 3.3
 # From the start of a guilty request to its endpoint's end, least and most, as seen on engines.
 _END_SECONDS = (0.05, 0.4)
@@ -304,7 +304,8 @@
             if self._random.random() < self._plan.reports_lost:
                 continue
             self._loop.call_later(
-                _REPORT_SECONDS + self._plan.reports_late, lambda o=other: self._receive(o, reports)
+                _REPORT_TRANSIT_SECONDS + self._plan.reports_late,
+                lambda o=other: self._receive(o, reports),
             )
 
     def _recipients(self, daemon: int) -> Iterable[int]:
@@ -317,7 +318,9 @@
     def _send_soon(self, daemon: int) -> None:
         if daemon not in self._sends_soon:
             self._sends_soon.add(daemon)
-            self._loop.call_later(_WORDS_AFTER_END_SECONDS, lambda: self._send_reports(daemon))
+            self._loop.call_later(
+                _REPORT_DELAY_AFTER_END_SECONDS, lambda: self._send_reports(daemon)
+            )
 
     # Endpoints.
 
--- a/src/brassdrum/gateway/following/cold_watch.py
+++ b/src/brassdrum/gateway/following/cold_watch.py
@@ -45,7 +45,7 @@
         self._load_table: LoadTable | None = None
 
     def set_load_table(self, load_table: LoadTable) -> None:
-        """Set the table that tells how many requests an endpoint has when it turns cold."""
+        """Set the table of requests in flight, used when an endpoint turns cold."""
         self._load_table = load_table
 
     def set_announcer(self, announcer: Announcer) -> None:
@@ -162,7 +162,8 @@
     def _excess_seconds(self, endpoint: str) -> float:
         """Return how long an endpoint's rate takes for what it has in flight beyond its tolerance.
 
-        What was answered before did not say that it is cold, so it does not count.
+        Answered requests do not count: their responses did not report a cold endpoint, so they were
+        served before it turned cold.
         """
         rate = self.rate(endpoint)
         if rate is None or self._load_table is None:
--- a/src/brassdrum/gateway/placing/choosing.py
+++ b/src/brassdrum/gateway/placing/choosing.py
@@ -56,7 +56,7 @@
 
     ``suspect`` tells whether an endpoint should be avoided, ``engine`` is the cost model of the
     service, and ``permit`` the one that the request holds for an endpoint that limits its rate.
-    ``recovered_at`` tells which endpoints were suspect until recently, and when they last were.
+    ``last_suspect_at`` names the endpoints that were suspect until recently.
     """
 
     policy: Policy
@@ -66,7 +66,7 @@
     engine: EngineModel | None
     now: float
     permit: Permit | None = None
-    recovered_at: Mapping[str, float] = field(default_factory=dict)
+    last_suspect_at: Mapping[str, float] = field(default_factory=dict)
 
 
 class EndpointSelector:
@@ -113,8 +113,8 @@
         propagation_ms = flush_seconds * _PROPAGATION_FLUSHES * 1000
         request = replace(selection.request, propagation_ms=propagation_ms)
         suspects = {each.id for each in entries if selection.suspect(each.id)}
-        recovered_at = self._recoveries.update([each.id for each in entries], suspects, now)
-        selection = replace(selection, request=request, recovered_at=recovered_at)
+        last_suspect_at = self._recoveries.update([each.id for each in entries], suspects, now)
+        selection = replace(selection, request=request, last_suspect_at=last_suspect_at)
 
         def place(among: Sequence[EndpointEntry]) -> Placement | None:
             candidates = [
@@ -199,18 +199,20 @@
     ) -> int:
         """Return how many slots an endpoint does not offer yet.
 
-        Its zone was taken back after an evacuation, or it was suspect until recently: then daemons
-        take turns as for freed slots.
+        Its zone was taken back after an evacuation, or it was suspect until recently. The latter
+        counts from one back-off later, so that daemons begin at different times.
         """
         slots = entry.slots if selection.engine is None else selection.engine.slots
         now = selection.now
         withheld = withheld_slots(slots, self._taken_back_at(entry.zone), now)
-        recovered_at = selection.recovered_at.get(entry.id)
-        if recovered_at is None:
+        suspect_at = selection.last_suspect_at.get(entry.id)
+        if suspect_at is None:
             return withheld
-        if recovered_at > claimed_since:
+        if suspect_at > claimed_since:
             return slots
-        return max(withheld, withheld_slots(slots, recovered_at, claimed_since, RECOVERY_SECONDS))
+        # Without a back-off ``claimed_since`` is infinite.
+        begun = min(claimed_since, now)
+        return max(withheld, withheld_slots(slots, suspect_at, begun, RECOVERY_SECONDS))
 
     def _backoff_seconds(
         self, endpoint: str, flush_seconds: float, turn: Turn, *, last: bool
--- a/src/brassdrum/gateway/placing/gradual_return.py
+++ b/src/brassdrum/gateway/placing/gradual_return.py
@@ -11,33 +11,39 @@
 # After a zone was taken back all its endpoints are empty, and may be cold: without this, every
 # daemon would fill them at once.
 _RETURN_SECONDS = 5.0
-# The same for an endpoint that was avoided as failing: all daemons would send what waits there at
-# once. Each daemon begins after its back-off.
+# An endpoint that was avoided as failing returns to all daemons at the same moment, and they would
+# fill it at once. Each daemon begins after its back-off.
 RECOVERY_SECONDS = 1.0
-_KEPT_SECONDS = RECOVERY_SECONDS + MAX_BACKOFF_SECONDS
+# The longest back-off, then the time above.
+_KEPT_SECONDS = MAX_BACKOFF_SECONDS + RECOVERY_SECONDS
 
 
 class Recoveries:
-    """Remember when endpoints stopped being suspect."""
+    """Remember when this daemon last saw each endpoint suspect."""
 
     def __init__(self) -> None:
         self._suspect_at_by_endpoint: dict[str, float] = {}
 
     def update(self, endpoints: Sequence[str], suspects: Set[str], now: float) -> dict[str, float]:
-        """Return when each of the endpoints that have recovered recently was last suspect.
+        """Return when the endpoints that were suspect until recently last were.
 
-        If half of them have or more, requests spread over these, and none is returned.
+        If half of those that are not suspect have just recovered, requests spread over these, and
+        none is returned.
         """
         self._forget_until(now - _KEPT_SECONDS)
-        recovered_at: dict[str, float] = {}
+        last_suspect_at: dict[str, float] = {}
+        usable, recovering = 0, 0
         for endpoint in endpoints:
             if endpoint in suspects:
                 self._suspect_at_by_endpoint[endpoint] = now
                 continue
+            usable += 1
             suspect_at = self._suspect_at_by_endpoint.get(endpoint)
-            if suspect_at is not None:
-                recovered_at[endpoint] = suspect_at
-        return recovered_at if 2 * len(recovered_at) < len(endpoints) else {}
+            if suspect_at is None:
+                continue
+            last_suspect_at[endpoint] = suspect_at
+            recovering += now - suspect_at < RECOVERY_SECONDS
+        return last_suspect_at if 2 * recovering < usable else {}
 
     def _forget_until(self, end: float) -> None:
         expired = [each for each, at in self._suspect_at_by_endpoint.items() if at <= end]
@@ -51,7 +57,7 @@
     """Return how many slots an endpoint does not offer yet.
 
     It offers one slot at first and all of them after some seconds. ``since`` is when its zone was
-    taken back or it recovered, None without either.
+    taken back or it was last suspect, None without either.
     """
     if since is None or slots <= 1:
         return 0
