Mend what a second reading of the whole change found

Cause: read as a newcomer: the review interval of waiting requests stood twice, in two units; three places listed the same four parts of EndpointMonitor to build a Follower; two workload shapes bore names of deployments; docstrings said told and heard where peers report and send. A fault in native code made faulthandler walk the frames of running threads, which ended the process with another signal. Ruled out: one registry for sections and for behaviour by name (their keys are numbers of the wire; a second type parameter would touch each use); one rule for repeated news (demand, merged status and cold notices repeat for different reasons, and behaviour would change). Change: REVIEW_INTERVAL_SECONDS stands once; FollowerObservers, which EndpointMonitor returns; shapes short_texts and mixed_texts with their experiments; wording; faulthandler writes the stack of the faulting thread alone, and the step lets the main thread raise the fault, with the same assertions. Else no behaviour changes.

--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -12,7 +12,7 @@
 from brassdrum.gateway.daemon import GatewayDaemon
 from brassdrum.gateway.following.cold_watch import ColdWatch
 from brassdrum.gateway.following.evacuation_monitor import EvacuationMonitor
-from brassdrum.gateway.following.follower import Follower
+from brassdrum.gateway.following.follower import Follower, FollowerObservers
 from brassdrum.gateway.model import (
     Bounds,
     EndpointEntry,
@@ -561,9 +561,11 @@
         routing_state,
         Bounds(),
         peer_port,
-        EvacuationMonitor(loop, routing_state),
-        ColdWatch(loop, routing_state),
-        *[lambda *_: None] * 3,
+        FollowerObservers(
+            EvacuationMonitor(loop, routing_state),
+            ColdWatch(loop, routing_state),
+            *[lambda *_: None] * 3,
+        ),
     )
 
 
--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -27,6 +27,14 @@
 from features.support import StepThread, eventually
 
 PAGE = Path(__file__).parents[2] / "docs" / "operations" / "logs.md"
+# A signal from outside may reach any thread. That of a fault reaches the thread that caused it, as
+# does one that the main thread raises itself.
+FAULTY_GATEWAY = """
+import signal, sys
+from brassdrum.cli import main
+signal.signal(signal.SIGUSR1, lambda *_: signal.raise_signal(signal.SIGILL))
+sys.exit(main(["gateway"]))
+"""
 SERVED = dict.fromkeys(log_events.SERVED.fields, 1)
 FAILED = dict.fromkeys(log_events.FAILED.fields, 1)
 
@@ -228,7 +236,7 @@
     ports = (free_port(), free_port(), free_port())
     boot_file(path, "daemon-1", "127.0.0.1", ports, f"127.0.0.1:{free_port()}")
     context.process = subprocess.Popen(
-        [sys.executable, "-m", "brassdrum", "gateway"],
+        [sys.executable, "-c", FAULTY_GATEWAY],
         env={**os.environ, PATH_VARIABLE: str(path)},
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
@@ -242,7 +250,7 @@
 
 @when("a fault in native code ends it")
 def step_native_fault(context):
-    context.process.send_signal(signal.SIGILL)
+    context.process.send_signal(signal.SIGUSR1)
     _, context.standard_error = context.process.communicate(timeout=30)
 
 
--- a/features/steps/store_copy_steps.py
+++ b/features/steps/store_copy_steps.py
@@ -133,11 +133,7 @@
             self.routing_state,
             Bounds(),
             1,
-            self.monitor.evacuations,
-            self.monitor.cold,
-            self.monitor.on_endpoints_changed,
-            self.monitor.on_configuration_changed,
-            self._rewrite,
+            self.monitor.observers(on_restored=self._rewrite),
         )
         self.follower.follower_by_host = fleet.follower_by_host
         fleet.follower_by_host[host] = self.follower
--- a/src/brassdrum/bench/workload.py
+++ b/src/brassdrum/bench/workload.py
@@ -1,4 +1,4 @@
-"""Make seeded workloads of the shapes that the two deployments have."""
+"""Make seeded workloads of different shapes."""
 
 from __future__ import annotations
 
@@ -47,7 +47,7 @@
 
 
 class Shape:
-    """Draw lengths and organisations; the deployments differ in the figures."""
+    """Draw lengths and organisations; subclasses differ in the figures."""
 
     organisations: tuple[tuple[str, float], ...] = ()
     middle = 3_000
@@ -71,16 +71,16 @@
 SHAPES: Registry[type[Shape]] = Registry("workload shape")
 
 
-@SHAPES.register("retailles")
-class Retailles(Shape):
-    """Send many short swatch descriptions and a few archives."""
+@SHAPES.register("short_texts")
+class ShortTexts(Shape):
+    """Send many short descriptions and a few archives."""
 
     organisations = (("saguenay-guild", 6.0), ("laval-co-op", 3.0), ("history-lab", 1.0))
     middle = 1_800
 
 
-@SHAPES.register("norden")
-class Norden(Shape):
+@SHAPES.register("mixed_texts")
+class MixedTexts(Shape):
     """Send reminders, case histories and whole ledgers for four firms."""
 
     organisations = (("norr", 5.0), ("soder", 3.0), ("vast", 1.0), ("ost", 1.0))
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -155,11 +155,7 @@
             self.routing_state,
             bounds,
             settings.peer_port,
-            self.endpoint_monitor.evacuations,
-            self.endpoint_monitor.cold,
-            self.endpoint_monitor.on_endpoints_changed,
-            self.endpoint_monitor.on_configuration_changed,
-            self._rewrite_records,
+            self.endpoint_monitor.observers(on_restored=self._rewrite_records),
         )
         self.endpoint_monitor.set_follower(self._follower)
         self.endpoint_monitor.slowdowns.enabled = settings.learn_slowdown
--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -8,7 +8,7 @@
 
 from brassdrum.gateway.following.cold_watch import ColdWatch
 from brassdrum.gateway.following.evacuation_monitor import EvacuationMonitor
-from brassdrum.gateway.following.follower import Follower
+from brassdrum.gateway.following.follower import Follower, FollowerObservers
 from brassdrum.gateway.following.routing_state import EndpointChange, RoutingState
 from brassdrum.gateway.following.slowdown_monitor import SlowdownMonitor
 from brassdrum.gateway.following.suspicion import FailureDetector
@@ -56,6 +56,16 @@
         self._ready_since_by_endpoint: dict[str, float] = {}
         self._follower: Follower | None = None
 
+    def observers(self, on_restored: Callable[[], None]) -> FollowerObservers:
+        """Return what a follower informs; ``on_restored`` is called for a store from a backup."""
+        return FollowerObservers(
+            self.evacuations,
+            self.cold,
+            self.on_endpoints_changed,
+            self.on_configuration_changed,
+            on_restored,
+        )
+
     def set_follower(self, follower: Follower) -> None:
         """Set the follower that reads the store."""
         self._follower = follower
--- a/src/brassdrum/gateway/following/cold_watch.py
+++ b/src/brassdrum/gateway/following/cold_watch.py
@@ -26,7 +26,7 @@
 
     @property
     def is_aggregator(self) -> bool:
-        """Return whether this daemon publishes what its group tells."""
+        """Return whether this daemon publishes what its group reports."""
 
     def announce(self) -> None:
         """Send the current state without delay."""
@@ -49,7 +49,7 @@
         self._load_table = load_table
 
     def set_announcer(self, announcer: Announcer) -> None:
-        """Set what tells peers at once that an endpoint has become cold."""
+        """Set what sends peers at once that an endpoint has become cold."""
         self._announcer = announcer
 
     @property
@@ -82,18 +82,18 @@
         self._listed = set(seconds_by_endpoint)
         self._schedule_warm()
         if changed:
-            self._announce(heard=True)
+            self._announce(found_here=True)
 
     def response_received(self, endpoint: str, seconds: float) -> None:
         """Record that an endpoint said for how long it stays cold."""
         now = self._loop.now()
         if self.table.record_response(endpoint, seconds, now):
             self._turned_cold(endpoint, "endpoint", now)
-            self._announce(heard=True)
+            self._announce(found_here=True)
         self._schedule_warm()
 
     def apply_notices(self, host: str, notices: Iterable[ColdNotice]) -> None:
-        """Apply what a peer tells."""
+        """Apply what a peer reported."""
         found = list(notices)
         if not found:
             return
@@ -109,22 +109,22 @@
                 changed = True
         self._schedule_warm()
         if changed:
-            self._announce(heard=False)
+            self._announce(found_here=False)
 
     def notices(self) -> tuple[ColdNotice, ...]:
-        """Return what peers are told."""
+        """Return what is sent to peers."""
         if self.table.is_empty:
             return ()
         return tuple(self.table.notices(self._key_by_endpoint(), self._loop.now()))
 
-    def _announce(self, *, heard: bool) -> None:
-        """Tell peers what was heard here, or as an aggregator what the group or others told.
+    def _announce(self, *, found_here: bool) -> None:
+        """Send peers what was found here, or as an aggregator what the group or others reported.
 
         The requests that are sent until all know are not bound: at 100 a second and 27 ms of delay
         at each of two aggregators, five at one engine.
         """
         announcer = self._announcer
-        if announcer is not None and (heard or announcer.is_aggregator):
+        if announcer is not None and (found_here or announcer.is_aggregator):
             self._loop.call_later(0.0, announcer.announce)
 
     def _key_by_endpoint(self) -> dict[str, int]:
--- a/src/brassdrum/gateway/following/evacuation_monitor.py
+++ b/src/brassdrum/gateway/following/evacuation_monitor.py
@@ -31,7 +31,7 @@
         self._changed(self._state.apply_read(record, self._loop.now()), "store")
 
     def apply_report(self, record: Evacuations | None, host: str) -> None:
-        """Apply what the daemon on a host told, None if it knows of no evacuation."""
+        """Apply what the daemon on a host reported, None if it knows of no evacuation."""
         self._changed(self._state.apply_report(record, self._loop.now()), host)
 
     def refresh(self) -> None:
--- a/src/brassdrum/gateway/following/evacuations.py
+++ b/src/brassdrum/gateway/following/evacuations.py
@@ -85,7 +85,7 @@
 
     @property
     def announced(self) -> Evacuations | None:
-        """Return what peers are told, None before any zone was evacuated."""
+        """Return what is sent to peers, None before any zone was evacuated."""
         return self.record if self._is_announced else None
 
     def apply_read(self, record: Evacuations, now: float) -> list[ZoneChange]:
@@ -93,7 +93,7 @@
         return self._apply(record, now)
 
     def apply_report(self, record: Evacuations | None, now: float) -> list[ZoneChange]:
-        """Apply what a peer told, which is None if it knows of no evacuation; return the changes.
+        """Apply what a peer reported, None if it knows of no evacuation; return the changes.
 
         Any report is passed on: another daemon may have missed that a zone was taken back.
         """
--- a/src/brassdrum/gateway/following/follower.py
+++ b/src/brassdrum/gateway/following/follower.py
@@ -31,7 +31,7 @@
 from brassdrum.gateway.throttling.cold import LIST_MARGIN_SECONDS
 from brassdrum.telemetry import log_events
 
-__all__ = ["KNOWLEDGE_PATH", "Follower", "Snapshot"]
+__all__ = ["KNOWLEDGE_PATH", "Follower", "FollowerObservers", "Snapshot"]
 
 _logger = logging.getLogger(__name__)
 KNOWLEDGE_PATH = "/knowledge"
@@ -63,6 +63,21 @@
 _MAX_REJECTED_ENTRIES = 64
 
 
+@dataclass(frozen=True, slots=True)
+class FollowerObservers:
+    """What is informed of each state that a follower reads.
+
+    ``on_changes`` gets the changes of endpoints and their source, ``on_configured`` the version of
+    the configuration before and the source.
+    """
+
+    evacuations: EvacuationMonitor
+    cold: ColdWatch
+    on_changes: Callable[[list[EndpointChange], str], None]
+    on_configured: Callable[[int, str], None]
+    on_restored: Callable[[], None]
+
+
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     """The result of one read from the store or a peer.
@@ -136,23 +151,19 @@
         routing_state: RoutingState,
         bounds: Bounds,
         peer_port: int,
-        evacuations: EvacuationMonitor,
-        cold: ColdWatch,
-        on_changes: Callable[[list[EndpointChange], str], None],
-        on_configured: Callable[[int, str], None],
-        on_restored: Callable[[], None],
+        observers: FollowerObservers,
     ) -> None:
         self._loop = loop
         self._store = store
         self._routing_state = routing_state
         self._peer_port = peer_port
-        self._evacuations = evacuations
-        self._cold = cold
+        self._evacuations = observers.evacuations
+        self._cold = observers.cold
         self._bound = 0.0
         self.set_bounds(bounds)
-        self._on_changes = on_changes
-        self._on_configured = on_configured
-        self._on_restored = on_restored
+        self._on_changes = observers.on_changes
+        self._on_configured = observers.on_configured
+        self._on_restored = observers.on_restored
         self._peers: Peers | None = None
         self._executor = ThreadPoolExecutor(_STORE_THREADS, thread_name_prefix="store")
         self._reading = False
--- a/src/brassdrum/gateway/following/slowdown_monitor.py
+++ b/src/brassdrum/gateway/following/slowdown_monitor.py
@@ -69,7 +69,7 @@
         self._schedule_check()
 
     def apply_report(self, host: str, report: SlowdownReport | None) -> None:
-        """Apply what the daemon on a host told, None in messages that tell nothing."""
+        """Apply what the daemon on a host reported, None in messages without it."""
         if report is None:
             return
         self.table.merge(host, report.rows, self._loop.now(), covers_fleet=report.covers_fleet)
--- a/src/brassdrum/gateway/following/start_page.py
+++ b/src/brassdrum/gateway/following/start_page.py
@@ -1,4 +1,4 @@
-"""The pages on which daemons tell starting ones what they know; performs no I/O."""
+"""The pages from which starting daemons read what others know; performs no I/O."""
 
 from __future__ import annotations
 
--- a/src/brassdrum/gateway/measures.py
+++ b/src/brassdrum/gateway/measures.py
@@ -159,7 +159,7 @@
         self._add_gauge("endpoints", "Endpoints known.", lambda: len(routing_state.endpoints_by_id))
         self._add_gauge(
             "evacuated_zones",
-            "Zones that get no requests, by the operator's word.",
+            "Zones that get no requests, by the operator's record.",
             lambda: len(routing_state.evacuated_zones),
         )
         self._add_gauge("peers", "Live daemons, this one too.", lambda: sources.peers.live)
--- a/src/brassdrum/gateway/peering/demand_kept_section.py
+++ b/src/brassdrum/gateway/peering/demand_kept_section.py
@@ -24,12 +24,12 @@
     number = 5
 
     def write(self, writer: FieldWriter, status: PeerStatus) -> bool:
-        """Append the byte, or return False if there is nothing to tell."""
+        """Append the byte, or return False if there is nothing to send."""
         writer.uint(_KEPT if status.demand is None else _UNDERSTOOD, 1)
         return status.keeps_demand or status.demand is None
 
     def read(self, reader: FieldReader, status: PeerStatus) -> PeerStatus:
-        """Return the status with what the section tells."""
+        """Return the status with what the section holds."""
         if reader.uint(1) == _KEPT:
             return replace(status, keeps_demand=True, demand=None)
         return replace(status, keeps_demand=True)
--- a/src/brassdrum/gateway/peering/fleet_demand.py
+++ b/src/brassdrum/gateway/peering/fleet_demand.py
@@ -100,7 +100,7 @@
             del self._reported_by_sequence[sequence]
 
     def aggregator_changed(self) -> None:
-        """Drop what the earlier aggregator told."""
+        """Drop what the earlier aggregator reported."""
         self._digest_rows = self._acknowledged = ()
         self._reported_by_sequence.clear()
         self._acknowledged_sequence = -1
--- a/src/brassdrum/gateway/peering/group.py
+++ b/src/brassdrum/gateway/peering/group.py
@@ -122,7 +122,7 @@
         ]
 
     def evacuations(self) -> Evacuations | None:
-        """Return the newest evacuations that members told, or None."""
+        """Return the newest evacuations that members reported, or None."""
         members = self._member_by_host.values()
         return newest_evacuations(each.status.evacuations for each in members)
 
--- a/src/brassdrum/gateway/peering/merged_status.py
+++ b/src/brassdrum/gateway/peering/merged_status.py
@@ -102,7 +102,7 @@
 
 
 class _RecentChange:
-    """Track when a value that peers are told last changed."""
+    """Track when a value that is sent to peers last changed."""
 
     def __init__(self, initial: object = None) -> None:
         self._value = initial
--- a/src/brassdrum/gateway/peering/publishers.py
+++ b/src/brassdrum/gateway/peering/publishers.py
@@ -89,7 +89,7 @@
         ]
 
     def evacuations(self) -> Evacuations | None:
-        """Return the newest evacuations that other groups told, or None."""
+        """Return the newest evacuations that other groups reported, or None."""
         others = self._aggregator_by_host.values()
         return newest_evacuations(each.status.evacuations for each in others)
 
--- a/src/brassdrum/gateway/peering/sections.py
+++ b/src/brassdrum/gateway/peering/sections.py
@@ -21,10 +21,10 @@
     number: int
 
     def write(self, writer: FieldWriter, status: PeerStatus) -> bool:
-        """Append the section, or return False if it has nothing to tell."""
+        """Append the section, or return False if it has nothing to send."""
 
     def read(self, reader: FieldReader, status: PeerStatus) -> PeerStatus:
-        """Return the status with what the section tells; raise ``ValueError`` if it is invalid."""
+        """Return the status with what the section holds; raise ``ValueError`` if it is invalid."""
 
 
 _section_by_number: dict[int, StatusSection] = {}
@@ -40,7 +40,7 @@
 
 
 def write_sections(writer: FieldWriter, status: PeerStatus) -> None:
-    """Append the sections of a status that have something to tell."""
+    """Append the sections of a status that have something to send."""
     written = list(_encoded_sections(status))
     if not written:
         return
--- a/src/brassdrum/gateway/peering/slowdown_section.py
+++ b/src/brassdrum/gateway/peering/slowdown_section.py
@@ -24,7 +24,7 @@
     number = 4
 
     def write(self, writer: FieldWriter, status: PeerStatus) -> bool:
-        """Append the rows, or return False if there is nothing to tell."""
+        """Append the rows, or return False if there is nothing to send."""
         report = status.slowdown
         if report is None:
             return False
--- a/src/brassdrum/gateway/placing/choosing.py
+++ b/src/brassdrum/gateway/placing/choosing.py
@@ -23,7 +23,7 @@
 from brassdrum.gateway.throttling.permits import Permit
 from brassdrum.gateway.throttling.throttle import EndpointThrottle
 
-__all__ = ["EndpointSelector", "Selection"]
+__all__ = ["REVIEW_INTERVAL_SECONDS", "EndpointSelector", "Selection"]
 
 # A freed slot is reserved for the daemon whose stream freed it, then offered to the others in
 # back-off slots that differ by endpoint, so that daemons with queued requests don't all send to it
@@ -36,9 +36,9 @@
 _LIMIT_PROBE_SHARE = 0.05
 # Flush intervals until another daemon's placement is visible here, with the relay in its zone.
 _PROPAGATION_FLUSHES = 2.0
-# Daemons review their waiting requests this often. Where placements of others are known sooner, a
-# recovered endpoint offers all its slots.
-_REVIEW_INTERVAL_MS = 20.0
+# How often daemons review their waiting requests: well below the duration of one engine pass, about
+# 45 ms. Where placements of others are known sooner, a recovered endpoint offers all its slots.
+REVIEW_INTERVAL_SECONDS = 0.02
 # No slot is left to others for longer while the requests that wait are of one kind. While those of
 # several organisations or priorities wait, back-offs last up to MAX_BACKOFF_SECONDS and their slots
 # grow with the fleet: daemons that share one collide, and their requests queue inside an engine.
@@ -117,7 +117,7 @@
         request = replace(selection.request, propagation_ms=propagation_ms)
         suspects = {each.id for each in entries if selection.suspect(each.id)}
         last_suspect_at = self._recoveries.update([each.id for each in entries], suspects, now)
-        if propagation_ms <= _REVIEW_INTERVAL_MS:
+        if propagation_ms <= REVIEW_INTERVAL_SECONDS * 1000:
             last_suspect_at = {}
         selection = replace(selection, request=request, last_suspect_at=last_suspect_at)
 
--- a/src/brassdrum/gateway/request/waiting.py
+++ b/src/brassdrum/gateway/request/waiting.py
@@ -7,14 +7,13 @@
 from typing import Protocol
 
 from brassdrum.gateway.net.loop import EventLoop, Timer
+from brassdrum.gateway.placing.choosing import REVIEW_INTERVAL_SECONDS
 from brassdrum.gateway.request.patience import WaitDeadlines
 from brassdrum.gateway.sharing.demand import DemandKey
 from brassdrum.gateway.sharing.fair_order import FairOrder
 
 __all__ = ["WaitingRequest", "WaitQueue"]
 
-# Well below the duration of one engine pass, about 45 ms.
-_REVIEW_INTERVAL_SECONDS = 0.02
 # The queue admits as many late requests as were served within this window, plus some probes that
 # detect that capacity is available again. Callers of short prompts wait no longer than the window.
 _LATE_WINDOW_SECONDS = 1.5
@@ -144,7 +143,7 @@
 
     def _start_review_timer(self) -> None:
         self._review_timer = self._loop.call_later(
-            self._jitter(_REVIEW_INTERVAL_SECONDS), self._review_timer_expired
+            self._jitter(REVIEW_INTERVAL_SECONDS), self._review_timer_expired
         )
 
     def _review_timer_expired(self) -> None:
--- a/src/brassdrum/gateway/throttling/cold.py
+++ b/src/brassdrum/gateway/throttling/cold.py
@@ -115,7 +115,7 @@
         return self._extend(endpoint, now + notice.left, now, _NEWS_SECONDS, hops)
 
     def notices(self, key_by_endpoint: dict[str, int], now: float) -> list[ColdNotice]:
-        """Return what is told to peers."""
+        """Return what is sent to peers."""
         return [
             ColdNotice(
                 key_by_endpoint[endpoint],
--- a/src/brassdrum/platform/serve.py
+++ b/src/brassdrum/platform/serve.py
@@ -26,7 +26,8 @@
     """Serve until the platform stops the process; ``options`` replace settings of the gateway."""
     # A fault in native code ends the process without a log line.
     if sys.stderr is not None:
-        faulthandler.enable()
+        # Frames of threads that run meanwhile cannot be read safely.
+        faulthandler.enable(all_threads=False)
     path = settings_path()
     settings = read_settings(path)
     clock = SystemClock()
