Show which attempts at silent endpoints were ended, and which endpoints answer again

The logs could not tell whether a request ended because a live attempt had been given up. Its line "not served" now names the silent endpoints whose attempts were ended, the metric given_up_attempts counts them by outcome, and "endpoint answers again" says that an endpoint that was found silent had not failed.

--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -52,6 +52,18 @@
         if certain:
             self.suspected.add(endpoint)
 
+    def endpoint_fell_silent(self, endpoint):
+        """Ignore a silence."""
+
+    def endpoint_answered(self, endpoint):
+        """Ignore the end of a silence."""
+
+    def endpoint_answered_failure(self, endpoint, detail):
+        """Ignore an error response."""
+
+    def endpoint_served(self, endpoint):
+        """Ignore a complete response."""
+
     def list_age(self):
         """Return None: the age is unknown."""
 
--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -280,6 +280,9 @@
     def endpoint_failed(self, _endpoint: str, *, certain: bool, detail: str) -> None:
         """Ignore a failure: no engine of a run is unsound."""
 
+    def endpoint_fell_silent(self, _endpoint: str) -> None:
+        """Ignore a silence."""
+
     def endpoint_answered_failure(self, _endpoint: str, _detail: str) -> None:
         """Believe nothing of it."""
 
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -451,6 +451,7 @@
                 content=exchange.traits.content,
                 outcome=outcome.name.lower(),
                 detail=detail,
+                gave_up=exchange.gave_up,
                 story=exchange.story.decisions,
                 **values,
             )
--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -54,6 +54,8 @@
         self.evacuations = EvacuationMonitor(loop, routing_state)
         # When the list began to show endpoints ready that it had shown draining.
         self._ready_since_by_endpoint: dict[str, float] = {}
+        # When endpoints were found silent that have not answered since.
+        self._silent_since_by_endpoint: dict[str, float] = {}
         self._follower: Follower | None = None
 
     def observers(self, on_restored: Callable[[], None]) -> FollowerObservers:
@@ -117,6 +119,19 @@
     def endpoint_served(self, endpoint: str) -> None:
         """Record a complete response."""
         self._failure_detector.record_success(endpoint)
+        self.endpoint_answered(endpoint)
+
+    def endpoint_fell_silent(self, endpoint: str) -> None:
+        """Record that an endpoint has sent nothing for too long on one connection."""
+        self._silent_since_by_endpoint.setdefault(endpoint, self._loop.now())
+
+    def endpoint_answered(self, endpoint: str) -> None:
+        """Record that an endpoint sends; log it if it was found silent."""
+        silent_since = self._silent_since_by_endpoint.pop(endpoint, None)
+        if silent_since is None:
+            return
+        silent_ms = round((self._loop.now() - silent_since) * 1000)
+        log_events.ENDPOINT_RESUMED.write(_logger, endpoint=endpoint, silent_ms=silent_ms)
 
     def signals_received(self, endpoint: str, signals: EndpointSignals, sent_at: float) -> None:
         """Record what an endpoint asks for in a response to a request sent at a time."""
@@ -234,6 +249,8 @@
                 self._ready_since_by_endpoint.pop(change.endpoint, None)
         known = set(self._routing_state.endpoints_by_id)
         self._failure_detector.retain(known)
+        for endpoint in self._silent_since_by_endpoint.keys() - known:
+            del self._silent_since_by_endpoint[endpoint]
         self.signals.retain(known, self._loop.now())
         self._routing_state.set_said_draining(self.signals.draining())
         self._on_changed()
--- a/src/brassdrum/gateway/measures.py
+++ b/src/brassdrum/gateway/measures.py
@@ -126,6 +126,9 @@
         named = {**band, "outcome": outcome.name.lower(), "late": str(report.late).lower()}
         self._record("requests", 1, named)
         self._record("sends", exchange.send_count, band)
+        if exchange.gave_up:
+            ended = {"outcome": outcome.name.lower()}
+            self._record("given_up_attempts", len(exchange.gave_up), ended)
         self._record("answer_time", report.total_ms / 1000, band)
         if report.first_event_ms is not None:
             self._record("first_event_time", report.first_event_ms / 1000, band)
--- a/src/brassdrum/gateway/metrics_registry.py
+++ b/src/brassdrum/gateway/metrics_registry.py
@@ -27,6 +27,7 @@
     "unread_connections": "Connections of callers closed before their request was read.",
     "endpoint_ends": "Endpoints seen to end under requests.",
     "sends": "Attempts at endpoints, by band.",
+    "given_up_attempts": "Attempts ended because their endpoint was silent, by outcome.",
 }
 _UNIT_AND_DESCRIPTION_BY_HISTOGRAM = {
     "first_event_time": ("s", "Time to first event."),
--- a/src/brassdrum/gateway/request/attempt.py
+++ b/src/brassdrum/gateway/request/attempt.py
@@ -171,6 +171,10 @@
         """Record a failure of the other side."""
         raise NotImplementedError
 
+    def fell_silent(self) -> None:
+        """Record that the other side has sent nothing for too long."""
+        raise NotImplementedError
+
     def answered_failure(self, detail: str) -> None:
         """Record an error response of the endpoint."""
         raise NotImplementedError
@@ -334,6 +338,10 @@
             self.endpoint, certain=certain, detail=detail
         )
 
+    def fell_silent(self) -> None:
+        """Record that the endpoint has sent nothing for too long."""
+        self._context.endpoint_monitor.endpoint_fell_silent(self.endpoint)
+
     def answered_failure(self, detail: str) -> None:
         """Record an error response, unless the endpoint asked for a pause."""
         if not self._context.throttle.is_paused(self.endpoint):
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -91,6 +91,7 @@
         wait_timeout = caller_timeout(route, request)
         self.wait_deadlines = WaitDeadlines(self.arrived, route.objective, wait_timeout)
         self.refused_by: set[str] = set()
+        self.gave_up: list[str] = []
         self._may_have_run = False
         self._finished = False
         self._attempt: CallAttempt | None = None
@@ -548,17 +549,20 @@
     def endpoint_stalled(self, *, certain: bool) -> None:
         """Replace the current attempt after a stall."""
         assert self._attempt is not None
-        self._attempt.cancel()
-        self._handle_lost_attempt(self._attempt, "the endpoint is silent", certain=certain)
+        self._give_up(self._attempt, "the endpoint is silent", certain=certain)
 
     def attempt_unresponsive(self, attempt: CallAttempt) -> None:
         """Replace an attempt whose endpoint fails its liveness checks."""
         if not self._can_replace(attempt):
             return
+        self._give_up(attempt, "the endpoint does not answer liveness checks", certain=True)
+
+    def _give_up(self, attempt: CallAttempt, detail: str, *, certain: bool) -> None:
+        """End an attempt at a silent endpoint, and send the request again or fail it."""
         attempt.cancel()
-        self._handle_lost_attempt(
-            attempt, "the endpoint does not answer liveness checks", certain=True
-        )
+        attempt.fell_silent()
+        self.gave_up.append(attempt.endpoint)
+        self._handle_lost_attempt(attempt, detail, certain=certain)
 
     def _can_replace(self, attempt: CallAttempt) -> bool:
         """Return whether a stalled attempt may be replaced by another one.
--- a/src/brassdrum/gateway/request/exchange_context.py
+++ b/src/brassdrum/gateway/request/exchange_context.py
@@ -28,6 +28,8 @@
     route: Route
     traits: RequestTraits
     story: RequestStory
+    # The endpoints that fell silent and whose attempts were ended.
+    gave_up: list[str]
 
     @property
     def send_count(self) -> int:
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -189,6 +189,13 @@
     "An endpoint failed requests and is avoided for a while.",
     "Look at the endpoint when many daemons suspect it.",
 )
+ENDPOINT_RESUMED = LOG_EVENTS.add(
+    "endpoint answers again",
+    Topic.BELIEF,
+    "endpoint silent_ms",
+    "An endpoint that was found silent `silent_ms` ago answers, so it had not failed.",
+    "Look at the endpoint when this recurs: something stops it for a while.",
+)
 ENDPOINT_LIMITED = LOG_EVENTS.add(
     "endpoint limited",
     Topic.BELIEF,
@@ -401,9 +408,12 @@
 FAILED = LOG_EVENTS.add(
     "not served",
     Topic.FAILURE,
-    "request content route outcome status detail ms first_ms prompt sends version sender story",
-    "The request got no whole answer; `story` lists the decisions that led there.",
-    "Read `detail` first, then `story` from its end.",
+    "request content route outcome status detail ms first_ms prompt sends version sender gave_up "
+    "story",
+    "The request got no whole answer; `story` lists the decisions that led there. `gave_up` names "
+    "the endpoints that fell silent and whose attempts were ended though they might have gone on.",
+    "Read `detail` first, then `story` from its end. With `gave_up`, look for `endpoint answers "
+    "again` of these endpoints: they had not failed.",
 )
 
 
