Keep an attempt at a silent endpoint until another one answers

Callers saw streams that ended in the middle and 502 where a sound endpoint had paused for a second or so: the daemon closed the connection to it, sent the request again, and the second endpoint refused it, had no room, failed or was silent too. Nothing was left although the first endpoint went on.

Cause: a live attempt was given up before its replacement was certain.

Now both attempts run until one brings an event or a whole answer; the other is ended then. A second attempt that ends without an answer ends alone. Comments are no progress, a retry that is not sent is given back, and an endpoint that goes on is not avoided any longer.

--- a/features/silent_endpoints.feature
+++ b/features/silent_endpoints.feature
@@ -9,3 +9,33 @@
     When a caller sends a "text"
     Then the response is 200 with body "all events"
 
+  # Guards against answers that are lost with a live attempt, whatever becomes of the second one.
+  Scenario Outline: A <kind> that is sent again after a silence keeps its first endpoint when <second>
+    Given a <kind> in progress at the first of three endpoints
+    When that endpoint is silent until another one is sought
+    And <second>
+    And the first endpoint goes on
+    Then the caller has each byte of the answer once and its end
+    And no attempt is left
+
+    Examples: Streams
+      | kind   | second                                    |
+      | stream | the second endpoint does not run it       |
+      | stream | the second endpoint cannot be reached     |
+      | stream | the second endpoint resets its connection |
+      | stream | the second endpoint answers 500           |
+      | stream | the second endpoint is silent too         |
+      | stream | the second endpoint sends comments alone  |
+      | stream | no other endpoint has room                |
+      | stream | no other endpoint is left                 |
+      | stream | no permit is granted                      |
+
+    Examples: Whole answers
+      | kind  | second                                    |
+      | check | the second endpoint does not run it       |
+      | check | the second endpoint cannot be reached     |
+      | check | the second endpoint resets its connection |
+      | check | the second endpoint answers 500           |
+      | check | the second endpoint is silent too         |
+      | check | no other endpoint has room                |
+      | check | no other endpoint is left                 |
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -179,6 +179,9 @@
         """Allow every retry."""
         return True
 
+    def return_retry(self, service):
+        """Ignore a retry that was not sent."""
+
     def retries_left(self, service):
         """Return a budget that is never exhausted."""
         return 10.0
--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -283,6 +283,9 @@
     def endpoint_fell_silent(self, _endpoint: str) -> None:
         """Ignore a silence."""
 
+    def endpoint_answered(self, _endpoint: str) -> None:
+        """Ignore the end of a silence."""
+
     def endpoint_answered_failure(self, _endpoint: str, _detail: str) -> None:
         """Believe nothing of it."""
 
@@ -460,6 +463,10 @@
         self.repeats += 1
         return True
 
+    def return_retry(self, _service: str) -> None:
+        """Take back a repeat that was not sent."""
+        self.repeats -= 1
+
     def retries_left(self, _service: str) -> float:
         """Return a full budget."""
         return 10.0
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -396,6 +396,10 @@
         assert self._peers is not None
         return self._retry_budget(service).try_consume(self.loop.now(), self._peers.live)
 
+    def return_retry(self, service: str) -> None:
+        """Give back a retry that was taken and not sent."""
+        self._retry_budget(service).give_back()
+
     def retries_left(self, service: str) -> float:
         """Return the number of retries that this daemon may still send."""
         assert self._peers is not None
--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -119,17 +119,17 @@
     def endpoint_served(self, endpoint: str) -> None:
         """Record a complete response."""
         self._failure_detector.record_success(endpoint)
-        self.endpoint_answered(endpoint)
 
     def endpoint_fell_silent(self, endpoint: str) -> None:
         """Record that an endpoint has sent nothing for too long on one connection."""
         self._silent_since_by_endpoint.setdefault(endpoint, self._loop.now())
 
     def endpoint_answered(self, endpoint: str) -> None:
-        """Record that an endpoint sends; log it if it was found silent."""
+        """Record that an endpoint goes on after a silence, and use it again."""
         silent_since = self._silent_since_by_endpoint.pop(endpoint, None)
         if silent_since is None:
             return
+        self._failure_detector.record_recovery(endpoint)
         silent_ms = round((self._loop.now() - silent_since) * 1000)
         log_events.ENDPOINT_RESUMED.write(_logger, endpoint=endpoint, silent_ms=silent_ms)
 
--- a/src/brassdrum/gateway/following/suspicion.py
+++ b/src/brassdrum/gateway/following/suspicion.py
@@ -91,6 +91,14 @@
         record.failure_ratio *= 1 - _EWMA_WEIGHT
         record.next_backoff = max(_INITIAL_BACKOFF_SECONDS, record.next_backoff / 2)
 
+    def record_recovery(self, endpoint: str) -> None:
+        """Record that an endpoint that was taken for failing goes on with what it had begun."""
+        record = self._by_endpoint.get(endpoint)
+        if record is None:
+            return
+        record.avoided_until = record.peer_avoided_until = 0.0
+        record.next_backoff = _INITIAL_BACKOFF_SECONDS
+
     def record_failure(self, endpoint: str, now: float, *, certain: bool) -> bool:
         """Record a failure; return whether it makes the endpoint suspect.
 
--- a/src/brassdrum/gateway/forwarding/forwarded_attempt.py
+++ b/src/brassdrum/gateway/forwarding/forwarded_attempt.py
@@ -111,9 +111,6 @@
         else:
             self._context.forward_targets.refused(self._peer, now)
 
-    def fell_silent(self) -> None:
-        """Do nothing: this daemon knows nothing of the endpoint."""
-
     def answered_failure(self, detail: str) -> None:
         """Do nothing: the other daemon has recorded the endpoint's failure."""
 
--- a/src/brassdrum/gateway/request/answer_progress.py
+++ b/src/brassdrum/gateway/request/answer_progress.py
@@ -20,7 +20,7 @@
 
 
 class AnswerProgress:
-    """Follow the answer of a request's present attempt.
+    """Follow the answer of one attempt of a request.
 
     An endpoint that crashes under a request does so when it begins to answer; one that goes on has
     survived it.
@@ -29,16 +29,10 @@
     def __init__(self, context: ProgressContext, traits: RequestTraits) -> None:
         self._context = context
         self._traits = traits
-        self._sent_at = 0.0
+        self._sent_at = context.loop.now()
         self._began_at: float | None = None
         self._survival_reported = False
 
-    def sent(self) -> None:
-        """Begin anew with an attempt."""
-        self._sent_at = self._context.loop.now()
-        self._began_at = None
-        self._survival_reported = False
-
     def event_received(self) -> None:
         """Note the first event, and tell once that the endpoint has survived it."""
         now = self._context.loop.now()
--- a/src/brassdrum/gateway/request/attempt.py
+++ b/src/brassdrum/gateway/request/attempt.py
@@ -24,7 +24,9 @@
 from brassdrum.gateway.placing.load import LoadTable
 from brassdrum.gateway.placing.placement import Helper, Placement
 from brassdrum.gateway.placing.reservations import MemoryHold, ReservationManager
+from brassdrum.gateway.request.answer_progress import AnswerProgress
 from brassdrum.gateway.request.completeness import Framing, content_length_of, framing_of
+from brassdrum.gateway.request.events import EventStreamReader
 from brassdrum.gateway.sharing.demand import DemandKey
 from brassdrum.gateway.sharing.ledger import DemandLedger
 from brassdrum.gateway.throttling.throttle import EndpointThrottle
@@ -67,11 +69,16 @@
     request: DeclaredRequest
     route: Route
     service: str
+    # The last event that the caller has, None before the first one.
+    last_event_id: int | None
 
     @property
     def demand_key(self) -> DemandKey:
         """Return the key under which the request is counted."""
 
+    def new_progress(self) -> AnswerProgress:
+        """Return what follows the answer of a new attempt."""
+
     def build_request(self, attempt: Attempt, placement: Placement) -> OutgoingRequest:
         """Return the request to send to the chosen endpoint."""
 
@@ -105,7 +112,8 @@
 
     ``unsent`` says that the request reached no endpoint, ``max_unsent`` how many such attempts a
     request may make, since they are not counted as sends. ``retry_after`` is the time in seconds
-    that a refusal names.
+    that a refusal names. ``silent`` says that the other side has sent nothing for too long and has
+    not gone on since. ``reader`` and ``progress`` follow the answer of this attempt.
     """
 
     max_unsent = 4
@@ -119,6 +127,9 @@
         self.body = bytearray()
         self.unsent = False
         self.retry_after: float | None = None
+        self.silent = False
+        self.reader = EventStreamReader(owner.last_event_id)
+        self.progress: AnswerProgress = owner.new_progress()
         self._owner = owner
         self._call: EndpointCall | None = None
         self._finished = False
@@ -138,10 +149,15 @@
         """Return whether the endpoint has taken the whole request."""
         return self._call is None or not self._call.unsent_bytes
 
-    def set_read_gate(self, read_size: Callable[[], int]) -> None:
-        """Ask a function before each read how many bytes may be read; 0 pauses the response."""
+    def set_read_gate(self, read_size: Callable[[], int] | None) -> None:
+        """Ask a function before each read how many bytes may be read; 0 pauses the response.
+
+        None reads the response as it comes.
+        """
         if self._call is not None:
             self._call.read_gate = read_size
+        if read_size is None:
+            self.resume_reading()
 
     def resume_reading(self) -> None:
         """Read the response again after a pause."""
@@ -171,9 +187,16 @@
         """Record a failure of the other side."""
         raise NotImplementedError
 
-    def fell_silent(self) -> None:
-        """Record that the other side has sent nothing for too long."""
-        raise NotImplementedError
+    def fell_silent(self, *, certain: bool, detail: str) -> None:
+        """Record that the other side has sent nothing for too long; once a silence."""
+        if self.silent:
+            return
+        self.silent = True
+        self.failed(certain=certain, detail=detail)
+
+    def went_on(self) -> None:
+        """Record that the other side sends again after a silence."""
+        self.silent = False
 
     def answered_failure(self, detail: str) -> None:
         """Record an error response of the endpoint."""
@@ -338,9 +361,16 @@
             self.endpoint, certain=certain, detail=detail
         )
 
-    def fell_silent(self) -> None:
-        """Record that the endpoint has sent nothing for too long."""
-        self._context.endpoint_monitor.endpoint_fell_silent(self.endpoint)
+    def fell_silent(self, *, certain: bool, detail: str) -> None:
+        """Record that the endpoint has sent nothing for too long; once a silence."""
+        if certain and not self.silent:
+            self._context.endpoint_monitor.endpoint_fell_silent(self.endpoint)
+        super().fell_silent(certain=certain, detail=detail)
+
+    def went_on(self) -> None:
+        """Record that the endpoint sends again, so that it is not avoided any longer."""
+        super().went_on()
+        self._context.endpoint_monitor.endpoint_answered(self.endpoint)
 
     def answered_failure(self, detail: str) -> None:
         """Record an error response, unless the endpoint asked for a pause."""
--- a/src/brassdrum/gateway/request/delivery.py
+++ b/src/brassdrum/gateway/request/delivery.py
@@ -70,6 +70,7 @@
     def detach(self) -> None:
         """Forget the answer of the present attempt."""
         self._attempt = None
+        self.throttled = False
         self._flow.response_ended()
 
     def release_body(self) -> None:
--- a/src/brassdrum/gateway/request/events.py
+++ b/src/brassdrum/gateway/request/events.py
@@ -17,12 +17,15 @@
 
 
 class EventStreamReader:
-    """Buffer a stream and return its complete events."""
+    """Buffer a stream and return its complete events.
+
+    ``event_count`` leaves out blocks that hold comments alone, of which a caller can use nothing.
+    """
 
     def __init__(self, last_id: int | None) -> None:
         self.last_id = last_id
+        self.event_count = 0
         self._buffer = b""
-        self._has_events = False
 
     @property
     def incomplete(self) -> bytes:
@@ -35,7 +38,7 @@
         *lines, unfinished = self._buffer.split(b"\n")
         if unfinished or not all(_is_comment(line) for line in lines):
             return ContentEnd.INSIDE_EVENT
-        return ContentEnd.AFTER_EVENT if self._has_events else ContentEnd.BEFORE_FIRST_EVENT
+        return ContentEnd.AFTER_EVENT if self.event_count else ContentEnd.BEFORE_FIRST_EVENT
 
     def feed(self, data: bytes) -> bytes:
         """Return the bytes of all complete events, or raise ``EventOrderError``."""
@@ -50,9 +53,9 @@
     def _check_order(self, event: bytes) -> None:
         match = _EVENT_ID.search(event)
         if match is None:
-            self._has_events = self._has_events or not all(map(_is_comment, event.split(b"\n")))
+            self.event_count += not all(map(_is_comment, event.split(b"\n")))
             return
-        self._has_events = True
+        self.event_count += 1
         number = int(match.group(1))
         if self.last_id is not None and number != self.last_id + 1:
             raise EventOrderError(
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 from brassdrum.gateway.following.evacuations import refusal_detail
 from brassdrum.gateway.forwarding.forwarder import Forwarder
@@ -25,7 +26,7 @@
 from brassdrum.gateway.request.attempt import Attempt, CallAttempt, helper_name
 from brassdrum.gateway.request.completeness import ContentEnd, break_reason
 from brassdrum.gateway.request.delivery import AnswerDelivery, PacedFlow
-from brassdrum.gateway.request.events import EventOrderError, EventStreamReader
+from brassdrum.gateway.request.events import EventOrderError
 from brassdrum.gateway.request.exchange_context import ExchangeContext
 from brassdrum.gateway.request.outcome import LatencyReport, Outcome, ResponseTiming
 from brassdrum.gateway.request.patience import (
@@ -33,6 +34,7 @@
     caller_timeout,
     retry_after_header,
 )
+from brassdrum.gateway.request.running_attempts import RunningAttempts
 from brassdrum.gateway.request.send_gate import SendGate
 from brassdrum.gateway.request.send_limits import SendLimits
 from brassdrum.gateway.request.silence_watch import StallWatchdog
@@ -58,6 +60,7 @@
 _MAX_EVENT_BYTES = 1 << 20
 # Callers treat these statuses as a guarantee that the request was not executed.
 _NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+_FIRST_SERVER_ERROR = 500
 
 
 class Exchange:
@@ -92,11 +95,15 @@
         self.wait_deadlines = WaitDeadlines(self.arrived, route.objective, wait_timeout)
         self.refused_by: set[str] = set()
         self.gave_up: list[str] = []
+        self.last_event_id = request.resume_after
         self._may_have_run = False
         self._finished = False
-        self._attempt: CallAttempt | None = None
-        self._progress = AnswerProgress(context, self.traits)
-        self._reader = EventStreamReader(request.resume_after)
+        # Whether an endpoint is sought for the request, beside attempts that fell silent.
+        self._seeks_endpoint = False
+        self._attempts = RunningAttempts()
+        self._last_attempt: CallAttempt | None = None
+        # The whole failure that one endpoint answered while another one may still serve.
+        self._failed_attempt: CallAttempt | None = None
         self._watchdog = StallWatchdog(context.loop, self)
         self.story = RequestStory(context, self)
         self._delivery = AnswerDelivery(connection, flow, self)
@@ -150,20 +157,24 @@
     @property
     def answer_framing(self) -> str | None:
         """Return how the last answer of an endpoint was framed, or None if there was none."""
-        if self._attempt is None or self._attempt.reply is None:
+        if self._last_attempt is None or self._last_attempt.reply is None:
             return None
-        return self._attempt.framing.value
+        return self._last_attempt.framing.value
 
     @property
     def partial_event_bytes(self) -> int:
         """Return the bytes that the endpoint sent after its last complete event."""
-        return len(self._reader.incomplete)
+        return 0 if self._last_attempt is None else len(self._last_attempt.reader.incomplete)
 
     @property
     def time_left(self) -> float:
         """Return the seconds until the deadline for the complete response."""
         return self._deadline - self._context.loop.now()
 
+    def new_progress(self) -> AnswerProgress:
+        """Return what follows the answer of a new attempt."""
+        return AnswerProgress(self._context, self.traits)
+
     def need(self) -> PlacementRequest:
         """Return the requirements that placement has to meet."""
         # A route without a pause limit uses its objective as the limit.
@@ -179,24 +190,25 @@
 
     def start(self) -> None:
         """Make the first attempt."""
+        self._seeks_endpoint = True
         self.dispatch()
 
     def caller_disconnected(self) -> None:
         """Cancel the request after its caller has disconnected."""
-        self._cancel_attempt()
+        self._cancel_attempts()
         self._finish(Outcome.CALLER_LEFT, 0, "the caller closed its connection")
 
     def abort(self, detail: str) -> None:
         """Fail the request; the caller can resume a stream at another daemon."""
         if self._finished:
             return
-        self._cancel_attempt()
+        self._cancel_attempts()
         self.fail(detail)
 
     def attempt_response_started(self, attempt: CallAttempt, reply: Reply) -> None:
         """Retry the request if the endpoint did not execute it."""
         if reply.kind is ReplyKind.SUCCESS or reply.kind is ReplyKind.FAILURE:
-            self._delivery.pace(attempt)
+            self._pace_only_attempt()
             return
         attempt.cancel()
         if reply.kind is ReplyKind.UNVERIFIED:
@@ -214,16 +226,23 @@
         if reply.kind is ReplyKind.FAILURE or not self.route.streams:
             self._delivery.keep(attempt, content)
             return
+        reader = attempt.reader
+        count_before = reader.event_count
         try:
-            events = self._reader.feed(content)
+            blocks = reader.feed(content)
         except EventOrderError as error:
             attempt.cancel()
             self._handle_lost_attempt(attempt, str(error), certain=False)
             return
-        self._delivery.set_unfinished(len(self._reader.incomplete))
-        if events:
-            self._forward_events(attempt, reply, events)
-        if len(self._reader.incomplete) > _MAX_EVENT_BYTES and not self._finished:
+        if reader.event_count > count_before:
+            self._forward_events(attempt, reply, blocks)
+        elif blocks and self._attempts.only is attempt:
+            # Comments are passed on, but they are no progress.
+            self._delivery.start(attempt, reply)
+            self._delivery.send(blocks)
+        if self._attempts.only is attempt:
+            self._delivery.set_unfinished(len(reader.incomplete))
+        if len(reader.incomplete) > _MAX_EVENT_BYTES and not attempt.finished:
             attempt.cancel()
             self._handle_lost_attempt(attempt, "an event exceeds the size limit", certain=False)
 
@@ -233,6 +252,7 @@
         assert reply is not None
         if reply.kind is ReplyKind.FAILURE and self._failure_settled(attempt, reply):
             return
+        self._settle(attempt)
         self._watchdog.stop()
         if attempt.request_taken:
             self._body = b""
@@ -254,23 +274,24 @@
         attempt.finish()
         if reply.kind is ReplyKind.FAILURE:
             if self._delivery.forwarding or not self._failure_settled(attempt, reply):
-                self._finish(Outcome.FAILED, reply.status, "the endpoint's own failure")
-                self._delivery.send_whole(attempt, reply)
+                self._deliver_failure(attempt, reply)
             return
-        content = self._reader.content_end if self.route.streams else ContentEnd.OPAQUE
+        content = attempt.reader.content_end if self.route.streams else ContentEnd.OPAQUE
         reason = break_reason(attempt.framing, content)
         if reason is not None:
             self._handle_interrupted_attempt(attempt, reason, response_started=True)
             return
+        self._settle(attempt)
+        self._attempts.remove(attempt)
         attempt.served()
-        self._progress.completed()
+        attempt.progress.completed()
         if not self.route.streams:
             self._finish(Outcome.SERVED, reply.status, "")
             self._delivery.send_whole(attempt, reply)
             return
         self._delivery.start(attempt, reply)
-        if self._reader.incomplete:
-            self._delivery.send(self._reader.incomplete)
+        if attempt.reader.incomplete:
+            self._delivery.send(attempt.reader.incomplete)
         self._finish(Outcome.SERVED, reply.status, "")
         self._delivery.end()
 
@@ -301,7 +322,9 @@
         self._handle_lost_attempt(attempt, detail, certain=False)
 
     def dispatch(self) -> None:
-        """Place the request and start an attempt; no other attempt may be in flight."""
+        """Place the request and start an attempt, unless none is needed any more."""
+        if not self._seeks_endpoint:
+            return
         self._watchdog.stop()
         judgement = self._context.crash_guard.judge(self.traits, self.tried_endpoints)
         standing = judgement.status
@@ -333,7 +356,7 @@
         if verdict is Decision.WAIT and self._wait(placement):
             return
         self._stop_waiting(served=verdict is Decision.SEND)
-        if verdict is not Decision.SEND and not self._may_have_run and not self._delivery.started:
+        if verdict is not Decision.SEND and self._may_be_refused:
             detail = (
                 "every place is taken"
                 if placement.endpoint_full
@@ -350,13 +373,13 @@
         self._context.crash_guard.request_sent(standing, placement.entry.id)
         self._log_placement(placement, standing)
         self.timing.record_send(self._context.loop.now(), placement.first_event_ms)
-        self._progress.sent()
-        self._attempt = Attempt(self._context, self, placement)
-        self._attempt.start()
+        attempt = Attempt(self._context, self, placement)
+        self._add_attempt(attempt)
+        attempt.start()
 
     def _refuse_early(self, need: PlacementRequest, placement: Placement) -> bool:
         """Refuse a request whose wait would be in vain; return whether it was refused."""
-        if placement.endpoint_full or self._may_have_run or self._delivery.started:
+        if placement.endpoint_full or not self._may_be_refused:
             return False
         without_room = self._context.room.seconds_without_room(self.service, need, placement)
         if without_room is None:
@@ -381,9 +404,8 @@
             waited_ms=self.story.elapsed_ms,
         )
         self.timing.record_send(self._context.loop.now(), 0.0)
-        self._attempt = attempt
-        self._progress.sent()
-        attempt.start(self._outgoing(self.forwarder.headers(self._reader.last_id)))
+        self._add_attempt(attempt)
+        attempt.start(self._outgoing(self.forwarder.headers(self.last_event_id)))
         if self._sends.may_send_again():
             self._watchdog.start(self.route.objective * 1000)
 
@@ -455,7 +477,7 @@
             organisation=organisation,
             priority=self.priority,
             time_left=max(0.001, self.time_left),
-            resume_after=self._reader.last_id,
+            resume_after=self.last_event_id,
         )
         return self._outgoing(self._context.dialect.endpoint_headers(self.request, sending))
 
@@ -464,10 +486,53 @@
             headers.append((b"Content-Length", b"%d" % len(self._body)))
         return OutgoingRequest(self.request.method, self.request.target, headers, self._body)
 
+    def _add_attempt(self, attempt: CallAttempt) -> None:
+        """Take an attempt in that is about to start."""
+        self._seeks_endpoint = False
+        self._delivery.detach()
+        self._attempts.add(attempt)
+        self._last_attempt = attempt
+
+    def _pace_only_attempt(self) -> None:
+        """Read an answer as the caller allows once no other one may be delivered instead."""
+        attempt = self._attempts.only
+        if attempt is not None and attempt.reply is not None:
+            self._delivery.pace(attempt)
+
+    def _settle(self, attempt: CallAttempt) -> None:
+        """Deliver the answer of one attempt, and end all others and the search for another."""
+        was_silent = attempt.silent
+        if not was_silent and not self._seeks_endpoint and self._attempts.only is attempt:
+            return
+        others = self._attempts.keep_only(attempt)
+        self._stop_seeking()
+        self._last_attempt = attempt
+        self._delivery.pace(attempt)
+        if was_silent:
+            attempt.went_on()
+        event = log_events.ATTEMPT_RESUMED if was_silent else log_events.ATTEMPT_REPLACED
+        self.story.log(
+            event,
+            endpoint=attempt.endpoint,
+            ended=[each.endpoint for each in others],
+            after_event=self.last_event_id,
+        )
+
+    def _stop_seeking(self) -> None:
+        """Seek no further endpoint for the request."""
+        self._seeks_endpoint = False
+        self._stop_waiting()
+        if self._postponed_send is not None:
+            self._postponed_send.cancel()
+        self._gate.permit = None
+        self._sends.return_unsent_retry()
+
     def _forward_events(self, attempt: CallAttempt, reply: Reply, events: bytes) -> None:
+        self._settle(attempt)
+        self.last_event_id = attempt.reader.last_id
         self.timing.record_event(self._context.loop.now())
         attempt.first_event_received()
-        self._progress.event_received()
+        attempt.progress.event_received()
         self._delivery.start(attempt, reply)
         self._delivery.send(events)
         if not self._finished:
@@ -478,31 +543,70 @@
 
         The endpoint executed the request. The reply may still be arriving.
         """
+        is_whole = attempt.finished
         self._may_have_run = True
         attempt.answered_failure(f"answered {reply.status}")
-        if reply.status >= 500 and self._sends.consume_retry_after_run():
-            attempt.cancel()
-            self._resend(f"the endpoint answered {reply.status}")
-            return True
+        detail = f"the endpoint answered {reply.status}"
+        if reply.status >= _FIRST_SERVER_ERROR:
+            if self._continue_without(attempt, detail, self._sends.consume_retry_after_run):
+                self._failed_attempt = attempt if is_whole else self._failed_attempt
+                return True
+        else:
+            self._settle(attempt)
         if self._delivery.started:
             attempt.cancel()
-            self.fail(f"the endpoint answered {reply.status} to a resumed stream")
+            self._attempts.remove(attempt)
+            self.fail(f"{detail} to a resumed stream")
             return True
         if reply.status in _NOT_EXECUTED_STATUSES and not self.route.repeatable:
             # Forwarding the status would tell the caller that the request was not executed.
             attempt.cancel()
-            self.fail(f"the endpoint answered {reply.status} and may have run the request")
+            self._attempts.remove(attempt)
+            self.fail(f"{detail} and may have run the request")
             return True
         return False
 
+    def _continue_without(
+        self, attempt: CallAttempt, detail: str, consume_retry: Callable[[], bool]
+    ) -> bool:
+        """Go on after an attempt that ended without an answer; return False if nothing is left.
+
+        Others may be in progress, and the request may be sent again.
+        """
+        has_newer = self._attempts.remove(attempt)
+        if has_newer or self._seeks_endpoint:
+            attempt.cancel()
+            self._pace_only_attempt()
+            return True
+        if consume_retry():
+            attempt.cancel()
+            self._resend(attempt, detail)
+            return True
+        if self._attempts.newest is None:
+            return False
+        attempt.cancel()
+        self._wait_for_silent(detail)
+        return True
+
+    def _wait_for_silent(self, detail: str) -> None:
+        """Wait for the attempts that fell silent, since no other endpoint serves the request."""
+        self._stop_seeking()
+        self.story.log(
+            log_events.REPLACEMENT_FAILED, endpoints=self._attempts.endpoints, reason=detail
+        )
+        self._pace_only_attempt()
+        self.restart_stall_timer(None)
+
     def _retry_not_executed(self, attempt: CallAttempt, detail: str) -> None:
         attempt.finish()
         if attempt.unsent:
             self._sends.record_unsent()
-        if self._sends.consume_retry_unexecuted(attempt):
-            self._resend(detail)
-            return
-        self.fail(detail, attempt.retry_after)
+
+        def consume_retry() -> bool:
+            return self._sends.consume_retry_unexecuted(attempt)
+
+        if not self._continue_without(attempt, detail, consume_retry):
+            self.fail(detail, attempt.retry_after)
 
     def _handle_lost_attempt(
         self, attempt: CallAttempt, detail: str, *, certain: bool | None
@@ -512,23 +616,22 @@
         self._may_have_run = True
         if certain is not None:
             attempt.failed(certain=certain, detail=detail)
-        if self._sends.consume_retry_after_run():
-            self._resend(detail)
-            return
-        self.fail(detail)
+        if not self._continue_without(attempt, detail, self._sends.consume_retry_after_run):
+            self.fail(detail)
 
-    def _resend(self, detail: str) -> None:
-        assert self._attempt is not None
+    def _resend(self, attempt: CallAttempt, detail: str) -> None:
         self.story.log(
             log_events.SENT_AGAIN,
-            endpoint=self._attempt.endpoint,
+            endpoint=attempt.endpoint,
             reason=detail,
             sends=self.send_count,
-            after_event=self._reader.last_id,
+            after_event=self.last_event_id,
+            kept=self._attempts.endpoints,
             budget=round(self._context.retries_left(self.service), 1),
         )
-        self._reader = EventStreamReader(self._reader.last_id)
-        self._delivery.detach()
+        if self._attempts.newest is None:
+            self._delivery.detach()
+        self._seeks_endpoint = True
         self.dispatch()
 
     def restart_stall_timer(self, placement: Placement | None) -> None:
@@ -539,48 +642,58 @@
 
     def can_replace_attempt(self) -> bool:
         """Return whether the current attempt may be replaced by another one."""
-        return self._attempt is not None and self._can_replace(self._attempt)
+        newest = self._attempts.newest
+        return newest is not None and self._can_replace(newest)
 
     def queued_prefill_seconds(self) -> float:
         """Return the seconds of prefill queued at the current attempt's endpoint."""
-        assert self._attempt is not None
-        return self._attempt.queued_prefill_seconds
+        newest = self._attempts.newest
+        assert newest is not None
+        return newest.queued_prefill_seconds
 
     def endpoint_stalled(self, *, certain: bool) -> None:
-        """Replace the current attempt after a stall."""
-        assert self._attempt is not None
-        self._give_up(self._attempt, "the endpoint is silent", certain=certain)
+        """Seek a replacement for the current attempt after a stall."""
+        newest = self._attempts.newest
+        assert newest is not None
+        self._replace_silent(newest, "the endpoint is silent", certain=certain)
 
     def attempt_unresponsive(self, attempt: CallAttempt) -> None:
-        """Replace an attempt whose endpoint fails its liveness checks."""
+        """Seek a replacement for an attempt whose endpoint fails its liveness checks."""
         if not self._can_replace(attempt):
             return
-        self._give_up(attempt, "the endpoint does not answer liveness checks", certain=True)
+        detail = "the endpoint does not answer liveness checks"
+        self._replace_silent(attempt, detail, certain=True)
 
-    def _give_up(self, attempt: CallAttempt, detail: str, *, certain: bool) -> None:
-        """End an attempt at a silent endpoint, and send the request again or fail it."""
-        attempt.cancel()
-        attempt.fell_silent()
-        self.gave_up.append(attempt.endpoint)
-        self._handle_lost_attempt(attempt, detail, certain=certain)
+    def _replace_silent(self, attempt: CallAttempt, detail: str, *, certain: bool) -> None:
+        """Send the request to another endpoint as well; the silent one may still go on."""
+        attempt.fell_silent(certain=certain, detail=detail)
+        if self._sends.consume_retry_after_run():
+            self._resend(attempt, detail)
 
     def _can_replace(self, attempt: CallAttempt) -> bool:
-        """Return whether a stalled attempt may be replaced by another one.
-
-        Without a replacement the attempt is kept, since the endpoint may still recover.
-        """
-        if self._finished or attempt is not self._attempt or attempt.finished:
+        """Return whether a stalled attempt may be replaced by another one."""
+        if self._finished or attempt is not self._attempts.newest or self._seeks_endpoint:
             return False
         return self._sends.may_replace(attempt)
 
     def _deadline_expired(self) -> None:
         if self._finished:
             return
-        self._cancel_attempt()
+        self._cancel_attempts()
         self.fail("the deadline of the request or its route has passed")
 
     def fail(self, detail: str, retry_after: float | None = None) -> None:
-        """Send the final response of a request that was not served."""
+        """Send the final response of a request that was not served.
+
+        While an attempt at a silent endpoint is in progress, it is waited for instead.
+        """
+        if self._attempts.newest is not None:
+            self._wait_for_silent(detail)
+            return
+        if self._failed_attempt is not None and not self._delivery.started:
+            assert self._failed_attempt.reply is not None
+            self._deliver_failure(self._failed_attempt, self._failed_attempt.reply)
+            return
         if retry_after is None:
             opening_seconds = self._context.placer.seconds_until_open(self.service)
             retry_after = max(_DEFAULT_RETRY_AFTER_SECONDS, opening_seconds)
@@ -599,6 +712,17 @@
         self._finish(Outcome.FAILED, status, detail)
         self._delivery.send_own(status, self.forwarder.with_failure([]))
 
+    def _deliver_failure(self, attempt: CallAttempt, reply: Reply) -> None:
+        """Deliver the failure that an endpoint answered."""
+        self._finish(Outcome.FAILED, reply.status, "the endpoint's own failure")
+        self._delivery.send_whole(attempt, reply)
+
+    @property
+    def _may_be_refused(self) -> bool:
+        """Return whether a refusal as not run would be true."""
+        in_progress = self._attempts.newest is not None
+        return not (self._may_have_run or self._delivery.started or in_progress)
+
     def _refuse_quarantined(self, judgement: Judgement) -> None:
         """Refuse a request that crashes the endpoints that run it."""
         reason = self._context.crash_guard.refuse(judgement)
@@ -609,7 +733,7 @@
             seconds_left=round(reason.seconds_left, 1),
         )
         detail = "requests with this content or part end the endpoints that run them"
-        if self._delivery.started or self._may_have_run:
+        if not self._may_be_refused:
             self.fail(detail)
             return
         # Not limited by the caller's timeout, since an earlier retry would be refused as well.
@@ -628,11 +752,10 @@
         headers = self.forwarder.with_refusal(headers, self.send_count)
         self._delivery.send_own(503, headers)
 
-    def _cancel_attempt(self) -> None:
-        if self._attempt is not None:
-            # From here on the caller must not be told that the request was not executed.
-            self._may_have_run = self._may_have_run or self._attempt.may_have_run
-            self._attempt.cancel()
+    def _cancel_attempts(self) -> None:
+        self.gave_up.extend(self._attempts.silent_endpoints)
+        # From here on the caller must not be told that the request was not executed.
+        self._may_have_run = self._attempts.cancel_all() or self._may_have_run
 
     def _finish(self, outcome: Outcome, status: int, detail: str) -> None:
         """Stop all timers and record the outcome.
--- a/src/brassdrum/gateway/request/retry_budget.py
+++ b/src/brassdrum/gateway/request/retry_budget.py
@@ -38,3 +38,8 @@
             return False
         self._retry_times.append(now)
         return True
+
+    def give_back(self) -> None:
+        """Take the last retry back, which was not sent."""
+        if self._retry_times:
+            self._retry_times.pop()
--- a/src/brassdrum/gateway/request/send_limits.py
+++ b/src/brassdrum/gateway/request/send_limits.py
@@ -20,6 +20,9 @@
     def consume_retry(self, service: str) -> bool:
         """Take one retry from the shared budget, or return False if it is exhausted."""
 
+    def return_retry(self, service: str) -> None:
+        """Give back a retry that was taken and not sent."""
+
     def retries_left(self, service: str) -> float:
         """Return the number of retries that this daemon may still send."""
 
@@ -50,6 +53,7 @@
     ) -> None:
         self.count = 0
         self._unsent_count = 0
+        self._holds_retry = False
         self._budget = budget
         self._exchange = exchange
         self._delivery = delivery
@@ -57,12 +61,19 @@
     def record_send(self) -> None:
         """Count a send."""
         self.count += 1
+        self._holds_retry = False
 
     def record_unsent(self) -> None:
         """Take back the last send, since it reached no endpoint."""
         self.count -= 1
         self._unsent_count += 1
 
+    def return_unsent_retry(self) -> None:
+        """Give the retry back that was taken for a send which is not needed any more."""
+        if self._holds_retry:
+            self._holds_retry = False
+            self._budget.return_retry(self._exchange.service)
+
     def may_send_again(self) -> bool:
         """Return whether a request that may have run may be sent again, the retry budget aside."""
         if self._delivery.forwarding:
@@ -80,7 +91,7 @@
         exchange = self._exchange
         if not self.may_send_again() or exchange.time_left < _MIN_RESEND_SECONDS:
             return False
-        return self._budget.consume_retry(exchange.service)
+        return self._consume_retry()
 
     def consume_retry_unexecuted(self, attempt: CallAttempt) -> bool:
         """Take a retry for a request that has not run; return False if there is none.
@@ -91,7 +102,11 @@
             return False
         if self._exchange.time_left <= _MIN_RESEND_SECONDS:
             return False
-        return self.count == 0 or self._budget.consume_retry(self._exchange.service)
+        return self.count == 0 or self._consume_retry()
+
+    def _consume_retry(self) -> bool:
+        self._holds_retry = self._budget.consume_retry(self._exchange.service)
+        return self._holds_retry
 
     @property
     def _max_sends(self) -> int:
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -367,8 +367,30 @@
 SENT_AGAIN = LOG_EVENTS.add(
     "sent again",
     Topic.REQUEST,
-    "request content endpoint reason sends after_event budget",
-    "The attempt failed and the request may be repeated.",
+    "request content endpoint reason sends after_event kept budget",
+    "The attempt failed or its endpoint is silent, and the request may be repeated. Attempts at "
+    "the `kept` endpoints stay in progress, since a silent endpoint may go on.",
+)
+ATTEMPT_RESUMED = LOG_EVENTS.add(
+    "attempt resumed",
+    Topic.REQUEST,
+    "request content endpoint ended after_event",
+    "A silent endpoint goes on with the answer; the attempts at the `ended` endpoints were ended.",
+    "Look for `endpoint answers again`: how long it was silent.",
+)
+ATTEMPT_REPLACED = LOG_EVENTS.add(
+    "attempt replaced",
+    Topic.REQUEST,
+    "request content endpoint ended after_event",
+    "The endpoint that got the request last brings the answer; the attempts at the silent `ended` "
+    "endpoints were ended.",
+)
+REPLACEMENT_FAILED = LOG_EVENTS.add(
+    "replacement failed",
+    Topic.REQUEST,
+    "request content endpoints reason",
+    "No other endpoint serves the request; the attempts at the silent `endpoints` are waited for.",
+    "Look at `reason`; the request is lost only if these endpoints stay silent.",
 )
 PAUSED = LOG_EVENTS.add(
     "response paused",
@@ -411,7 +433,7 @@
     "request content route outcome status detail ms first_ms prompt sends version sender gave_up "
     "story",
     "The request got no whole answer; `story` lists the decisions that led there. `gave_up` names "
-    "the endpoints that fell silent and whose attempts were ended though they might have gone on.",
+    "the endpoints that were silent until the end of the request.",
     "Read `detail` first, then `story` from its end. With `gave_up`, look for `endpoint answers "
     "again` of these endpoints: they had not failed.",
 )
