Keep reserved memory while the endpoint that uses it pauses

A long prompt lost the memory that other endpoints held for it, and so its answer, when the endpoint that used it left two probes unanswered within 0.6 s. Its memory was released before anything was known to replace it.

The request is told of the silence, as before, and may be sent to another endpoint; the memory is not renewed while the endpoint is silent, but it is released only when another attempt answers or the reservations would end. They still end within 4 s of the endpoint's last answer. 'Memory is kept while the endpoint that uses it is silent for 1.6 s' failed before: released 0.6 s after the renewal was due.

--- a/features/silent_endpoints.feature
+++ b/features/silent_endpoints.feature
@@ -39,3 +39,80 @@
       | check | the second endpoint is silent too         |
       | check | no other endpoint has room                |
       | check | no other endpoint is left                 |
+
+  # Guards against a second run that goes on for nobody, and against events that come twice.
+  Scenario Outline: The <first> of two attempts that goes on brings the answer and ends the other
+    Given a <kind> in progress at the first of three endpoints
+    When that endpoint is silent until another one is sought
+    And the request is sent to the second endpoint
+    And the <first> endpoint goes on
+    Then the caller has each byte of the answer once and its end
+    And no attempt is left
+    And the connection to the <other> endpoint was closed
+
+    Examples:
+      | kind   | first  | other  |
+      | stream | first  | second |
+      | stream | second | first  |
+      | check  | first  | second |
+      | check  | second | first  |
+
+  # Guards against work that goes on after its caller has left or its time is over.
+  Scenario Outline: Both attempts end when <end>
+    Given a stream in progress at the first of three endpoints
+    When that endpoint is silent until another one is sought
+    And the request is sent to the second endpoint
+    And <end>
+    Then no attempt is left
+    And the connection to the first endpoint was closed
+    And the line of the request names the silent endpoint
+
+    Examples:
+      | end                           |
+      | its caller gives it up             |
+      | the deadline passes           |
+      | the daemon's planned stop ends |
+
+  # Guards against a retry budget that is used up by retries that were never sent.
+  Scenario: A retry that was taken and not sent is given back
+    Given a stream in progress at the first of three endpoints
+    When that endpoint is silent until another one is sought
+    And no other endpoint has room
+    And the first endpoint goes on
+    Then no retry was taken
+
+  # Guards against a failure that an endpoint answered and that is lost behind a silent one.
+  Scenario: A failure of the second endpoint reaches the caller if the first stays silent
+    Given a check in progress at the first of three endpoints
+    When that endpoint is silent until another one is sought
+    And the second endpoint answers 500
+    And the deadline passes
+    Then the caller has the failure of the second endpoint
+
+  # Guards against a refusal as not run of a request that may run at a silent endpoint.
+  Scenario: A request at a silent endpoint is not refused as not run
+    Given a check in progress at the first of three endpoints
+    When that endpoint is silent until another one is sought
+    And the second endpoint does not run it
+    And the deadline passes
+    Then the caller is told that the request may have run
+
+  # Guards against a sound endpoint that gets no requests after it has gone on.
+  Scenario: An endpoint that goes on after a silence is not avoided
+    Given an endpoint that fell silent and is avoided
+    When it goes on
+    Then it is not avoided and the log says that it answers again
+
+  # Guards against prompts that lose their memory, and so their answer, while their endpoint pauses.
+  Scenario: Memory is kept while the endpoint that uses it is silent for 1.6 s
+    Given memory that is reserved for a prompt
+    When the endpoint that uses it is silent for 1.6 s after a renewal was due
+    Then its request is told of the silence
+    And the memory is renewed and not released
+
+  # Guards against memory that stays set aside for an endpoint that does not come back.
+  Scenario: Memory is released when the endpoint that uses it stays silent
+    Given memory that is reserved for a prompt
+    When the endpoint that uses it is silent for 6 s after a renewal was due
+    Then its request is told of the silence
+    And the memory is released within 4 s of the endpoint's last answer
--- a/src/brassdrum/gateway/placing/reservations.py
+++ b/src/brassdrum/gateway/placing/reservations.py
@@ -16,9 +16,9 @@
 _CALL_TIMEOUT_SECONDS = 0.3
 # Renewals per hold time; more than one, so that a lost renewal doesn't end the hold.
 _RENEWALS_PER_HOLD_TIME = 3.0
-# Consecutive unanswered probes after which the consumer of the memory counts as gone. It is probed
-# before each renewal; memory has to be free again within the 4 s that the platform allows. A
-# consumer counts as gone at most 1.7 s after its last answer, with reservations of 3.2 s.
+# Consecutive unanswered probes after which the consumer of the memory counts as silent, at most
+# 1.7 s after its last answer with reservations of 3.2 s. It is probed before each renewal, so that
+# memory is free again within the 4 s that the platform allows.
 _MAX_UNANSWERED_PROBES = 2
 _GRANTED = 200
 _NO_ANSWER = 0
@@ -96,13 +96,15 @@
         reservations: tuple[Reservation, ...],
         consumer: str,
         on_done: Callable[[bool], None],
-        on_consumer_lost: Callable[[], None],
+        on_consumer_silent: Callable[[], None],
     ) -> None:
         self.reservations = reservations
         self._manager = manager
         self._consumer = consumer
-        self._on_consumer_lost = on_consumer_lost
+        self._on_consumer_silent = on_consumer_silent
         self._unanswered = 0
+        self._probed_at = 0.0
+        self._expires_at = manager.loop.now() + manager.hold_seconds
         self._on_done: Callable[[bool], None] | None = on_done
         self._pending = len(reservations)
         self._refused = False
@@ -145,6 +147,7 @@
 
     def _probe(self) -> None:
         """Probe the endpoint that uses the memory."""
+        self._probed_at = self._manager.loop.now()
         self._manager.probe(self._consumer, self._probed)
 
     def _probed(self, answered: bool) -> None:
@@ -155,14 +158,21 @@
             self._renew()
             return
         self._unanswered += 1
-        if self._unanswered < _MAX_UNANSWERED_PROBES:
-            self._probe()
+        now = self._manager.loop.now()
+        last_probe = now + _CALL_TIMEOUT_SECONDS >= self._expires_at
+        if last_probe:
+            # Another one would end after the reservations.
+            self.release()
+        if self._unanswered == _MAX_UNANSWERED_PROBES or (last_probe and self._unanswered == 1):
+            self._on_consumer_silent()
+        if self._released:
             return
-        # The consumer is gone or unreachable, so the memory is of no more use.
-        self.release()
-        self._on_consumer_lost()
+        # A silent consumer may go on, so the memory is kept until the reservations end.
+        next_probe = self._probed_at + _CALL_TIMEOUT_SECONDS
+        self._timer = self._manager.loop.call_at(max(now, next_probe), self._probe)
 
     def _renew(self) -> None:
+        self._expires_at = self._manager.loop.now() + self._manager.hold_seconds
         for reservation in self.reservations:
             self._manager.reserve(reservation, _ignore)
         self._schedule_renewal()
@@ -192,14 +202,14 @@
         reservations: tuple[Reservation, ...],
         consumer: str,
         on_done: Callable[[bool], None],
-        on_consumer_lost: Callable[[], None],
+        on_consumer_silent: Callable[[], None],
     ) -> MemoryHold:
         """Reserve memory at several endpoints and report whether all of them granted it.
 
         ``consumer`` is the address of the endpoint that uses the memory. If it stops answering
-        probes, all memory is released and ``on_consumer_lost`` is called.
+        probes, ``on_consumer_silent`` is called, and the memory is not renewed until it answers.
         """
-        hold = MemoryHold(self, reservations, consumer, on_done, on_consumer_lost)
+        hold = MemoryHold(self, reservations, consumer, on_done, on_consumer_silent)
         hold.acquire()
         return hold
 
