Move the search for an endpoint out of the exchange

Behaviour is unchanged: silent_endpoints, gateway_exchange, gateway, early_refusal and endpoint_limits pass.

--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -19,13 +19,13 @@
     Route,
 )
 from brassdrum.gateway.net.callers import CallerConnection
-from brassdrum.gateway.net.loop import Timer
 from brassdrum.gateway.net.upstream import CallFailure, OutgoingRequest
-from brassdrum.gateway.placing.placement import Decision, Placement, PlacementRequest, decide
+from brassdrum.gateway.placing.placement import Placement, PlacementRequest
 from brassdrum.gateway.request.answer_progress import AnswerProgress
 from brassdrum.gateway.request.attempt import Attempt, CallAttempt, helper_name
 from brassdrum.gateway.request.completeness import ContentEnd, break_reason
 from brassdrum.gateway.request.delivery import AnswerDelivery, PacedFlow
+from brassdrum.gateway.request.endpoint_search import EndpointSearch
 from brassdrum.gateway.request.events import EventOrderError
 from brassdrum.gateway.request.exchange_context import ExchangeContext
 from brassdrum.gateway.request.outcome import LatencyReport, Outcome, ResponseTiming
@@ -35,7 +35,6 @@
     retry_after_header,
 )
 from brassdrum.gateway.request.running_attempts import RunningAttempts
-from brassdrum.gateway.request.send_gate import SendGate
 from brassdrum.gateway.request.send_limits import SendLimits
 from brassdrum.gateway.request.silence_watch import StallWatchdog
 from brassdrum.gateway.request.story import RequestStory
@@ -98,8 +97,6 @@
         self.last_event_id = request.resume_after
         self._may_have_run = False
         self._finished = False
-        # Whether an endpoint is sought for the request, beside attempts that fell silent.
-        self._seeks_endpoint = False
         self._attempts = RunningAttempts()
         self._last_attempt: CallAttempt | None = None
         # The whole failure that one endpoint answered while another one may still serve.
@@ -109,10 +106,7 @@
         self._delivery = AnswerDelivery(connection, flow, self)
         self._delivery.deliver_until(arrived + request.timeout)
         self._sends = SendLimits(context, self, self._delivery)
-        self._postponed_send: Timer | None = None
-        self._gate = SendGate(context, self)
-        self._waiting = False
-        self._waiting_for_slot = False
+        self._search = EndpointSearch(context, self)
         self._deadline_timer = context.loop.call_at(
             self._deadline + _DEADLINE_GRACE_SECONDS, self._deadline_expired
         )
@@ -142,12 +136,12 @@
     @property
     def waits_for_slot(self) -> bool:
         """Return whether the request waits because all slots are in use."""
-        return self._waiting_for_slot
+        return self._search.waits_for_slot
 
     @property
     def permit(self) -> Permit | None:
         """Return the permit for the next send to an endpoint that limits its rate."""
-        return self._gate.permit
+        return self._search.permit
 
     @property
     def finished(self) -> bool:
@@ -190,8 +184,7 @@
 
     def start(self) -> None:
         """Make the first attempt."""
-        self._seeks_endpoint = True
-        self.dispatch()
+        self._search.begin()
 
     def caller_disconnected(self) -> None:
         """Cancel the request after its caller has disconnected."""
@@ -321,53 +314,8 @@
         attempt.interrupted(lost)
         self._handle_lost_attempt(attempt, detail, certain=False)
 
-    def dispatch(self) -> None:
-        """Place the request and start an attempt, unless none is needed any more."""
-        if not self._seeks_endpoint:
-            return
-        self._watchdog.stop()
-        judgement = self._context.crash_guard.judge(self.traits, self.tried_endpoints)
-        standing = judgement.status
-        if standing is ContentStatus.QUARANTINED:
-            self._stop_waiting()
-            self._refuse_quarantined(judgement)
-            return
-        if standing is ContentStatus.UNDECIDED:
-            # Reports of other daemons may still decide whether this request crashes endpoints.
-            self.postpone(judgement.seconds)
-            return
-        if self._context.path.is_lost:
-            self._stop_waiting()
-            self._forward()
-            return
-        need = self.need()
-        placement = self._context.placer.place(self, need)
-        if placement is None:
-            self._stop_waiting()
-            self._gate.wait_for_opening(need)
-            return
-        verdict = decide(need, placement)
-        if verdict is Decision.SEND and self._context.unknown_load.delays(need, placement):
-            verdict = Decision.WAIT
-        if verdict is Decision.WAIT and not self._context.may_wait(self):
-            verdict = Decision.SEND
-        if verdict is Decision.WAIT and self._refuse_early(need, placement):
-            return
-        if verdict is Decision.WAIT and self._wait(placement):
-            return
-        self._stop_waiting(served=verdict is Decision.SEND)
-        if verdict is not Decision.SEND and self._may_be_refused:
-            detail = (
-                "every place is taken"
-                if placement.endpoint_full
-                else "others would lose more by it"
-            )
-            self.fail(detail, self._context.wait_queue.retry_after_seconds())
-            return
-        if not self._gate.admits(placement.entry.id):
-            self._gate.ask_at_once(placement.entry.id, need)
-            return
-        self._gate.permit = None
+    def send(self, placement: Placement, standing: ContentStatus) -> None:
+        """Send the request to the endpoint that was found."""
         self._sends.record_send()
         self.tried_endpoints.add(placement.entry.id)
         self._context.crash_guard.request_sent(standing, placement.entry.id)
@@ -377,18 +325,7 @@
         self._add_attempt(attempt)
         attempt.start()
 
-    def _refuse_early(self, need: PlacementRequest, placement: Placement) -> bool:
-        """Refuse a request whose wait would be in vain; return whether it was refused."""
-        if placement.endpoint_full or not self._may_be_refused:
-            return False
-        without_room = self._context.room.seconds_without_room(self.service, need, placement)
-        if without_room is None:
-            return False
-        self._stop_waiting()
-        self.fail("no engines will have room in time", without_room)
-        return True
-
-    def _forward(self) -> None:
+    def forward(self) -> None:
         """Hand the request to another daemon, since this one can reach no endpoint."""
         attempt = self.forwarder.next_attempt()
         if attempt is None:
@@ -411,35 +348,8 @@
 
     def retry_placement(self) -> bool:
         """Send the request if a placement suits now; return False while all slots are in use."""
-        self.dispatch()
-        return not self._waiting_for_slot
-
-    def _wait(self, placement: Placement) -> bool:
-        """Queue for a better placement; return False if the request is unlikely to get one."""
-        now = self._context.loop.now()
-        self._waiting_for_slot = placement.endpoint_full
-        self.wait_deadlines.update(placement, now)
-        late = now > self.wait_deadlines.timely_until
-        if late and placement.endpoint_full and not self._context.wait_queue.admits_late(self):
-            return False
-        if self._waiting:
-            return True
-        self._waiting = True
-        self.story.log(
-            log_events.WAITING,
-            harm=round(placement.interference_tokens),
-            late=round(placement.lateness_tokens),
-            full=placement.endpoint_full,
-            predicted_ms=round(placement.first_event_ms),
-            **self._context.wait_queue.turn_fields(self),
-        )
-        self._context.wait_queue.add(self)
-        return True
-
-    def _stop_waiting(self, *, served: bool = False) -> None:
-        if self._waiting:
-            self._waiting = self._waiting_for_slot = False
-            self._context.wait_queue.remove(self, served=served)
+        self._search.dispatch()
+        return not self._search.waits_for_slot
 
     def _log_placement(self, placement: Placement, standing: ContentStatus) -> None:
         age = self._context.endpoint_monitor.list_age()
@@ -488,7 +398,7 @@
 
     def _add_attempt(self, attempt: CallAttempt) -> None:
         """Take an attempt in that is about to start."""
-        self._seeks_endpoint = False
+        self._search.end()
         self._delivery.detach()
         self._attempts.add(attempt)
         self._last_attempt = attempt
@@ -502,7 +412,7 @@
     def _settle(self, attempt: CallAttempt) -> None:
         """Deliver the answer of one attempt, and end all others and the search for another."""
         was_silent = attempt.silent
-        if not was_silent and not self._seeks_endpoint and self._attempts.only is attempt:
+        if not was_silent and not self._search.active and self._attempts.only is attempt:
             return
         others = self._attempts.keep_only(attempt)
         self._stop_seeking()
@@ -520,11 +430,7 @@
 
     def _stop_seeking(self) -> None:
         """Seek no further endpoint for the request."""
-        self._seeks_endpoint = False
-        self._stop_waiting()
-        if self._postponed_send is not None:
-            self._postponed_send.cancel()
-        self._gate.permit = None
+        self._search.end()
         self._sends.return_unsent_retry()
 
     def _forward_events(self, attempt: CallAttempt, reply: Reply, events: bytes) -> None:
@@ -574,7 +480,7 @@
         Others may be in progress, and the request may be sent again.
         """
         has_newer = self._attempts.remove(attempt)
-        if has_newer or self._seeks_endpoint:
+        if has_newer or self._search.active:
             attempt.cancel()
             self._pace_only_attempt()
             return True
@@ -631,8 +537,8 @@
         )
         if self._attempts.newest is None:
             self._delivery.detach()
-        self._seeks_endpoint = True
-        self.dispatch()
+        self._watchdog.stop()
+        self._search.begin()
 
     def restart_stall_timer(self, placement: Placement | None) -> None:
         """Restart the stall watchdog if the request may be sent again."""
@@ -672,7 +578,7 @@
 
     def _can_replace(self, attempt: CallAttempt) -> bool:
         """Return whether a stalled attempt may be replaced by another one."""
-        if self._finished or attempt is not self._attempts.newest or self._seeks_endpoint:
+        if self._finished or attempt is not self._attempts.newest or self._search.active:
             return False
         return self._sends.may_replace(attempt)
 
@@ -718,12 +624,12 @@
         self._delivery.send_whole(attempt, reply)
 
     @property
-    def _may_be_refused(self) -> bool:
+    def may_be_refused(self) -> bool:
         """Return whether a refusal as not run would be true."""
         in_progress = self._attempts.newest is not None
         return not (self._may_have_run or self._delivery.started or in_progress)
 
-    def _refuse_quarantined(self, judgement: Judgement) -> None:
+    def refuse_quarantined(self, judgement: Judgement) -> None:
         """Refuse a request that crashes the endpoints that run it."""
         reason = self._context.crash_guard.refuse(judgement)
         self.story.log(
@@ -733,7 +639,7 @@
             seconds_left=round(reason.seconds_left, 1),
         )
         detail = "requests with this content or part end the endpoints that run them"
-        if not self._may_be_refused:
+        if not self.may_be_refused:
             self.fail(detail)
             return
         # Not limited by the caller's timeout, since an earlier retry would be refused as well.
@@ -742,11 +648,6 @@
             retry_after_header(judgement.seconds, math.inf),
         )
 
-    def postpone(self, seconds: float) -> None:
-        """Dispatch the request again after some seconds."""
-        self._stop_waiting()
-        self._postponed_send = self._context.loop.call_later(seconds, self.dispatch)
-
     def _refuse(self, detail: str, headers: Headers) -> None:
         self._finish(Outcome.REFUSED, 503, detail)
         headers = self.forwarder.with_refusal(headers, self.send_count)
@@ -769,9 +670,7 @@
         self._deadline_timer.cancel()
         self._watchdog.stop()
         self._delivery.detach()
-        self._stop_waiting()
-        if self._postponed_send is not None:
-            self._postponed_send.cancel()
+        self._search.end()
         self._context.exchange_finished(self, outcome, status, detail)
 
 
--- a/src/brassdrum/gateway/request/send_gate.py
+++ b/src/brassdrum/gateway/request/send_gate.py
@@ -13,7 +13,7 @@
 from brassdrum.gateway.throttling.throttle import EndpointOpening
 from brassdrum.telemetry import log_events
 
-__all__ = ["GatedExchange", "SendGate"]
+__all__ = ["GatedExchange", "GatedSearch", "SendGate"]
 
 # The shortest time for which a request asks for permits, however long it has waited before.
 _MIN_ASKING_MS = 500.0
@@ -28,24 +28,31 @@
     def finished(self) -> bool:
         """Return whether the request has its final response."""
 
+    def fail(self, detail: str, retry_after: float | None = None) -> None:
+        """Refuse the request or break it off; ``retry_after`` is in seconds."""
+
+
+class GatedSearch(Protocol):
+    """The search for an endpoint that waits for the gate."""
+
     def dispatch(self) -> None:
         """Place the request and send it."""
 
     def postpone(self, seconds: float) -> None:
         """Dispatch the request again after some seconds."""
 
-    def fail(self, detail: str, retry_after: float | None = None) -> None:
-        """Refuse the request or break it off; ``retry_after`` is in seconds."""
-
 
 class SendGate:
     """Obtain permits for the sends of one request, or wait until an endpoint opens."""
 
-    def __init__(self, context: ExchangeContext, exchange: GatedExchange) -> None:
+    def __init__(
+        self, context: ExchangeContext, exchange: GatedExchange, search: GatedSearch
+    ) -> None:
         self.permit: Permit | None = None
         self._ask_until: float | None = None
         self._context = context
         self._exchange = exchange
+        self._search = search
 
     def admits(self, endpoint: str) -> bool:
         """Return whether the request may be sent to an endpoint as far as its rate is limited."""
@@ -70,7 +77,7 @@
         elif opening.needs_permit:
             self.request_permit(opening.endpoint, max_wait)
         else:
-            self._exchange.postpone(opening.seconds)
+            self._search.postpone(opening.seconds)
 
     def ask_at_once(self, endpoint: str, need: PlacementRequest) -> None:
         """Ask for a permit to send now, or refuse a request that has asked for too long.
@@ -111,9 +118,9 @@
             self._ask_until = None
         # A refusal within the time that was asked for is worth a second try after the wait.
         if wait > 0 and (permit.granted or wait <= max_wait):
-            self._exchange.postpone(wait)
+            self._search.postpone(wait)
         else:
-            self._exchange.dispatch()
+            self._search.dispatch()
 
     def _max_wait(self, need: PlacementRequest, opening: EndpointOpening) -> float:
         """Return for how many seconds the request may wait for an endpoint that is closed.
