--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -56,7 +56,8 @@
 from brassdrum.gateway.request.intake import Arrival, RequestIntake
 from brassdrum.gateway.request.outcome import Outcome
 from brassdrum.gateway.request.placer import PlacedExchange, RequestPlacer
-from brassdrum.gateway.request.retry_budget import SharedRetryBudget
+from brassdrum.gateway.request.results import record_result
+from brassdrum.gateway.request.retry_budget import RetryBudgets
 from brassdrum.gateway.request.waiting import WaitQueue
 from brassdrum.gateway.sharing.fair_order import FairOrder
 from brassdrum.gateway.sharing.ledger import DemandLedger
@@ -135,7 +136,11 @@
         )
         self._store = store
         self._policy = policies.get(settings.policy)
-        self._budget_by_service: dict[str, SharedRetryBudget] = {}
+        self._retry_budgets = RetryBudgets(
+            self.loop.now,
+            lambda: self.settings.bounds,
+            lambda: 1 if self._peers is None else self._peers.live,
+        )
         self._exchanges: set[TrackedExchange] = set()
         self._intake = RequestIntake(self, self._random)
         self._state = _CHART.initial
@@ -361,7 +366,7 @@
         exchange.service = service
         self._exchanges.add(exchange)
         if arrival.forwarded is None:
-            self._retry_budget(service).record_request(self.loop.now())
+            self._retry_budgets.record_request(service)
         exchange.start()
         return exchange
 
@@ -393,17 +398,15 @@
 
     def consume_retry(self, service: str) -> bool:
         """Take one retry from the shared budget, or return False if it is exhausted."""
-        assert self._peers is not None
-        return self._retry_budget(service).try_consume(self.loop.now(), self._peers.live)
+        return self._retry_budgets.try_consume(service)
 
     def return_retry(self, service: str) -> None:
         """Give back a retry that was taken and not sent."""
-        self._retry_budget(service).give_back()
+        self._retry_budgets.give_back(service)
 
     def retries_left(self, service: str) -> float:
         """Return the number of retries that this daemon may still send."""
-        assert self._peers is not None
-        return self._retry_budget(service).remaining(self.loop.now(), self._peers.live)
+        return self._retry_budgets.remaining(service)
 
     def response_interrupted(self, attempt: Attempt, lost: LostRequest) -> None:
         """Check whether the endpoint has exited, unless it was draining."""
@@ -431,38 +434,8 @@
     ) -> None:
         """Log the result of a request and update metrics."""
         self._exchanges.discard(exchange)
-        report = exchange.latency_report()
-        self.metrics.record_result(exchange, outcome, report)
-        values = {
-            "request": exchange.request.id,
-            "route": exchange.route.name,
-            "status": status,
-            "ms": report.total_ms,
-            "first_ms": report.first_event_ms,
-            "prompt": exchange.request.prompt_tokens,
-            "sends": exchange.send_count,
-            "version": self.routing_state.version,
-            "sender": exchange.sender,
-        }
-        delivered = {
-            "pause_ms": report.longest_pause_ms,
-            "framing": exchange.answer_framing,
-            "partial": exchange.partial_event_bytes,
-        }
-        if outcome is not Outcome.SERVED:
-            log_events.FAILED.write(
-                _logger,
-                content=exchange.traits.content,
-                outcome=outcome.name.lower(),
-                detail=detail,
-                gave_up=exchange.gave_up,
-                story=exchange.story.decisions,
-                **values,
-            )
-        elif report.late:
-            log_events.LATE.write(_logger, story=exchange.story.decisions, **values, **delivered)
-        else:
-            log_events.SERVED.write(_logger, **values, **delivered)
+        version = self.routing_state.version
+        record_result(_logger, self.metrics, exchange, outcome, status, detail, version)
 
     @property
     def own_host(self) -> str:
@@ -540,14 +513,6 @@
             )
             self.loop.call_later(_METRICS_DELAY_SECONDS, self.metrics.set_up_in_background)
 
-    def _retry_budget(self, service: str) -> SharedRetryBudget:
-        if service not in self._budget_by_service:
-            bounds = self.settings.bounds
-            self._budget_by_service[service] = SharedRetryBudget(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
-            )
-        return self._budget_by_service[service]
-
     def _reload(self, reload: Callable[[], GatewaySettings]) -> None:
         try:
             new_settings = reload()
--- a/src/brassdrum/gateway/request/retry_budget.py
+++ b/src/brassdrum/gateway/request/retry_budget.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 
-__all__ = ["SharedRetryBudget"]
+from brassdrum.gateway.model import Bounds
+
+__all__ = ["RetryBudgets", "SharedRetryBudget"]
 
 # The rest is a margin for daemons that have just joined or are counted late.
 _USABLE_SHARE = 0.7
@@ -43,3 +46,45 @@
         """Take the last retry back, which was not sent."""
         if self._retry_times:
             self._retry_times.pop()
+
+
+class RetryBudgets:
+    """The part of one daemon in the retry budgets of all services.
+
+    ``live_daemons`` returns how many daemons share the budgets.
+    """
+
+    def __init__(
+        self,
+        now: Callable[[], float],
+        bounds: Callable[[], Bounds],
+        live_daemons: Callable[[], int],
+    ) -> None:
+        self._now = now
+        self._bounds = bounds
+        self._live_daemons = live_daemons
+        self._by_service: dict[str, SharedRetryBudget] = {}
+
+    def record_request(self, service: str) -> None:
+        """Count a request that is sent for the first time."""
+        self._budget(service).record_request(self._now())
+
+    def try_consume(self, service: str) -> bool:
+        """Count a retry, or return False if none is left."""
+        return self._budget(service).try_consume(self._now(), self._live_daemons())
+
+    def give_back(self, service: str) -> None:
+        """Take the last retry back, which was not sent."""
+        self._budget(service).give_back()
+
+    def remaining(self, service: str) -> float:
+        """Return the number of retries that this daemon may still send in the window."""
+        return self._budget(service).remaining(self._now(), self._live_daemons())
+
+    def _budget(self, service: str) -> SharedRetryBudget:
+        if service not in self._by_service:
+            bounds = self._bounds()
+            self._by_service[service] = SharedRetryBudget(
+                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+            )
+        return self._by_service[service]
