Break off an answer whose heads or framing have no end

What callers saw: an endpoint that sent informational heads (1xx) or chunk extensions without end held its attempt until the deadline; a request that may not be repeated then got 504. The daemon read and parsed as fast as they came. Cause: h11 limits an incomplete head or chunk header, but not how many complete ones precede the answer or its bytes. Change: the bytes of an answer before its body are limited to 64 KB, all heads together; after that the framing may take 128 KB and 16 bytes for each byte of the body. An answer beyond that counts as broken off: closed, logged as `answer over limit` with the limit, counted, and sent to another endpoint where the route allows that.

--- a/src/brassdrum/gateway/measures.py
+++ b/src/brassdrum/gateway/measures.py
@@ -235,6 +235,11 @@
         self._add_gauge(
             "connections_opened", "Connections opened.", lambda: sources.pool.connections_opened
         )
+        self._add_gauge(
+            "answers_over_limit",
+            "Answers of endpoints that exceeded a limit and were broken off.",
+            lambda: sources.pool.answers_over_limit,
+        )
 
     def add_dropped_lines_gauge(self, dropped: Mapping[str, int]) -> None:
         """Add a gauge for the number of dropped log lines."""
--- /dev/null
+++ b/src/brassdrum/gateway/net/answer_limits.py
@@ -0,0 +1,44 @@
+"""Limits on the bytes of one answer that are not content a caller can use; no side effects."""
+
+from __future__ import annotations
+
+__all__ = ["MAX_HEAD_BYTES", "AnswerMeter"]
+
+# The status line and headers of an answer, together with all informational heads (1xx) before it.
+MAX_HEAD_BYTES = 65536
+# Heads, chunk sizes, chunk extensions and trailers: a fixed amount, and some for each byte of the
+# body. A chunk of one byte takes 5 bytes of framing.
+_MAX_FRAMING_BYTES = 2 * MAX_HEAD_BYTES
+_MAX_FRAMING_PER_BODY_BYTE = 16
+
+
+class AnswerMeter:
+    """Count the bytes of one answer, and tell which limit they exceed."""
+
+    def __init__(self) -> None:
+        self.received_bytes = 0
+        self._body_bytes = 0
+        self._head_complete = False
+
+    def received(self, count: int) -> None:
+        """Count bytes that were read."""
+        self.received_bytes += count
+
+    def head_completed(self) -> None:
+        """Note the status and headers, which informational heads may precede."""
+        self._head_complete = True
+
+    def body_received(self, count: int) -> None:
+        """Count bytes of the body, without their framing."""
+        self._body_bytes += count
+
+    def exceeded_limit(self) -> str | None:
+        """Return which limit the bytes read so far exceed, or None."""
+        if not self._head_complete:
+            if self.received_bytes > MAX_HEAD_BYTES:
+                return f"its heads exceed {MAX_HEAD_BYTES} bytes"
+            return None
+        framing = self.received_bytes - self._body_bytes
+        if framing > _MAX_FRAMING_BYTES + _MAX_FRAMING_PER_BODY_BYTE * self._body_bytes:
+            return f"its framing exceeds {_MAX_FRAMING_BYTES} bytes and its body"
+        return None
--- a/src/brassdrum/gateway/net/upstream.py
+++ b/src/brassdrum/gateway/net/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import logging
 from collections import defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -12,9 +13,11 @@
 import h11
 
 from brassdrum.gateway.model import Headers
+from brassdrum.gateway.net.answer_limits import MAX_HEAD_BYTES, AnswerMeter
 from brassdrum.gateway.net.flow_control import MAX_READ_BYTES
 from brassdrum.gateway.net.loop import EventLoop, Timer
 from brassdrum.gateway.net.transport import Dialer, Transport, dial
+from brassdrum.telemetry import log_events
 
 __all__ = [
     "CallFailure",
@@ -25,6 +28,7 @@
     "OutgoingRequest",
 ]
 
+_logger = logging.getLogger(__name__)
 # A handshake between zones takes about 5 ms.
 _CONNECT_TIMEOUT_SECONDS = 0.3
 # Used without a Keep-Alive header; shorter than the usual idle timeout of servers.
@@ -39,7 +43,8 @@
 # with its window closed, as one that acknowledges nothing.
 _MAX_ACKNOWLEDGED_BODY_BYTES = 16384
 _MAX_IDLE_PER_ADDRESS = 32
-_MAX_HEADER_BYTES = 65536
+# How ``h11`` marks bytes beyond the limit on an incomplete head, chunk header or trailer.
+_TOO_LONG_STATUS = 431
 
 
 class CallFailure(Enum):
@@ -87,7 +92,8 @@
         self._loop = loop
         self._call: EndpointCall | None = None
         self._established = False
-        self._codec = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES)
+        self._codec = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._meter = AnswerMeter()
         self._opened_at = loop.now()
         self._answered = False
         begun = pool.dial(address)
@@ -122,6 +128,7 @@
     def send(self, call: EndpointCall) -> None:
         """Send the request of a call once the connection is established."""
         self._call = call
+        self._meter = AnswerMeter()
         if self._established:
             self._send_request()
 
@@ -143,15 +150,25 @@
         if data and not self._answered:
             self._answered = True
             self._pool.observer.reached(self.address, self._opened_at)
-        if self._call is None:
+        call, meter = self._call, self._meter
+        if call is None:
             # Neither data nor EOF is expected on an idle connection.
             self._pool.discard(self)
             return
+        meter.received(len(data))
         try:
             self._codec.receive_data(data)
             self._process_events()
         except h11.RemoteProtocolError as error:
+            if error.error_status_hint == _TOO_LONG_STATUS:
+                self._exceed_limit(f"a head or trailer exceeds {MAX_HEAD_BYTES} bytes")
+                return
             self._fail_call(str(error))
+            return
+        # The connection may carry another call by now.
+        exceeded = meter.exceeded_limit() if self._call is call else None
+        if exceeded is not None:
+            self._exceed_limit(exceeded)
 
     def connection_lost(self, error: OSError) -> None:
         """Handle a connection error."""
@@ -194,8 +211,10 @@
             if isinstance(event, h11.Response):
                 self._apply_keep_alive(event)
                 self._call.response_started = True
+                self._meter.head_completed()
                 self._call.owner.response_started(event.status_code, event.headers.raw_items())
             elif isinstance(event, h11.Data):
+                self._meter.body_received(len(event.data))
                 self._call.owner.response_data(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self._complete_call()
@@ -232,6 +251,16 @@
         self._pool.observer.connection_failed(self.address)
         self._fail_call("connect timed out")
 
+    def _exceed_limit(self, limit: str) -> None:
+        """Break off an answer that may go on without end."""
+        if self._call is None:
+            return
+        self._pool.answers_over_limit += 1
+        log_events.ANSWER_OVER_LIMIT.write(
+            _logger, address=self.address, limit=limit, bytes=self._meter.received_bytes
+        )
+        self._fail_call(f"the answer was broken off: {limit}")
+
     def _fail_call(self, detail: str) -> None:
         self._stop_timer()
         self._transport.close()
@@ -307,6 +336,7 @@
         self._loop = loop
         self._idle_by_address: dict[str, deque[EndpointConnection]] = defaultdict(deque)
         self.connections_opened = 0
+        self.answers_over_limit = 0
 
     def call(
         self, address: str, owner: CallOwner, request: OutgoingRequest, *, fresh: bool = False
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -399,6 +399,14 @@
     "The caller reads more slowly than the endpoint sends; the endpoint waits. Once a response.",
     "None, unless many: see slow-readers.md.",
 )
+ANSWER_OVER_LIMIT = LOG_EVENTS.add(
+    "answer over limit",
+    Topic.FAILURE,
+    "address limit bytes",
+    "An endpoint or a daemon at `address` sent more that is no usable answer than `limit` allows; "
+    "its connection was closed after `bytes`, and the answer counts as broken off.",
+    "Look at what the endpoint sends: its server or a proxy in front of it is broken.",
+)
 NOT_READ = LOG_EVENTS.add(
     "response not read",
     Topic.FAILURE,
