Break off a failure whose body has no end

What callers saw: the body of a 4xx or 5xx went on for as long as the endpoint sent it (64 MB, all that the stand-in had). Cause: a failure that is too long to be kept is passed on while it arrives, without a limit. Change: the body of an answer other than 2xx is limited to 4 MB, the default length of a request that it may quote. Beyond that the answer counts as broken off, visibly to the caller. A request may also set a lower limit, for the calls that read small answers.

--- a/src/brassdrum/gateway/net/answer_limits.py
+++ b/src/brassdrum/gateway/net/answer_limits.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
-__all__ = ["MAX_HEAD_BYTES", "AnswerMeter"]
+__all__ = ["MAX_CONTROL_ANSWER_BYTES", "MAX_HEAD_BYTES", "AnswerMeter"]
 
 # The status line and headers of an answer, together with all informational heads (1xx) before it.
 MAX_HEAD_BYTES = 65536
+# The answer to a probe or a reservation call: some numbers and at most 64 tickets.
+MAX_CONTROL_ANSWER_BYTES = 65536
+# The body of an answer other than 2xx. It may quote the request, whose body is as long by default.
+_MAX_FAILURE_BYTES = 4 << 20
 # Heads, chunk sizes, chunk extensions and trailers: a fixed amount, and some for each byte of the
 # body. A chunk of one byte takes 5 bytes of framing.
 _MAX_FRAMING_BYTES = 2 * MAX_HEAD_BYTES
@@ -13,20 +17,26 @@
 
 
 class AnswerMeter:
-    """Count the bytes of one answer, and tell which limit they exceed."""
+    """Count the bytes of one answer, and tell which limit they exceed.
 
-    def __init__(self) -> None:
+    ``max_body_bytes`` limits the body of any answer, None only that of a failure.
+    """
+
+    def __init__(self, max_body_bytes: int | None = None) -> None:
         self.received_bytes = 0
         self._body_bytes = 0
         self._head_complete = False
+        self._max_body_bytes = max_body_bytes
 
     def received(self, count: int) -> None:
         """Count bytes that were read."""
         self.received_bytes += count
 
-    def head_completed(self) -> None:
+    def head_completed(self, status: int) -> None:
         """Note the status and headers, which informational heads may precede."""
         self._head_complete = True
+        if self._max_body_bytes is None and not 200 <= status < 300:
+            self._max_body_bytes = _MAX_FAILURE_BYTES
 
     def body_received(self, count: int) -> None:
         """Count bytes of the body, without their framing."""
@@ -38,6 +48,8 @@
             if self.received_bytes > MAX_HEAD_BYTES:
                 return f"its heads exceed {MAX_HEAD_BYTES} bytes"
             return None
+        if self._max_body_bytes is not None and self._body_bytes > self._max_body_bytes:
+            return f"its body exceeds {self._max_body_bytes} bytes"
         framing = self.received_bytes - self._body_bytes
         if framing > _MAX_FRAMING_BYTES + _MAX_FRAMING_PER_BODY_BYTE * self._body_bytes:
             return f"its framing exceeds {_MAX_FRAMING_BYTES} bytes and its body"
--- a/src/brassdrum/gateway/net/upstream.py
+++ b/src/brassdrum/gateway/net/upstream.py
@@ -57,12 +57,13 @@
 
 @dataclass(frozen=True, slots=True)
 class OutgoingRequest:
-    """A request to an endpoint."""
+    """A request to an endpoint; ``max_answer_bytes`` limits the body of its answer, if set."""
 
     method: bytes
     target: bytes
     headers: Headers
     body: bytes
+    max_answer_bytes: int | None = None
 
 
 class CallOwner(Protocol):
@@ -128,7 +129,7 @@
     def send(self, call: EndpointCall) -> None:
         """Send the request of a call once the connection is established."""
         self._call = call
-        self._meter = AnswerMeter()
+        self._meter = AnswerMeter(call.request.max_answer_bytes)
         if self._established:
             self._send_request()
 
@@ -211,7 +212,7 @@
             if isinstance(event, h11.Response):
                 self._apply_keep_alive(event)
                 self._call.response_started = True
-                self._meter.head_completed()
+                self._meter.head_completed(event.status_code)
                 self._call.owner.response_started(event.status_code, event.headers.raw_items())
             elif isinstance(event, h11.Data):
                 self._meter.body_received(len(event.data))
