--- a/src/brassdrum/gateway/path/path_watch.py
+++ b/src/brassdrum/gateway/path/path_watch.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from brassdrum.gateway.model import Headers
+from brassdrum.gateway.net.answer_limits import MAX_CONTROL_ANSWER_BYTES
 from brassdrum.gateway.net.loop import EventLoop, Timer
 from brassdrum.gateway.net.upstream import CallFailure, EndpointCall, EndpointPool, OutgoingRequest
 from brassdrum.gateway.path.path_state import PathState, PathTracker
@@ -162,7 +163,10 @@
             loop.call_later(_PROBE_TIMEOUT_SECONDS, self._timed_out),
             loop.call_later(_PROBE_CLOSE_SECONDS, self._close),
         ]
-        request = OutgoingRequest(b"GET", path, [(b"Host", address.encode())], b"")
+        host = [(b"Host", address.encode())]
+        request = OutgoingRequest(
+            b"GET", path, host, b"", max_answer_bytes=MAX_CONTROL_ANSWER_BYTES
+        )
         self._call: EndpointCall = pool.call(address, self, request, fresh=True)
 
     def response_started(self, status: int, headers: Headers) -> None:
