--- a/src/brassdrum/gateway/placing/reservations.py
+++ b/src/brassdrum/gateway/placing/reservations.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from brassdrum.gateway.model import Dialect, EndpointSignals, Headers, Reservation
+from brassdrum.gateway.net.answer_limits import MAX_CONTROL_ANSWER_BYTES
 from brassdrum.gateway.net.loop import EventLoop, Timer
 from brassdrum.gateway.net.upstream import CallFailure, EndpointCall, EndpointPool, OutgoingRequest
 
@@ -50,12 +51,20 @@
             (b"Content-Type", b"application/json"),
             (b"Content-Length", b"%d" % len(body)),
         ]
-        request = OutgoingRequest(b"POST", path.encode(), headers, body)
+        request = OutgoingRequest(
+            b"POST", path.encode(), headers, body, max_answer_bytes=MAX_CONTROL_ANSWER_BYTES
+        )
         self._call = self._pool.call(address, self, request)
 
     def get(self, address: str, path: str) -> None:
         """Send a GET request."""
-        request = OutgoingRequest(b"GET", path.encode(), [(b"Host", address.encode())], b"")
+        request = OutgoingRequest(
+            b"GET",
+            path.encode(),
+            [(b"Host", address.encode())],
+            b"",
+            max_answer_bytes=MAX_CONTROL_ANSWER_BYTES,
+        )
         self._call = self._pool.call(address, self, request)
 
     def response_started(self, status: int, headers: Headers) -> None:
