Break off a stream that sends comments without an event

What callers saw: comments or empty lines as fast as they go were passed on, 64 MB of them, until the deadline where no other endpoint took the request; beside a second attempt they were read and dropped at the same speed. Cause: comments are no progress, but nothing limited their bytes. Change: 64 KB of comments without an event break the stream off, so that another endpoint resumes it where the route allows that. Keep-alive comments each second fit in for an hour.

--- a/src/brassdrum/gateway/request/events.py
+++ b/src/brassdrum/gateway/request/events.py
@@ -6,16 +6,27 @@
 
 from brassdrum.gateway.request.completeness import ContentEnd
 
-__all__ = ["EventOrderError", "EventStreamReader"]
+__all__ = ["CommentLimitError", "EventOrderError", "EventStreamReader", "StreamError"]
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+# Comments and empty lines between two events; a keep-alive comment takes some 15 bytes, so that
+# one each second fits for an hour.
+_MAX_COMMENT_BYTES = 65536
 _EVENT_ID = re.compile(rb"^id:[ ]?(\d+)\s*$", re.MULTILINE)
 
 
-class EventOrderError(Exception):
+class StreamError(Exception):
+    """Raised when a stream cannot go on at its endpoint."""
+
+
+class EventOrderError(StreamError):
     """Raised when an event is missing, repeated or belongs to another stream."""
 
 
+class CommentLimitError(StreamError):
+    """Raised when comments go on without an event."""
+
+
 class EventStreamReader:
     """Buffer a stream and return its complete events.
 
@@ -26,6 +37,7 @@
         self.last_id = last_id
         self.event_count = 0
         self._buffer = b""
+        self._comment_bytes = 0
 
     @property
     def incomplete(self) -> bytes:
@@ -41,7 +53,7 @@
         return ContentEnd.AFTER_EVENT if self.event_count else ContentEnd.BEFORE_FIRST_EVENT
 
     def feed(self, data: bytes) -> bytes:
-        """Return the bytes of all complete events, or raise ``EventOrderError``."""
+        """Return the bytes of all complete events, or raise ``StreamError``."""
         self._buffer += data
         end = 0
         for match in _EVENT_END.finditer(self._buffer):
@@ -52,10 +64,13 @@
 
     def _check_order(self, event: bytes) -> None:
         match = _EVENT_ID.search(event)
-        if match is None:
-            self.event_count += not all(map(_is_comment, event.split(b"\n")))
+        if match is None and all(map(_is_comment, event.split(b"\n"))):
+            self._count_comment(len(event))
             return
+        self._comment_bytes = 0
         self.event_count += 1
+        if match is None:
+            return
         number = int(match.group(1))
         if self.last_id is not None and number != self.last_id + 1:
             raise EventOrderError(
@@ -63,6 +78,14 @@
             )
         self.last_id = number
 
+    def _count_comment(self, count: int) -> None:
+        """Count bytes of comments since the last event."""
+        self._comment_bytes += count
+        if self._comment_bytes > _MAX_COMMENT_BYTES:
+            raise CommentLimitError(
+                f"the comments without an event exceed {_MAX_COMMENT_BYTES} bytes"
+            )
+
 
 def _is_comment(line: bytes) -> bool:
     """Return whether a line without its end is empty or a comment."""
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -26,7 +26,7 @@
 from brassdrum.gateway.request.attempt import Attempt, CallAttempt, helper_name
 from brassdrum.gateway.request.completeness import ContentEnd, break_reason
 from brassdrum.gateway.request.delivery import AnswerDelivery, PacedFlow
-from brassdrum.gateway.request.events import EventOrderError
+from brassdrum.gateway.request.events import StreamError
 from brassdrum.gateway.request.exchange_context import ExchangeContext
 from brassdrum.gateway.request.outcome import LatencyReport, Outcome, ResponseTiming
 from brassdrum.gateway.request.patience import (
@@ -230,7 +230,7 @@
         count_before = reader.event_count
         try:
             blocks = reader.feed(content)
-        except EventOrderError as error:
+        except StreamError as error:
             attempt.cancel()
             self._handle_lost_attempt(attempt, str(error), certain=False)
             return
