Drop what a caller sends after its last request

What was seen: a caller that read nothing and went on sending after its last request (`Connection: close`) kept its connection, and the unread answer, for as long as it sent: each read began a new delivery time, and the bytes were kept. Cause: a connection that only waits to deliver its answer still passed what it read to the codec, which refused it each time; each refusal set the timer again. Change: such a connection drops what it reads and keeps its timer.

--- a/src/brassdrum/gateway/net/callers.py
+++ b/src/brassdrum/gateway/net/callers.py
@@ -136,6 +136,8 @@
         self._handler: CallerHandler | None = None
         self._responding = False
         self._delivering = False
+        # Whether the connection closes once what is buffered was sent.
+        self._closing = False
         self._timer: Timer | None = None
         self._reading = False
         self._transport = Transport(loop, sock, self)
@@ -217,9 +219,13 @@
         if not data and self._responding:
             self._handle_disconnect()
             return
-        if not data and not self._reading:
+        if not data and (not self._reading or self._closing):
             self._close()
             return
+        if self._closing:
+            # No request is read any more. The bytes are dropped instead of left in the socket, for
+            # the reset of a connection with unread data may discard the response.
+            return
         try:
             self._codec.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -384,6 +390,7 @@
         self._close_after_flush()
 
     def _close_after_flush(self) -> None:
+        self._closing = True
         self._stop_timer()
         self.flow.release_body()
         self._transport.close_when_sent()
