--- a/features/load.feature
+++ b/features/load.feature
@@ -12,7 +12,7 @@
     And 0.8 of first events come within twice their prediction with the default policy and fewer without
 
   Scenario: Daemons take the places that others have freed in turns
-    Given a short burst at 2.0 times the usual load for 6 seconds on 24 seeds
+    Given a short burst at 2.0 times the usual load for 6 seconds on 48 seeds
     When the load is simulated with the default policy
     And the load is simulated with freed slots open to all daemons at once
     Then at least 1.5 times as many requests queue inside an engine without the default policy
