Refuse a caller's request whose chunk extensions have no end

What was seen: a caller could send 64 MB of chunk extensions within the time for a request, all of which was parsed. Cause: only the time and the bytes of the body were limited, not the framing between them. Change: framing may take twice the limit on heads and 16 bytes for each byte of the body, as in answers; else 431. Evidence: the scenario took all 64 MB on and is refused now. Chunked bodies of the other scenarios pass.

--- a/src/brassdrum/gateway/net/answer_limits.py
+++ b/src/brassdrum/gateway/net/answer_limits.py
@@ -1,8 +1,8 @@
-"""Limits on the bytes of one answer that are not content a caller can use; no side effects."""
+"""Limits on the bytes of an answer or a request that nobody can use; no side effects."""
 
 from __future__ import annotations
 
-__all__ = ["MAX_CONTROL_ANSWER_BYTES", "MAX_HEAD_BYTES", "AnswerMeter"]
+__all__ = ["MAX_CONTROL_ANSWER_BYTES", "MAX_HEAD_BYTES", "AnswerMeter", "framing_limit"]
 
 # The status line and headers of an answer, together with all informational heads (1xx) before it.
 MAX_HEAD_BYTES = 65536
@@ -10,12 +10,16 @@
 MAX_CONTROL_ANSWER_BYTES = 65536
 # The body of an answer other than 2xx. It may quote the request, whose body is as long by default.
 _MAX_FAILURE_BYTES = 4 << 20
-# Heads, chunk sizes, chunk extensions and trailers: a fixed amount, and some for each byte of the
-# body. A chunk of one byte takes 5 bytes of framing.
-_MAX_FRAMING_BYTES = 2 * MAX_HEAD_BYTES
+# Heads, chunk sizes, chunk extensions and trailers may take twice the limit on heads, and this for
+# each byte of the body. A chunk of one byte takes 5 bytes of framing.
 _MAX_FRAMING_PER_BODY_BYTE = 16
 
 
+def framing_limit(head_bytes: int, body_bytes: int) -> int:
+    """Return how many bytes may frame a body, given the limit on heads."""
+    return 2 * head_bytes + _MAX_FRAMING_PER_BODY_BYTE * body_bytes
+
+
 class AnswerMeter:
     """Count the bytes of one answer, and tell which limit they exceed.
 
@@ -50,7 +54,7 @@
             return None
         if self._max_body_bytes is not None and self._body_bytes > self._max_body_bytes:
             return f"its body exceeds {self._max_body_bytes} bytes"
-        framing = self.received_bytes - self._body_bytes
-        if framing > _MAX_FRAMING_BYTES + _MAX_FRAMING_PER_BODY_BYTE * self._body_bytes:
-            return f"its framing exceeds {_MAX_FRAMING_BYTES} bytes and its body"
+        limit = framing_limit(MAX_HEAD_BYTES, self._body_bytes)
+        if self.received_bytes - self._body_bytes > limit:
+            return f"its framing exceeds {limit} bytes, with a body of {self._body_bytes}"
         return None
--- a/src/brassdrum/gateway/net/callers.py
+++ b/src/brassdrum/gateway/net/callers.py
@@ -15,6 +15,7 @@
 import h11
 
 from brassdrum.gateway.model import CallerLimits, Headers, RequestHead
+from brassdrum.gateway.net.answer_limits import framing_limit
 from brassdrum.gateway.net.loop import EventLoop, Timer
 from brassdrum.gateway.net.pacing import CallerFlow, Pacer, UnpacedFlow
 from brassdrum.gateway.net.transport import Transport
@@ -132,6 +133,8 @@
         self._head: RequestHead | None = None
         self._body = bytearray()
         self._body_bytes = 0
+        # Bytes of the request, without those of the read that began it.
+        self._request_bytes = 0
         self._body_refused = False
         self._handler: CallerHandler | None = None
         self._responding = False
@@ -226,6 +229,7 @@
             # No request is read any more. The bytes are dropped instead of left in the socket, for
             # the reset of a connection with unread data may discard the response.
             return
+        self._request_bytes += len(data)
         try:
             self._codec.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -282,6 +286,7 @@
                 return
             if event is h11.NEED_DATA:
                 self._check_partial_head()
+                self._check_framing()
                 return
             if event is h11.PAUSED:
                 return
@@ -348,11 +353,19 @@
         if not self._reading and self._codec.trailing_data[0]:
             self._begin_reading()
 
+    def _check_framing(self) -> None:
+        """Refuse a request whose chunk extensions have no end."""
+        limit = framing_limit(self._limits.header_bytes, self._body_bytes)
+        if self._reading and self._request_bytes - self._body_bytes > limit:
+            _logger.info("malformed request", extra={"error": f"its framing exceeds {limit} bytes"})
+            self._send_error(431)
+
     def _begin_reading(self) -> None:
         if self._reading:
             return
         self._reading = True
         self._body_bytes = 0
+        self._request_bytes = 0
         self._body_refused = False
         self.flow.deliver_until = 0.0
         self._limits = self._responder.limits()
