Give up a topic of the store whose pages have no end

What was seen: a store that always says that there are more records held the reading thread and was called without end; each call is priced. Cause: the loop over the pages of a topic had no bound. Change: a page that is repeated, or more than 200 pages (100,000 records), counts as an unavailable store. Evidence: both scenarios did not end within 10 s on the code before; they pass.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -153,7 +153,8 @@
       | informational heads | fast   |
       | informational heads | slowly |
       | headers             | slowly |
-      | pages               | fast   |
+      | the same page       | fast   |
+      | new pages           | fast   |
 
   Scenario Outline: A peer's page with <bytes> without end, sent <pace>, is given up
     Given a store that answers with <bytes> without end, sent <pace>
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -343,8 +343,9 @@
             while (request := read_request(stream)) is not None:
                 self.calls += 1
                 if piece is None:
-                    self.endless_bytes += len(beginning)
-                    send_response(connection, 200, beginning, request)
+                    page = beginning(self.calls)
+                    self.endless_bytes += len(page)
+                    send_response(connection, 200, page, request)
                     continue
                 connection.sendall(beginning)
                 send_without_end(self, connection, piece, pause)
@@ -402,15 +403,20 @@
 # The store and the pages of peers.
 
 
+def store_page(key):
+    """Return a page with one record, after which there are more."""
+    item = {"key": key, "value": "", "offset": 1}
+    return json.dumps({"items": [item], "has_more": True, "end_offset": 2}).encode()
+
+
 @given("a store that answers with {name} without end, sent {pace}")
 def step_endless_store(context, name, pace):
-    item = {"key": "k", "value": "", "offset": 1}
-    page = json.dumps({"items": [item], "has_more": True, "end_offset": 2}).encode()
     script = {
         "a body": (OK_HEAD, chunk(b" " * 2000)),
         "informational heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
         "headers": (b"HTTP/1.1 200 OK\r\n", b"X: y\r\n"),
-        "pages": (page, None),
+        "the same page": (lambda number: store_page("k"), None),
+        "new pages": (lambda number: store_page(f"k{number}"), None),
     }[name]
     context.server = EndlessServer(*script, pause=0.0 if pace == "fast" else SLOW_SECONDS)
     context.stack.push(context.server.close)
--- a/src/brassdrum/platform/store.py
+++ b/src/brassdrum/platform/store.py
@@ -33,6 +33,9 @@
 _QUARANTINE_TOPIC = "keyed.brassdrum-quarantine"
 # An answer takes 4 ms, and 60 times that on a slow day.
 _CALL_SECONDS = 1.0
+# Pages of a topic, each with 500 records or 1 MB. 100,000 records are 20 times the endpoints that
+# are planned for.
+_MAX_PAGES = 200
 # Rises by one each time the store comes back from a copy that may lack the last seconds.
 _ERA_HEADER = "Store-Era"
 _logger = logging.getLogger(__name__)
@@ -126,12 +129,16 @@
 
     def _pages(self, topic: str) -> Iterator[_Page]:
         after = ""
-        while True:
+        for _ in range(_MAX_PAGES):
             page = self._page(topic, after)
             yield page
             if not page.more or not page.items:
                 return
-            after = f"&after={quote(str(page.items[-1].get('key')), safe='')}"
+            following = f"&after={quote(str(page.items[-1].get('key')), safe='')}"
+            if following == after:
+                raise PlatformUnavailableError(f"The store repeats a page of {topic}.")
+            after = following
+        raise PlatformUnavailableError(f"The store has more than {_MAX_PAGES} pages of {topic}.")
 
     def _page(self, topic: str, after: str) -> _Page:
         answer = self._call("GET", f"/log-newest?topic={topic}&part=0{after}")
