Keep an unacknowledged request while it is sent to another endpoint

A request whose host acknowledged nothing for 1 s was given up by the kernel: its connection failed, and where no other endpoint took the request its caller got 502 or a broken stream, also when the host had only paused. The same cause as for silent endpoints, in the time-out of TCP.

After 1 s without acknowledgement the request now goes to another endpoint as well, and the connection fails after 3 s. 'A request that is unacknowledged for 1 s is sent to another endpoint and kept' fails on the code before. 'An idempotent request does not stay unacknowledged for long' asked for 1 s of the kernel; that bound is checked by the new scenario, and 3 s are asked of the kernel. A host that really does not acknowledge was not provoked: loopback always does.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -52,7 +52,18 @@
     Given a gateway in front of two endpoints
     And the endpoints use the behaviour "complete response" for all requests
     When a caller sends a "check"
-    Then the pooled connection fails when a request stays unacknowledged for 1 s
+    Then the pooled connection fails when a request stays unacknowledged for 3 s
+
+  # Guards against a request that waits for a host that is gone, and against one whose connection is
+  # given up while the host only pauses.
+  Scenario: A request that is unacknowledged for 1 s is sent to another endpoint and kept
+    Given a gateway in front of two endpoints
+    And its log is kept
+    And the endpoints use the behaviour "no response" for all requests
+    And no endpoint acknowledges a request
+    When a caller sends a "text" in the background
+    Then the request is sent again since it was not acknowledged
+    And both endpoints have the request on a connection that is open
 
   Scenario: A stalled stream continues when the retry budget allows no second attempt
     Given a gateway in front of two endpoints without a retry budget
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -5,11 +5,13 @@
 import json
 import socket
 from dataclasses import replace
+from unittest import mock
 
 from behave import given, then, when
 
 from brassdrum.errors import PlatformUnavailableError
 from brassdrum.gateway.model import EngineModel, RouteKind
+from brassdrum.gateway.net.transport import Transport
 from features.gateway_world import (
     EVENT_COUNT,
     HOST,
@@ -296,6 +298,40 @@
     assert bounds == [seconds * 1000], bounds
 
 
+@given("no endpoint acknowledges a request")
+def step_unacknowledged_bytes(context):
+    # Loopback acknowledges whatever the process does, so the count is replaced.
+    patched = mock.patch.object(Transport, "unacknowledged_bytes", 100)
+    patched.start()
+    context.stack.push(patched.stop)
+
+
+@when('a caller sends a "{kind:w}" in the background')
+def step_send_in_background(context, kind):
+    context.caller = send_in_background(context, kind)
+
+
+@then("the request is sent again since it was not acknowledged")
+def step_sent_again_unacknowledged(context):
+    def reasons():
+        lines = map(json.loads, context.log_file.read_text().splitlines())
+        return [line["reason"] for line in lines if line["event"] == "sent again"]
+
+    eventually(reasons, "the request is sent again")
+    assert reasons() == ["the request was not acknowledged"], reasons()
+
+
+@then("both endpoints have the request on a connection that is open")
+def step_both_open(context):
+    eventually(
+        lambda: all(len(endpoint.requests) == 1 for endpoint in context.endpoints),
+        "both endpoints have the request",
+    )
+    assert all(endpoint.open_connections >= 1 for endpoint in context.endpoints)
+    for endpoint in context.endpoints:
+        endpoint.released.set()
+
+
 @then("the caller is still waiting")
 def step_still_waits(context):
     assert context.waiting.waiting
--- a/src/brassdrum/gateway/forwarding/forwarded_attempt.py
+++ b/src/brassdrum/gateway/forwarding/forwarded_attempt.py
@@ -91,6 +91,7 @@
         address = f"{self.host}:{self._context.peer_port}"
         fresh = not self._owner.route.repeatable
         self._call = self._context.peer_pool.call(address, self, request, fresh=fresh)
+        self._call.on_unacknowledged = self._request_unacknowledged
 
     def first_event_received(self) -> None:
         """Do nothing: the other daemon counts the load."""
--- a/src/brassdrum/gateway/net/transport.py
+++ b/src/brassdrum/gateway/net/transport.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import selectors
 import socket
 import struct
+import termios
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -21,6 +23,8 @@
 _KERNEL_BUFFER_BYTES = 262144
 # TCP states of a connection whose peer has closed it, as in the kernel's ``tcp_states.h``.
 _PEER_CLOSED_STATES = (7, 8)
+# The argument of an ``ioctl`` that returns an ``int``.
+_NO_COUNT = struct.pack("i", 0)
 # ``struct linger``: enabled, for 0 seconds.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -96,6 +100,14 @@
         """Set how long sent data may stay unacknowledged before the connection fails."""
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(seconds * 1000))
 
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """Return the bytes that were written and that the other host has not acknowledged yet."""
+        if self.closed:
+            return 0
+        count = fcntl.ioctl(self._socket.fileno(), termios.TIOCOUTQ, _NO_COUNT)
+        return int(struct.unpack("i", count)[0]) + len(self._write_buffer)
+
     @property
     def write_buffer_size(self) -> int:
         """Return the number of bytes waiting to be written to the socket."""
--- a/src/brassdrum/gateway/net/upstream.py
+++ b/src/brassdrum/gateway/net/upstream.py
@@ -36,9 +36,11 @@
 # Connections are not reused this close to the idle timeout that the endpoint announces: a request
 # in flight when the endpoint closes the connection would be lost.
 _KEEP_ALIVE_MARGIN_SECONDS = 0.5
-# Detects an unreachable host, so that the request can be retried. Long enough for two lost packets
-# and half a second of queueing on a slow link.
+# Detects an unreachable host, so that the request can be sent to another one. Long enough for two
+# lost packets and half a second of queueing on a slow link.
 _ACK_TIMEOUT_SECONDS = 1.0
+# The connection fails then. A host that is only paused for a second or two acknowledges before.
+_ACK_LIMIT_SECONDS = 3.0
 # A body above this may fill the endpoint's window. The kernel counts an endpoint that reads slowly,
 # with its window closed, as one that acknowledges nothing.
 _MAX_ACKNOWLEDGED_BODY_BYTES = 16384
@@ -97,6 +99,8 @@
         self._meter = AnswerMeter()
         self._opened_at = loop.now()
         self._answered = False
+        self._checks_ack = False
+        self._ack_timer: Timer | None = None
         begun = pool.dial(address)
         self.failed = begun.error != 0
         if self.failed:
@@ -124,7 +128,8 @@
     def set_ack_timeout(self, body_bytes: int) -> None:
         """Limit how long the request may stay unacknowledged, unless its body is large."""
         limited = body_bytes <= _MAX_ACKNOWLEDGED_BODY_BYTES
-        self._transport.set_ack_timeout(_ACK_TIMEOUT_SECONDS if limited else 0.0)
+        self._transport.set_ack_timeout(_ACK_LIMIT_SECONDS if limited else 0.0)
+        self._checks_ack = limited
 
     def send(self, call: EndpointCall) -> None:
         """Send the request of a call once the connection is established."""
@@ -137,6 +142,7 @@
         """Close the connection without notifying the call."""
         self._call = None
         self._stop_timer()
+        self._stop_ack_timer()
         self._transport.close()
 
     def connection_made(self) -> None:
@@ -196,6 +202,22 @@
             # The transport keeps what is unsent.
             call.request = replace(request, body=b"")
         self._transport.write(self._codec.send(h11.EndOfMessage()))
+        if self._checks_ack:
+            self._ack_timer = self._loop.call_later(_ACK_TIMEOUT_SECONDS, self._check_acknowledged)
+
+    def _check_acknowledged(self) -> None:
+        """Report a request that the other host has not acknowledged in time."""
+        call = self._call
+        if call is None or not self._transport.unacknowledged_bytes:
+            return
+        self._pool.observer.connection_failed(self.address)
+        if call.on_unacknowledged is not None:
+            call.on_unacknowledged()
+
+    def _stop_ack_timer(self) -> None:
+        if self._ack_timer is not None:
+            self._ack_timer.cancel()
+            self._ack_timer = None
 
     def _read_size(self) -> int:
         """Return how many bytes of the response may be read now."""
@@ -223,6 +245,7 @@
                 self._fail_call("the endpoint closed the connection")
 
     def _complete_call(self) -> None:
+        self._stop_ack_timer()
         call, self._call = self._call, None
         assert call is not None
         both_done = self._codec.our_state is h11.DONE and self._codec.their_state is h11.DONE
@@ -264,6 +287,7 @@
 
     def _fail_call(self, detail: str) -> None:
         self._stop_timer()
+        self._stop_ack_timer()
         self._transport.close()
         call, self._call = self._call, None
         if call is None:
@@ -293,6 +317,8 @@
         self.connection: EndpointConnection | None = None
         # Returns how many bytes of the response may be read now; 0 pauses it.
         self.read_gate: Callable[[], int] | None = None
+        # Called once if the other host does not acknowledge the request in time.
+        self.on_unacknowledged: Callable[[], None] | None = None
 
     @property
     def unsent_bytes(self) -> int:
--- a/src/brassdrum/gateway/request/attempt.py
+++ b/src/brassdrum/gateway/request/attempt.py
@@ -91,8 +91,8 @@
     def reservation_unusable(self, attempt: Attempt, detail: str) -> None:
         """Handle a memory reservation that is refused or too late; the request was not sent."""
 
-    def attempt_unresponsive(self, attempt: Attempt) -> None:
-        """Handle failed liveness checks; the memory reserved for the endpoint is released."""
+    def attempt_unresponsive(self, attempt: CallAttempt, detail: str, *, certain: bool) -> None:
+        """Handle an endpoint that does not answer; it may still go on."""
 
     def attempt_response_started(self, attempt: CallAttempt, reply: Reply) -> None:
         """Handle the status and headers of the response."""
@@ -224,6 +224,11 @@
         """End the attempt."""
         self._finished = True
 
+    def _request_unacknowledged(self) -> None:
+        if not self._finished:
+            detail = "the request was not acknowledged"
+            self._owner.attempt_unresponsive(self, detail, certain=False)
+
     def response_data(self, content: bytes) -> None:
         """Handle a chunk of the response body."""
         if not self._finished:
@@ -329,11 +334,13 @@
         fresh = not self._owner.route.repeatable
         self.sent_at = self._context.loop.now()
         self._call = self._context.pool.call(address, self, request, fresh=fresh)
+        self._call.on_unacknowledged = self._request_unacknowledged
         self._owner.restart_stall_timer(self._placement)
 
     def _endpoint_unresponsive(self) -> None:
         if not self._finished:
-            self._owner.attempt_unresponsive(self)
+            detail = "the endpoint does not answer liveness checks"
+            self._owner.attempt_unresponsive(self, detail, certain=True)
 
     def first_event_received(self) -> None:
         """Record that prefill is complete and decoding has begun."""
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -563,12 +563,10 @@
         assert newest is not None
         self._replace_silent(newest, "the endpoint is silent", certain=certain)
 
-    def attempt_unresponsive(self, attempt: CallAttempt) -> None:
-        """Seek a replacement for an attempt whose endpoint fails its liveness checks."""
-        if not self._can_replace(attempt):
-            return
-        detail = "the endpoint does not answer liveness checks"
-        self._replace_silent(attempt, detail, certain=True)
+    def attempt_unresponsive(self, attempt: CallAttempt, detail: str, *, certain: bool) -> None:
+        """Seek a replacement for an attempt whose endpoint does not answer."""
+        if self._can_replace(attempt):
+            self._replace_silent(attempt, detail, certain=certain)
 
     def _replace_silent(self, attempt: CallAttempt, detail: str, *, certain: bool) -> None:
         """Send the request to another endpoint as well; the silent one may still go on."""
