--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -121,6 +121,9 @@
     def cancel(self) -> None:
         self._cancel()
 
+    def resume_reading(self) -> None:
+        """Do nothing: what an engine sends is read at once."""
+
 
 class _Pool:
     """Hand requests to simulated engines."""
--- a/src/brassdrum/bench/load/forwarding.py
+++ b/src/brassdrum/bench/load/forwarding.py
@@ -43,6 +43,9 @@
         if self.exchange is not None and not self.exchange.finished:
             self.exchange.caller_disconnected()
 
+    def resume_reading(self) -> None:
+        """Do nothing: what the other daemon sends is read at once."""
+
 
 class _PeerConnection:
     """Hand what the other daemon answers to the attempt, later by the way."""
