Let simulated daemons believe that engines fail, and share the retry budget

With a failure model a run uses the real FailureDetector, carries its notices in the status, counts retries against the real SharedRetryBudget and hears refusals as not run. Runs without one believe that all engines are sound, as before.

--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -7,12 +7,13 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 
+from brassdrum.bench.load.endpoint_monitor import FailureModel, SimulatedEndpointMonitor
 from brassdrum.bench.load.engine import EngineRun, SimulatedEngine
 from brassdrum.bench.load.forwarding import FORWARDED, ForwardedRequest, PeerPool
 from brassdrum.bench.load.loop import SimulatedLoop
 from brassdrum.bench.load.network import SimulatedNetwork
+from brassdrum.bench.load.retries import SimulatedRetries
 from brassdrum.gateway.following.cold_watch import ColdWatch
-from brassdrum.gateway.following.slowdown_monitor import SlowdownMonitor
 from brassdrum.gateway.forwarding.targets import ForwardTargets
 from brassdrum.gateway.guards.crash_guard import CrashGuard
 from brassdrum.gateway.guards.endings import LostRequest
@@ -41,6 +42,7 @@
 from brassdrum.gateway.placing.room_sampler import RoomSampler
 from brassdrum.gateway.placing.unknown_load import UnknownLoad
 from brassdrum.gateway.request.attempt import Attempt
+from brassdrum.gateway.request.exchange import Exchange
 from brassdrum.gateway.request.exchange_context import TrackedExchange
 from brassdrum.gateway.request.outcome import Outcome
 from brassdrum.gateway.request.placer import PlacedExchange, RequestPlacer
@@ -60,6 +62,7 @@
 _SENDING = b"sending"
 _RATE_LIMIT = b"limit"
 _COLD_LEFT = b"cold"
+_NOT_RUN = b"not-run"
 _REPORT_PATH = "/report"
 _REPORT_TARGET = _REPORT_PATH.encode()
 _CONNECT_TIMEOUT_SECONDS = 0.3
@@ -89,6 +92,8 @@
     report_seconds: float = 2 * _WAY_SECONDS
     # Requests per second that a cold engine takes from all daemons together.
     cold_rate: float | None = None
+    # None in runs without engines that fail, whose daemons believe nothing and retry without bound.
+    failures: FailureModel | None = None
 
     def daemon_on(self, host: str) -> SimulatedDaemon:
         """Return the daemon on a host."""
@@ -198,9 +203,19 @@
             helpers,
             stored,
         )
+
+        def answer_refusal() -> None:
+            if not run.cancelled:
+                owner.response_started(503, [(_NOT_RUN, b"1")])
+
+        def cancel() -> None:
+            self._daemon.ended_attempts += not run.refused
+            head.cancel(run)
+
+        run.on_refused = lambda: fleet.loop.call_later(2 * _WAY_SECONDS, answer_refusal)
         head.arrivals.append(fleet.loop.now())
         head.submit(run)
-        return _Call(lambda: head.cancel(run))
+        return _Call(cancel)
 
 
 @dataclass(frozen=True, slots=True)
@@ -210,7 +225,7 @@
 
 
 class _Dialect:
-    """Pass what an attempt sends on to the pool; every answer is a success."""
+    """Pass what an attempt sends on to the pool; engines answer or refuse requests as not run."""
 
     report_path = _REPORT_PATH
 
@@ -245,7 +260,9 @@
         )
 
     def read_reply(self, _request: DeclaredRequest, status: int, headers: Headers) -> Reply:
-        """Take every answer of an engine as a success; other daemons may fail."""
+        """Take every answer of an engine as a success or a refusal; other daemons may fail."""
+        if _NOT_RUN in dict(headers):
+            return Reply(ReplyKind.NOT_EXECUTED, status, headers)
         failed = status >= _FIRST_FAILURE_STATUS
         return Reply(ReplyKind.FAILURE if failed else ReplyKind.SUCCESS, status, headers)
 
@@ -273,33 +290,6 @@
         return _Hold()
 
 
-class _SimulatedEndpointMonitor:
-    """Believe that every endpoint is sound, if not equally fast."""
-
-    def __init__(self, loop: SimulatedLoop, routing_state: _SimulatedRoutingState) -> None:
-        self.slowdowns = SlowdownMonitor(loop, routing_state, lambda _: False)
-        self.slowdowns.enabled = True
-
-    def endpoint_failed(self, _endpoint: str, *, certain: bool, detail: str) -> None:
-        """Ignore a failure: no engine of a run is unsound."""
-
-    def endpoint_fell_silent(self, _endpoint: str) -> None:
-        """Ignore a silence."""
-
-    def endpoint_answered(self, _endpoint: str) -> None:
-        """Ignore the end of a silence."""
-
-    def endpoint_answered_failure(self, _endpoint: str, _detail: str) -> None:
-        """Believe nothing of it."""
-
-    def endpoint_served(self, _endpoint: str) -> None:
-        """Ignore a success."""
-
-    def list_age(self) -> float:
-        """Return a fresh list's age."""
-        return 0.0
-
-
 class _SimulatedRoutingState:
     version = 1
     evacuated_zones: frozenset[str] = frozenset()
@@ -343,7 +333,9 @@
         self.tokens_by_ticket: dict[str, int] = {}
         self.events_by_request: dict[str, int] = {}
         self.predictions: list[Prediction] = []
-        self.repeats = 0
+        # Attempts that this daemon ended while their callers waited, without refused ones.
+        self.ended_attempts = 0
+        self.sent_again = 0
         self.dialect = _Dialect(self)
         self.pool = _Pool(self)
         self.peer_pool = PeerPool(self)
@@ -364,7 +356,13 @@
             lambda: self.peers.set_path_lost(self.path.is_lost),
         )
         self.routing_state = _SimulatedRoutingState(fleet)
-        self.endpoint_monitor = _SimulatedEndpointMonitor(self.loop, self.routing_state)
+        failures = fleet.failures
+        self.endpoint_monitor = SimulatedEndpointMonitor(
+            self.loop, self.routing_state, believed=failures is not None
+        )
+        self.retries = SimulatedRetries(self.loop, lambda: self.peers.live, failures)
+        if failures is not None and failures.recovery_news:
+            self.endpoint_monitor.on_answered = self._spread_recovery
         slowdowns = self.endpoint_monitor.slowdowns
         self.crash_guard = CrashGuard(self.loop, self.load_table)
         self.reservations = _Reservations(self)
@@ -423,7 +421,7 @@
             self.throttle,
             self.crash_guard,
             self.fair_order,
-            lambda _: False,
+            self.endpoint_monitor.is_suspect,
             lambda: fleet.policy,
         )
         self._numbers = itertools.count()
@@ -438,14 +436,34 @@
         notices = tuple(self.signals.notices(self.loop.now()))
         endings = self.crash_guard.peer_updates()
         cold = self.cold.notices()
-        return PeerStatus(1, "", 0.0, 1, endings=endings, signals=notices, cold=cold)
+        failing = self.endpoint_monitor.failure_status()
+        return PeerStatus(1, "", 0.0, 1, endings=endings, signals=notices, cold=cold, **failing)
 
     def _apply_notices(self, host: str, status: PeerStatus) -> None:
         self.crash_guard.apply_peer_updates(status.endings)
         for notice in status.signals or ():
             self.signals.apply_notice(notice, self.loop.now())
         self.cold.apply_notices(host, status.cold)
-        self.endpoint_monitor.slowdowns.apply_report(host, status.slowdown)
+        self.endpoint_monitor.apply_status(host, status)
+
+    def _spread_recovery(self, endpoint: str) -> None:
+        """Let all other daemons know soon that an engine goes on."""
+        failures = self.fleet.failures
+        assert failures is not None
+        seconds = failures.news_seconds
+        for daemon in self.fleet.daemons:
+            if daemon is self:
+                continue
+            monitor = daemon.endpoint_monitor
+            self.loop.call_later(
+                seconds, lambda each=monitor: each.recovery_reported(endpoint, 10 * seconds)
+            )
+
+    def caller_left(self, exchange: Exchange) -> None:
+        """End a request whose caller has left; its attempts are not ended by this daemon."""
+        ended = self.ended_attempts
+        exchange.caller_disconnected()
+        self.ended_attempts = ended
 
     def may_wait(self, _exchange: PlacedExchange) -> bool:
         """Let all wait."""
@@ -462,17 +480,16 @@
         return next(self._numbers)
 
     def consume_retry(self, _service: str) -> bool:
-        """Count a repeat, and let it be sent."""
-        self.repeats += 1
-        return True
+        """Take a retry from the budget."""
+        return self.retries.consume()
 
     def return_retry(self, _service: str) -> None:
-        """Take back a repeat that was not sent."""
-        self.repeats -= 1
+        """Take back a retry that was not sent."""
+        self.retries.give_back()
 
     def retries_left(self, _service: str) -> float:
-        """Return a full budget."""
-        return 10.0
+        """Return how many retries are left."""
+        return self.retries.left()
 
     def log_event(self, event: LogEvent, **values: object) -> None:
         """Note what was predicted of a request when it was sent first."""
@@ -488,7 +505,8 @@
     def exchange_finished(
         self, exchange: TrackedExchange, _outcome: Outcome, _status: int, _detail: str
     ) -> None:
-        """Forget what was drawn for the request."""
+        """Count its sends, and forget what was drawn for the request."""
+        self.sent_again += max(0, exchange.send_count - 1)
         self.events_by_request.pop(exchange.request.id, None)
         self.route_by_request.pop(exchange.request.id, None)
 
--- a/src/brassdrum/bench/load/play.py
+++ b/src/brassdrum/bench/load/play.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from brassdrum.bench.load.daemon import SERVICE, Fleet, SimulatedDaemon
+from brassdrum.bench.load.endpoint_monitor import FailureModel
 from brassdrum.bench.load.engine import SimulatedEngine
 from brassdrum.bench.load.loop import SimulatedLoop
 from brassdrum.bench.load.network import SimulatedNetwork
@@ -45,13 +46,21 @@
 
 @dataclass(slots=True)
 class Count:
-    """Count what callers of one kind got; ``held`` are seconds waited for nothing."""
+    """Count what callers of one kind got; ``held`` are seconds waited for nothing.
+
+    ``broken`` counts the streams among ``left`` that a daemon broke off, ``failed`` the answers
+    among ``refused`` that did not say that the request has not run. ``turned_away`` counts all
+    answers that did.
+    """
 
     asked: int = 0
     timely: int = 0
     late: int = 0
     refused: int = 0
     left: int = 0
+    broken: int = 0
+    failed: int = 0
+    turned_away: int = 0
     earned: float = 0.0
     owed: float = 0.0
     held: list[float] = field(default_factory=list)
@@ -136,6 +145,8 @@
     cold_rate: float | None = None,
     acquainted_seconds: float = _ACQUAINTED_SECONDS,
     slowdowns: Sequence[float] = (),
+    model: EngineModel = ENGINE,
+    failures: FailureModel | None = None,
 ) -> LoadResult:
     """Return what callers got; rates are per 21 engines and scale with their number.
 
@@ -143,17 +154,21 @@
     before the first request, and may schedule faults. ``connect`` chooses the daemon of each
     request. Engines that are cold take ``cold_rate`` requests per second. Requests begin
     ``acquainted_seconds`` after the start of the daemons. The passes of the first engines take
-    ``slowdowns`` times as long as those of their model.
+    ``slowdowns`` times as long as those of their ``model``. With ``failures`` engines that are full
+    refuse requests, and daemons avoid those that fail.
     """
     rng = random.Random(seed)
     loop = SimulatedLoop()
     started_at = loop.now()
     names = [f"engine-{number}" for number in range(engines)]
     network = SimulatedNetwork(loop, random.Random(seed))
-    engine_by_id = {name: SimulatedEngine(loop, name, ENGINE) for name in names}
+    queue_limit = None if failures is None else failures.queue_limit
+    engine_by_id = {name: SimulatedEngine(loop, name, model, queue_limit) for name in names}
     for engine, slowdown in zip(engine_by_id.values(), slowdowns, strict=False):
         engine.slowdown = slowdown
-    fleet = Fleet(loop, network, ENGINE, engine_by_id, policy, [], cold_rate=cold_rate)
+    fleet = Fleet(
+        loop, network, model, engine_by_id, policy, [], cold_rate=cold_rate, failures=failures
+    )
     for number in range(daemons):
         address = DaemonAddress(_host(number, zones), f"zone-{number % zones}")
         daemon_rng = random.Random(seed * 100 + number)
@@ -175,7 +190,7 @@
     while loop.now() < latest and not all(caller.over for caller in callers):
         loop.advance(_LOOK_SECONDS)
     result.seconds = loop.now() - started_at
-    result.repeats = sum(daemon.repeats for daemon in fleet.daemons)
+    result.repeats = sum(len(daemon.retries.times) for daemon in fleet.daemons)
     result.queued = sum(engine.queued for engine in fleet.engine_by_id.values())
     return result
 
@@ -239,6 +254,7 @@
             self._daemon, self, request, b"", self._route, organisation, self._daemon.loop.now()
         )
         self._exchange.service = SERVICE
+        self._daemon.retries.record_request()
         self._exchange.start()
         self._watch()
 
@@ -275,6 +291,7 @@
         now = self._fleet.loop.now()
         left = self._arrival.kind.deadline - (now - self._asked_at)
         self._count.held.append(now - self._called_at)
+        self._count.turned_away += status == 503
         if status == 503 and self._tries <= _RETRIES:
             self._away = True
             wanted = float(dict(headers).get(b"Retry-After", b"0"))
@@ -282,12 +299,14 @@
             return
         self.over = True
         self._count.refused += 1
+        self._count.failed += status != 503
 
     def abort(self) -> None:
         """Count an answer that was broken off."""
         self.over = True
         self._note_first_try(None)
         self._count.left += 1
+        self._count.broken += 1
 
     def _watch(self) -> None:
         tries = self._tries
@@ -304,8 +323,8 @@
             self._note_first_try(None)
             self._count.left += 1
             self._count.held.append(silent)
-            assert self._exchange is not None
-            self._exchange.caller_disconnected()
+            assert self._exchange is not None and self._daemon is not None
+            self._daemon.caller_left(self._exchange)
 
         self._fleet.loop.call_later(patience, look)
 
