Add 'brassdrum bench silences'

It plays one endpoint, a third or all of them that are silent for a while or for good, and prints what callers got, what was done in vain and for how long sound endpoints are avoided.

--- a/src/brassdrum/cli/bench.py
+++ b/src/brassdrum/cli/bench.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import argparse
+import itertools
+import json
+import math
+import sys
 from dataclasses import asdict, replace
 from pathlib import Path
 
@@ -166,6 +170,30 @@
     return _print_table(rows, as_json=options.json)
 
 
+def _run_silences(options: argparse.Namespace) -> int:
+    from brassdrum.bench.silences import ENGINES_BY_DAEMONS, SilencePlan, play_silence
+
+    rows = []
+    cases = itertools.product(
+        options.daemons,
+        options.scope,
+        options.silence,
+        options.load,
+        range(options.first_seed, options.first_seed + options.seeds),
+    )
+    for daemons, scope, silence, load, seed in cases:
+        engines = options.engines or ENGINES_BY_DAEMONS.get(daemons, daemons)
+        plan = SilencePlan(daemons, engines, scope, silence, load, seed)
+        plan = replace(
+            plan, slots=options.slots, after=options.after, recovery_news=options.recovery_news
+        )
+        case = {"daemons": daemons, "scope": scope, "silence": silence, "load": load, "seed": seed}
+        rows.append({**case, **asdict(play_silence(plan))})
+        if options.progress:
+            print(json.dumps(rows[-1]), file=sys.stderr, flush=True)
+    return _print_table(rows, as_json=options.json)
+
+
 def _run_limits(options: argparse.Namespace) -> int:
     from brassdrum.bench.limits import LimitPlan, play_limit
 
@@ -296,6 +324,22 @@
     cuts.add_argument("--seed", type=int, default=1)
     cuts.add_argument("--json", action="store_true", help="print JSON")
     cuts.set_defaults(run=_run_cuts)
+    silences = actions.add_parser("silences", help="endpoints that fall silent, simulated")
+    silences.add_argument("--daemons", nargs="+", type=int, default=[6, 12])
+    silences.add_argument("--engines", type=int, help="8 slots each; a third more than daemons")
+    silences.add_argument("--slots", type=int, default=8, help="of each engine")
+    silences.add_argument("--scope", nargs="+", default=["one", "zone", "all"], help="or none")
+    silences.add_argument(
+        "--silence", nargs="+", type=float, default=[1.0, 1.5, 2.0, math.inf], help="seconds, inf"
+    )
+    silences.add_argument("--load", nargs="+", type=float, default=[0.5, 1.0], help="of the slots")
+    silences.add_argument("--after", type=float, default=6.0, help="seconds after the silence")
+    silences.add_argument("--recovery-news", action="store_true", help="who sees it go on reports")
+    silences.add_argument("--first-seed", type=int, default=1)
+    silences.add_argument("--seeds", type=int, default=1)
+    silences.add_argument("--progress", action="store_true", help="print each case when it is done")
+    silences.add_argument("--json", action="store_true", help="print JSON")
+    silences.set_defaults(run=_run_silences)
     flood = actions.add_parser("flood", help="others beside one organisation's flood, simulated")
     flood.add_argument("--daemons", nargs="+", type=int, default=[6, 12, 82])
     flood.add_argument("--flood", type=float, default=110.0, help="its requests a second")
