--- a/src/brassdrum/bench/silences.py
+++ b/src/brassdrum/bench/silences.py
@@ -22,7 +22,8 @@
 # How long a request holds a slot of a full engine of 8 slots; engines of more slots are slower.
 _SLOT_SECONDS = 1.6
 _SLOT_SECONDS_PER_SLOT = 0.005
-_KIND = replace(SHORT, rate=1.0)
+# The longest answers take 7 s; with a deadline of 10 s some would end at it, silence or not.
+_KIND = replace(SHORT, rate=1.0, deadline=15.0)
 _SILENT_AT_SECONDS = 2.5
 _SAMPLE_SECONDS = 0.05
 
