--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -455,9 +455,7 @@
             if daemon is self:
                 continue
             monitor = daemon.endpoint_monitor
-            self.loop.call_later(
-                seconds, lambda each=monitor: each.recovery_reported(endpoint, 10 * seconds)
-            )
+            self.loop.call_later(seconds, lambda each=monitor: each.recovery_reported(endpoint))
 
     def caller_left(self, exchange: Exchange) -> None:
         """End a request whose caller has left; its attempts are not ended by this daemon."""
--- a/src/brassdrum/bench/load/endpoint_monitor.py
+++ b/src/brassdrum/bench/load/endpoint_monitor.py
@@ -12,14 +12,17 @@
 
 __all__ = ["FailureModel", "SimulatedEndpointMonitor"]
 
+# Reports of a failure that are still on their way when a recovery is known arrive within this time.
+_OLD_REPORT_SECONDS = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class FailureModel:
     """Say how engines refuse requests and what daemons believe of those that fail.
 
     An engine refuses requests beyond its slots and ``queue_limit`` more as not run. The retry
-    budget is that of the daemons' settings. With ``recovery_news`` all daemons hear within
-    ``news_seconds`` that an engine goes on, which only a trial does.
+    budget is that of the daemons' settings. With ``recovery_news`` all daemons hear after
+    ``news_seconds`` that an engine goes on, which daemons do not report to each other today.
     """
 
     queue_limit: int = 4
@@ -40,7 +43,7 @@
         self._loop = loop
         self._believed = believed
         self._silent: set[str] = set()
-        self._deaf_until_by_endpoint: dict[str, float] = {}
+        self._ignored_until_by_endpoint: dict[str, float] = {}
         # Called with an engine that goes on.
         self.on_answered = _ignore
 
@@ -80,10 +83,10 @@
         self.detector.record_recovery(endpoint)
         self.on_answered(endpoint)
 
-    def recovery_reported(self, endpoint: str, seconds: float) -> None:
+    def recovery_reported(self, endpoint: str) -> None:
         """Use an engine again that another daemon saw go on; ignore older reports for a time."""
         self.detector.record_recovery(endpoint)
-        self._deaf_until_by_endpoint[endpoint] = self._loop.now() + seconds
+        self._ignored_until_by_endpoint[endpoint] = self._loop.now() + _OLD_REPORT_SECONDS
 
     def failure_status(self) -> dict[str, tuple]:
         """Return the fields of the status that name failing engines."""
@@ -98,7 +101,7 @@
         now = self._loop.now()
         self.slowdowns.apply_report(host, status.slowdown)
         for notice in status.failing:
-            if self._deaf_until_by_endpoint.get(notice.endpoint, -math.inf) <= now:
+            if self._ignored_until_by_endpoint.get(notice.endpoint, -math.inf) <= now:
                 self.detector.apply_notice(notice, now)
         for endpoint in status.recent_failures:
             self.detector.record_uncertain_failure(endpoint, host, now)
