Stop no pass of a simulated engine that is idle when it falls silent

The timer of its last pass had fired; it was taken for a pass in progress and called again when the engine went on, with a time in the past, so that the simulated clock went back. Found on requests that were in time during a silence of all engines (60 daemons, light load).

--- a/src/brassdrum/bench/load/engine.py
+++ b/src/brassdrum/bench/load/engine.py
@@ -107,11 +107,12 @@
         """Do no work and send nothing for some seconds, or for good if these are infinite."""
         if self._silence is not None:
             raise RuntimeError(f"{self.name} is silent already")
+        self._silence = _Silence(seconds)
         timer = self._pass_timer
-        if timer is None or timer.callback is None:
-            self._silence = _Silence(seconds)
-        else:
-            self._silence = _Silence(seconds, timer.when - self._loop.now(), timer.callback)
+        if self._busy and timer is not None:
+            # The timer of an idle engine has fired already.
+            self._silence.pass_seconds_left = timer.when - self._loop.now()
+            self._silence.stopped = timer.callback
             timer.cancel()
         if seconds < math.inf:
             self._loop.call_later(seconds, self._go_on)
