End answers of endpoints and platform services that come without end

Callers of a plain service waited for ever, past their deadline, when the service sent interim responses, trailers, a body or single bytes without end; the daemon kept what came until its memory was full. One such load report, cancellation, page of the log or host list held up its loop for good, and with it the reports of all engines. An early hint (103) was taken for the answer.

Cause: a time-out of a socket limits each read alone, http.client limits lines but neither their number nor the body, and it skips no interim response but 100.

Now a connection reads a head of at most 64 KiB, a body of at most 64 MiB (64 KiB of an engine's failure) and, unless the request has a deadline, ends 10 s after the silence that is allowed. The limits count bytes at the socket, so that they hold for framing of any kind. Open streams are not limited by them; their events are checked by the reader.

--- a/src/brassdrum/endpoints/engine.py
+++ b/src/brassdrum/endpoints/engine.py
@@ -35,6 +35,8 @@
 
 _CONTROL_TIMEOUT_SECONDS = 2.0
 _READ_BYTES = 65536
+# A failure is one short JSON object; of a longer one nothing is known but its status.
+_MAX_FAILURE_BYTES = 65536
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,6 +151,7 @@
                 request.body,
                 headers,
                 timeout=request.timeout_seconds,
+                time_limit=request.timeout_seconds,
                 fresh=True,
                 unframed=True,
                 on_connected=on_connected,
@@ -180,6 +183,7 @@
                 "GET",
                 path,
                 timeout=timeout_seconds,
+                time_limit=timeout_seconds,
                 fresh=True,
                 unframed=True,
                 on_connected=on_connected,
@@ -260,7 +264,7 @@
     def _response_error(self, exchange: Exchange) -> BrassdrumError:
         status = exchange.status
         try:
-            error = json.loads(exchange.read()).get("error", {})
+            error = json.loads(exchange.read(_MAX_FAILURE_BYTES)).get("error", {})
         except (ExchangeFailedError, ValueError, AttributeError):
             error = {}
         message = str(error.get("message", f"status {status}"))
--- a/src/brassdrum/endpoints/service.py
+++ b/src/brassdrum/endpoints/service.py
@@ -56,6 +56,7 @@
                 request.body or None,
                 request.headers,
                 timeout=request.timeout_seconds,
+                time_limit=request.timeout_seconds,
                 fresh=True,
             )
             body = exchange.read()
--- a/src/brassdrum/http_pool.py
+++ b/src/brassdrum/http_pool.py
@@ -5,11 +5,13 @@
 import http.client
 import socket
 import threading
+import time
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
+from brassdrum.bounded_socket import BoundedSocket
 from brassdrum.deferred_http import ConnectFailedError, ExchangeFailedError
 
 __all__ = ["ConnectFailedError", "Connected", "Exchange", "ExchangeFailedError", "HttpPool"]
@@ -17,6 +19,14 @@
 _MAX_IDLE = 64
 # Request line and headers of both sides together, as http.client and waitress send them.
 _HEADER_BYTES = 260
+# Status line, headers and interim responses together; as the gateway reads at most.
+_MAX_HEAD_BYTES = 65536
+# Four times the largest request body of the default settings. An answer is held in memory whole.
+_MAX_BODY_BYTES = 64 * 1024 * 1024
+# How much longer a response may take than the silence that is allowed before its first byte.
+_MAX_TRANSFER_SECONDS = 10.0
+_SWITCHING_PROTOCOLS = 101
+_FIRST_FINAL_STATUS = 200
 _FAILURES = (OSError, http.client.HTTPException)
 
 
@@ -41,7 +51,9 @@
     pool: HttpPool
     connection: http.client.HTTPConnection
     response: http.client.HTTPResponse
-    socket: socket.socket
+    socket: BoundedSocket
+    silence_seconds: float
+    read_until: float
 
     @property
     def status(self) -> int:
@@ -52,8 +64,12 @@
         """Return a response header, or None."""
         return self.response.headers.get(name)
 
-    def read(self) -> bytes:
-        """Return the whole body and give the connection back."""
+    def read(self, max_bytes: int = _MAX_BODY_BYTES) -> bytes:
+        """Return the whole body and give the connection back.
+
+        Raises ``ExchangeFailedError`` for one that is longer or not complete in time.
+        """
+        self.socket.bound_reads(self.silence_seconds, self.read_until, max_bytes)
         try:
             body = self.response.read()
         except _FAILURES as error:
@@ -76,7 +92,22 @@
         self.connection.close()
 
 
-class _UnframedConnection(http.client.HTTPConnection):
+class _FinalResponse(http.client.HTTPResponse):
+    """Skip interim responses; ``http.client`` skips status 100 only."""
+
+    def begin(self) -> None:
+        """Read the head of the final response."""
+        super().begin()
+        while self.status < _FIRST_FINAL_STATUS and self.status != _SWITCHING_PROTOCOLS:
+            self.headers = self.msg = None  # type: ignore[assignment]
+            super().begin()
+
+
+class _Connection(http.client.HTTPConnection):
+    response_class = _FinalResponse
+
+
+class _UnframedConnection(_Connection):
     _http_vsn = 10
     _http_vsn_str = "HTTP/1.0"
 
@@ -104,12 +135,15 @@
         headers: Mapping[str, str] | None = None,
         *,
         timeout: float | None = None,
+        time_limit: float | None = None,
         fresh: bool = False,
         unframed: bool = False,
         on_connected: Callable[[Connected], None] | None = None,
     ) -> Exchange:
         """Send a request and return its response with the body unread.
 
+        ``timeout`` limits each silence, ``time_limit`` the whole response as far as ``read`` reads
+        it, both in seconds.
         ``fresh`` opens a new connection: a reused one may have been closed by the other side, and
         then nobody knows whether the request ran. ``on_connected`` is handed the connection before
         the first byte leaves, so that another thread can end a wait for the response.
@@ -117,17 +151,19 @@
         ``ConnectFailedError`` or ``ExchangeFailedError``.
         """
         limit = self._timeout if timeout is None else max(0.001, timeout)
+        total = limit + _MAX_TRANSFER_SECONDS if time_limit is None else max(0.001, time_limit)
         connection, reused = (None, False) if fresh else self._take()
         if connection is None:
             connection = self._connect(limit, unframed=unframed)
         if on_connected is not None:
             on_connected(Connected(connection.sock))
         try:
-            return self._send(connection, method, path, body, headers, limit)
+            return self._send(connection, method, path, body, headers, limit, total)
         except ExchangeFailedError:
             if not reused:
                 raise
-        return self._send(self._connect(limit), method, path, body, headers, limit)
+        connection = self._connect(limit)
+        return self._send(connection, method, path, body, headers, limit, total)
 
     def call(
         self,
@@ -188,15 +224,15 @@
         return None, False
 
     def _connect(self, timeout: float, *, unframed: bool = False) -> http.client.HTTPConnection:
-        kind = _UnframedConnection if unframed else http.client.HTTPConnection
+        kind = _UnframedConnection if unframed else _Connection
         connection = kind(self._host, self._port, timeout=timeout)
         try:
             connection.connect()
         except OSError as error:
             connection.close()
             raise ConnectFailedError(_describe(error)) from error
-        if connection.sock is not None:
-            connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.sock = BoundedSocket.take_over(connection.sock)
         return connection
 
     def _send(
@@ -207,14 +243,17 @@
         body: bytes | None,
         headers: Mapping[str, str] | None,
         timeout: float,
+        time_limit: float,
     ) -> Exchange:
         try:
-            if connection.sock is not None:
-                connection.sock.settimeout(timeout)
             # getresponse() lets go of the socket when the server will close the connection.
-            sock = connection.sock
+            sock: BoundedSocket = connection.sock
+            read_until = time.monotonic() + time_limit
+            sock.bound_reads(timeout, read_until, _MAX_HEAD_BYTES)
             connection.request(method, path, body=body, headers=dict(headers or {}))
-            return Exchange(self, connection, connection.getresponse(), sock)
+            response = connection.getresponse()
+            sock.lift_bounds()
+            return Exchange(self, connection, response, sock, timeout, read_until)
         except _FAILURES as error:
             connection.close()
             raise ExchangeFailedError(_describe(error)) from error
