End a stream whose event comes without end, and ignore comments of engines

A caller whose engine sent one event without end got nothing until the silence limit of 60 s, and the daemon kept all of it and looked through it again at each read, in the thread that relays every open stream. Comments, which engines send to keep a connection open, were each counted and logged as an event of another stream: 89,900 warnings in one second of comments without end.

Cause: the assembler kept what has no end of event without a limit, and took a block without an id for a foreign event. Evidence: both examples of 'One event without end' did not end within 60 s before, and both scenarios of comments failed by the dropped events.

Now an event of more than 1 MiB, the gateway's limit, fails the stream at once and is not asked for again; a block with neither id nor data is no event. A comment still is no progress.

--- a/features/openai_endless_answers.feature
+++ b/features/openai_endless_answers.feature
@@ -48,3 +48,28 @@
     Given an endpoint that sends early hints before its answer
     When a daemon sends it a service call
     Then the call returns the answer
+
+  # Guards against a stream that is no event: it was kept whole, and looked through again at each
+  # read, by the thread that relays all streams.
+  Scenario Outline: One event without end <place>
+    Given a site of 1 daemon and 1 engine
+    And the engine is replaced by one that sends one event without end <place>
+    When a caller streams an answer
+    Then the answer ends with endpoint_failed
+    And the engine has sent at most 32 MiB
+
+    Examples:
+      | place                 |
+      | as its first one      |
+      | after its first event |
+
+  # Guards against comments that count as progress, or as events of another stream.
+  Scenario: Comments without end
+    Given an engine that sends comments without end
+    When a reader waits for its first event for 1 s
+    Then the reader fails and no event was dropped
+
+  Scenario: Comments between events
+    Given an engine that sends comments between 3 events
+    When a reader reads the stream to its end
+    Then the reader has 3 events and no event was dropped
--- a/src/brassdrum/daemon/engine_run.py
+++ b/src/brassdrum/daemon/engine_run.py
@@ -152,6 +152,8 @@
         assert self._connection is not None
         self._connection.close()
         self._raise_if_aborted()
+        if self._assembler.failure is not None:
+            raise EndpointFailedError(f"Endpoint {self._engine.name} {self._assembler.failure}.")
         if self._resumes_without_progress >= _MAX_RESUMES_WITHOUT_PROGRESS:
             raise EndpointFailedError(
                 f"Endpoint {self._engine.name} closed every connection early."
--- a/src/brassdrum/outcomes/stream.py
+++ b/src/brassdrum/outcomes/stream.py
@@ -8,6 +8,8 @@
 
 __all__ = ["CheckedEvent", "EventVerdict", "StreamAssembler", "StreamChecker", "StreamEvent"]
 
+# As in the gateway; an event holds one token or a few, an event with tool calls some kilobytes.
+_MAX_EVENT_BYTES = 1 << 20
 _NULL_FINISH_REASON = b'"finish_reason":null'
 
 
@@ -75,6 +77,8 @@
         self._last_data = b""
         self.complete = False
         self.broken = False
+        # Why no further connection can bring the rest, None while one can.
+        self.failure: str | None = None
 
     @property
     def next_index(self) -> int:
@@ -96,6 +100,10 @@
             event = self._accept(_parse(block))
             if event is not None:
                 events.append(event)
+        if len(self._buffer) > _MAX_EVENT_BYTES and not self.complete:
+            self._buffer = b""
+            self.broken = True
+            self.failure = f"sent an event of more than {_MAX_EVENT_BYTES} bytes"
         return events
 
     def _accept(self, event: StreamEvent) -> CheckedEvent | None:
@@ -103,6 +111,9 @@
             self.complete = bool(self._last_data) and _NULL_FINISH_REASON not in self._last_data
             self.broken = not self.complete
             return None
+        if not event.event_id and not event.data:
+            # A comment: engines send it to keep a connection open while they work.
+            return None
         verdict = self._checker.check(event.event_id)
         if verdict is EventVerdict.DELIVER:
             self._last_data = event.data
