Try a resumption again while the engine may hold the stream

Callers whose stream broke off got endpoint_failed, or 410 to a token that they resumed by, when the engine refused one resumption (429, 503) or closed its connection, as it does for a moment under load or behind a short cut. The failed token was worse: the daemon cancelled the stream at the engine, so that no later try could succeed either.

Cause: any answer but 200 was taken for 'the engine no longer has the stream', one failed connection ended the ten tries that follow connections which close early, and a reader that had never been connected counted its stream as its own.

Now only 404, 410 and a process that has exited end the stream at once. Other failures are tried again, ten times without progress, with the delays as before, and logged ('stream not resumed'). A resumption that fails in the end is answered with 502 and Retry-After, and cancels nothing.

--- /dev/null
+++ b/features/openai_silences.feature
@@ -0,0 +1,38 @@
+Feature: The OpenAI-compatible interface keeps what a silent neighbour may still finish
+
+  Guards against giving up a live attempt or an accepted request before its replacement is certain:
+  a sound endpoint may send nothing for a second or two and go on.
+
+  # Guards against a stream that is given up at the first resumption that fails.
+  Scenario Outline: An engine whose first resumptions <fail>
+    Given a site of 1 daemon and 1 engine
+    And the engine is replaced by one that breaks off a stream and <fail> the first 3 resumptions
+    When a caller streams an answer
+    Then the answer is complete
+    And the engine was sent 1 completion and 4 resumptions
+
+    Examples:
+      | fail                       |
+      | refuses with 503           |
+      | refuses with 429           |
+      | closes the connection of   |
+      | is silent for 1 s, then refuses with 503 |
+
+  # Guards against resumptions without end of a stream that the engine has freed.
+  Scenario: An engine that no longer has the stream is asked once
+    Given a site of 1 daemon and 1 engine
+    And the engine is replaced by one that breaks off a stream and refuses with 410 the first 3 resumptions
+    When a caller streams an answer
+    Then the answer ends with endpoint_failed
+    And the engine was sent 1 completion and 1 resumption
+
+  # Guards against cancelling a live stream, and refusing its token for good, because the engine
+  # could not be asked for a moment.
+  Scenario: A caller resumes while its engine does not serve resumptions
+    Given a site of 1 daemon and 1 engine
+    And the engine is replaced by one that serves a stream and refuses with 503 the first 11 resumptions
+    When a caller streams an answer
+    And the caller resumes its answer until it is served
+    Then no resumption was refused for good
+    And the engine was not asked to cancel a stream
+    And the resumed answer is complete
--- a/src/brassdrum/daemon/engine_run.py
+++ b/src/brassdrum/daemon/engine_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,12 +11,19 @@
 from brassdrum.daemon.cancels import CancelQueue
 from brassdrum.daemon.watch import AbortReason, ExchangeWatchdog, WatchedExchange
 from brassdrum.endpoints.engine import EngineClient, EngineConnection
-from brassdrum.errors import CallerDisconnectedError, DeadlineExceededError, EndpointFailedError
+from brassdrum.errors import (
+    CallerDisconnectedError,
+    DeadlineExceededError,
+    EndpointEndedError,
+    EndpointFailedError,
+    StreamGoneError,
+)
 from brassdrum.http_pool import Connected, ExchangeFailedError
 from brassdrum.outcomes.stream import CheckedEvent, EventVerdict, StreamAssembler
 
 __all__ = ["EngineStreamReader", "StreamIdentity", "StreamTimeouts"]
 
+_logger = logging.getLogger(__name__)
 _MAX_RESUMES_WITHOUT_PROGRESS = 10
 _RESUME_DELAY_SECONDS = 0.05
 _MAX_RESUME_DELAY_SECONDS = 1.0
@@ -42,6 +50,7 @@
 class EngineStreamReader:
     """Return each event of a stream once; resume at the engine when the connection breaks.
 
+    ``connect`` starts the stream; without it, the reader resumes one at ``next_index``.
     ``start``, ``next_events`` and ``recover`` block. After ``take_over`` the caller polls the
     socket, passes received data to ``feed`` and calls ``recover`` when the connection ends early.
     """
@@ -50,7 +59,7 @@
         self,
         engine: EngineClient,
         identity: StreamIdentity,
-        connect: Callable[[Callable[[Connected], None]], EngineConnection],
+        connect: Callable[[Callable[[Connected], None]], EngineConnection] | None,
         *,
         clock: Clock,
         watch: ExchangeWatchdog,
@@ -108,7 +117,10 @@
         """
         self._watch.add(self._watched)
         try:
-            self._connection = self._open_connection()
+            if self._connect is None:
+                self._resume()
+            else:
+                self._connection = self._open_connection(self._connect)
             return self.next_events()
         except BaseException:
             self.close()
@@ -151,26 +163,10 @@
         """Reconnect and resume at the first missing event. Raises as ``start`` does."""
         assert self._connection is not None
         self._connection.close()
-        self._raise_if_aborted()
         if self._assembler.failure is not None:
+            self._raise_if_aborted()
             raise EndpointFailedError(f"Endpoint {self._engine.name} {self._assembler.failure}.")
-        if self._resumes_without_progress >= _MAX_RESUMES_WITHOUT_PROGRESS:
-            raise EndpointFailedError(
-                f"Endpoint {self._engine.name} closed every connection early."
-            )
-        if self._resumes_without_progress:
-            delay = _RESUME_DELAY_SECONDS * 2**self._resumes_without_progress
-            self._clock.sleep(min(_MAX_RESUME_DELAY_SECONDS, delay))
-        self._resumes_without_progress += 1
-        self._connection = self._engine.resume(
-            self._identity.stream,
-            self._assembler.next_index,
-            self._set_connected,
-            model=self._identity.model,
-            chat=self._identity.chat,
-            timeout_seconds=max(0.05, self._times.deadline - self._clock.monotonic()),
-        )
-        self._assembler.restart()
+        self._resume()
 
     def close(self) -> None:
         """Close the exchange; cancel the stream unless it was completely received."""
@@ -183,9 +179,52 @@
         if self._may_be_running and not self.complete:
             self._cancels.add(self._engine, self._identity.stream)
 
-    def _open_connection(self) -> EngineConnection:
+    def _resume(self) -> None:
+        """Connect at the first missing event; try again while the engine may hold the stream."""
+        failure = f"Endpoint {self._engine.name} closed every connection early."
+        while True:
+            self._raise_if_aborted()
+            if self._resumes_without_progress >= _MAX_RESUMES_WITHOUT_PROGRESS:
+                raise EndpointFailedError(failure)
+            if self._resumes_without_progress:
+                delay = _RESUME_DELAY_SECONDS * 2**self._resumes_without_progress
+                self._clock.sleep(min(_MAX_RESUME_DELAY_SECONDS, delay))
+            self._resumes_without_progress += 1
+            try:
+                self._connection = self._open_resumption()
+            except (EndpointEndedError, StreamGoneError):
+                raise
+            except EndpointFailedError as error:
+                failure = error.message
+                _logger.info(
+                    "stream not resumed",
+                    extra={
+                        "endpoint": self._engine.name,
+                        "stream": self._identity.stream,
+                        "try": self._resumes_without_progress,
+                        "reason": failure,
+                    },
+                )
+                continue
+            self._may_be_running = True
+            self._assembler.restart()
+            return
+
+    def _open_resumption(self) -> EngineConnection:
+        return self._engine.resume(
+            self._identity.stream,
+            self._assembler.next_index,
+            self._set_connected,
+            model=self._identity.model,
+            chat=self._identity.chat,
+            timeout_seconds=max(0.05, self._times.deadline - self._clock.monotonic()),
+        )
+
+    def _open_connection(
+        self, connect: Callable[[Callable[[Connected], None]], EngineConnection]
+    ) -> EngineConnection:
         try:
-            connection = self._connect(self._set_connected)
+            connection = connect(self._set_connected)
         except EndpointFailedError:
             self._may_be_running = True
             self._raise_if_aborted()
--- a/src/brassdrum/daemon/resuming.py
+++ b/src/brassdrum/daemon/resuming.py
@@ -2,27 +2,29 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from brassdrum.daemon.core import Core, Scope
 from brassdrum.daemon.engine_run import EngineStreamReader, StreamIdentity, StreamTimeouts
 from brassdrum.daemon.finishing import RequestLifecycle, handle
 from brassdrum.daemon.relay import RelayedStream, StreamListener
 from brassdrum.daemon.streaming import SSE, StreamBody, error_chunk
-from brassdrum.endpoints.engine import EngineClient, EngineConnection
+from brassdrum.endpoints.engine import EngineClient
 from brassdrum.errors import (
     BrassdrumError,
+    EndpointEndedError,
     EndpointFailedError,
     InvalidRequestError,
     Ran,
     ResumeRefusedError,
+    StreamGoneError,
 )
-from brassdrum.http_pool import Connected
 from brassdrum.outcomes.resume import ResumeTicket
 from brassdrum.wsgi import Request, Response
 
 __all__ = ["ResumeHandler"]
 
+_RETRY_REMEDY = "Resume it again with the same token after retry_after seconds."
+_RETRY_AFTER_SECONDS = 1.0
+
 
 class ResumeHandler:
     """Answer ``GET /v1/resume``."""
@@ -49,10 +51,14 @@
         reader = self._open_reader(scope, ticket, engine, start)
         try:
             first = reader.start()
-        except EndpointFailedError as error:
+        except (EndpointEndedError, StreamGoneError) as error:
             raise ResumeRefusedError(
                 "The endpoint no longer holds the stream.", ran=Ran.MAYBE
             ) from error
+        except EndpointFailedError as error:
+            raise EndpointFailedError(
+                error.message, remedy=_RETRY_REMEDY, retry_after=_RETRY_AFTER_SECONDS
+            ) from error
         self._core.explanations.add(scope.request_id, "resumed", f"{ticket.request} from {start}")
         headers = {"Brassdrum-Request-Id": ticket.request, "Brassdrum-Resume-Token": token}
         listener = _ResumeListener(lifecycle)
@@ -68,20 +74,10 @@
         deadline = now + ticket.deadline - core.clock.now().timestamp()
         identity = StreamIdentity(ticket.stream, ticket.model, ticket.chat)
 
-        def connect(on_connected: Callable[[Connected], None]) -> EngineConnection:
-            return engine.resume(
-                ticket.stream,
-                start,
-                on_connected,
-                model=ticket.model,
-                chat=ticket.chat,
-                timeout_seconds=max(0.05, deadline - now),
-            )
-
         return EngineStreamReader(
             engine,
             identity,
-            connect,
+            None,
             clock=core.clock,
             watch=core.watchdog,
             cancels=core.cancels,
--- a/src/brassdrum/endpoints/engine.py
+++ b/src/brassdrum/endpoints/engine.py
@@ -21,6 +21,7 @@
     InvalidRequestError,
     NoEndpointError,
     Ran,
+    StreamGoneError,
 )
 from brassdrum.header_values import parse_decimal
 from brassdrum.http_pool import (
@@ -35,6 +36,7 @@
 
 _CONTROL_TIMEOUT_SECONDS = 2.0
 _READ_BYTES = 65536
+_STREAM_GONE_STATUSES = (404, 410)
 # A failure is one short JSON object; of a longer one nothing is known but its status.
 _MAX_FAILURE_BYTES = 65536
 
@@ -176,7 +178,12 @@
         chat: bool,
         timeout_seconds: float,
     ) -> EngineConnection:
-        """Resume a stream at an event index, or raise ``EndpointFailedError``."""
+        """Resume a stream at an event index.
+
+        Raises ``StreamGoneError`` when the engine no longer holds the stream,
+        ``EndpointEndedError`` when its process has exited, and ``EndpointFailedError`` when
+        another try may succeed.
+        """
         path = f"/v1/streams/{stream_id}?from={start_index}&model={model}&chat={int(chat)}"
         try:
             exchange = self._pool.request(
@@ -193,7 +200,11 @@
         if exchange.status == 200:
             return EngineConnection(exchange)
         exchange.drop()
-        raise EndpointFailedError(f"Endpoint {self.name} no longer has the stream.")
+        if exchange.status in _STREAM_GONE_STATUSES:
+            raise StreamGoneError(f"Endpoint {self.name} no longer has the stream.")
+        raise EndpointFailedError(
+            f"Endpoint {self.name} answered {exchange.status} to the resumption of a stream."
+        )
 
     def cancel(self, stream_id: str) -> bool:
         """Cancel a stream; return whether the engine confirmed it."""
--- a/src/brassdrum/errors.py
+++ b/src/brassdrum/errors.py
@@ -23,6 +23,7 @@
     "EndpointPausedError",
     "EndpointFailedError",
     "EndpointEndedError",
+    "StreamGoneError",
     "ContentQuarantinedError",
     "OutcomeUnknownError",
     "RequestInProgressError",
@@ -195,6 +196,10 @@
     """
 
 
+class StreamGoneError(EndpointFailedError):
+    """Fail a resumption of a stream that its endpoint no longer holds."""
+
+
 class ContentQuarantinedError(BrassdrumError):
     """Refuse a request whose content has ended several endpoints."""
 
