Deliver ready answers, and leave streams running, when a daemon stops as planned

Callers that read slowly lost the end of an answer when their daemon was replaced: the last 64 KiB and more of a stream with its [DONE], or all of a plain answer but the 2.8 MB that the kernel held. Streams that were still open when the time to drain had passed could not be resumed at another daemon: their token was answered with 410. They were recorded as caller_disconnected.

Cause: a request counts as ended once its last event is queued, and the daemon closed the callers' connections then, after 1 s at most; the relay's end cancelled every stream at its engine, as if the callers had left.

Now a daemon whose requests have ended waits up to 30 s, as long as the relay waits for such callers anyway, and logs if some have not read all. Streams that are cut by the end of the drain are not cancelled; their engine keeps them for the resumption, and they are recorded as not_ready.

--- a/features/openai_silences.feature
+++ b/features/openai_silences.feature
@@ -36,3 +36,25 @@
     Then no resumption was refused for good
     And the engine was not asked to cancel a stream
     And the resumed answer is complete
+
+  # Guards against cutting the end of an answer that is ready: the request counted as done once its
+  # last event was queued for its caller.
+  Scenario: A daemon stops while a caller has not read the end of its stream
+    Given a site of 1 daemon and 1 engine
+    And the engine is replaced by one that sends more than a caller takes without reading
+    When a caller sends a streamed request and reads nothing until the daemon is stopping
+    Then the caller reads the whole stream
+
+  Scenario: A daemon stops while a caller has not read the end of its plain answer
+    Given a site of 1 daemon and 1 engine
+    And the service is replaced by one that answers 16 MiB
+    When a caller calls the service and reads nothing until 2 s after the daemon stops
+    Then the caller reads an answer of 16 MiB
+
+  # Guards against cancelling streams that another daemon may go on with.
+  Scenario: A daemon's time to stop ends with a stream on it
+    Given a site of 2 daemons and 1 engine
+    When a stream of 900 tokens is cut by a daemon that stops and waits for nobody
+    And the caller resumes it at the other daemon
+    Then the two parts together are the answer byte for byte
+    And the cut stream is recorded as not_ready
--- a/features/steps/openai_endless_steps.py
+++ b/features/steps/openai_endless_steps.py
@@ -125,8 +125,8 @@
     assert (context.result.status, context.result.body) == (200, ANSWER), context.result
 
 
-def event(stream, index, finish_reason=None):
-    choice = {"index": 0, "finish_reason": finish_reason, "text": f"w{index} "}
+def event(stream, index, finish_reason=None, text=None):
+    choice = {"index": 0, "finish_reason": finish_reason, "text": text or f"w{index} "}
     data = json.dumps({"id": stream, "choices": [choice]}, separators=(",", ":"))
     return f"id: {stream}/{index}\ndata: {data}\n\n".encode()
 
@@ -136,12 +136,16 @@
 
 
 def replace_engine(context, number, plan, pause=0.0):
-    """Put a raw endpoint in the place of an engine by publishing a changed configuration."""
+    """Put a raw endpoint in the place of an engine."""
     start_endpoint(context, plan, pause)
+    replace_endpoint(context, context.site.engines[number].settings.name, context.endpoint.url)
+
+
+def replace_endpoint(context, name, url):
+    """Publish a configuration in which an endpoint has another address."""
     configuration = context.site.configuration()
-    name = context.site.engines[number].settings.name
     endpoints = [
-        each.model_copy(update={"url": context.endpoint.url}) if each.name == name else each
+        each.model_copy(update={"url": url}) if each.name == name else each
         for each in configuration.endpoints
     ]
     changed = configuration.model_copy(update={"endpoints": endpoints})
--- a/features/steps/openai_silence_steps.py
+++ b/features/steps/openai_silence_steps.py
@@ -1,16 +1,32 @@
 """Steps for endpoints that fall silent or break off and go on, behind the OpenAI-compatible API."""
 
 import re
+import socket
 import threading
+import time
 
 from behave import given, then, when
 
+from brassdrum.caller import Answer, Caller
+from brassdrum.http_pool import ExchangeFailedError
+from brassdrum.settings import ShutdownSettings
 from features.raw_endpoint import UNFRAMED, response
-from features.steps.openai_endless_steps import event, replace_engine, stream_id_of
+from features.steps.caller_steps import completion_body
+from features.steps.openai_endless_steps import (
+    event,
+    replace_endpoint,
+    replace_engine,
+    start_endpoint,
+    stream_id_of,
+)
 from features.steps.site_steps import caller
 from features.steps.stream_steps import event_texts
-from features.support import eventually
+from features.support import StepThread, eventually
 
+LONG_EVENT_BYTES = 65536
+RECEIVE_BUFFER_BYTES = 4096
+# For a busy machine; a stopping daemon waits 30 s at most.
+ANSWER_SECONDS = 60.0
 # Events of a stream that breaks off after its first one.
 EVENTS = 3
 FAILURES = {
@@ -118,3 +134,168 @@
 def step_resumed_complete(context):
     texts = event_texts(context.resumptions[-1].body)
     assert texts == [f"w{index} " for index in range(1, EVENTS)], texts
+
+
+class LongAnswerEngine:
+    """Send events until a daemon holds some for its caller, then the end of the stream."""
+
+    def __init__(self, daemon):
+        self._streams = []
+        relay = daemon.core.relay
+        add = relay.add
+
+        def add_and_keep(stream):
+            self._streams.append(stream)
+            add(stream)
+
+        relay.add = add_and_keep
+
+    def plan(self, head):
+        """Return the pieces to send for one request."""
+        if not head.startswith(b"POST /v1/completions"):
+            return [response(b"{}", status="404 Not Found")]
+        return self._events(stream_id_of(head))
+
+    def _events(self, stream):
+        yield UNFRAMED % b"200 OK" + event(stream, 0)
+        eventually(lambda: self._streams, "the stream is relayed")
+        relayed = self._streams[0]
+        index = 1
+        while not relayed.writer.backlog:
+            yield event(stream, index, text="x" * LONG_EVENT_BYTES)
+            index += 1
+            self._wait_until_relayed(relayed, index)
+        yield event(stream, index, "stop") + b"data: [DONE]\n\n"
+
+    @staticmethod
+    def _wait_until_relayed(stream, count):
+        eventually(lambda: stream.reader._assembler.next_index >= count, "events are relayed")
+
+
+class UnreadingCaller:
+    """Send one request, and read its answer when told to."""
+
+    def __init__(self, context, method, path, body):
+        host, port = context.site.daemons[0].url.removeprefix("http://").split(":")
+        self._socket = socket.socket()
+        context.stack.push(self._socket.close)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._socket.settimeout(ANSWER_SECONDS)
+        self._socket.connect((host, int(port)))
+        head = f"{method} {path} HTTP/1.0\r\nAuthorization: Bearer {context.secret}\r\n"
+        head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        self._socket.sendall(head.encode() + body)
+
+    def read(self):
+        """Return the answer up to the end of the connection."""
+        parts = []
+        try:
+            while part := self._socket.recv(1 << 20):
+                parts.append(part)
+        except ConnectionResetError:
+            # What was read before is judged.
+            pass
+        return b"".join(parts)
+
+
+def stop_daemon(context):
+    """Start the planned stop of the first daemon in a thread; return once it waits for requests."""
+    daemon = context.site.daemons[0]
+    context.stopping = StepThread(context, daemon.stop)
+    eventually(daemon.core.stopping.is_set, "the daemon waits for its requests")
+
+
+@given("the engine is replaced by one that sends more than a caller takes without reading")
+def step_long_answer_engine(context):
+    replace_engine(context, 0, LongAnswerEngine(context.site.daemons[0]).plan)
+
+
+@when("a caller sends a streamed request and reads nothing until the daemon is stopping")
+def step_unread_stream(context):
+    context.reader = UnreadingCaller(context, "POST", "/v1/completions", completion_body())
+    active = context.site.daemons[0].core.active
+    eventually(lambda: len(context.endpoint.heads) and len(active), "the request runs")
+    eventually(lambda: len(active) == 0, "the daemon has the whole stream", ANSWER_SECONDS)
+    stop_daemon(context)
+    # Past the wait for requests that arrive in the last moment.
+    time.sleep(2.0)
+
+
+@then("the caller reads the whole stream")
+def step_whole_stream(context):
+    body = context.reader.read()
+    assert body.endswith(b"data: [DONE]\n\n"), body[-80:]
+    context.stopping.result(ANSWER_SECONDS)
+
+
+@given("the service is replaced by one that answers {size:d} MiB")
+def step_large_service(context, size):
+    start_endpoint(context, lambda head: [response(b"x" * (size << 20))])
+    replace_endpoint(context, "remnants-1", context.endpoint.url)
+
+
+@when("a caller calls the service and reads nothing until {seconds:d} s after the daemon stops")
+def step_unread_call(context, seconds):
+    context.reader = UnreadingCaller(context, "GET", "/services/remnants/lots", b"")
+    active = context.site.daemons[0].core.active
+    eventually(lambda: len(context.endpoint.heads) and len(active) == 0, "the call is answered")
+    stop_daemon(context)
+    time.sleep(seconds)
+
+
+@then("the caller reads an answer of {size:d} MiB")
+def step_whole_call(context, size):
+    body = context.reader.read().partition(b"\r\n\r\n")[2]
+    assert len(body) == size << 20, len(body)
+    context.stopping.result(ANSWER_SECONDS)
+
+
+@when("a stream of {tokens:d} tokens is cut by a daemon that stops and waits for nobody")
+def step_cut_stream(context, tokens):
+    context.tokens = tokens
+    daemon = context.site.daemons[0]
+    shutdown = ShutdownSettings(notice_seconds=0, drain_seconds=0)
+    daemon.settings = daemon.settings.model_copy(update={"shutdown": shutdown})
+    context.results = []
+    daemon.core.metrics.requests = RecordingCounter(context.results)
+    answer = Answer()
+    first = Caller(daemon.url, context.secret)
+    body = completion_body(max_tokens=tokens)
+    stopping = None
+    try:
+        for _ in first.stream("POST", "/v1/completions", body, None, answer, time.monotonic()):
+            if answer.tokens >= 20 and stopping is None:
+                stopping = StepThread(context, daemon.stop)
+    except ExchangeFailedError:
+        # The daemon's stop may cut the connection.
+        pass
+    stopping.result(ANSWER_SECONDS)
+    assert not answer.whole
+    end = answer.body.rfind(b"\n\n") + 2
+    context.first_part = answer.body[:end]
+    context.resume_token = answer.headers["Brassdrum-Resume-Token"]
+
+
+@when("the caller resumes it at the other daemon")
+def step_resume_other(context):
+    last_id = re.findall(rb"id: (\d+)", context.first_part)[-1].decode()
+    headers = {"Brassdrum-Resume-Token": context.resume_token, "Last-Event-ID": last_id}
+    context.second_part = caller(context, 1).send("GET", "/v1/resume", None, headers)
+    assert context.second_part.whole, (context.second_part.status, context.second_part.error)
+
+
+@then("the cut stream is recorded as {result}")
+def step_recorded(context, result):
+    eventually(lambda: context.results, "the request is counted")
+    assert context.results == [result], context.results
+
+
+class RecordingCounter:
+    """Keep the results that a counter is given."""
+
+    def __init__(self, results):
+        self._results = results
+
+    def add(self, _count, attributes):
+        """Note one request's result."""
+        self._results.append(attributes["result"])
--- a/src/brassdrum/daemon/engine_run.py
+++ b/src/brassdrum/daemon/engine_run.py
@@ -172,12 +172,16 @@
         """Close the exchange; cancel the stream unless it was completely received."""
         if self._closed:
             return
+        self.leave_running()
+        if self._may_be_running and not self.complete:
+            self._cancels.add(self._engine, self._identity.stream)
+
+    def leave_running(self) -> None:
+        """Close the exchange; the stream can be resumed as long as its engine holds it."""
         self._closed = True
         self._watch.remove(self._watched)
         if self._connection is not None:
             self._connection.close()
-        if self._may_be_running and not self.complete:
-            self._cancels.add(self._engine, self._identity.stream)
 
     def _resume(self) -> None:
         """Connect at the first missing event; try again while the engine may hold the stream."""
--- a/src/brassdrum/daemon/main.py
+++ b/src/brassdrum/daemon/main.py
@@ -61,6 +61,8 @@
 _LOOP_STOP_TIMEOUT_SECONDS = 0.1
 # For requests that arrived in the last moment; they are refused as not run.
 _HTTP_DRAIN_SECONDS = 1.0
+# For callers that read the rest of a ready answer slowly; the relay waits as long for them.
+_DELIVERY_SECONDS = 30.0
 
 
 class Daemon:
@@ -261,17 +263,25 @@
         self._clock.sleep(self.settings.shutdown.notice_seconds)
         self._transition("drain")
         self.core.stopping.set()
-        if not self.core.active.wait_idle(self.settings.shutdown.drain_seconds):
+        is_idle = self.core.active.wait_idle(self.settings.shutdown.drain_seconds)
+        if not is_idle:
             _logger.warning(
                 "drain timeout expired; aborting active requests",
                 extra={"left": len(self.core.active)},
             )
         self._duty.release()
         self._limits.return_slices()
-        self._http.drain(_HTTP_DRAIN_SECONDS)
+        self._deliver_answers(_DELIVERY_SECONDS if is_idle else _HTTP_DRAIN_SECONDS)
         self._flush_claims()
         self.close()
 
+    def _deliver_answers(self, seconds: float) -> None:
+        """Wait for callers that have not read all of their answers."""
+        limit = self._clock.monotonic() + seconds
+        self._http.drain(seconds)
+        if not self.core.relay.wait_delivered(max(0.0, limit - self._clock.monotonic())):
+            _logger.warning("callers have not read all of their answers before the daemon stops")
+
     def close(self) -> None:
         """Stop immediately."""
         if self._state == "stopped":
--- a/src/brassdrum/daemon/relay.py
+++ b/src/brassdrum/daemon/relay.py
@@ -14,7 +14,7 @@
 
 from brassdrum.clock import Clock
 from brassdrum.daemon.engine_run import EngineStreamReader
-from brassdrum.errors import BrassdrumError, EndpointFailedError
+from brassdrum.errors import BrassdrumError, EndpointFailedError, NotReadyError, Ran
 from brassdrum.outcomes.stream import CheckedEvent
 from brassdrum.wsgi_stream import StreamWriter
 
@@ -93,6 +93,14 @@
         """End a stream whose caller disconnected."""
         self._close_once(self._listener.interrupted)
 
+    def leave_running(self, error: BrassdrumError) -> None:
+        """End a stream here that its caller may resume at another daemon."""
+        if self._closed:
+            return
+        self._closed = True
+        self.reader.leave_running()
+        self._listener.failed(error)
+
     def _close_once(self, notify: Callable[[], None]) -> bool:
         if self._closed:
             return False
@@ -135,12 +143,23 @@
         self._callbacks: deque[Callable[[], None]] = deque()
         self._executor = ThreadPoolExecutor(_RECOVERY_THREADS, thread_name_prefix="recover")
         self._stopping = False
+        self._changed = threading.Condition()
+        # Streams whose caller has not got its whole answer and has not left.
+        self._undelivered: set[RelayedStream] = set()
         self._thread = threading.Thread(target=self._run, name="relay", daemon=True)
 
     def start(self) -> None:
         """Start the selector thread."""
         self._thread.start()
 
+    def wait_delivered(self, seconds: float) -> bool:
+        """Wait until all callers have got their answers; return False on a time-out.
+
+        A request counts as ended once its last event is queued for its caller.
+        """
+        with self._changed:
+            return self._changed.wait_for(lambda: not self._undelivered, seconds)
+
     def close(self) -> None:
         """Stop the selector thread and drop all streams."""
         self._stopping = True
@@ -149,8 +168,10 @@
 
     def add(self, stream: RelayedStream) -> None:
         """Add a stream whose writer is attached."""
+        with self._changed:
+            self._undelivered.add(stream)
         if self._stopping:
-            self._drop_stream(stream)
+            self._leave_running(stream)
             return
         self._call_soon(lambda: self._call_or_drop(stream, self._register_stream))
 
@@ -179,14 +200,17 @@
                     self._call_or_drop(registration.stream, self._caller_readable)
                 if mask & selectors.EVENT_WRITE:
                     self._call_or_drop(registration.stream, self._caller_writable)
-        self._drop_all_streams()
+        self._leave_all_streams()
+
+    def _leave_all_streams(self) -> None:
+        """Close every connection, as the exit of the process would.
 
-    def _drop_all_streams(self) -> None:
-        """Close every caller's connection, as the exit of the process would."""
+        The streams are not cancelled: their callers hold a token to resume them elsewhere.
+        """
         self._run_callbacks()
         for key in list((self._selector.get_map() or {}).values()):
             if key.data is not None and key.data.side is _Side.CALLER:
-                self._drop_stream(key.data.stream)
+                self._leave_running(key.data.stream)
 
     def _run_callbacks(self) -> None:
         try:
@@ -320,10 +344,20 @@
         stream.interrupt()
         self._close_caller(stream)
 
+    def _leave_running(self, stream: RelayedStream) -> None:
+        self._unregister(stream.reader.socket)
+        stream.leave_running(
+            NotReadyError("The daemon stopped before the answer was complete.", ran=Ran.MAYBE)
+        )
+        self._close_caller(stream)
+
     def _close_caller(self, stream: RelayedStream) -> None:
         assert stream.writer is not None
         self._unregister(stream.writer.socket)
         stream.writer.close()
+        with self._changed:
+            self._undelivered.discard(stream)
+            self._changed.notify_all()
 
     def _caller_events(self, stream: RelayedStream) -> int:
         assert stream.writer is not None
