Do not call a request not run when the daemon failed after sending it

Callers got 500 with ran "no" when the daemon met an error that it does not expect, also after the endpoint had run the request: the stock OpenAI client repeats such a request by itself, and its idempotency key was free again, so that a call that may run once ran twice. A stream whose engine reported a usage that is no number ended with 500 as well.

Cause: an unexpected error was completed with the default of all errors, which is for refusals; and events that are JSON but no part of an answer raised such errors. Evidence: the six new scenarios of at_most_once.feature failed before, five by ran "no", one by the 500.

Now an unexpected error says that the request may have run, keeps its key and is logged with the request's id; an event that is no part of an answer is a failure of its endpoint, and an unreadable usage is left out.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -90,3 +90,30 @@
     When a page of era 2 reports a log of 3 records
     And a page of era 1 arrives late
     Then the reader reported one restore and accepted no page after it
+
+  # Guards against "not run" for a request that an endpoint was sent: its key was free again, and
+  # the stock OpenAI client repeats such a status by itself.
+  Scenario: The daemon fails unexpectedly after a call ran
+    Given a site of 1 daemon and 1 engine
+    And the daemon fails on every answer of the service
+    When a hold with the same key is sent twice
+    Then both answers say that the call may have run, and it ran once
+
+  Scenario Outline: An engine's event holds <data>
+    Given a site of 1 daemon and 1 engine
+    And the engine is replaced by one whose only event holds <data>
+    When a completion with a key that may run once is sent twice without streaming
+    Then both answers say that it may have run, and the engine was sent it once
+
+    Examples:
+      | data                                    |
+      | [1]                                     |
+      | {"choices": 7}                          |
+      | {"choices": [7]}                        |
+      | {"choices": [{"text": 7}]}              |
+
+  Scenario: An engine's usage is no number
+    Given a site of 1 daemon and 1 engine
+    And the engine is replaced by one whose only event holds {"choices": [{"finish_reason": "stop", "text": "w0 "}], "usage": {"prompt_tokens": "many"}}
+    When a caller streams an answer
+    Then the answer is complete with 1 event
--- a/features/steps/openai_silence_steps.py
+++ b/features/steps/openai_silence_steps.py
@@ -299,3 +299,70 @@
     def add(self, _count, attributes):
         """Note one request's result."""
         self._results.append(attributes["result"])
+
+
+@given("the engine is replaced by one whose only event holds {data}")
+def step_one_event_engine(context, data):
+    def plan(head):
+        if not head.startswith(b"POST /v1/completions"):
+            return [response(b"{}", status="404 Not Found")]
+        name = stream_id_of(head)
+        return [UNFRAMED % b"200 OK", f"id: {name}/0\ndata: {data}\n\ndata: [DONE]\n\n".encode()]
+
+    replace_engine(context, 0, plan)
+
+
+@when("a completion with a key that may run once is sent twice without streaming")
+def step_completion_twice(context):
+    headers = {"Idempotency-Key": "k-1", "Brassdrum-Repeatable": "false"}
+    body = completion_body(stream=False)
+    context.answers = [
+        caller(context).send("POST", "/v1/completions", body, headers) for _ in range(2)
+    ]
+
+
+@then("both answers say that it may have run, and the engine was sent it once")
+def step_may_have_run_once(context):
+    check_may_have_run(context.answers)
+    sent = [head for head in context.endpoint.heads if head.startswith(b"POST /v1/completions")]
+    assert len(sent) == 1, len(sent)
+
+
+def check_may_have_run(answers):
+    for answer in answers:
+        assert answer.error is not None, answer
+        assert answer.error["ran"] == "maybe", answer.error
+        assert answer.headers["X-Should-Retry"] == "false", answer.headers
+
+
+@given("the daemon fails on every answer of the service")
+def step_failing_daemon(context):
+    client = context.site.daemons[0].core.dispatcher.fleet.services_by_name["remnants-1"]
+    call = client.call
+
+    def call_and_fail(request):
+        call(request)
+        raise RuntimeError("a fault of the daemon")
+
+    client.call = call_and_fail
+
+
+@when("a hold with the same key is sent twice")
+def step_hold_twice(context):
+    headers = {"Idempotency-Key": "k-1", "Effect-Id": "hold-1"}
+    context.answers = [
+        caller(context).send("POST", "/services/remnants/holds", b"{}", headers) for _ in range(2)
+    ]
+
+
+@then("both answers say that the call may have run, and it ran once")
+def step_call_may_have_run_once(context):
+    check_may_have_run(context.answers)
+    runs = context.site.services[0].runs_by_id["hold-1"]
+    assert runs == 1, runs
+
+
+@then("the answer is complete with 1 event")
+def step_one_event(context):
+    assert context.answer.whole, (context.answer.status, context.answer.error)
+    assert event_texts(context.answer.body) == ["w0 "], context.answer.body
--- a/src/brassdrum/daemon/answers.py
+++ b/src/brassdrum/daemon/answers.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import json
+import logging
 from dataclasses import dataclass, field
 
 from brassdrum.errors import EndpointFailedError
 
 __all__ = ["AnswerBuilder", "Usage"]
 
+_logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class Usage:
@@ -29,11 +32,11 @@
             return None
         try:
             usage = json.loads(data).get("usage")
-        except ValueError:
-            return None
-        if not isinstance(usage, dict):
+            return cls(int(usage.get("prompt_tokens", 0)), int(usage.get("completion_tokens", 0)))
+        except (ValueError, TypeError, AttributeError, RecursionError) as error:
+            # An answer without a readable usage is still an answer.
+            _logger.debug("unreadable usage", extra={"reason": str(error)})
             return None
-        return cls(int(usage.get("prompt_tokens", 0)), int(usage.get("completion_tokens", 0)))
 
 
 @dataclass(slots=True)
@@ -54,13 +57,15 @@
         self._choices_by_index: dict[int, _Choice] = {}
 
     def add(self, data: bytes) -> None:
-        """Add one event; raise ``EndpointFailedError`` if it is not valid JSON."""
+        """Add one event; raise ``EndpointFailedError`` if it is not one of an answer."""
         try:
-            content = json.loads(data)
-        except ValueError as error:
+            self._add(json.loads(data))
+        except (ValueError, TypeError, AttributeError, RecursionError) as error:
             raise EndpointFailedError(
-                "The endpoint sent an event that is not valid JSON."
+                "The endpoint sent an event that is not part of an answer."
             ) from error
+
+    def _add(self, content: dict) -> None:
         self._id = content.get("id", self._id)
         self._created = content.get("created", self._created)
         self._usage = content.get("usage") or self._usage
@@ -72,7 +77,7 @@
                 else choice_delta.get("text")
             )
             if text:
-                choice.texts.append(text)
+                choice.texts.append(_checked_text(text))
             choice.finish_reason = choice_delta.get("finish_reason") or choice.finish_reason
 
     def build(self) -> dict[str, object]:
@@ -100,3 +105,9 @@
             content["text"] = text
             content["logprobs"] = None
         return content
+
+
+def _checked_text(text: object) -> str:
+    if not isinstance(text, str):
+        raise TypeError(f"the text is of type {type(text).__name__}")
+    return text
--- a/src/brassdrum/daemon/finishing.py
+++ b/src/brassdrum/daemon/finishing.py
@@ -11,7 +11,7 @@
 from brassdrum.daemon.core import Core, Scope
 from brassdrum.daemon.dispatcher import Placement
 from brassdrum.daemon.groups import GroupReservation
-from brassdrum.errors import BrassdrumError, CallerDisconnectedError
+from brassdrum.errors import BrassdrumError, CallerDisconnectedError, Ran
 from brassdrum.telemetry.observe import observe
 from brassdrum.wsgi import Request, Response
 
@@ -138,7 +138,11 @@
 def handle(
     core: Core, request: Request, run: Callable[[Scope, RequestLifecycle], Response]
 ) -> Response:
-    """Answer a request with ``run``; complete it as failed if ``run`` raises."""
+    """Answer a request with ``run``; complete it as failed if ``run`` raises.
+
+    An unexpected error does not tell whether an endpoint was sent the request, so that it counts
+    as one that may have run.
+    """
     scope = core.scope(request, "caller")
     lifecycle = RequestLifecycle(core, scope)
     try:
@@ -146,6 +150,10 @@
     except BrassdrumError as error:
         lifecycle.failed(error)
         raise
-    except BaseException:
-        lifecycle.failed(BrassdrumError("The daemon failed to handle the request."))
+    except BaseException as error:
+        _logger.exception("request failed", extra={"request_id": scope.request_id})
+        failure = BrassdrumError("The daemon failed to handle the request.", ran=Ran.MAYBE)
+        lifecycle.failed(failure)
+        if isinstance(error, Exception):
+            raise failure from error
         raise
