Show that a pause of an engine or a service loses no request behind the OpenAI-compatible API

The stand-in of an engine falls silent for 1.0 or 1.5 s before the first token and in the middle of streams, alone or with the other one, while that one serves, refuses or cannot be reached, and while the daemon stops, a contract changes, or the engine moves, leaves the configuration or is listed as leaving; a service answers late.

--- a/features/openai_silences.feature
+++ b/features/openai_silences.feature
@@ -58,3 +58,47 @@
     And the caller resumes it at the other daemon
     Then the two parts together are the answer byte for byte
     And the cut stream is recorded as not_ready
+
+  # Shows that a pause of a second or so loses no request. The limits on a silence are 60 s in a
+  # stream and 15 s before its first event; a shorter limit fails here.
+  Scenario Outline: <which> silent for <seconds> s <moment>, <other>
+    Given a site of 1 daemon and 2 engines
+    And the second engine <other>
+    When 12 callers stream while <which> silent for <seconds> s <moment>
+    Then every answer is complete, in order and the caller's own
+
+    Examples:
+      | which                | seconds | moment                   | other              |
+      | the first engine is  | 1.0     | before the first token   | serves             |
+      | the first engine is  | 1.5     | before the first token   | serves             |
+      | the first engine is  | 1.5     | in the middle            | serves             |
+      | both engines are     | 1.0     | in the middle            | serves             |
+      | both engines are     | 1.5     | before the first token   | serves             |
+      | the first engine is  | 1.5     | before the first token   | refuses for 30 s   |
+      | the first engine is  | 1.5     | in the middle            | refuses for 30 s   |
+      | the first engine is  | 1.5     | before the first token   | cannot be reached  |
+      | the first engine is  | 1.5     | in the middle            | cannot be reached  |
+      | the first engine is  | 1.5     | before the first token   | refuses            |
+
+  Scenario Outline: Engines are silent for 1.5 s while <event>
+    Given a site of 2 daemons and 2 engines
+    When 12 callers stream while both engines are silent for 1.5 s and <event>
+    Then every answer is complete, in order and the caller's own
+
+    Examples:
+      | event                                     |
+      | the daemon stops as planned               |
+      | a contract changes                        |
+      | the first engine gets another address     |
+      | the first engine leaves the configuration |
+      | the first engine is listed as leaving     |
+
+  Scenario Outline: A service that answers after <seconds> s
+    Given a site of 1 daemon and 1 engine
+    When a hold is sent while the service is silent for <seconds> s
+    Then the hold is answered and ran once
+
+    Examples:
+      | seconds |
+      | 1.0     |
+      | 1.5     |
--- /dev/null
+++ b/features/steps/openai_pause_steps.py
@@ -0,0 +1,141 @@
+"""Steps for engines and services that pause for a second or so and go on."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+
+from brassdrum.contracts.documents import ContractLimits
+from brassdrum.standins.site import MODEL
+from features.steps.once_steps import run_counts, set_service_faults
+from features.steps.operator_steps import hold
+from features.steps.site_steps import caller
+from features.steps.stream_steps import set_engine_faults
+from features.support import StepThread, eventually
+
+# 300 steps of 10 ms at ten times the speed: long enough to pause in the middle.
+TOKENS = 300
+STOP_SECONDS = 90.0
+
+
+@given("the second engine {behaviour}")
+def step_second_engine(context, behaviour):
+    if behaviour == "refuses for 30 s":
+        set_engine_faults(context, 1, refuse=1.0, pause_seconds=30.0)
+    elif behaviour == "refuses":
+        set_engine_faults(context, 1, refuse=1.0)
+    elif behaviour == "cannot be reached":
+        context.site.engines[1].close()
+    else:
+        assert behaviour == "serves", behaviour
+
+
+def stream_all(context, callers, meanwhile):
+    """Let callers stream and do something as soon as all of them have sent their requests."""
+    context.tokens = TOKENS
+    with ThreadPoolExecutor(callers) as executor:
+        futures = [
+            executor.submit(caller(context).complete, MODEL, f"prompt {number}", TOKENS)
+            for number in range(callers)
+        ]
+        meanwhile()
+        context.answers = [future.result() for future in futures]
+
+
+def wait_mid_stream(context):
+    """Wait until an engine has sent a third of a stream."""
+
+    def is_mid_stream():
+        streams = [
+            stream
+            for engine in context.site.engines
+            for stream in list(engine.model.streams_by_id.values())
+        ]
+        return any(len(stream.tokens) >= TOKENS // 3 for stream in streams)
+
+    eventually(is_mid_stream, "a stream is in its middle")
+
+
+@when("{callers:d} callers stream while {which} silent for {seconds:f} s before the first token")
+def step_silent_before(context, callers, which, seconds):
+    pause(context, which, seconds)
+    stream_all(context, callers, lambda: None)
+
+
+@when("{callers:d} callers stream while {which} silent for {seconds:f} s in the middle")
+def step_silent_in_the_middle(context, callers, which, seconds):
+    def pause_in_the_middle():
+        wait_mid_stream(context)
+        pause(context, which, seconds)
+
+    stream_all(context, callers, pause_in_the_middle)
+
+
+def pause(context, which, seconds):
+    engines = context.site.engines if which == "both engines are" else context.site.engines[:1]
+    for engine in engines:
+        engine.fall_silent(seconds)
+
+
+@when("{callers:d} callers stream while both engines are silent for {seconds:f} s and {event}")
+def step_silent_and_event(context, callers, seconds, event):
+    def pause_and_change():
+        wait_mid_stream(context)
+        pause(context, "both engines are", seconds)
+        EVENTS[event](context)
+
+    stream_all(context, callers, pause_and_change)
+
+
+def stop_first_daemon(context):
+    StepThread(context, context.site.daemons[0].stop)
+
+
+def change_contract(context):
+    limits = ContractLimits.model_validate(
+        context.contract.limits.model_dump() | {"concurrency": 2}
+    )
+    context.site.publish([context.contract.model_copy(update={"limits": limits})])
+
+
+def change_endpoints(context, change):
+    configuration = context.site.configuration()
+    endpoints = [each for each in map(change, configuration.endpoints) if each is not None]
+    context.site.publish([configuration.model_copy(update={"endpoints": endpoints})])
+
+
+def move_first_engine(context):
+    url = context.site.engines[1].url
+
+    def change(endpoint):
+        return endpoint.model_copy(update={"url": url}) if endpoint.name == "engine-1" else endpoint
+
+    change_endpoints(context, change)
+
+
+def remove_first_engine(context):
+    change_endpoints(context, lambda endpoint: None if endpoint.name == "engine-1" else endpoint)
+
+
+def list_first_engine_as_leaving(context):
+    context.site.platform.put_host("engine-1", role="endpoint", state="leaving")
+
+
+EVENTS = {
+    "the daemon stops as planned": stop_first_daemon,
+    "a contract changes": change_contract,
+    "the first engine gets another address": move_first_engine,
+    "the first engine leaves the configuration": remove_first_engine,
+    "the first engine is listed as leaving": list_first_engine_as_leaving,
+}
+
+
+@when("a hold is sent while the service is silent for {seconds:f} s")
+def step_silent_service(context, seconds):
+    set_service_faults(context, delay_seconds=seconds)
+    context.answer = hold(context, "hold-1", 0)
+
+
+@then("the hold is answered and ran once")
+def step_hold_once(context):
+    assert context.answer.status == 200, (context.answer.status, context.answer.error)
+    assert run_counts(context)["hold-1"] == 1
--- a/src/brassdrum/standins/engine.py
+++ b/src/brassdrum/standins/engine.py
@@ -11,7 +11,7 @@
 import random
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from brassdrum.endpoints.openai import ChatRequest, CompletionRequest, parse_chat, parse_completion
 from brassdrum.errors import BrassdrumError, InvalidRequestError, Ran
@@ -25,11 +25,20 @@
     Reservation,
     token_tag,
 )
-from brassdrum.wsgi import HttpServer, Request, Response, Router, json_response
+from brassdrum.wsgi import (
+    Environ,
+    HttpServer,
+    Request,
+    Response,
+    Router,
+    StartResponse,
+    json_response,
+)
 
 __all__ = ["EngineStandin"]
 
 _WAIT_SECONDS = 0.5
+Application = Callable[[Environ, StartResponse], Iterator[bytes]]
 _EVENTS_PER_PAGE = 5_000
 
 
@@ -64,15 +73,35 @@
         self.ended = False
         self.started_at: list[float] = []
         self.started_by_id: dict[str, int] = {}
+        self._silent_until = 0.0
         self._faults = settings.faults
         self._random = random.Random(settings.seed)
         self._lock = threading.Lock()
         self._fence = -1
         self._orders_by_key: dict[str, object] = {}
         self._server = HttpServer(
-            self._router(), settings.http.host, settings.http.port, settings.threads
+            self._answer_after_silence(self._router()),
+            settings.http.host,
+            settings.http.port,
+            settings.threads,
         )
 
+    def fall_silent(self, seconds: float) -> None:
+        """Send nothing for some seconds, then go on; what arrives meanwhile is answered after."""
+        self._silent_until = time.monotonic() + seconds
+
+    def wait_out_silence(self) -> None:
+        """Wait until the engine sends again."""
+        while (left := self._silent_until - time.monotonic()) > 0:
+            time.sleep(left)
+
+    def _answer_after_silence(self, router: Router) -> Application:
+        def answer(environ: Environ, start_response: StartResponse) -> Iterator[bytes]:
+            self.wait_out_silence()
+            return router(environ, start_response)
+
+        return answer
+
     def _router(self) -> Router:
         router = Router()
         router.add("POST", "/v1/completions", self._completions)
@@ -260,6 +289,7 @@
         try:
             while True:
                 tokens, done = self._wait(position, reader)
+                self._engine.wait_out_silence()
                 if tokens is None:
                     return
                 for token in tokens:
