Prefer other endpoints to one that refuses requests without saying for how long

Cause: an engine that refuses has nothing in flight, so that it was chosen for each new request; the retries that led to the other engine came from the budget, which one request in ten refills.

Now an endpoint that has refused is chosen only if no other one has room, for 1 s and twice as long after each further refusal, up to 30 s; a served request ends this. It is logged.

--- a/features/openai_silences.feature
+++ b/features/openai_silences.feature
@@ -102,3 +102,23 @@
       | seconds |
       | 1.0     |
       | 1.5     |
+
+  # Guards against an engine that attracts requests because it refuses them: it looked idle, and the
+  # retries that followed were used up after a few requests.
+  Scenario Outline: The first engine refuses without saying for how long, <callers> at a time
+    Given a site of 1 daemon and 2 engines
+    And the first engine refuses every request
+    When <callers> callers send 80 completions
+    Then every completion succeeds
+
+    Examples:
+      | callers |
+      | 1       |
+      | 8       |
+
+  Scenario: An engine that has refused is used again
+    Given an engine that refused at 10 s, 10.5 s and 12 s
+    Then it is avoided at 13.9 s and not at 14.1 s
+    When it serves a request at 14.2 s
+    And it refuses at 20 s
+    Then it is avoided at 20.9 s and not at 21.1 s
--- a/features/steps/openai_pause_steps.py
+++ b/features/steps/openai_pause_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from brassdrum.contracts.documents import ContractLimits
+from brassdrum.outcomes.refusals import RefusalBackoff
 from brassdrum.standins.site import MODEL
 from features.steps.once_steps import run_counts, set_service_faults
 from features.steps.operator_steps import hold
@@ -139,3 +140,47 @@
 def step_hold_once(context):
     assert context.answer.status == 200, (context.answer.status, context.answer.error)
     assert run_counts(context)["hold-1"] == 1
+
+
+@given("the first engine refuses every request")
+def step_refusing_engine(context):
+    set_engine_faults(context, 0, refuse=1.0)
+
+
+@when("{callers:d} callers send {count:d} completions")
+def step_send_completions(context, callers, count):
+    with ThreadPoolExecutor(callers) as executor:
+        futures = [
+            executor.submit(caller(context).complete, MODEL, f"prompt {number}", 4)
+            for number in range(count)
+        ]
+        context.answers = [future.result() for future in futures]
+
+
+@then("every completion succeeds")
+def step_all_succeed(context):
+    failed = [answer.error for answer in context.answers if not answer.whole]
+    assert not failed, (len(failed), failed[0])
+
+
+@given("an engine that refused at {first:g} s, {second:g} s and {third:g} s")
+def step_refused(context, first, second, third):
+    context.backoff = RefusalBackoff()
+    for at in (first, second, third):
+        context.backoff.record_refusal(at)
+
+
+@then("it is avoided at {inside:g} s and not at {outside:g} s")
+def step_avoided(context, inside, outside):
+    assert context.backoff.is_active(inside)
+    assert not context.backoff.is_active(outside)
+
+
+@when("it serves a request at {at:g} s")
+def step_served(context, at):
+    context.backoff.record_success()
+
+
+@when("it refuses at {at:g} s")
+def step_refuses(context, at):
+    context.backoff.record_refusal(at)
--- a/src/brassdrum/daemon/attempts.py
+++ b/src/brassdrum/daemon/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from dataclasses import replace
 from typing import TypeVar
@@ -25,6 +26,7 @@
 __all__ = ["Attempts"]
 
 T = TypeVar("T")
+_logger = logging.getLogger(__name__)
 
 
 class Attempts:
@@ -74,6 +76,8 @@
                 self._core.dispatcher.release(placement)
                 raise
             placement.state.breaker.record_success()
+            with self._core.dispatcher.lock:
+                placement.state.refusals.record_success()
             self._core.guard.record_response(placement.state.endpoint.name)
             return answer
 
@@ -140,6 +144,22 @@
             placement.state.breaker.record_failure(now)
             return
         placement.state.breaker.record_success()
+        if isinstance(error, NoEndpointError):
+            self._record_refusal(placement, error, now)
+
+    def _record_refusal(self, placement: Placement, error: BrassdrumError, now: float) -> None:
+        refusals = placement.state.refusals
+        with self._core.dispatcher.lock:
+            is_new = refusals.record_refusal(now)
+        if is_new:
+            _logger.info(
+                "endpoint refuses requests; others are preferred",
+                extra={
+                    "endpoint": placement.state.endpoint.name,
+                    "seconds": refusals.until - now,
+                    "reason": error.message,
+                },
+            )
 
     def _prepare_retry(self, work: Work, placement: Placement, error: BrassdrumError) -> Work:
         scope = self._scope
--- a/src/brassdrum/daemon/fleet.py
+++ b/src/brassdrum/daemon/fleet.py
@@ -70,7 +70,10 @@
                 self.estimates_by_model[model.name] = ModelEstimate.from_model(model)
 
     def choose(self, work: Work) -> EndpointState | None:
-        """Return the endpoint for a work item, or None if all eligible ones are full."""
+        """Return the endpoint for a work item, or None if all eligible ones are full.
+
+        One that has refused requests recently is chosen only if no other one is eligible.
+        """
         candidates = self.states_by_target.get(work.target, [])
         if not candidates:
             return None
@@ -86,7 +89,13 @@
             ),
             prefix_blocks=self.prefixes.expected_prefix_blocks(work.blocks) if work.blocks else {},
         )
-        return self._policy_for(work.target).choose(work, candidates, context)
+        policy = self._policy_for(work.target)
+        preferred = [each for each in candidates if not each.refusals.is_active(context.now)]
+        if preferred and len(preferred) < len(candidates):
+            chosen = policy.choose(work, preferred, context)
+            if chosen is not None:
+                return chosen
+        return policy.choose(work, candidates, context)
 
     def record_arrival(self, work: Work) -> None:
         """Add a long prompt to the load that sets the boundary between pools; ignore others."""
--- a/src/brassdrum/routing/state.py
+++ b/src/brassdrum/routing/state.py
@@ -8,6 +8,7 @@
 from brassdrum.contracts.documents import Endpoint
 from brassdrum.outcomes.breaker import CircuitBreaker
 from brassdrum.outcomes.pauses import Pause
+from brassdrum.outcomes.refusals import RefusalBackoff
 
 __all__ = ["EndpointLoad", "EndpointState", "LoadReport", "OwnRequest", "PeerLoad"]
 
@@ -67,6 +68,7 @@
     breaker: CircuitBreaker = field(default_factory=CircuitBreaker)
     leaving: bool = False
     pause: Pause = field(default_factory=Pause)
+    refusals: RefusalBackoff = field(default_factory=RefusalBackoff)
     report: LoadReport | None = None
     peers_by_daemon: dict[str, PeerLoad] = field(default_factory=dict)
     own_requests_by_id: dict[str, OwnRequest] = field(default_factory=dict)
