Do not take an engine that is not read for a silent one

A caller that read nothing for longer than an engine may be silent (60 s) lost its stream, although its engine was sound and its deadline far: docs/design/relay.md promises such callers their time up to the deadline.

Cause: the relay stops reading an engine whose caller has more than 256 KiB to read, and the watchdog went on counting the engine's silence. Evidence: 'A caller reads nothing for longer ...' in openai_silences.feature failed before with a limit of 1 s; the stream broke off without [DONE].

Now no silence is counted while an engine is not read, and it starts anew when it is read again.

--- a/features/openai_silences.feature
+++ b/features/openai_silences.feature
@@ -122,3 +122,17 @@
     When it serves a request at 14.2 s
     And it refuses at 20 s
     Then it is avoided at 20.9 s and not at 21.1 s
+
+  # Guards against taking an engine that is not read, since its caller reads slowly, for a silent one.
+  Scenario: A caller reads nothing for longer than an engine may be silent
+    Given a site of 1 daemon and 1 engine
+    And the daemon ends streams of engines that are silent for 1 s
+    And the engine is replaced by one that sends a stream of 25 MiB
+    When a caller sends a streamed request and reads nothing for 4 s
+    Then the caller has the whole stream
+
+  Scenario: An engine that is silent after its caller reads again
+    Given a stream of which the daemon reads nothing for 120 s
+    Then the watchdog has not ended it
+    When the daemon reads it again and the engine sends nothing for 60 s
+    Then the watchdog has ended it as silent
--- a/features/steps/openai_pause_steps.py
+++ b/features/steps/openai_pause_steps.py
@@ -1,13 +1,20 @@
 """Steps for engines and services that pause for a second or so and go on."""
 
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
 
+from brassdrum.clock import ManualClock
 from brassdrum.contracts.documents import ContractLimits
+from brassdrum.daemon.watch import AbortReason, ExchangeWatchdog, WatchedExchange
 from brassdrum.outcomes.refusals import RefusalBackoff
 from brassdrum.standins.site import MODEL
+from features.raw_endpoint import UNFRAMED, response
+from features.steps.caller_steps import completion_body
 from features.steps.once_steps import run_counts, set_service_faults
+from features.steps.openai_endless_steps import MIB, event, replace_engine, stream_id_of
+from features.steps.openai_silence_steps import LONG_EVENT_BYTES, UnreadingCaller
 from features.steps.operator_steps import hold
 from features.steps.site_steps import caller
 from features.steps.stream_steps import set_engine_faults
@@ -184,3 +191,74 @@
 @when("it refuses at {at:g} s")
 def step_refuses(context, at):
     context.backoff.record_refusal(at)
+
+
+@given("the daemon ends streams of engines that are silent for {seconds:d} s")
+def step_short_silence(context, seconds):
+    core = context.site.daemons[0].core
+    core.settings = core.settings.model_copy(update={"idle_timeout_seconds": float(seconds)})
+
+
+@given("the engine is replaced by one that sends a stream of {size:d} MiB")
+def step_large_stream(context, size):
+    def plan(head):
+        if not head.startswith(b"POST /v1/completions"):
+            return [response(b"{}", status="404 Not Found")]
+        return large_stream(stream_id_of(head), size << 20)
+
+    replace_engine(context, 0, plan)
+
+
+def large_stream(stream, size):
+    """Yield a stream of events of 64 KiB each."""
+    yield UNFRAMED % b"200 OK"
+    count = size // LONG_EVENT_BYTES
+    for index in range(count):
+        yield event(stream, index, text="x" * LONG_EVENT_BYTES)
+    yield event(stream, count, "stop") + b"data: [DONE]\n\n"
+
+
+@when("a caller sends a streamed request and reads nothing for {seconds:d} s")
+def step_slow_reader(context, seconds):
+    context.reader = UnreadingCaller(context, "POST", "/v1/completions", completion_body())
+    eventually(lambda: context.endpoint.sent_bytes > MIB, "the engine sends")
+    time.sleep(seconds)
+    assert context.endpoint.sent_bytes < 20 * MIB, "the engine was read to its end"
+
+
+@then("the caller has the whole stream")
+def step_whole_large_stream(context):
+    body = context.reader.read()
+    assert body.endswith(b"data: [DONE]\n\n"), body[-200:]
+
+
+@given("a stream of which the daemon reads nothing for {seconds:d} s")
+def step_unread_stream(context, seconds):
+    context.clock = ManualClock()
+    context.watch = ExchangeWatchdog(context.clock)
+    start = context.clock.monotonic()
+    context.watched = WatchedExchange(start + 3600, start + 60, lambda: False, lambda: None)
+    context.watch.add(context.watched)
+    context.watched.pause_silence()
+    context.clock.advance(seconds)
+    context.watch.step()
+
+
+@then("the watchdog has not ended it")
+def step_not_ended(context):
+    assert context.watched.reason is None, context.watched.reason
+
+
+@when("the daemon reads it again and the engine sends nothing for {seconds:d} s")
+def step_read_again(context, seconds):
+    context.watched.restart_silence(context.clock.monotonic(), 60.0)
+    context.clock.advance(seconds - 1)
+    context.watch.step()
+    assert context.watched.reason is None, context.watched.reason
+    context.clock.advance(1)
+    context.watch.step()
+
+
+@then("the watchdog has ended it as silent")
+def step_ended(context):
+    assert context.watched.reason is AbortReason.SILENT, context.watched.reason
--- a/src/brassdrum/daemon/engine_run.py
+++ b/src/brassdrum/daemon/engine_run.py
@@ -149,9 +149,17 @@
         events = self._assembler.feed(data)
         if events:
             self._resumes_without_progress = 0
-            self._watched.silence_deadline = self._clock.monotonic() + self._times.idle_seconds
+            self.restart_silence()
         return events
 
+    def restart_silence(self) -> None:
+        """Count the engine's silence from now on."""
+        self._watched.restart_silence(self._clock.monotonic(), self._times.idle_seconds)
+
+    def pause_silence(self) -> None:
+        """Count no silence while the caller of ``feed`` does not read the socket."""
+        self._watched.pause_silence()
+
     def take_over(self) -> list[CheckedEvent]:
         """Make the socket non-blocking and return the events already received."""
         assert self._connection is not None
--- a/src/brassdrum/daemon/relay.py
+++ b/src/brassdrum/daemon/relay.py
@@ -287,6 +287,7 @@
         if stream.writer.backlog == 0:
             self._update_caller_events(stream)
             if not stream.reader.closed:
+                stream.reader.restart_silence()
                 self._register_engine(stream)
 
     def _deliver(self, stream: RelayedStream, events: list[CheckedEvent]) -> None:
@@ -296,6 +297,7 @@
             self._update_caller_events(stream)
         if stream.writer.backlog > _MAX_BACKLOG_BYTES:
             self._unregister(stream.reader.socket)
+            stream.reader.pause_silence()
 
     def _finish_or_recover(self, stream: RelayedStream) -> None:
         if not stream.reader.complete:
--- a/src/brassdrum/daemon/watch.py
+++ b/src/brassdrum/daemon/watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -22,7 +23,7 @@
 
 @dataclass(slots=True)
 class WatchedExchange:
-    """An exchange; ``silence_deadline`` is extended on each received event."""
+    """An exchange; its silence counts from each received event, and not while it is not read."""
 
     deadline: float
     silence_deadline: float
@@ -30,6 +31,14 @@
     abort: Callable[[], None]
     reason: AbortReason | None = None
 
+    def restart_silence(self, now: float, seconds: float) -> None:
+        """Count a silence from now on."""
+        self.silence_deadline = now + seconds
+
+    def pause_silence(self) -> None:
+        """Count no silence while the other side is not read."""
+        self.silence_deadline = math.inf
+
 
 class ExchangeWatchdog:
     """Checks exchanges periodically, since a thread blocked in a read cannot do so itself."""
