Free the place of a request that gives up while it is placed

An endpoint had one stream less room, until the daemon's end, for each caller that left or whose time to start passed in the moment in which the dispatcher placed its request.

Cause: the placement was in a future that nobody read any longer. Evidence: 'A caller leaves in the moment in which its request is placed' in openai_silences.feature failed before.

Now giving up and placing exclude each other by the dispatcher's lock, and a placement that was made before is released.

--- a/features/openai_silences.feature
+++ b/features/openai_silences.feature
@@ -136,3 +136,11 @@
     Then the watchdog has not ended it
     When the daemon reads it again and the engine sends nothing for 60 s
     Then the watchdog has ended it as silent
+
+  # Guards against a place that nobody holds and nobody frees: an engine had one stream less room for
+  # each caller that left, or whose time passed, in the moment in which its request was placed.
+  Scenario: A caller leaves in the moment in which its request is placed
+    Given a site of 1 daemon and 1 engine
+    And a queued request whose caller leaves while room is found for it
+    When the request is placed
+    Then it fails with caller_disconnected and holds no place
--- a/features/steps/openai_pause_steps.py
+++ b/features/steps/openai_pause_steps.py
@@ -1,13 +1,16 @@
 """Steps for engines and services that pause for a second or so and go on."""
 
+import math
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
 
+from brassdrum.admission.work import Work
 from brassdrum.clock import ManualClock
-from brassdrum.contracts.documents import ContractLimits
+from brassdrum.contracts.documents import ContractLimits, Urgency
 from brassdrum.daemon.watch import AbortReason, ExchangeWatchdog, WatchedExchange
+from brassdrum.errors import BrassdrumError
 from brassdrum.outcomes.refusals import RefusalBackoff
 from brassdrum.standins.site import MODEL
 from features.raw_endpoint import UNFRAMED, response
@@ -262,3 +265,49 @@
 @then("the watchdog has ended it as silent")
 def step_ended(context):
     assert context.watched.reason is AbortReason.SILENT, context.watched.reason
+
+
+@given("a queued request whose caller leaves while room is found for it")
+def step_leaving_caller(context):
+    dispatcher = context.site.daemons[0].core.dispatcher
+    state = dispatcher.fleet.states_by_name["engine-1"]
+    state.pause.until = math.inf
+    now = dispatcher.fleet._clock.monotonic()
+    context.work = Work(
+        id="work-1",
+        organisation="quilters",
+        target=MODEL,
+        prompt_tokens=10,
+        answer_tokens=10,
+        urgency=Urgency.INTERACTIVE,
+        share=1.0,
+        arrived=now,
+        start_by=now + STOP_SECONDS,
+        deadline=now + STOP_SECONDS,
+    )
+
+    def leave():
+        state.pause.until = -math.inf
+        dispatcher.place_queued()
+        assert state.own_requests_by_id, "no room was found"
+        return True
+
+    context.leave = leave
+
+
+@when("the request is placed")
+def step_place(context):
+    dispatcher = context.site.daemons[0].core.dispatcher
+    # The engine pauses only after the work is queued, as another daemon's request may fill it.
+    dispatcher._require_usable_endpoint = lambda work: None
+    try:
+        context.result = dispatcher.place(context.work, context.leave)
+    except BrassdrumError as error:
+        context.result = error
+
+
+@then("it fails with {code} and holds no place")
+def step_no_place(context, code):
+    assert getattr(context.result, "code", None) == code, context.result
+    dispatcher = context.site.daemons[0].core.dispatcher
+    assert not dispatcher.fleet.states_by_name["engine-1"].own_requests_by_id
--- a/src/brassdrum/daemon/dispatcher.py
+++ b/src/brassdrum/daemon/dispatcher.py
@@ -69,6 +69,9 @@
             self._place_queued()
         try:
             return self._wait(work, future, disconnected)
+        except BaseException:
+            self._release_unused(future)
+            raise
         finally:
             self._remove(work, future)
 
@@ -137,6 +140,13 @@
             if disconnected():
                 raise CallerDisconnectedError("The caller closed its connection while queued.")
 
+    def _release_unused(self, future: Future[Placement]) -> None:
+        """Release a placement that was made while its request gave up waiting for one."""
+        with self.lock:
+            if future.cancel() or future.cancelled() or future.exception() is not None:
+                return
+            self.release(future.result())
+
     def _remove(self, work: Work, future: Future[Placement]) -> None:
         with self.lock:
             self._futures_by_id.pop(work.id, None)
