Say in the log why a caller got no answer

The line 'request ended' had a result only: endpoint_failed for a refused resumption, an oversized event and a lost connection alike. Operators had to ask the daemon that served the request, before it forgot its steps. Evidence: 'The log says why ...' in openai_silences.feature failed before.

Now the line has the reason and whether the request may have run. Endpoints may quote a prompt in their messages, so that what follows a colon is left out of these lines; a scenario checks it.

--- a/features/openai_silences.feature
+++ b/features/openai_silences.feature
@@ -144,3 +144,17 @@
     And a queued request whose caller leaves while room is found for it
     When the request is placed
     Then it fails with caller_disconnected and holds no place
+
+  # Guards against a log that says that a caller got no answer, and not why.
+  Scenario: The log says why a caller got no answer
+    Given a site of 1 daemon and 1 engine
+    And the engine is replaced by one that breaks off a stream and refuses with 410 the first 3 resumptions
+    When a caller streams an answer and the log is kept
+    Then the line "request ended" has the reason "no longer has the stream" and ran "maybe"
+
+  Scenario: The log quotes nothing that an engine says
+    Given a site of 1 daemon and 1 engine
+    And the engine is replaced by one that refuses with the message "cannot run: blue linen"
+    When a caller streams an answer and the log is kept
+    Then the line "request ended" has the reason "rejected the request" and ran "no"
+    And no line that was kept holds "blue linen"
--- a/features/steps/openai_silence_steps.py
+++ b/features/steps/openai_silence_steps.py
@@ -1,5 +1,7 @@
 """Steps for endpoints that fall silent or break off and go on, behind the OpenAI-compatible API."""
 
+import json
+import logging
 import re
 import socket
 import threading
@@ -10,6 +12,7 @@
 from brassdrum.caller import Answer, Caller
 from brassdrum.http_pool import ExchangeFailedError
 from brassdrum.settings import ShutdownSettings
+from brassdrum.standins.site import MODEL
 from features.raw_endpoint import UNFRAMED, response
 from features.steps.caller_steps import completion_body
 from features.steps.openai_endless_steps import (
@@ -366,3 +369,46 @@
 def step_one_event(context):
     assert context.answer.whole, (context.answer.status, context.answer.error)
     assert event_texts(context.answer.body) == ["w0 "], context.answer.body
+
+
+class KeptRecords(logging.Handler):
+    """Keep the records of one logger."""
+
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        """Keep one record."""
+        self.records.append(record)
+
+
+@when("a caller streams an answer and the log is kept")
+def step_stream_with_log(context):
+    logger = logging.getLogger("brassdrum.daemon.finishing")
+    context.kept = KeptRecords()
+    level = logger.level
+    logger.addHandler(context.kept)
+    logger.setLevel(logging.INFO)
+    context.stack.push(lambda: logger.setLevel(level))
+    context.stack.push(lambda: logger.removeHandler(context.kept))
+    context.answer = caller(context).complete(MODEL, "blue", EVENTS)
+
+
+@then('the line "{line}" has the reason "{reason}" and ran "{ran}"')
+def step_reason(context, line, reason, ran):
+    eventually(lambda: context.kept.records, "the request's end is logged")
+    record = context.kept.records[-1]
+    assert record.getMessage() == line, record.getMessage()
+    assert reason in record.reason and record.ran == ran, (record.reason, record.ran)
+
+
+@given('the engine is replaced by one that refuses with the message "{message}"')
+def step_refusing_message(context, message):
+    body = json.dumps({"error": {"message": message, "ran": "no"}}).encode()
+    replace_engine(context, 0, lambda head: [response(body, status="400 Bad Request")])
+
+
+@then('no line that was kept holds "{text}"')
+def step_not_quoted(context, text):
+    assert not any(text in str(record.__dict__) for record in context.kept.records)
--- a/src/brassdrum/daemon/attempts.py
+++ b/src/brassdrum/daemon/attempts.py
@@ -157,7 +157,7 @@
                 extra={
                     "endpoint": placement.state.endpoint.name,
                     "seconds": refusals.until - now,
-                    "reason": error.message,
+                    "reason": error.summary,
                 },
             )
 
--- a/src/brassdrum/daemon/engine_run.py
+++ b/src/brassdrum/daemon/engine_run.py
@@ -214,7 +214,7 @@
                         "endpoint": self._engine.name,
                         "stream": self._identity.stream,
                         "try": self._resumes_without_progress,
-                        "reason": failure,
+                        "reason": error.summary,
                     },
                 )
                 continue
--- a/src/brassdrum/daemon/finishing.py
+++ b/src/brassdrum/daemon/finishing.py
@@ -79,13 +79,15 @@
             self._scope.request_id, "ended", f"{error.code} ran={error.ran.value}: {error.message}"
         )
         self._core.dispatcher.record_refusal(self._scope.organisation)
-        self._complete(error.code, None)
+        self._complete(error.code, None, error)
 
     def interrupted(self) -> None:
         """Complete a request whose caller disconnected during its answer."""
         self.failed(CallerDisconnectedError("The caller closed its connection."))
 
-    def _complete(self, result: str, usage: Usage | None) -> None:
+    def _complete(
+        self, result: str, usage: Usage | None, error: BrassdrumError | None = None
+    ) -> None:
         if self._completed:
             return
         self._completed = True
@@ -94,10 +96,10 @@
             estimated = self._work.kv_tokens
             actual = estimated if usage is None and result == "ok" else _total_tokens(usage)
             self._core.limits.release(self._scope.organisation, estimated, actual)
-        observe(self._report, result)
+        observe(self._report, result, error)
         self._core.active.leave()
 
-    def _report(self, result: str) -> None:
+    def _report(self, result: str, error: BrassdrumError | None) -> None:
         scope = self._scope
         target = "" if self._work is None else self._work.target
         self._core.metrics.requests.add(
@@ -114,6 +116,8 @@
                 "target": target,
                 "result": result,
                 "seconds": round(self._core.clock.monotonic() - scope.arrived, 4),
+                "reason": None if error is None else error.summary,
+                "ran": None if error is None else error.ran.value,
             },
         )
 
--- a/src/brassdrum/errors.py
+++ b/src/brassdrum/errors.py
@@ -69,6 +69,11 @@
         self.ran = ran or self.default_ran
         self.retry_after = retry_after
 
+    @property
+    def summary(self) -> str:
+        """Return the message without what follows a colon: a neighbour may quote a prompt there."""
+        return self.message.partition(": ")[0]
+
     def body(self) -> dict[str, dict[str, object]]:
         """Return the JSON body that a caller receives."""
         error: dict[str, object] = {
