--- a/src/brassdrum/daemon/finishing.py
+++ b/src/brassdrum/daemon/finishing.py
@@ -11,7 +11,7 @@
 from brassdrum.daemon.core import Core, Scope
 from brassdrum.daemon.dispatcher import Placement
 from brassdrum.daemon.groups import GroupReservation
-from brassdrum.errors import BrassdrumError, CallerDisconnectedError
+from brassdrum.errors import BrassdrumError, CallerDisconnectedError, Ran
 from brassdrum.telemetry.observe import observe
 from brassdrum.wsgi import Request, Response
 
@@ -79,13 +79,15 @@
             self._scope.request_id, "ended", f"{error.code} ran={error.ran.value}: {error.message}"
         )
         self._core.dispatcher.record_refusal(self._scope.organisation)
-        self._complete(error.code, None)
+        self._complete(error.code, None, error)
 
     def interrupted(self) -> None:
         """Complete a request whose caller disconnected during its answer."""
         self.failed(CallerDisconnectedError("The caller closed its connection."))
 
-    def _complete(self, result: str, usage: Usage | None) -> None:
+    def _complete(
+        self, result: str, usage: Usage | None, error: BrassdrumError | None = None
+    ) -> None:
         if self._completed:
             return
         self._completed = True
@@ -94,10 +96,10 @@
             estimated = self._work.kv_tokens
             actual = estimated if usage is None and result == "ok" else _total_tokens(usage)
             self._core.limits.release(self._scope.organisation, estimated, actual)
-        observe(self._report, result)
+        observe(self._report, result, error)
         self._core.active.leave()
 
-    def _report(self, result: str) -> None:
+    def _report(self, result: str, error: BrassdrumError | None) -> None:
         scope = self._scope
         target = "" if self._work is None else self._work.target
         self._core.metrics.requests.add(
@@ -114,6 +116,8 @@
                 "target": target,
                 "result": result,
                 "seconds": round(self._core.clock.monotonic() - scope.arrived, 4),
+                "reason": None if error is None else error.summary,
+                "ran": None if error is None else error.ran.value,
             },
         )
 
@@ -138,7 +142,11 @@
 def handle(
     core: Core, request: Request, run: Callable[[Scope, RequestLifecycle], Response]
 ) -> Response:
-    """Answer a request with ``run``; complete it as failed if ``run`` raises."""
+    """Answer a request with ``run``; complete it as failed if ``run`` raises.
+
+    An unexpected error does not tell whether an endpoint was sent the request, so that it counts
+    as one that may have run.
+    """
     scope = core.scope(request, "caller")
     lifecycle = RequestLifecycle(core, scope)
     try:
@@ -146,6 +154,10 @@
     except BrassdrumError as error:
         lifecycle.failed(error)
         raise
-    except BaseException:
-        lifecycle.failed(BrassdrumError("The daemon failed to handle the request."))
+    except BaseException as error:
+        _logger.exception("request failed", extra={"request_id": scope.request_id})
+        failure = BrassdrumError("The daemon failed to handle the request.", ran=Ran.MAYBE)
+        lifecycle.failed(failure)
+        if isinstance(error, Exception):
+            raise failure from error
         raise
--- a/src/brassdrum/errors.py
+++ b/src/brassdrum/errors.py
@@ -23,6 +23,7 @@
     "EndpointPausedError",
     "EndpointFailedError",
     "EndpointEndedError",
+    "StreamGoneError",
     "ContentQuarantinedError",
     "OutcomeUnknownError",
     "RequestInProgressError",
@@ -68,6 +69,11 @@
         self.ran = ran or self.default_ran
         self.retry_after = retry_after
 
+    @property
+    def summary(self) -> str:
+        """Return the message without what follows a colon: a neighbour may quote a prompt there."""
+        return self.message.partition(": ")[0]
+
     def body(self) -> dict[str, dict[str, object]]:
         """Return the JSON body that a caller receives."""
         error: dict[str, object] = {
@@ -195,6 +201,10 @@
     """
 
 
+class StreamGoneError(EndpointFailedError):
+    """Fail a resumption of a stream that its endpoint no longer holds."""
+
+
 class ContentQuarantinedError(BrassdrumError):
     """Refuse a request whose content has ended several endpoints."""
 
