Stop resuming a stream whose caller has left

The daemon went on asking an engine to resume a stream after its caller had left, and wrote 'stream failed' with a stack as if the relay had a fault. Since refused resumptions are tried again, that lasted for all ten tries.

Cause: the thread that resumes did not look at whether the stream was closed.

Now the tries end with the stream, and a connection that was opened in that moment is closed.

--- a/features/openai_silences.feature
+++ b/features/openai_silences.feature
@@ -158,3 +158,12 @@
     When a caller streams an answer and the log is kept
     Then the line "request ended" has the reason "rejected the request" and ran "no"
     And no line that was kept holds "blue linen"
+
+  # Guards against resumptions for a caller that has left: tries went on, and their end was logged as
+  # a fault of the relay.
+  Scenario: A caller leaves while its engine refuses resumptions
+    Given a site of 1 daemon and 1 engine
+    And the engine is replaced by one that breaks off a stream and refuses with 503 the first 50 resumptions
+    When a caller streams an answer and leaves after the second resumption
+    Then the engine is asked for at most 2 further resumptions
+    And the relay has logged no fault
--- a/features/steps/openai_silence_steps.py
+++ b/features/steps/openai_silence_steps.py
@@ -189,6 +189,10 @@
         head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
         self._socket.sendall(head.encode() + body)
 
+    def leave(self):
+        """Close the connection."""
+        self._socket.close()
+
     def read(self):
         """Return the answer up to the end of the connection."""
         parts = []
@@ -412,3 +416,36 @@
 @then('no line that was kept holds "{text}"')
 def step_not_quoted(context, text):
     assert not any(text in str(record.__dict__) for record in context.kept.records)
+
+
+def resumption_count(context):
+    return sum(head.startswith(b"GET /v1/streams/") for head in list(context.endpoint.heads))
+
+
+@when("a caller streams an answer and leaves after the second resumption")
+def step_leave_during_resumption(context):
+    logger = logging.getLogger("brassdrum.daemon.relay")
+    context.kept = KeptRecords()
+    logger.addHandler(context.kept)
+    context.stack.push(lambda: logger.removeHandler(context.kept))
+    logger.setLevel(logging.ERROR)
+    context.stack.push(lambda: logger.setLevel(logging.NOTSET))
+    leaving = UnreadingCaller(context, "POST", "/v1/completions", completion_body())
+    eventually(lambda: resumption_count(context) >= 2, "the stream is resumed")
+    leaving.leave()
+    active = context.site.daemons[0].core.active
+    eventually(lambda: len(active) == 0, "the daemon sees that the caller has left")
+    context.resumptions_before = resumption_count(context)
+
+
+@then("the engine is asked for at most {count:d} further resumptions")
+def step_few_resumptions(context, count):
+    # All ten tries take less.
+    time.sleep(8.0)
+    further = resumption_count(context) - context.resumptions_before
+    assert further <= count, further
+
+
+@then("the relay has logged no fault")
+def step_no_fault(context):
+    assert not context.kept.records, context.kept.records[0].getMessage()
--- a/src/brassdrum/daemon/engine_run.py
+++ b/src/brassdrum/daemon/engine_run.py
@@ -196,6 +196,8 @@
         failure = f"Endpoint {self._engine.name} closed every connection early."
         while True:
             self._raise_if_aborted()
+            if self._closed:
+                raise CallerDisconnectedError("The caller left while its stream was resumed.")
             if self._resumes_without_progress >= _MAX_RESUMES_WITHOUT_PROGRESS:
                 raise EndpointFailedError(failure)
             if self._resumes_without_progress:
--- a/src/brassdrum/daemon/relay.py
+++ b/src/brassdrum/daemon/relay.py
@@ -65,6 +65,11 @@
         self._error_chunk = error_chunk
         self._closed = False
 
+    @property
+    def closed(self) -> bool:
+        """Return whether the stream has ended for its caller."""
+        return self._closed
+
     def attach(self, writer: StreamWriter) -> None:
         """Set the writer that sends events to the caller."""
         self.writer = writer
@@ -241,6 +246,10 @@
         self._start_reading(stream)
 
     def _start_reading(self, stream: RelayedStream) -> None:
+        if stream.closed:
+            # The caller left while the stream was resumed.
+            stream.reader.leave_running()
+            return
         events = stream.reader.take_over()
         if events:
             self._deliver(stream, events)
@@ -336,6 +345,9 @@
 
     def _fail_stream(self, stream: RelayedStream, error: BrassdrumError) -> None:
         def step(failed: RelayedStream) -> None:
+            if failed.closed:
+                # The caller left while the stream was resumed.
+                return
             failed.fail(error)
             self._finish_caller(failed)
 
