Let replicas of the soak pause, and hold broken answers against the daemons

Cause: streams that broke off while sound endpoints paused were no fault that the soak plays, and no failure that it calls one.

What changed: replicas pause for 0.8 to 2 s (one, a zone, all), in series and overlapping, while others refuse, daemons are reloaded and stopped, and keys change. The proxies accept connections and hold back what passes; they note what reached a replica's host and when. A new check finds requests that broke although a replica that had paused had run them and was awake for a second before their deadline. Callers leave a stream after 4 s of silence, as the platform's rule says.

Checks that compare with the time of an arrival now take the time at which the request reached the replica's host. Without pauses that is the same; a paused replica reads in one moment what daemons sent before it left, named a limit or asked for a rest. A limit is held from the time on at which the replica was awake for 3 s, a rest from its answer on.

Runs with a plant do not wait for held memory to be given back, since no plant is about that; this keeps features/soak.feature short.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -16,6 +16,10 @@
       | 900  | 8       | 4f4bfb16bca9feaa |
       | 901  | 8       | 968bf6e585695832 |
 
+  Scenario: Pauses of replicas come one by one, in series and overlapping, with other faults meanwhile
+    Then the pauses of 200 seeds last 0.8 to 2.0 seconds and end within a run of 10 seconds
+    And some of them follow each other at once, overlap and have each kind of fault in them
+
   Scenario: Evacuations of a plan last longer than daemons may take to obey, and end within the run
     Then each evacuation of 200 seeds lasts over 5 seconds and ends before a run of 10 seconds does
 
@@ -47,6 +51,7 @@
       | hide_evacuations | 12   | 9       | no work for an evacuated zone              |
       | hide_cold        | 27   | 6       | cold endpoints get no more than they bear  |
       | break_long       | 24   | 6       | slow readers get their whole answer        |
+      | give_up_silent   | 2    | 3       | pauses of sound endpoints cost no answer   |
 
   Scenario: No request ends replicas beside a planted fault that they would hide
     A replica that ends early does not exceed its cold limit, so that the planted fault goes unseen.
@@ -83,6 +88,52 @@
       | a slow reader got half of its answer while the store was away | slow readers get their whole answer |
       | a slow reader got half of its answer from a daemon started 1 s before | slow readers get their whole answer |
 
+  # Guards against a check that lets pass what the incident was: streams that broke off while sound
+  # endpoints paused were counted neither as served nor as broken.
+  Scenario Outline: The checks of pauses find that <what>
+    Given a history in which <what>
+    Then "<promise>" is called broken
+
+    Examples:
+      | what                                                    | promise                                  |
+      | a stream broke off while its endpoint paused            | pauses of sound endpoints cost no answer |
+      | a call was answered 502 while its endpoint paused       | pauses of sound endpoints cost no answer |
+      | a call was answered 504 after its endpoint went on      | pauses of sound endpoints cost no answer |
+      | a connection ended while its endpoint paused            | pauses of sound endpoints cost no answer |
+      | a stream broke off in a pause while its daemon began to stop | pauses of sound endpoints cost no answer |
+
+  # Guards against a check that blames daemons for other troubles than the pause.
+  Scenario Outline: The checks of pauses blame no daemon where <what>
+    Given a history in which <what>
+    Then no promise is called broken
+
+    Examples:
+      | what                                                    |
+      | a stream was served after its endpoint paused           |
+      | a paused request was refused                            |
+      | a paused request got its endpoint's own failure         |
+      | a paused endpoint refused, and another one had lost the request |
+      | a stream broke off without a pause                      |
+      | a stream broke off and its endpoint did not go on in time |
+      | a stream broke off in a pause and its daemon was killed |
+      | a stream broke off in a pause in the last moment of a planned stop |
+      | a stream broke off in a pause and its daemon was cut off |
+      | a stream broke off in a pause and its endpoint crashed  |
+      | a stream broke off in a pause and its endpoint cut it   |
+      | a stream broke off in a pause and its caller left       |
+
+  Scenario Outline: Requests that wait at a paused endpoint count from when they reached it: <what>
+    A pause lets through at once what was sent before an endpoint left or limited its requests.
+    Given a history in which <what>
+    Then <verdict>
+
+    Examples:
+      | what                                                     | verdict                    |
+      | an endpoint ran a request in time that it read long after | no promise is called broken |
+      | an endpoint that paused got more than it takes at first  | no promise is called broken |
+      | an endpoint got requests in the pause that its paused answer asked for | "endpoints get the rest that they ask for" is called broken |
+      | an endpoint got requests before its paused answer asked for a pause | no promise is called broken |
+
   Scenario Outline: The checks of zones, cold endpoints and slow readers blame no daemon for <what>
     Given a history in which <what>
     Then no promise is called broken
@@ -172,6 +223,10 @@
   Scenario: The proxy harms connections as it is told
     Then a proxy passes, resets, silences and holds back answers
 
+  Scenario: A paused target accepts connections, sends nothing and goes on
+    Then a proxy whose target pauses for 0.6 seconds passes on afterwards what came before and in it
+    And it says when that reached the target's host
+
   Scenario: No two listeners of a run get the same port
     A soak of seed 11 did not start: its log says EADDRINUSE, and its first daemon's settings name port
     31328 for callers and for readiness.
--- a/features/soak_histories.py
+++ b/features/soak_histories.py
@@ -3,7 +3,17 @@
 import math
 from dataclasses import replace
 
-from brassdrum.soak.history import ColdSpan, CutOff, Evacuation, History, NamedLimit, Result
+from brassdrum.soak.history import (
+    RECOVERY_SECONDS,
+    ColdSpan,
+    CutOff,
+    Evacuation,
+    History,
+    NamedLimit,
+    ReplicaPause,
+    Result,
+    Send,
+)
 from brassdrum.soak.replicas import Arrival, Run, whole_answer
 
 __all__ = ["HISTORIES", "arrival", "result", "run"]
@@ -58,7 +68,85 @@
     return History([broken], runs, [arrival(0.0, daemon=sender)], **others)
 
 
+def paused(
+    kind="text", status=200, whole=False, ended_at=3.0, left=False, until=3.5, ran=True, **others
+):
+    """Return a history of a request that was sent at 1.0 to an endpoint paused from 1.1 on."""
+    body = whole_answer(kind, "a") if whole else b""
+    seen = Result(
+        "a", kind, "daemon-1", "key-1", 1.0, ended_at, status, whole, body, deadline=7.0, left=left
+    )
+    pauses = [ReplicaPause("replica-1", 1.1, until)] if until else []
+    return History(
+        [seen],
+        [run(at=1.0)] if ran else [],
+        [arrival(1.0)],
+        sends=[Send("a", "replica-1", "daemon-1", 1.0)],
+        pauses=pauses,
+        **others,
+    )
+
+
+def killed(since, until):
+    """Return a fault of the daemon, with the time after which it knows the newest state again."""
+    return {"daemon-1": [(since, until + RECOVERY_SECONDS)]}
+
+
+def limited(pauses):
+    """Return a history of an endpoint that names a limit at 1.0 and gets 12 requests at 4.1."""
+    arrivals = [arrival(4.1 + number / 100) for number in range(12)]
+    limits = [NamedLimit("replica-1", 1.0, 1.0)]
+    return History([result()], [run()], arrivals, limits=limits, pauses=pauses)
+
+
+def rested(first):
+    """Return a history with three requests from a time on; a pause of 2 s was asked for at 3.0."""
+    asked = Arrival("a", "replica-1", 1.0, 2.0, "daemon-1", handled_at=3.0)
+    others = [arrival(first + number / 10) for number in range(3)]
+    pauses = [ReplicaPause("replica-1", 0.9, 3.0)]
+    return History([result()], [run()], [asked, *others], pauses=pauses)
+
+
 HISTORIES = {
+    "a stream broke off while its endpoint paused": paused(),
+    "a call was answered 502 while its endpoint paused": paused("hold", 502, whole=True),
+    "a call was answered 504 after its endpoint went on": paused("check", 504, True, ended_at=7.0),
+    "a connection ended while its endpoint paused": paused(status=0),
+    "a stream broke off in a pause while its daemon began to stop": paused(
+        disturbed_by_daemon=killed(2.9, 6.9), stops_by_daemon=killed(2.9, 6.9)
+    ),
+    "a stream was served after its endpoint paused": paused(whole=True, ended_at=4.0),
+    "a paused request was refused": paused(status=503, whole=True, ran=False),
+    "a paused request got its endpoint's own failure": paused(status=500, whole=True),
+    "a paused endpoint refused, and another one had lost the request": paused(
+        status=502, whole=True, ran=False
+    ),
+    "a stream broke off without a pause": paused(until=None),
+    "a stream broke off and its endpoint did not go on in time": paused(until=6.3),
+    "a stream broke off in a pause and its daemon was killed": paused(
+        disturbed_by_daemon=killed(3.0, 4.0)
+    ),
+    "a stream broke off in a pause in the last moment of a planned stop": paused(
+        disturbed_by_daemon=killed(-1.0, 3.0), stops_by_daemon=killed(-1.0, 3.0)
+    ),
+    "a stream broke off in a pause and its daemon was cut off": paused(
+        cuts=[CutOff(frozenset({"daemon-1"}), 2.0, 7.0)]
+    ),
+    "a stream broke off in a pause and its endpoint crashed": paused(
+        harmed_by_replica={"replica-1": [(3.2, math.inf)]}
+    ),
+    "a stream broke off in a pause and its endpoint cut it": paused(spoilt={"a"}),
+    "a stream broke off in a pause and its caller left": paused(left=True),
+    "an endpoint ran a request in time that it read long after": History(
+        [result()],
+        [replace(run(at=6.0), arrived_at=5.0)],
+        left_at_by_replica={"replica-1": 1.0},
+    ),
+    "an endpoint that paused got more than it takes at first": limited(
+        [ReplicaPause("replica-1", 0.9, 2.0)]
+    ),
+    "an endpoint got requests in the pause that its paused answer asked for": rested(first=3.6),
+    "an endpoint got requests before its paused answer asked for a pause": rested(first=2.0),
     "a call ran twice": History([result()], [run(), run()]),
     "a refused request ran": History([result(status=503)], [run()]),
     "an answer belongs to another request": History([result(body=b"done b")], [run()]),
--- a/features/steps/soak_load_steps.py
+++ b/features/steps/soak_load_steps.py
@@ -24,7 +24,10 @@
 
 @then("the earlier faults of seed {seed:d} for {seconds:d} seconds have the digest {digest}")
 def step_earlier_faults(context, seed, seconds, digest):
-    added = ("evacuate", "turn_cold", "read_slowly")
+    added = (
+        *("evacuate", "turn_cold", "read_slowly", "pause_replicas"),
+        *("refuse_in_pause", "reload_in_pause", "revoke_in_pause", "terminate_in_pause"),
+    )
     earlier = [fault for fault in draw_plan(seed, float(seconds)) if fault.kind not in added]
     assert hashlib.sha256(repr(earlier).encode()).hexdigest().startswith(digest), earlier
 
@@ -45,7 +48,7 @@
 def step_cold_replica(context, seconds):
     context.store = Store()
     context.stack.push(context.store.close)
-    context.replica = Replica("replica-1", [], [], lambda: 1.0)
+    context.replica = Replica("replica-1", [], [], set(), lambda: 1.0)
     context.stack.push(context.replica.close)
     context.replica.zone = ZONES[1]
     context.replica.turn_cold(seconds)
--- a/src/brassdrum/bench/start.py
+++ b/src/brassdrum/bench/start.py
@@ -67,7 +67,7 @@
 def run_start(folder: Path) -> Start:
     """Start a daemon, send it one request and stop it; the folder keeps compiled sources."""
     store = Store()
-    replica = Replica("replica-1", [], [], lambda: 1.0)
+    replica = Replica("replica-1", [], [], set(), lambda: 1.0)
     store.configure({"org-1": [_KEY]})
     store.list_replica(replica, draining=False)
     ports = (free_port(), free_port(), free_port())
--- a/src/brassdrum/platform/standin.py
+++ b/src/brassdrum/platform/standin.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import math
+import re
 import socket
 import threading
 import time
@@ -31,7 +32,7 @@
 )
 from brassdrum.soak.store_server import store_handler
 
-__all__ = ["Replica", "Store", "boot_file", "caller_headers"]
+__all__ = ["Replica", "Store", "boot_file", "caller_headers", "request_of"]
 
 _CONFIGURATION_TOPIC = "keyed.op"
 _ENDPOINT_TOPIC = "keyed.servers"
@@ -51,6 +52,7 @@
 _SERVICE = "pool"
 _ERA_HEADER = "Store-Era"
 _KV_TOKENS = 100_000
+_REQUEST = re.compile(rb"\r\nX-Attempt-Id: ?([^\r]+)\r\n", re.IGNORECASE)
 
 
 def caller_headers(
@@ -85,6 +87,12 @@
     path.write_text(json.dumps(content))
 
 
+def request_of(data: bytes) -> str:
+    """Return the request whose head some data to a replica hold, empty if none."""
+    match = _REQUEST.search(data)
+    return "" if match is None else match.group(1).decode()
+
+
 def answer_head(request: ReplicaRequest, size: int) -> bytes:
     """Return the head of a replica's answer with a body of a size."""
     echoed = request.header_by_name.get("x-attempt-id", "")
@@ -200,15 +208,18 @@
         name: str,
         runs: list[Run],
         arrivals: list[Arrival],
+        spoilt: set[str],
         chance: Callable[[], float],
         on_ended: Callable[[], None] | None = None,
         sender_of: Callable[[socket.socket], str] = lambda connection: "",
+        arrived_at: Callable[[socket.socket], float] = lambda connection: time.monotonic(),
     ) -> None:
         self.name = name
         self._on_ended = on_ended
         self._sender_of = sender_of
+        self._arrived_at = arrived_at
         self.faults = ReplicaFaults()
-        self._runs, self._arrivals = runs, arrivals
+        self._runs, self._arrivals, self._spoilt = runs, arrivals, spoilt
         self._chance = chance
         self._memory = HeldMemory(_KV_TOKENS)
         self._cold_until = 0.0
@@ -244,7 +255,14 @@
         pause = PAUSE_SECONDS if rests else 0.0
         sender = self._sender_of(connection)
         self._arrivals.append(
-            Arrival(headers["x-attempt-id"], self.name, time.monotonic(), pause, sender)
+            Arrival(
+                headers["x-attempt-id"],
+                self.name,
+                self._arrived_at(connection),
+                pause,
+                sender,
+                time.monotonic(),
+            )
         )
         if rests:
             extra = f"X-Not-Executed: 1\r\nRetry-After: {pause}\r\n"
@@ -255,26 +273,31 @@
             return True
         parts = request.header_by_name.get("x-prompt-prefix", "")
         if ends_replica(request.path, parts) and self._on_ended is not None:
-            self._note(request, sender, ending=True)
+            self._note(request, sender, self._arrived_at(connection), ending=True)
             self._on_ended()
             return False
         for _ in range(2 if self._chance() < self.faults.repeat else 1):
-            self._note(request, sender)
+            self._note(request, sender, self._arrived_at(connection))
         return self._run(connection, request)
 
-    def _note(self, request: ReplicaRequest, sender: str, *, ending: bool = False) -> None:
+    def _note(
+        self, request: ReplicaRequest, sender: str, arrived_at: float, *, ending: bool = False
+    ) -> None:
         headers = request.header_by_name
         name, resumed = headers["x-attempt-id"], "last-event-id" in headers
         organisation = headers.get("x-tenant", "")
-        run = Run(name, self.name, organisation, time.monotonic(), resumed, ending, sender)
+        now = time.monotonic()
+        run = Run(name, self.name, organisation, now, resumed, ending, sender, arrived_at)
         with self._lock:
             self._runs.append(run)
 
     def _run(self, connection: socket.socket, request: ReplicaRequest) -> bool:
         if self._chance() < self.faults.lose:
+            self._spoilt.add(request.header_by_name["x-attempt-id"])
             return False
         seal = "X-Replica-Seal: s1\r\n"
         if self._chance() < self.faults.fail:
+            self._spoilt.add(request.header_by_name["x-attempt-id"])
             self._answer(connection, request, 500, b"failed", seal)
             return True
         if request.path.startswith("/text/"):
@@ -307,6 +330,7 @@
             time.sleep(_EVENT_SECONDS)
             data = event(headers["x-attempt-id"], number)
             if cut and number == EVENTS // 2:
+                self._spoilt.add(headers["x-attempt-id"])
                 if unframed:
                     connection.sendall(data[: len(data) // 2])
                 return False
--- a/src/brassdrum/soak/actions.py
+++ b/src/brassdrum/soak/actions.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
 
 from brassdrum.registry import Registry
@@ -22,8 +23,13 @@
 _LIMITS = (0.5, 1.0, 4.0, 10.0)
 _REST_SHARE = 0.7
 _UNFRAMED_SHARE = 0.8
+_REFUSED_IN_PAUSE_SHARE = 0.9
 _CUT_MODES = ("reset", "silent", "live")
 _SLOW_READERS = 4
+_STREAMS_IN_PAUSE = 12
+# A stream takes 0.12 s.
+_STREAM_BEGIN_SECONDS = 0.07
+_PAUSED = ("one", "zone", "all", "one")
 _STORE_FAULTS = ("busy", "silent", "slow", "lost")
 
 FaultAction = Callable[["Soak", PlannedFault], None]
@@ -41,7 +47,7 @@
 def terminate(soak: Soak, fault: PlannedFault) -> None:
     """Ask a daemon to stop; it is started again when it has ended."""
     daemon = soak.pick_daemon(fault)
-    soak.disturb(daemon.name, 4.0)
+    soak.disturb(daemon.name, 4.0, stops=True)
     daemon.send(signal.SIGTERM)
 
 
@@ -204,6 +210,37 @@
     soak.keep_listed(replica)
 
 
+@ACTIONS.register("pause_replicas")
+def pause_replicas(soak: Soak, fault: PlannedFault) -> None:
+    """Let one replica, those of a zone or all take and send nothing for a while, then go on.
+
+    Streams begin right before it, since the usual callers have few of them in progress.
+    """
+    soak.callers.stream_from_all(_STREAMS_IN_PAUSE)
+    struck = list(soak.replicas)
+    which = _PAUSED[fault.variant % len(_PAUSED)]
+    if which == "one":
+        struck = [soak.pick_replica(fault)]
+    elif which == "zone":
+        zone = ZONES[fault.choice % len(ZONES)]
+        struck = [each for each in struck if each.zone == zone]
+    for replica in struck:
+        soak.after(_STREAM_BEGIN_SECONDS, partial(soak.pause_replica, replica.name, fault.seconds))
+
+
+@ACTIONS.register("refuse_in_pause")
+def refuse_in_pause(soak: Soak, fault: PlannedFault) -> None:
+    """Let all replicas refuse most requests as not run for the span of the fault."""
+    for replica in list(soak.replicas):
+        replica.faults.refuse = _REFUSED_IN_PAUSE_SHARE
+        soak.after(fault.seconds, partial(setattr, replica.faults, "refuse", 0.0))
+
+
+ACTIONS.register("reload_in_pause")(reload)
+ACTIONS.register("revoke_in_pause")(revoke)
+ACTIONS.register("terminate_in_pause")(terminate)
+
+
 @ACTIONS.register("read_slowly")
 def read_slowly(soak: Soak, fault: PlannedFault) -> None:
     """Let callers ask for long answers and read nothing for the span of the fault, then slowly."""
--- a/src/brassdrum/soak/callers.py
+++ b/src/brassdrum/soak/callers.py
@@ -20,6 +20,9 @@
 
 CALLER_TIMEOUT_SECONDS = 25.0
 _PATIENCE_SECONDS = 6.0
+# The platform's rule: callers give a stream up after a silence of four times its objective.
+_SILENCE_SECONDS = 4.0
+_READ_BYTES = 65536
 # Slow readers take 12 MB in 1.2 s at best after a stall of up to 2 s; the rest is for slow paths.
 _SLOW_PATIENCE_SECONDS = 20.0
 _SLOW_TRIES = 10
@@ -87,6 +90,7 @@
         self._stop = threading.Event()
         self._lock = threading.Lock()
         self._threads: list[threading.Thread] = []
+        self._stream_count = 0
 
     def start(self, count: int, *, end_replicas: bool) -> None:
         """Start callers and, if replicas are to end, the one whose requests end them."""
@@ -99,6 +103,13 @@
         """Start a caller that asks for a long answer and reads it slowly after a stall."""
         self._run(self._ask_long, daemon, request, stall)
 
+    def stream_from_all(self, count: int) -> None:
+        """Start callers that ask each daemon in turn for one stream."""
+        for number in range(count):
+            self._stream_count += 1
+            daemon = self._daemons[number % len(self._daemons)]
+            self._run(self._ask_stream, daemon, f"p{self._seed}-{self._stream_count}")
+
     def stop(self) -> None:
         """Let callers send nothing more."""
         self._stop.set()
@@ -151,6 +162,15 @@
             self._send(connection, sending, daemon, path)
             connection.close()
 
+    def _ask_stream(self, daemon: DaemonProcess, request: str) -> None:
+        connection = http.client.HTTPConnection(
+            daemon.host, daemon.port, timeout=CALLER_TIMEOUT_SECONDS
+        )
+        parts = f"{_SHARED_PART},{request}"
+        sending = _Sending(request, "text", self._keys.newest("org-2"), 1000, parts)
+        self._send(connection, sending, daemon, f"/text/{request}")
+        connection.close()
+
     def _call(
         self,
         connection: http.client.HTTPConnection,
@@ -177,20 +197,41 @@
         request, kind, key = sending.request, sending.kind, sending.key
         headers = caller_headers(request, key, _PATIENCE_SECONDS, sending.tokens, sending.parts)
         sent_at = time.monotonic()
-        status, whole, body, usable, retry_after = 0, False, b"", False, 0.0
+        status, whole, usable, left, retry_after = 0, False, False, False, 0.0
+        content = bytearray()
         try:
             method = "GET" if kind == "check" else "POST"
             connection.request(method, path, headers=headers)
+            if kind == "text":
+                connection.sock.settimeout(_SILENCE_SECONDS)
             response = connection.getresponse()
             status = response.status
             retry_after = float(response.headers.get("Retry-After", "0"))
-            body = response.read()
-            whole, usable = True, not response.will_close
+            while data := response.read(_READ_BYTES):
+                content += data
+            # Without a length the end of the connection is the end of the answer.
+            whole = not response.length
+            usable = whole and not response.will_close
+            if connection.sock is not None:
+                connection.sock.settimeout(CALLER_TIMEOUT_SECONDS)
+        except TimeoutError:
+            left = kind == "text"
         except (OSError, http.client.HTTPException):
             usable = False
-        ended_at = time.monotonic()
+        body = bytes(content) if whole else b""
         result = Result(
-            request, kind, daemon.name, key, sent_at, ended_at, status, whole, body, retry_after
+            request,
+            kind,
+            daemon.name,
+            key,
+            sent_at,
+            time.monotonic(),
+            status,
+            whole,
+            body,
+            retry_after,
+            sent_at + _PATIENCE_SECONDS,
+            left,
         )
         with self._lock:
             self._history.results.append(result)
--- a/src/brassdrum/soak/checks.py
+++ b/src/brassdrum/soak/checks.py
@@ -7,6 +7,7 @@
 
 from brassdrum.bench.limits import WINDOW_SECONDS, allowed_requests
 from brassdrum.registry import Registry
+from brassdrum.soak.answer_checks import pauses_cost_none
 from brassdrum.soak.history import History, Result, Violation
 from brassdrum.soak.load_checks import cold_bound, evacuated_zones, slow_readers
 from brassdrum.soak.replicas import Run, whole_answer
@@ -39,6 +40,7 @@
 CHECKS.register("no work for an evacuated zone")(evacuated_zones)
 CHECKS.register("cold endpoints get no more than they bear")(cold_bound)
 CHECKS.register("slow readers get their whole answer")(slow_readers)
+CHECKS.register("pauses of sound endpoints cost no answer")(pauses_cost_none)
 
 
 def judge(history: History) -> list[Violation]:
@@ -113,7 +115,7 @@
     """Find runs at endpoints that had left for longer than the bound."""
     for run in history.runs:
         left_at = history.left_at_by_replica.get(run.replica)
-        if left_at is None or run.at <= left_at + _IN_FORCE_SECONDS:
+        if left_at is None or run.sent_at <= left_at + _IN_FORCE_SECONDS:
             continue
         if history.calm(run.daemon, left_at, run.at):
             yield Violation("no work for a leaving endpoint", run.request, run.replica)
@@ -158,7 +160,8 @@
 def limits(history: History) -> Iterator[Violation]:
     """Find windows with more requests than a replica takes, from daemons that nothing disturbed."""
     for named in history.limits:
-        begin = named.since + _TOLD_SECONDS
+        # A replica tells nothing while it is paused.
+        begin = history.awake_for(named.replica, named.since, _TOLD_SECONDS)
         times = [
             each.at
             for each in history.arrivals
@@ -180,14 +183,15 @@
     """Find replicas that got more than two requests of a daemon in a pause they had asked for."""
     for asked in history.arrivals:
         daemon = asked.daemon
-        end = asked.at + asked.pause
-        if not asked.pause or not daemon or not history.calm(daemon, asked.at, end):
+        told_at = history.awake_for(asked.replica, asked.answered_at, 0.0)
+        end = told_at + asked.pause
+        if not asked.pause or not daemon or not history.calm(daemon, told_at, end):
             continue
         count = sum(
             1
             for each in history.arrivals
             if each.replica == asked.replica
-            and asked.at + _PAUSE_GRACE_SECONDS < each.at < end
+            and told_at + _PAUSE_GRACE_SECONDS < each.at < end
             and each.daemon == daemon
         )
         if count > _MORE_IN_PAUSE:
@@ -219,7 +223,7 @@
     late = [
         run
         for run in runs[_PROOF_ENDS:]
-        if run.at > proven_at + _HEARD_SECONDS
+        if run.sent_at > proven_at + _HEARD_SECONDS
         and history.calm(run.daemon, run.at - _HEARD_SECONDS, run.at)
     ]
     if len(late) > _MORE_SENDS:
--- a/src/brassdrum/soak/history.py
+++ b/src/brassdrum/soak/history.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from brassdrum.soak.replicas import Arrival, Run
@@ -12,8 +13,10 @@
     "Evacuation",
     "History",
     "NamedLimit",
+    "ReplicaPause",
     "Result",
     "RECOVERY_SECONDS",
+    "Send",
     "Violation",
 ]
 
@@ -23,7 +26,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """Hold one request as its caller saw it; status 0 when the connection ended first."""
+    """Hold one request as its caller saw it; status 0 when the connection ended first.
+
+    ``deadline`` is how long the caller waits. ``left`` says that it left after a silence.
+    """
 
     request: str
     kind: str
@@ -35,6 +41,27 @@
     whole: bool
     body: bytes
     retry_after: float = 0.0
+    deadline: float = math.inf
+    left: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Hold a request that reached the host of a replica, which may be paused then."""
+
+    request: str
+    replica: str
+    daemon: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaPause:
+    """Hold a span in which a sound replica takes and sends nothing."""
+
+    replica: str
+    since: float
+    until: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,11 +109,17 @@
     runs: list[Run] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
+    sends: list[Send] = field(default_factory=list)
+    pauses: list[ReplicaPause] = field(default_factory=list)
     cuts: list[CutOff] = field(default_factory=list)
     evacuations: list[Evacuation] = field(default_factory=list)
     cold_spans: list[ColdSpan] = field(default_factory=list)
     zone_by_replica: dict[str, str] = field(default_factory=dict)
     harmed_by_replica: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    # Requests whose answer a replica broke off or failed itself.
+    spoilt: set[str] = field(default_factory=set)
+    # Spans of ``disturbed_by_daemon`` in which a daemon stops as planned.
+    stops_by_daemon: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
     said_leaving_at_by_replica: dict[str, float] = field(default_factory=dict)
     organisation_by_key: dict[str, str] = field(default_factory=dict)
     revoked_at_by_key: dict[str, float] = field(default_factory=dict)
@@ -131,6 +164,35 @@
             and not _overlaps(harmed, since, until)
         )
 
+    def unharmed(self, replica: str, since: float, until: float) -> bool:
+        """Return whether a replica and the way to it were whole in a span, but for pauses."""
+        return not _overlaps(self.harmed_by_replica.get(replica, []), since, until)
+
+    def serves(self, daemon: str, since: float, until: float, slack: float) -> bool:
+        """Return whether a daemon was to serve what it had in a span, also while it stops.
+
+        A planned stop may end requests in its last moment, which ``slack`` bounds.
+        """
+        stops = self.stops_by_daemon.get(daemon, [])
+        spans = [
+            (end - RECOVERY_SECONDS - slack if (start, end) in stops else start, end)
+            for start, end in self.disturbed_by_daemon.get(daemon, [])
+        ]
+        spans = [(start, end - RECOVERY_SECONDS) for start, end in spans]
+        return not _overlaps(spans, since, until)
+
+    def awake_for(self, replica: str, since: float, seconds: float) -> float:
+        """Return when a replica has not been paused for some seconds in all since a time."""
+        at = since
+        for pause in sorted(self.pauses, key=lambda each: each.since):
+            if pause.replica != replica or pause.until <= at:
+                continue
+            if pause.since > at + seconds:
+                break
+            seconds -= max(0.0, pause.since - at)
+            at = pause.until
+        return at + seconds
+
 
 @dataclass(frozen=True, slots=True)
 class Violation:
--- a/src/brassdrum/soak/plan.py
+++ b/src/brassdrum/soak/plan.py
@@ -37,6 +37,11 @@
     "evacuate": "the operator evacuates a zone and takes it back into service",
     "turn_cold": "a replica takes few requests a second for a while, from all daemons together",
     "read_slowly": "callers read long answers slowly",
+    "pause_replicas": "one replica, those of a zone or all pause and go on as if nothing had been",
+    "refuse_in_pause": "replicas refuse most requests while others pause",
+    "reload_in_pause": "a daemon gets SIGHUP while replicas pause",
+    "revoke_in_pause": "a key is taken away and another one is given while replicas pause",
+    "terminate_in_pause": "a daemon gets SIGTERM while replicas pause",
 }.items():
     FAULT_KINDS.register(_name)(_meaning)
 # Drawn apart from the others, so that the plans of seeds stay as they were.
@@ -46,6 +51,19 @@
 _SIGNAL_SHARE = 0.6
 _ANSWER_KINDS = ("unframe",)
 _ANSWER_SHARE = 0.7
+_PAUSE_KIND = "pause_replicas"
+_REFUSE_KIND = "refuse_in_pause"
+_IN_PAUSE_KINDS = ("refuse_in_pause", "reload_in_pause", "revoke_in_pause", "terminate_in_pause")
+# About this many series of pauses begin in a second, each of one to three pauses.
+_PAUSES_PER_SECOND = 0.4
+_SHORTEST_PAUSE_SECONDS = 0.8
+_LONGEST_PAUSE_SECONDS = 2.0
+# The share of pauses in which another fault strikes, and that of those that another pause follows:
+# it begins before the end of the first or up to this long after it.
+_IN_PAUSE_SHARE = 0.7
+_NEXT_PAUSE_SHARE = 0.4
+_NEXT_PAUSE_SECONDS = 0.5
+_MOST_IN_SERIES = 3
 _CUT_KIND = "cut_off"
 _CUT_SHARE = 0.6
 # Long enough that the time in which a daemon may still find out is over.
@@ -79,6 +97,7 @@
     rng = random.Random(seed)
     load_kinds = [draw.kind for draw in _LOAD_DRAWS]
     drawn_apart = (_COPY_KIND, *_SIGNAL_KINDS, *_ANSWER_KINDS, _CUT_KIND, *load_kinds)
+    drawn_apart += (_PAUSE_KIND, *_IN_PAUSE_KINDS)
     kinds = [kind for kind in FAULT_KINDS if kind not in drawn_apart]
     count = max(1, round((seconds - _QUIET_START_SECONDS) * _FAULTS_PER_SECOND))
     faults = [
@@ -96,6 +115,7 @@
     faults.extend(_drawn_apart(seed, "answers", _ANSWER_KINDS, _ANSWER_SHARE, seconds))
     faults.extend(_cuts(seed, seconds))
     faults.extend(_load_faults(seed, seconds))
+    faults.extend(_pauses(seed, seconds))
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -150,6 +170,27 @@
     return faults
 
 
+def _pauses(seed: int, seconds: float) -> list[PlannedFault]:
+    """Return series of pauses of replicas, and faults that strike meanwhile."""
+    rng = random.Random(f"{seed} {_PAUSE_KIND}")
+    faults = []
+    for _ in range(max(1, round(seconds * _PAUSES_PER_SECOND))):
+        at = rng.uniform(0.2, seconds)
+        for _ in range(_MOST_IN_SERIES):
+            length = rng.uniform(_SHORTEST_PAUSE_SECONDS, _LONGEST_PAUSE_SECONDS)
+            choice, variant = rng.randrange(1000), rng.randrange(1000)
+            faults.append(PlannedFault(at, _PAUSE_KIND, length, choice, variant))
+            if rng.random() < _IN_PAUSE_SHARE:
+                kind = _REFUSE_KIND if rng.random() < 0.5 else rng.choice(_IN_PAUSE_KINDS)
+                within = at + rng.uniform(0.0, length)
+                faults.append(PlannedFault(within, kind, length, rng.randrange(1000), variant))
+            at += rng.uniform(0.0, length + _NEXT_PAUSE_SECONDS)
+            if rng.random() >= _NEXT_PAUSE_SHARE:
+                break
+    # No pause outlasts the run: memory that is ordered in it would count as held at the end.
+    return [fault for fault in faults if fault.at + fault.seconds <= seconds]
+
+
 def _store_copies(seed: int, seconds: float) -> list[PlannedFault]:
     """Return a return of the store from a copy, in half of the runs."""
     rng = random.Random(f"{seed} {_COPY_KIND}")
--- a/src/brassdrum/soak/processes.py
+++ b/src/brassdrum/soak/processes.py
@@ -12,17 +12,23 @@
 
 from brassdrum.platform.settings import PATH_VARIABLE
 
-__all__ = ["DaemonProcess"]
+__all__ = ["DAEMON_PLANTS", "DaemonProcess"]
 
 # As the log handler encodes it; a line that is cut can't be decoded.
 _ERROR_LEVEL = '"level":"error"'
 _SHOWN_CHARACTERS = 200
+_GATEWAY = ["brassdrum", "gateway"]
+# Faults that ``planted_daemon`` plants; not read from there, since it imports the gateway.
+DAEMON_PLANTS = ("give_up_silent",)
 
 
 class DaemonProcess:
     """Start, signal and restart one daemon; ends only the process that it started itself."""
 
-    def __init__(self, name: str, host: str, boot: Path, log: Path, ports: tuple[int, int]) -> None:
+    def __init__(
+        self, name: str, host: str, boot: Path, log: Path, ports: tuple[int, int], plant: str = ""
+    ) -> None:
+        """Run the gateway, or with a ``plant`` the gateway with that fault."""
         self.name = name
         self.host = host
         self.port, self.ready_port = ports
@@ -30,6 +36,7 @@
         self._boot = boot
         self._log = log
         self._process: subprocess.Popen | None = None
+        self._command = ["brassdrum.soak.planted_daemon", plant] if plant else _GATEWAY
 
     def start(self) -> None:
         """Start the process unless it runs."""
@@ -38,7 +45,7 @@
         environment = {**os.environ, PATH_VARIABLE: str(self._boot)}
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "brassdrum", "gateway"], env=environment, stdout=log
+                [sys.executable, "-m", *self._command], env=environment, stdout=log
             )
 
     def send(self, number: signal.Signals) -> None:
--- a/src/brassdrum/soak/proxy.py
+++ b/src/brassdrum/soak/proxy.py
@@ -7,7 +7,7 @@
 import struct
 import threading
 import time
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from brassdrum.soak.connections import ConnectionOwners, local_address, peer_address
 
@@ -25,16 +25,27 @@
 
     Modes: ``pass``, ``delay``, ``reset`` (open and new connections), ``one_way`` (answers are held
     back), ``silent`` (nothing passes until another mode).
+    The target itself may be paused: what reaches it meanwhile waits, as in its kernel's buffers.
     """
 
     def __init__(
-        self, target: str, host: str = "127.0.0.1", owners: ConnectionOwners | None = None
+        self,
+        target: str,
+        host: str = "127.0.0.1",
+        owners: ConnectionOwners | None = None,
+        on_received: Callable[[bytes, int | None, float], None] | None = None,
     ) -> None:
-        """Tell processes apart where ``owners`` know them."""
+        """Tell processes apart where ``owners`` know them.
+
+        ``on_received`` gets what reaches the target's host, from which process, and when.
+        """
         self.mode = "pass"
         self.target = target
         self._owners = owners
+        self._on_received = on_received
         self._process_by_source: dict[str, int] = {}
+        self._received_at_by_source: dict[str, float] = {}
+        self._paused_until = 0.0
         # Connections of processes that are cut off, and how: ``reset``, ``silent`` or ``live``.
         self._cut_by_process: dict[int, str] = {}
         self._silenced: set[socket.socket] = set()
@@ -53,6 +64,10 @@
             for connection in open_now:
                 _reset(connection)
 
+    def pause_until(self, until: float) -> None:
+        """Let the target take and send nothing until a time; connections are accepted meanwhile."""
+        self._paused_until = max(self._paused_until, until)
+
     def cut_off(self, process: int, how: str, owned: Collection[str]) -> None:
         """Let nothing of a process pass: ``live`` spares its open connections, not new ones.
 
@@ -84,6 +99,10 @@
         """Return the process that a connection to the target came from, None if it is unknown."""
         return self._process_by_source.get(peer_address(accepted))
 
+    def received_at(self, accepted: socket.socket) -> float:
+        """Return when the target's host got the newest data of a connection, now if unknown."""
+        return self._received_at_by_source.get(peer_address(accepted), time.monotonic())
+
     def close(self) -> None:
         """Refuse connections, as a host does whose process has ended, and end the open ones."""
         with contextlib.suppress(OSError):
@@ -122,13 +141,14 @@
             self._process_by_source[source] = process
         with self._lock:
             self._connections |= {caller, target}
-        back = threading.Thread(target=self._copy, args=(target, caller, True), daemon=True)
+        back = threading.Thread(target=self._copy, args=(target, caller, ""), daemon=True)
         back.start()
-        self._copy(caller, target, False)
+        self._copy(caller, target, source)
         back.join()
         with self._lock:
             self._connections -= {caller, target}
         self._process_by_source.pop(source, None)
+        self._received_at_by_source.pop(source, None)
         caller.close()
         target.close()
 
@@ -137,16 +157,31 @@
             return True
         return source in self._silenced or sink in self._silenced
 
-    def _copy(self, source: socket.socket, sink: socket.socket, answers: bool) -> None:
+    def _wait_while_paused(self) -> None:
+        while time.monotonic() < self._paused_until:
+            time.sleep(_POLL_SECONDS)
+
+    def _note_received(self, data: bytes, address: str) -> None:
+        now = time.monotonic()
+        self._received_at_by_source[address] = now
+        if self._on_received is not None:
+            self._on_received(data, self._process_by_source.get(address), now)
+
+    def _copy(self, source: socket.socket, sink: socket.socket, address: str) -> None:
+        """Pass on what comes; ``address`` is that of a caller at the target, empty for answers."""
         try:
             while data := _receive(source):
                 if self.mode == "delay":
                     time.sleep(_DELAY_SECONDS)
-                while self._holds_back(source, sink, answers):
+                while self._holds_back(source, sink, not address):
                     time.sleep(_POLL_SECONDS)
+                if address:
+                    self._note_received(data, address)
+                self._wait_while_paused()
                 _raise_if_reset(source)
                 _raise_if_reset(sink)
                 sink.sendall(data)
+            self._wait_while_paused()
             sink.shutdown(socket.SHUT_WR)
         except OSError:
             _reset(sink)
--- a/src/brassdrum/soak/replicas.py
+++ b/src/brassdrum/soak/replicas.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 import threading
 import time
@@ -47,7 +48,8 @@
 class Run:
     """Hold one run of a request at a replica; ``at`` is monotonic, ``ending`` if that ended it.
 
-    ``daemon`` sent it, empty if that is unknown.
+    ``daemon`` sent it, empty if that is unknown. ``arrived_at`` is when it reached the replica's
+    host, which is earlier where the replica was paused.
     """
 
     request: str
@@ -57,12 +59,21 @@
     resumed: bool
     ending: bool = False
     daemon: str = ""
+    arrived_at: float = math.inf
+
+    @property
+    def sent_at(self) -> float:
+        """Return when the request had been sent at the latest."""
+        return min(self.at, self.arrived_at)
 
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """Hold one request that reached a replica; ``pause`` is the rest in seconds it asked for.
 
+    ``at`` is when it reached the replica's host, ``handled_at`` when the replica read it, which is
+    later where it was paused.
+
     ``daemon`` sent it, empty if that is unknown.
     """
 
@@ -71,6 +82,12 @@
     at: float
     pause: float = 0.0
     daemon: str = ""
+    handled_at: float = 0.0
+
+    @property
+    def answered_at(self) -> float:
+        """Return when the replica answered."""
+        return max(self.at, self.handled_at)
 
 
 @dataclass(slots=True)
--- a/src/brassdrum/soak/run.py
+++ b/src/brassdrum/soak/run.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+import socket
 import threading
 import time
 from collections.abc import Callable
@@ -11,14 +12,21 @@
 from enum import StrEnum
 from pathlib import Path
 
-from brassdrum.platform.standin import Replica, Store, boot_file
+from brassdrum.platform.standin import Replica, Store, boot_file, request_of
 from brassdrum.soak.actions import ACTIONS
 from brassdrum.soak.callers import Callers, Keys
 from brassdrum.soak.checks import judge
 from brassdrum.soak.connections import ConnectionOwners, addresses_of
-from brassdrum.soak.history import RECOVERY_SECONDS, CutOff, History, Violation
+from brassdrum.soak.history import (
+    RECOVERY_SECONDS,
+    CutOff,
+    History,
+    ReplicaPause,
+    Send,
+    Violation,
+)
 from brassdrum.soak.plan import PlannedFault, draw_plan
-from brassdrum.soak.processes import DaemonProcess
+from brassdrum.soak.processes import DAEMON_PLANTS, DaemonProcess
 from brassdrum.soak.proxy import Proxy
 from brassdrum.soak.replicas import ZONES
 from brassdrum.standins.ports import free_port
@@ -44,8 +52,11 @@
     "hide_evacuations": "evacuate",
     "hide_cold": "turn_cold",
     "break_long": "read_slowly",
+    "give_up_silent": "pause_replicas",
 }
-PLANTS = ("hide_evacuations", *_REPLICA_PLANTS)
+PLANTS = ("hide_evacuations", *_REPLICA_PLANTS, *DAEMON_PLANTS)
+# A replica that never sends for longer would be left by callers of their own accord, after 4 s.
+_LONGEST_PAUSE_SECONDS = 3.0
 
 
 class EndsBy(StrEnum):
@@ -125,7 +136,8 @@
             self._stop.set()
             self.callers.stop()
             self.history.unfinished = self.callers.join()
-            time.sleep(_SETTLE_SECONDS)
+            # No planted fault is about memory that stays held.
+            time.sleep(0.0 if self._plant else _SETTLE_SECONDS)
             self.history.held_at_end = sum(replica.held() for replica in self.replicas)
             self.history.errors_by_daemon = {
                 daemon.name: daemon.logged_errors() for daemon in self.daemons
@@ -141,17 +153,41 @@
             judge(self.history),
         )
 
-    def disturb(self, daemon: str, seconds: float) -> None:
-        """Note that a daemon cannot be held to times for a span and what follows it."""
+    def disturb(self, daemon: str, seconds: float, *, stops: bool = False) -> None:
+        """Note that a daemon cannot be held to times for a span and what follows it.
+
+        One that ``stops`` as planned still serves what it has.
+        """
         now = time.monotonic()
         span = (now, now + seconds + RECOVERY_SECONDS)
         self.history.disturbed_by_daemon.setdefault(daemon, []).append(span)
+        if stops:
+            self.history.stops_by_daemon.setdefault(daemon, []).append(span)
 
     def harm(self, replica: str, seconds: float) -> None:
         """Note that answers of a replica may break off for a span."""
         now = time.monotonic()
         self.history.harmed_by_replica.setdefault(replica, []).append((now, now + seconds))
 
+    def pause_replica(self, replica: str, seconds: float) -> None:
+        """Let a replica take and send nothing for a span, which may follow another one."""
+        now = time.monotonic()
+        since = now
+        with self._lock:
+            for pause in reversed(self.history.pauses):
+                if pause.replica == replica and pause.since <= since <= pause.until:
+                    since = pause.since
+            until = min(now + seconds, since + _LONGEST_PAUSE_SECONDS)
+            if until > now:
+                self.history.pauses.append(ReplicaPause(replica, now, until))
+                self.links[replica].pause_until(until)
+
+    def _note_send(self, replica: str, data: bytes, process: int | None, at: float) -> None:
+        request = request_of(data)
+        if request:
+            daemon = "" if process is None else self._daemon_by_process.get(process, "")
+            self.history.sends.append(Send(request, replica, daemon, at))
+
     def cut_off(self, cut: list[DaemonProcess], how: str, seconds: float) -> None:
         """Cut daemons off from all replicas for a span, also after a restart."""
         now = time.monotonic()
@@ -185,15 +221,24 @@
         """Start a replica behind a link of its own and list it."""
         self._replica_count += 1
         name = f"replica-{self.seed}-{self._replica_count}"
+
+        def sender_of(connection: socket.socket) -> str:
+            return self._daemon_by_process.get(link.process_behind(connection), "")
+
+        def note_send(data: bytes, process: int | None, at: float) -> None:
+            self._note_send(name, data, process, at)
+
         replica = Replica(
             name,
             self.history.runs,
             self.history.arrivals,
+            self.history.spoilt,
             self.random.random,
             lambda: self.replica_ends(replica),
-            lambda connection: self._daemon_by_process.get(link.process_behind(connection), ""),
+            sender_of,
+            lambda connection: link.received_at(connection),
         )
-        link = Proxy(replica.own_address, owners=self._owners)
+        link = Proxy(replica.own_address, owners=self._owners, on_received=note_send)
         replica.address = link.address
         zones = [each.zone for each in self.replicas]
         replica.zone = min(ZONES, key=zones.count)
@@ -275,7 +320,8 @@
         self.store_links.append(link)
         boot = self._folder / f"{name}.json"
         ports = (free_port(), free_port())
-        daemon = DaemonProcess(name, host, boot, self._folder / f"{name}.log", ports)
+        plant = self._plant if self._plant in DAEMON_PLANTS else ""
+        daemon = DaemonProcess(name, host, boot, self._folder / f"{name}.log", ports, plant)
         zone = ZONES[number % len(ZONES)]
         boot_file(boot, name, daemon.host, (*ports, peer_port), link.address, zone)
         return daemon
