Let replicas of the soak send endless answers, and bound what daemons do

Cause: no fault of the soak sends bytes without end, and no check says what daemons may pass on or hold of them, or how much memory they use.

What changed: a replica answers a share of its requests with an endless head, 1xx heads (fast or slow), a failure's body, an event, comments (fast or slow) or garbage, four at once and 30 in all, for 8.5 s at most. Three checks: what callers get stays within the bounds of docs/design/endless-answers.md, an endless answer ends within a second of its request, daemons stay within the 200 MB of the smallest hosts. Comments do not count for whether a stream is whole. The peak memory of a daemon is the kernel's own figure.

Each check has a plant that it finds: pass_everything_on, miss_deadlines, hoard_memory (features/soak.feature).

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -52,6 +52,9 @@
       | hide_cold        | 27   | 6       | cold endpoints get no more than they bear  |
       | break_long       | 24   | 6       | slow readers get their whole answer        |
       | give_up_silent   | 2    | 3       | pauses of sound endpoints cost no answer   |
+      | pass_everything_on | 10 | 2       | endless answers are bounded in bytes       |
+      | miss_deadlines   | 10   | 2       | endless answers end with their requests    |
+      | hoard_memory     | 3    | 1       | daemons fit their hosts                    |
 
   Scenario: No request ends replicas beside a planted fault that they would hide
     A replica that ends early does not exceed its cold limit, so that the planted fault goes unseen.
@@ -90,7 +93,7 @@
 
   # Guards against a check that lets pass what the incident was: streams that broke off while sound
   # endpoints paused were counted neither as served nor as broken.
-  Scenario Outline: The checks of pauses find that <what>
+  Scenario Outline: The checks of pauses and endless answers find that <what>
     Given a history in which <what>
     Then "<promise>" is called broken
 
@@ -101,9 +104,14 @@
       | a call was answered 504 after its endpoint went on      | pauses of sound endpoints cost no answer |
       | a connection ended while its endpoint paused            | pauses of sound endpoints cost no answer |
       | a stream broke off in a pause while its daemon began to stop | pauses of sound endpoints cost no answer |
+      | 300 KB of endless comments were passed on               | endless answers are bounded in bytes     |
+      | 5 MB of an endless failure were passed on               | endless answers are bounded in bytes     |
+      | an endless answer was held 1.1 s beyond its deadline    | endless answers end with their requests  |
+      | an endless answer was held 1.1 s after its caller left  | endless answers end with their requests  |
+      | a daemon used 201 MB                                    | daemons fit their hosts                  |
 
   # Guards against a check that blames daemons for other troubles than the pause.
-  Scenario Outline: The checks of pauses blame no daemon where <what>
+  Scenario Outline: The checks of pauses and endless answers blame no daemon where <what>
     Given a history in which <what>
     Then no promise is called broken
 
@@ -121,6 +129,11 @@
       | a stream broke off in a pause and its endpoint crashed  |
       | a stream broke off in a pause and its endpoint cut it   |
       | a stream broke off in a pause and its caller left       |
+      | 250 KB of endless comments were passed on               |
+      | 4 MB of an endless failure were passed on               |
+      | an endless answer was held 0.9 s beyond its deadline    |
+      | an endless answer was held while its endpoint paused    |
+      | a daemon used 199 MB                                    |
 
   Scenario Outline: Requests that wait at a paused endpoint count from when they reached it: <what>
     A pause lets through at once what was sent before an endpoint left or limited its requests.
--- a/features/soak_histories.py
+++ b/features/soak_histories.py
@@ -7,6 +7,7 @@
     RECOVERY_SECONDS,
     ColdSpan,
     CutOff,
+    EndlessAnswer,
     Evacuation,
     History,
     NamedLimit,
@@ -92,6 +93,17 @@
     return {"daemon-1": [(since, until + RECOVERY_SECONDS)]}
 
 
+def endless(kind="event", received=0, until=1.5, ended_at=None, left=False, **others):
+    """Return a history of a request with a deadline at 6.0, answered without end from 1.0 on."""
+    ended_at = min(6.0, until) if ended_at is None else ended_at
+    seen = Result(
+        *("a", "text", "daemon-1", "key-1", 0.0, ended_at, 200, False, b"", 0.0, received),
+        *(6.0, left),
+    )
+    answers = [EndlessAnswer("a", "replica-1", "daemon-1", kind, 1.0, until)]
+    return History([seen], [run()], [arrival(0.0)], endless_answers=answers, **others)
+
+
 def limited(pauses):
     """Return a history of an endpoint that names a limit at 1.0 and gets 12 requests at 4.1."""
     arrivals = [arrival(4.1 + number / 100) for number in range(12)]
@@ -137,6 +149,20 @@
     ),
     "a stream broke off in a pause and its endpoint cut it": paused(spoilt={"a"}),
     "a stream broke off in a pause and its caller left": paused(left=True),
+    "300 KB of endless comments were passed on": endless("comments", received=300 << 10),
+    "250 KB of endless comments were passed on": endless("comments", received=250 << 10),
+    "5 MB of an endless failure were passed on": endless("failure", received=5 << 20),
+    "4 MB of an endless failure were passed on": endless("failure", received=4 << 20),
+    "an endless answer was held 1.1 s beyond its deadline": endless(until=7.1),
+    "an endless answer was held 0.9 s beyond its deadline": endless(until=6.9),
+    "an endless answer was held 1.1 s after its caller left": endless(
+        until=5.1, ended_at=4.0, left=True
+    ),
+    "an endless answer was held while its endpoint paused": endless(
+        until=8.5, pauses=[ReplicaPause("replica-1", 5.0, 7.6)]
+    ),
+    "a daemon used 201 MB": History([result()], [run()], peak_mb_by_daemon={"daemon-1": 201.0}),
+    "a daemon used 199 MB": History([result()], [run()], peak_mb_by_daemon={"daemon-1": 199.0}),
     "an endpoint ran a request in time that it read long after": History(
         [result()],
         [replace(run(at=6.0), arrived_at=5.0)],
--- a/features/steps/soak_load_steps.py
+++ b/features/steps/soak_load_steps.py
@@ -25,7 +25,7 @@
 @then("the earlier faults of seed {seed:d} for {seconds:d} seconds have the digest {digest}")
 def step_earlier_faults(context, seed, seconds, digest):
     added = (
-        *("evacuate", "turn_cold", "read_slowly", "pause_replicas"),
+        *("evacuate", "turn_cold", "read_slowly", "pause_replicas", "endless"),
         *("refuse_in_pause", "reload_in_pause", "revoke_in_pause", "terminate_in_pause"),
     )
     earlier = [fault for fault in draw_plan(seed, float(seconds)) if fault.kind not in added]
--- a/src/brassdrum/platform/standin.py
+++ b/src/brassdrum/platform/standin.py
@@ -213,11 +213,13 @@
         on_ended: Callable[[], None] | None = None,
         sender_of: Callable[[socket.socket], str] = lambda connection: "",
         arrived_at: Callable[[socket.socket], float] = lambda connection: time.monotonic(),
+        endless: Callable[[socket.socket, str, bool], bool] = lambda *_arguments: False,
     ) -> None:
         self.name = name
         self._on_ended = on_ended
         self._sender_of = sender_of
         self._arrived_at = arrived_at
+        self._send_endless = endless
         self.faults = ReplicaFaults()
         self._runs, self._arrivals, self._spoilt = runs, arrivals, spoilt
         self._chance = chance
@@ -295,12 +297,17 @@
         if self._chance() < self.faults.lose:
             self._spoilt.add(request.header_by_name["x-attempt-id"])
             return False
+        streams = request.path.startswith("/text/")
+        if self._chance() < self.faults.endless and self._send_endless(
+            connection, request.header_by_name["x-attempt-id"], streams
+        ):
+            return False
         seal = "X-Replica-Seal: s1\r\n"
         if self._chance() < self.faults.fail:
             self._spoilt.add(request.header_by_name["x-attempt-id"])
             self._answer(connection, request, 500, b"failed", seal)
             return True
-        if request.path.startswith("/text/"):
+        if streams:
             return self._stream(connection, request)
         if request.path.startswith(f"/{LONG_KIND}/"):
             return self._send_long(connection, request)
--- a/src/brassdrum/soak/actions.py
+++ b/src/brassdrum/soak/actions.py
@@ -241,6 +241,12 @@
 ACTIONS.register("terminate_in_pause")(terminate)
 
 
+@ACTIONS.register("endless")
+def endless(soak: Soak, fault: PlannedFault) -> None:
+    """Let a replica answer a share of its requests with bytes that are no answer, without end."""
+    _set_for_a_while(soak, fault, "endless", soak.endless_share)
+
+
 @ACTIONS.register("read_slowly")
 def read_slowly(soak: Soak, fault: PlannedFault) -> None:
     """Let callers ask for long answers and read nothing for the span of the fault, then slowly."""
--- a/src/brassdrum/soak/answer_checks.py
+++ b/src/brassdrum/soak/answer_checks.py
@@ -1,14 +1,15 @@
-"""Check what daemons do about replicas that pause."""
+"""Check what daemons do about replicas that pause, and about answers that never end."""
 
 from __future__ import annotations
 
 from collections import defaultdict
 from collections.abc import Iterator
 
+from brassdrum.soak.endless import FAILURE_KIND
 from brassdrum.soak.history import History, ReplicaPause, Result, Send, Violation
 from brassdrum.soak.long_answers import LONG_KIND
 
-__all__ = ["pauses_cost_none"]
+__all__ = ["bounded_bytes", "bounded_time", "memory_bound", "pauses_cost_none"]
 
 _NOT_JUDGED_KINDS = ("ending", LONG_KIND)
 _CONNECTION_ENDED = 0
@@ -17,6 +18,15 @@
 _GO_ON_SECONDS = 1.0
 # Faults touch requests a moment before and after the times that are noted.
 _SLACK_SECONDS = 0.5
+# A daemon closes the connection of an endless answer this long after the deadline at the latest.
+_CLOSE_SECONDS = 1.0
+# docs/design/endless-answers.md: 64 KB of comments since the last event, from each of two attempts,
+# and 4 MB of a failure's body; what exceeds a bound may come with one read of 64 KB.
+_READ_BYTES = 65536
+_NO_ANSWER_BYTES = 2 * (65536 + _READ_BYTES)
+_FAILURE_BYTES = (4 << 20) + _READ_BYTES
+# The smallest hosts have 200 MB, all of it for the daemon.
+_HOST_MB = 200.0
 
 
 def pauses_cost_none(history: History) -> Iterator[Violation]:
@@ -86,3 +96,54 @@
         )
         or not all(history.unharmed(send.replica, send.at, went_on_at) for send in sends)
     )
+
+
+def bounded_bytes(history: History) -> Iterator[Violation]:
+    """Find requests with an endless answer of which more was passed on than the bound."""
+    received = {result.request: result.received for result in history.results}
+    for answer in history.endless_answers:
+        count = received.get(answer.request, 0)
+        fails = answer.kind == FAILURE_KIND
+        if count > (_FAILURE_BYTES if fails else _NO_ANSWER_BYTES):
+            detail = f"{count} bytes passed on, {answer.kind} of {answer.replica}"
+            yield Violation("endless answers are bounded in bytes", answer.request, detail)
+
+
+def bounded_time(history: History) -> Iterator[Violation]:
+    """Find endless answers that a daemon held a second longer than their request took.
+
+    A request ends with its answer, when its caller leaves, and at its deadline.
+    """
+    result_by_request = {result.request: result for result in history.results}
+    for answer in history.endless_answers:
+        result = result_by_request.get(answer.request)
+        if result is None:
+            continue
+        ended_at = min(result.deadline, result.ended_at)
+        # While a replica is paused it does not see that its connection was closed.
+        seen_at = history.awake_for(answer.replica, ended_at, _CLOSE_SECONDS)
+        daemons = {answer.daemon, result.daemon}
+        if (
+            answer.until > seen_at
+            and "" not in daemons
+            and all(history.runs_on(daemon, answer.since, answer.until) for daemon in daemons)
+            and history.unharmed(answer.replica, answer.since, answer.until)
+            and not any(
+                cut.since <= answer.until and answer.since <= cut.until
+                for cut in history.cuts
+                if cut.daemons & daemons
+            )
+        ):
+            late = answer.until - ended_at
+            detail = (
+                f"{answer.daemon} held it {late:.1f} s longer, {answer.kind} of {answer.replica}"
+            )
+            yield Violation("endless answers end with their requests", answer.request, detail)
+
+
+def memory_bound(history: History) -> Iterator[Violation]:
+    """Find daemons that used more memory than the smallest hosts have."""
+    for daemon, peak in history.peak_mb_by_daemon.items():
+        if peak > _HOST_MB:
+            detail = f"{peak:.0f} MB, {_HOST_MB:.0f} allowed"
+            yield Violation("daemons fit their hosts", daemon, detail)
--- a/src/brassdrum/soak/callers.py
+++ b/src/brassdrum/soak/callers.py
@@ -14,7 +14,7 @@
 from brassdrum.soak.history import History, Result
 from brassdrum.soak.long_answers import LONG_KIND
 from brassdrum.soak.processes import DaemonProcess
-from brassdrum.soak.replicas import ENDING_PART, ENDING_PATH
+from brassdrum.soak.replicas import ENDING_PART, ENDING_PATH, without_comments
 
 __all__ = ["CALLER_TIMEOUT_SECONDS", "Callers", "Keys"]
 
@@ -216,9 +216,11 @@
                 connection.sock.settimeout(CALLER_TIMEOUT_SECONDS)
         except TimeoutError:
             left = kind == "text"
+        except http.client.IncompleteRead as error:
+            content += error.partial
         except (OSError, http.client.HTTPException):
             usable = False
-        body = bytes(content) if whole else b""
+        body = without_comments(bytes(content)) if whole else b""
         result = Result(
             request,
             kind,
@@ -230,6 +232,7 @@
             whole,
             body,
             retry_after,
+            len(content),
             sent_at + _PATIENCE_SECONDS,
             left,
         )
--- a/src/brassdrum/soak/checks.py
+++ b/src/brassdrum/soak/checks.py
@@ -7,7 +7,7 @@
 
 from brassdrum.bench.limits import WINDOW_SECONDS, allowed_requests
 from brassdrum.registry import Registry
-from brassdrum.soak.answer_checks import pauses_cost_none
+from brassdrum.soak.answer_checks import bounded_bytes, bounded_time, memory_bound, pauses_cost_none
 from brassdrum.soak.history import History, Result, Violation
 from brassdrum.soak.load_checks import cold_bound, evacuated_zones, slow_readers
 from brassdrum.soak.replicas import Run, whole_answer
@@ -41,6 +41,9 @@
 CHECKS.register("cold endpoints get no more than they bear")(cold_bound)
 CHECKS.register("slow readers get their whole answer")(slow_readers)
 CHECKS.register("pauses of sound endpoints cost no answer")(pauses_cost_none)
+CHECKS.register("endless answers are bounded in bytes")(bounded_bytes)
+CHECKS.register("endless answers end with their requests")(bounded_time)
+CHECKS.register("daemons fit their hosts")(memory_bound)
 
 
 def judge(history: History) -> list[Violation]:
--- a/src/brassdrum/soak/history.py
+++ b/src/brassdrum/soak/history.py
@@ -10,6 +10,7 @@
 __all__ = [
     "ColdSpan",
     "CutOff",
+    "EndlessAnswer",
     "Evacuation",
     "History",
     "NamedLimit",
@@ -28,7 +29,8 @@
 class Result:
     """Hold one request as its caller saw it; status 0 when the connection ended first.
 
-    ``deadline`` is how long the caller waits. ``left`` says that it left after a silence.
+    ``received`` are the bytes of the body that came, also of a broken one, and ``deadline`` the
+    time up to which the caller waits for all. ``left`` says that the caller left after a silence.
     """
 
     request: str
@@ -41,6 +43,7 @@
     whole: bool
     body: bytes
     retry_after: float = 0.0
+    received: int = 0
     deadline: float = math.inf
     left: bool = False
 
@@ -64,6 +67,18 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class EndlessAnswer:
+    """Hold what a replica sent without end until ``until``, when it saw its connection closed."""
+
+    request: str
+    replica: str
+    daemon: str
+    kind: str
+    since: float
+    until: float
+
+
 @dataclass(frozen=True, slots=True)
 class NamedLimit:
     """Hold the requests a second that a replica takes since a time."""
@@ -111,6 +126,7 @@
     limits: list[NamedLimit] = field(default_factory=list)
     sends: list[Send] = field(default_factory=list)
     pauses: list[ReplicaPause] = field(default_factory=list)
+    endless_answers: list[EndlessAnswer] = field(default_factory=list)
     cuts: list[CutOff] = field(default_factory=list)
     evacuations: list[Evacuation] = field(default_factory=list)
     cold_spans: list[ColdSpan] = field(default_factory=list)
@@ -126,6 +142,7 @@
     left_at_by_replica: dict[str, float] = field(default_factory=dict)
     disturbed_by_daemon: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
     errors_by_daemon: dict[str, list[str]] = field(default_factory=dict)
+    peak_mb_by_daemon: dict[str, float] = field(default_factory=dict)
     held_at_end: int = 0
     unfinished: int = 0
 
--- a/src/brassdrum/soak/plan.py
+++ b/src/brassdrum/soak/plan.py
@@ -42,6 +42,7 @@
     "reload_in_pause": "a daemon gets SIGHUP while replicas pause",
     "revoke_in_pause": "a key is taken away and another one is given while replicas pause",
     "terminate_in_pause": "a daemon gets SIGTERM while replicas pause",
+    "endless": "a replica sends endless bytes that are no answer, to a share of its requests",
 }.items():
     FAULT_KINDS.register(_name)(_meaning)
 # Drawn apart from the others, so that the plans of seeds stay as they were.
@@ -64,6 +65,8 @@
 _NEXT_PAUSE_SHARE = 0.4
 _NEXT_PAUSE_SECONDS = 0.5
 _MOST_IN_SERIES = 3
+_ENDLESS_KIND = "endless"
+_ENDLESS_PER_SECOND = 0.3
 _CUT_KIND = "cut_off"
 _CUT_SHARE = 0.6
 # Long enough that the time in which a daemon may still find out is over.
@@ -97,7 +100,7 @@
     rng = random.Random(seed)
     load_kinds = [draw.kind for draw in _LOAD_DRAWS]
     drawn_apart = (_COPY_KIND, *_SIGNAL_KINDS, *_ANSWER_KINDS, _CUT_KIND, *load_kinds)
-    drawn_apart += (_PAUSE_KIND, *_IN_PAUSE_KINDS)
+    drawn_apart += (_PAUSE_KIND, *_IN_PAUSE_KINDS, _ENDLESS_KIND)
     kinds = [kind for kind in FAULT_KINDS if kind not in drawn_apart]
     count = max(1, round((seconds - _QUIET_START_SECONDS) * _FAULTS_PER_SECOND))
     faults = [
@@ -116,6 +119,8 @@
     faults.extend(_cuts(seed, seconds))
     faults.extend(_load_faults(seed, seconds))
     faults.extend(_pauses(seed, seconds))
+    endless_kinds = (_ENDLESS_KIND,) * max(1, round(seconds * _ENDLESS_PER_SECOND))
+    faults.extend(_drawn_apart(seed, _ENDLESS_KIND, endless_kinds, _ANSWER_SHARE, seconds))
     return sorted(faults, key=lambda fault: fault.at)
 
 
--- a/src/brassdrum/soak/processes.py
+++ b/src/brassdrum/soak/processes.py
@@ -19,7 +19,8 @@
 _SHOWN_CHARACTERS = 200
 _GATEWAY = ["brassdrum", "gateway"]
 # Faults that ``planted_daemon`` plants; not read from there, since it imports the gateway.
-DAEMON_PLANTS = ("give_up_silent",)
+DAEMON_PLANTS = ("give_up_silent", "miss_deadlines", "pass_everything_on", "hoard_memory")
+_PEAK_LINE = "VmHWM:"
 
 
 class DaemonProcess:
@@ -58,6 +59,14 @@
         """Return the id of the process, None before the first start."""
         return None if self._process is None else self._process.pid
 
+    def peak_memory_mb(self) -> float:
+        """Return the most memory that the process has used, 0 if it does not run."""
+        try:
+            lines = Path(f"/proc/{self.process_id}/status").read_text().splitlines()
+        except OSError:
+            return 0.0
+        return sum(int(line.split()[1]) / 1024 for line in lines if line.startswith(_PEAK_LINE))
+
     def ended(self) -> bool:
         """Return whether the process has ended."""
         return self._process is None or self._process.poll() is not None
--- a/src/brassdrum/soak/replicas.py
+++ b/src/brassdrum/soak/replicas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 import socket
 import threading
 import time
@@ -29,6 +30,7 @@
     "expected",
     "read_request",
     "whole_answer",
+    "without_comments",
 ]
 
 # A request to a path that begins so ends each replica that runs it.
@@ -42,6 +44,7 @@
 # Cold replicas bear this many requests a second; a replica gets some 30 while it is warm.
 COLD_RATE = 2.0
 ZONES = ("zone-a", "zone-b")
+_COMMENTS = re.compile(rb"^:[^\n]*\n\n", re.MULTILINE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,7 +100,8 @@
     Of its streams, ``unframed`` have neither length nor chunks; half of these end inside an event.
     It takes ``limit`` requests a second, says that it is ``leaving``, and answers a share of
     ``rest`` with a pause. It breaks off a share of ``break_long`` of its long answers, and with
-    ``hide_cold`` it does not say that it is cold.
+    ``hide_cold`` it does not say that it is cold. It answers a share of ``endless`` with bytes that
+    are no answer, until the connection is closed.
     """
 
     limit: float | None = None
@@ -112,6 +116,7 @@
     repeat: float = 0.0
     break_long: float = 0.0
     hide_cold: bool = False
+    endless: float = 0.0
 
 
 @dataclass(slots=True)
@@ -239,6 +244,11 @@
     return expected(request, spoilt=False)
 
 
+def without_comments(stream: bytes) -> bytes:
+    """Return a stream without its comments, which tell its reader nothing."""
+    return _COMMENTS.sub(b"", stream)
+
+
 def expected(request: str, *, spoilt: bool) -> bytes:
     """Return the body of an answer that is no stream, or another one."""
     return b"spoilt" if spoilt else f"done {request}".encode()
--- a/src/brassdrum/soak/run.py
+++ b/src/brassdrum/soak/run.py
@@ -17,9 +17,11 @@
 from brassdrum.soak.callers import Callers, Keys
 from brassdrum.soak.checks import judge
 from brassdrum.soak.connections import ConnectionOwners, addresses_of
+from brassdrum.soak.endless import ENDLESS_KINDS, STREAM_KINDS, EndlessLimit, send_endless
 from brassdrum.soak.history import (
     RECOVERY_SECONDS,
     CutOff,
+    EndlessAnswer,
     History,
     ReplicaPause,
     Send,
@@ -53,10 +55,19 @@
     "hide_cold": "turn_cold",
     "break_long": "read_slowly",
     "give_up_silent": "pause_replicas",
+    "miss_deadlines": "endless",
+    "pass_everything_on": "endless",
+    "hoard_memory": "reload",
 }
 PLANTS = ("hide_evacuations", *_REPLICA_PLANTS, *DAEMON_PLANTS)
+# With a planted fault the answers are those that show it: all of one kind.
+_ENDLESS_KIND_BY_PLANT = {"miss_deadlines": "slow_heads", "pass_everything_on": "event"}
+_ENDLESS_SHARE = 0.3
 # A replica that never sends for longer would be left by callers of their own accord, after 4 s.
 _LONGEST_PAUSE_SECONDS = 3.0
+# What endless answers may cost the processes of the soak: some MB/s, and 30 of 8 s at most.
+_ENDLESS_AT_ONCE = 4
+_ENDLESS_IN_ALL = 30
 
 
 class EndsBy(StrEnum):
@@ -115,6 +126,7 @@
             self.history,
             ends_by_part=size.ends_by is EndsBy.PART,
         )
+        self._endless_limit = EndlessLimit(_ENDLESS_AT_ONCE, _ENDLESS_IN_ALL)
         self._cut: dict[DaemonProcess, str] = {}
         # All that ran, also those that have ended.
         self._daemon_by_process: dict[int, str] = {}
@@ -182,12 +194,40 @@
                 self.history.pauses.append(ReplicaPause(replica, now, until))
                 self.links[replica].pause_until(until)
 
+    @property
+    def endless_share(self) -> float:
+        """Return to which share of its requests a replica sends endless answers."""
+        return 1.0 if self._plant in _ENDLESS_KIND_BY_PLANT else _ENDLESS_SHARE
+
     def _note_send(self, replica: str, data: bytes, process: int | None, at: float) -> None:
         request = request_of(data)
         if request:
             daemon = "" if process is None else self._daemon_by_process.get(process, "")
             self.history.sends.append(Send(request, replica, daemon, at))
 
+    def _send_endless(
+        self, replica: str, daemon: str, connection: socket.socket, request: str, streams: bool
+    ) -> bool:
+        """Send an endless answer, unless enough are sent."""
+        planted = _ENDLESS_KIND_BY_PLANT.get(self._plant)
+        kinds = [
+            kind
+            for kind in ENDLESS_KINDS
+            if planted in (None, kind) and (streams or kind not in STREAM_KINDS)
+        ]
+        if not kinds or not self._endless_limit.take():
+            return False
+        kind = kinds[int(self.random.random() * len(kinds))]
+        since = time.monotonic()
+        self.history.spoilt.add(request)
+        try:
+            send_endless(connection, request, kind)
+        finally:
+            self._endless_limit.give_back()
+        answer = EndlessAnswer(request, replica, daemon, kind, since, time.monotonic())
+        self.history.endless_answers.append(answer)
+        return True
+
     def cut_off(self, cut: list[DaemonProcess], how: str, seconds: float) -> None:
         """Cut daemons off from all replicas for a span, also after a restart."""
         now = time.monotonic()
@@ -237,6 +277,9 @@
             lambda: self.replica_ends(replica),
             sender_of,
             lambda connection: link.received_at(connection),
+            lambda connection, request, streams: self._send_endless(
+                name, sender_of(connection), connection, request, streams
+            ),
         )
         link = Proxy(replica.own_address, owners=self._owners, on_received=note_send)
         replica.address = link.address
@@ -355,6 +398,8 @@
     def _keep_running(self) -> None:
         while not self._stop.is_set():
             for daemon in self.daemons:
+                peaks = self.history.peak_mb_by_daemon
+                peaks[daemon.name] = max(peaks.get(daemon.name, 0.0), daemon.peak_memory_mb())
                 if daemon.wanted and daemon.ended():
                     time.sleep(_RESTART_SECONDS)
                     if self._stop.is_set():
