--- a/src/brassdrum/soak/replicas.py
+++ b/src/brassdrum/soak/replicas.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import re
 import socket
 import threading
 import time
@@ -28,6 +30,7 @@
     "expected",
     "read_request",
     "whole_answer",
+    "without_comments",
 ]
 
 # A request to a path that begins so ends each replica that runs it.
@@ -41,13 +44,15 @@
 # Cold replicas bear this many requests a second; a replica gets some 30 while it is warm.
 COLD_RATE = 2.0
 ZONES = ("zone-a", "zone-b")
+_COMMENTS = re.compile(rb"^:[^\n]*\n\n", re.MULTILINE)
 
 
 @dataclass(frozen=True, slots=True)
 class Run:
     """Hold one run of a request at a replica; ``at`` is monotonic, ``ending`` if that ended it.
 
-    ``daemon`` sent it, empty if that is unknown.
+    ``daemon`` sent it, empty if that is unknown. ``arrived_at`` is when it reached the replica's
+    host, which is earlier where the replica was paused.
     """
 
     request: str
@@ -57,12 +62,21 @@
     resumed: bool
     ending: bool = False
     daemon: str = ""
+    arrived_at: float = math.inf
+
+    @property
+    def sent_at(self) -> float:
+        """Return when the request had been sent at the latest."""
+        return min(self.at, self.arrived_at)
 
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """Hold one request that reached a replica; ``pause`` is the rest in seconds it asked for.
 
+    ``at`` is when it reached the replica's host, ``handled_at`` when the replica read it, which is
+    later where it was paused.
+
     ``daemon`` sent it, empty if that is unknown.
     """
 
@@ -71,6 +85,12 @@
     at: float
     pause: float = 0.0
     daemon: str = ""
+    handled_at: float = 0.0
+
+    @property
+    def answered_at(self) -> float:
+        """Return when the replica answered."""
+        return max(self.at, self.handled_at)
 
 
 @dataclass(slots=True)
@@ -80,7 +100,8 @@
     Of its streams, ``unframed`` have neither length nor chunks; half of these end inside an event.
     It takes ``limit`` requests a second, says that it is ``leaving``, and answers a share of
     ``rest`` with a pause. It breaks off a share of ``break_long`` of its long answers, and with
-    ``hide_cold`` it does not say that it is cold.
+    ``hide_cold`` it does not say that it is cold. It answers a share of ``endless`` with bytes that
+    are no answer, until the connection is closed.
     """
 
     limit: float | None = None
@@ -95,6 +116,7 @@
     repeat: float = 0.0
     break_long: float = 0.0
     hide_cold: bool = False
+    endless: float = 0.0
 
 
 @dataclass(slots=True)
@@ -222,6 +244,11 @@
     return expected(request, spoilt=False)
 
 
+def without_comments(stream: bytes) -> bytes:
+    """Return a stream without its comments, which tell its reader nothing."""
+    return _COMMENTS.sub(b"", stream)
+
+
 def expected(request: str, *, spoilt: bool) -> bytes:
     """Return the body of an answer that is no stream, or another one."""
     return b"spoilt" if spoilt else f"done {request}".encode()
