Search only what is new of a long event

What was seen: an unfinished event of 1 MB, the limit, that came in pieces of 100 bytes kept the event loop busy for 60 s of processor time, so that all requests of the daemon stood still. Cause: each piece was searched for the end of the event together with all that had come before, and copied with it. Change: the search begins with the new piece, and the bytes are kept in a bytearray. The split ends, LF and CRLF, in single bytes, are found.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -109,6 +109,17 @@
     Then the caller sees a stream that broke off
     And endpoints received 2 requests
 
+  # Guards against a daemon that stands still: each small chunk of an unfinished event was searched with all before it.
+  Scenario Outline: An event of 1 MB that comes in pieces of <size> bytes is read in time
+    When an event of 1 MB comes in pieces of <size> bytes
+    Then reading it takes 3 s of processor time at most
+    And it is whole, with the <newline> after it
+
+    Examples:
+      | size | newline |
+      | 100  | LF      |
+      | 100  | CRLF    |
+
   # Guards against a limit that cuts off what a legitimate endpoint sends.
   Scenario Outline: <what> is whole
     Given a gateway in front of two endpoints
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -20,6 +20,7 @@
 from brassdrum.gateway.net.upstream import EndpointPool
 from brassdrum.gateway.path.path_watch import _Probe
 from brassdrum.gateway.placing.reservations import ReservationManager
+from brassdrum.gateway.request.events import EventStreamReader
 from brassdrum.platform.dialect import PlatformDialect
 from brassdrum.platform.store import PlatformStore
 from features.gateway_world import (
@@ -307,6 +308,33 @@
     eventually(named, f"a line names {text}")
 
 
+@when("an event of 1 MB comes in pieces of {size:d} bytes")
+def step_long_event(context, size):
+    reader = EventStreamReader(None)
+    data = b"id: 1\ndata: " + b"t" * MB
+    began = time.thread_time()
+    for start in range(0, len(data), size):
+        assert reader.feed(data[start : start + size]) == b""
+    context.reading_seconds = time.thread_time() - began
+    assert reader.incomplete == data
+    context.reader, context.data = reader, data
+
+
+@then("reading it takes {seconds:d} s of processor time at most")
+def step_reading_time(context, seconds):
+    assert context.reading_seconds <= seconds, context.reading_seconds
+
+
+@then("it is whole, with the {newline} after it")
+def step_event_whole(context, newline):
+    end = {"LF": b"\n\n", "CRLF": b"\r\n\r\n"}[newline]
+    # The end comes in single bytes, the last with a part of the next event.
+    for position in range(len(end) - 1):
+        assert context.reader.feed(end[position : position + 1]) == b""
+    assert context.reader.feed(end[-1:] + b"id: 2") == context.data + end
+    assert context.reader.last_id == 1 and context.reader.incomplete == b"id: 2"
+
+
 # Calls that probe and reserve.
 
 
--- a/src/brassdrum/gateway/request/events.py
+++ b/src/brassdrum/gateway/request/events.py
@@ -9,6 +9,8 @@
 __all__ = ["CommentLimitError", "EventOrderError", "EventStreamReader", "StreamError"]
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+# The longest part of an event's end that may have been fed before its rest.
+_MAX_SPLIT_END_BYTES = 3
 # Comments and empty lines between two events; a keep-alive comment takes some 15 bytes, so that
 # one each second fits for an hour.
 _MAX_COMMENT_BYTES = 65536
@@ -36,12 +38,12 @@
     def __init__(self, last_id: int | None) -> None:
         self.last_id = last_id
         self.event_count = 0
-        self._buffer = b""
+        self._buffer = bytearray()
         self._comment_bytes = 0
 
     @property
-    def incomplete(self) -> bytes:
-        """Return the bytes after the last complete event."""
+    def incomplete(self) -> bytes | bytearray:
+        """Return the bytes after the last complete event, valid until more are fed."""
         return self._buffer
 
     @property
@@ -54,12 +56,18 @@
 
     def feed(self, data: bytes) -> bytes:
         """Return the bytes of all complete events, or raise ``StreamError``."""
+        # What was fed before holds no whole end; searching all of it again for each small piece of
+        # a long event would take minutes.
+        searched = max(0, len(self._buffer) - _MAX_SPLIT_END_BYTES)
         self._buffer += data
         end = 0
-        for match in _EVENT_END.finditer(self._buffer):
-            self._check_order(self._buffer[end : match.end()])
+        for match in _EVENT_END.finditer(self._buffer, searched):
+            self._check_order(bytes(self._buffer[end : match.end()]))
             end = match.end()
-        complete, self._buffer = self._buffer[:end], self._buffer[end:]
+        if not end:
+            return b""
+        complete = bytes(self._buffer[:end])
+        del self._buffer[:end]
         return complete
 
     def _check_order(self, event: bytes) -> None:
@@ -87,6 +95,6 @@
             )
 
 
-def _is_comment(line: bytes) -> bool:
+def _is_comment(line: bytes | bytearray) -> bool:
     """Return whether a line without its end is empty or a comment."""
     return line.startswith(b":") or not line.rstrip(b"\r")
