Limit the answers of the store and the pages of peers in time and bytes

What was seen: a body or 1xx heads of the store, or a peer's page, without end held one of three reading threads for good, and all that came was kept. Cause: only each read had a time-out. Change: an answer ends after 5 s in all and 8 MB of body, by the limits of `HttpPool`.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -171,7 +171,7 @@
     Given a store that answers with <bytes> without end, sent <pace>
     When a peer's page is read there
     Then the page counts as not read
-    And the store could send 64 MB of it at most
+    And the store could send 16 MB of it at most
 
     Examples:
       | bytes  | pace   |
--- a/src/brassdrum/deferred_http.py
+++ b/src/brassdrum/deferred_http.py
@@ -27,14 +27,10 @@
         self._pool: HttpPool | None = None
 
     def request(
-        self, method: str, path: str, body: bytes | None = None, *, timeout: float | None = None
+        self, method: str, path: str, body: bytes | None = None, *, time_limit: float
     ) -> Exchange:
-        """Send a request as ``HttpPool.request`` does."""
-        return self._imported().request(method, path, body, timeout=timeout)
-
-    def call(self, method: str, path: str) -> tuple[int, bytes]:
-        """Send a repeatable request and return status and whole body."""
-        return self._imported().call(method, path)
+        """Send a request as ``HttpPool.request`` does; ``time_limit`` is for the whole response."""
+        return self._imported().request(method, path, body, time_limit=time_limit)
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/src/brassdrum/gateway/following/follower.py
+++ b/src/brassdrum/gateway/following/follower.py
@@ -50,6 +50,10 @@
 _AGGREGATOR_HEARD_SECONDS = 0.6
 _TAKEOVER_SHARE = 1.0
 _PULL_TIMEOUT_SECONDS = 1.0
+# For the whole page, which may come slowly.
+_PAGE_SECONDS = 5.0
+# The state of a fleet: 4,800 endpoints of 0.5 KB and a configuration of 1 MB.
+_MAX_PAGE_BYTES = 8 << 20
 _COLD_REUSE_SECONDS = 0.05
 _PULL_RETRY_SECONDS = 0.25
 # The fastest level of zlib; a configuration of 300 routes shrinks to a tenth.
@@ -361,7 +365,8 @@
         """Return a page of another daemon; blocks. Raises ``ValueError`` if it has none."""
         pool = DeferredHttpPool(f"http://{host}:{self._peer_port}", _PULL_TIMEOUT_SECONDS)
         try:
-            status, body = pool.call("GET", path)
+            exchange = pool.request("GET", path, time_limit=_PAGE_SECONDS)
+            status, body = exchange.status, exchange.read(_MAX_PAGE_BYTES)
         finally:
             pool.close()
         if status != 200:
--- a/src/brassdrum/platform/store.py
+++ b/src/brassdrum/platform/store.py
@@ -33,6 +33,10 @@
 _QUARANTINE_TOPIC = "keyed.brassdrum-quarantine"
 # An answer takes 4 ms, and 60 times that on a slow day.
 _CALL_SECONDS = 1.0
+# A page of 1 MB may come slowly, but not for longer than this.
+_ANSWER_SECONDS = 5.0
+# A page holds 1 MB or 500 records, which base64 and their keys make longer.
+_MAX_PAGE_BYTES = 8 << 20
 # Pages of a topic, each with 500 records or 1 MB. 100,000 records are 20 times the endpoints that
 # are planned for.
 _MAX_PAGES = 200
@@ -163,8 +167,8 @@
         """Return an answer of the store, or raise ``PlatformUnavailableError``."""
         self.calls += 1
         try:
-            exchange = self._pool.request(method, path, body, timeout=_CALL_SECONDS)
-            status, answer = exchange.status, exchange.read()
+            exchange = self._pool.request(method, path, body, time_limit=_ANSWER_SECONDS)
+            status, answer = exchange.status, exchange.read(_MAX_PAGE_BYTES)
         except (ConnectFailedError, ExchangeFailedError) as error:
             raise PlatformUnavailableError(f"The store does not answer: {error}.") from error
         era = self._note_era(exchange.header(_ERA_HEADER))
