Give the owner of a forwarded attempt in a scenario what attempts ask of it

cut_off_hosts.feature 'A failure of the other daemon itself says nothing of the endpoint' ended with an AttributeError since attempts follow their own answer: the scenario's owner had no last_event_id. Its checks are unchanged.

--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -295,6 +295,10 @@
         self.route = route("hold", RouteKind.NON_IDEMPOTENT)
         self.refused_by = set()
         self.tried_endpoints = set()
+        self.last_event_id = None
+
+    def new_progress(self):
+        """Return None: no answer is followed."""
 
     def attempt_response_started(self, attempt, reply):
         """Do nothing."""
