Try an endpoint with one request when its pause is over

What callers saw: while all endpoints of a service rejected requests beyond the pause that they had named, requests that waited for its end were sent at once and rejected together, and were refused or lost their second send.

Cause: a pause closed an endpoint until the named time and then opened it for all requests that waited for that time. Where the time is rounded down, or the endpoint goes on rejecting, each daemon sent all of them into the rest.

Change: `PauseTrials` grants one permit when a pause is over and holds the other requests back until it is answered. A trial without an answer is followed by the next one after 0.5 s, a rejected one after the pause that it names, or 0.1 s, 0.2 s, 0.4 s and then 0.5 s. Requests wait no longer for it than for a pause.

--- a/features/endpoint_pauses.feature
+++ b/features/endpoint_pauses.feature
@@ -23,6 +23,35 @@
     When a caller sends a "check" 3 times
     Then the last response is 200
 
+  # Guards against sending all waiting requests at once to an endpoint that still rejects them: 40 of
+  # 40 sends were rejected.
+  Scenario: Endpoints that reject requests after their pause as well are tried by one at a time
+    Given a gateway in front of two endpoints
+    And the endpoints use the behaviour "rejection for 0.3 s" for all requests
+    When a caller sends a "check"
+    And 20 callers at once send a "check" to each daemon
+    Then every response is 503
+    And each endpoint received at most 8 requests
+
+  Scenario Outline: Requests that wait for the end of a pause follow one that tries the endpoint
+    Given an endpoint that asks a daemon for a pause of 3 s
+    When 10 requests wait for it and 3 s go by
+    Then 1 of them may be sent
+    When the endpoint <answer> and <seconds> s go by
+    Then <sent> of them may be sent
+
+    Examples:
+      | answer                     | seconds | sent |
+      | serves it                  | 0.1     | 10   |
+      | is silent                  | 0.4     | 1    |
+      | is silent                  | 0.6     | 2    |
+      | asks for a pause of 2 s    | 1.9     | 1    |
+      | asks for a pause of 2 s    | 2.1     | 2    |
+      | asks for a pause of 0 s    | 0.05    | 1    |
+      | asks for a pause of 0 s    | 0.15    | 2    |
+      | asks for 0 s each time     | 2.0     | 6    |
+      | serves one sent before     | 0.4     | 1    |
+
   # Guards against taking room away that other daemons have: a pause binds who was asked for it.
   Scenario: Other daemons go on to use an endpoint that has asked one for a pause
     Given 2 gateways in front of two endpoints
--- a/features/steps/endpoint_signal_steps.py
+++ b/features/steps/endpoint_signal_steps.py
@@ -13,7 +13,8 @@
 from brassdrum.gateway.net.upstream import EndpointPool
 from brassdrum.gateway.peering.peer_status import PeerStatus
 from brassdrum.gateway.placing.load import LoadTable
-from brassdrum.gateway.throttling.signals import SignalNotice
+from brassdrum.gateway.throttling.signals import EndpointSignalTable, SignalNotice
+from brassdrum.gateway.throttling.throttle import EndpointThrottle
 from brassdrum.http_pool import HttpPool
 from brassdrum.outcomes.pauses import Pause
 from brassdrum.platform.dialect import PlatformDialect
@@ -73,6 +74,7 @@
 
 
 @then("each endpoint received at most {most:d} request")
+@then("each endpoint received at most {most:d} requests")
 def step_each_received(context, most):
     assert all(len(endpoint.requests) <= most for endpoint in context.endpoints)
 
@@ -339,3 +341,71 @@
 @then("its attempt is kept")
 def step_kept_attempt(context):
     assert not context.exchange.can_replace_attempt()
+
+
+class PausedEndpoint:
+    """One endpoint of a daemon, and requests that wait for it, on a manual clock."""
+
+    def __init__(self):
+        self.loop = SimulatedLoop()
+        self.signals = EndpointSignalTable()
+        self.throttle = EndpointThrottle(self.loop, self.signals, broker=None)
+        self.entry = engine_entry(1)
+        self.sent_at = []
+        self.rejects = False
+
+    def answer(self, pause, sent_at):
+        """Take a response to a request that was sent at a time."""
+        now = self.loop.now()
+        self.signals.record(self.entry.id, EndpointSignals(pause=pause), sent_at, now)
+
+    def send(self):
+        """Send a request as soon as the endpoint takes it."""
+        opening = self.throttle.next_opening([self.entry])
+        if opening is not None and not opening.needs_permit:
+            self.loop.call_later(opening.seconds, self.send)
+        elif opening is not None or self.throttle.needs_permit(self.entry.id):
+            self.throttle.request_permit(self.entry.id, 1.0, self._decided)
+        else:
+            self.sent_at.append(self.loop.now())
+
+    def _decided(self, permit):
+        if not permit.granted:
+            self.send()
+        else:
+            assert self.throttle.open_entries([self.entry], permit) == [self.entry]
+            self.sent_at.append(self.loop.now())
+            if self.rejects:
+                self.answer(0.0, self.loop.now())
+
+
+@given("an endpoint that asks a daemon for a pause of {seconds:g} s")
+def step_paused_endpoint(context, seconds):
+    context.paused = PausedEndpoint()
+    context.paused.answer(seconds, context.paused.loop.now())
+
+
+@when("{count:d} requests wait for it and {seconds:g} s go by")
+def step_requests_wait(context, count, seconds):
+    for _ in range(count):
+        context.paused.send()
+    assert not context.paused.sent_at
+    context.paused.loop.advance(seconds)
+
+
+@when("the endpoint {answer} and {seconds:g} s go by")
+def step_answers_trial(context, answer, seconds):
+    paused = context.paused
+    pauses = {"asks for a pause of 2 s": 2.0}
+    pauses |= dict.fromkeys(("asks for a pause of 0 s", "asks for 0 s each time"), 0.0)
+    paused.rejects = answer == "asks for 0 s each time"
+    if answer == "serves one sent before":
+        paused.answer(None, paused.sent_at[0] - 0.1)
+    elif answer != "is silent":
+        paused.answer(pauses.get(answer), paused.sent_at[0])
+    paused.loop.advance(seconds)
+
+
+@then("{count:d} of them may be sent")
+def step_may_be_sent(context, count):
+    assert len(context.paused.sent_at) == count, context.paused.sent_at
--- a/src/brassdrum/gateway/placing/choosing.py
+++ b/src/brassdrum/gateway/placing/choosing.py
@@ -156,7 +156,7 @@
         self, open_entries: Sequence[EndpointEntry], engine: EngineModel | None
     ) -> list[EndpointEntry]:
         """Return the endpoints without a limit, or none if there is nothing to choose from."""
-        unlimited = [each for each in open_entries if not self._throttle.needs_permit(each.id)]
+        unlimited = [each for each in open_entries if not self._throttle.limits_rate(each.id)]
         if not unlimited or len(unlimited) == len(open_entries):
             return []
         if self._random.random() < _LIMIT_PROBE_SHARE:
@@ -194,7 +194,7 @@
             self._table.total(entry.id),
             selection.suspect(entry.id),
             withheld + self._table.slots_freed_since(entry.id, claimed_since, own=last),
-            self._throttle.needs_permit(entry.id),
+            self._throttle.limits_rate(entry.id),
             self._throttle.asked_at(entry.id),
             self._slowdown(entry.id),
         )
--- a/src/brassdrum/gateway/request/send_gate.py
+++ b/src/brassdrum/gateway/request/send_gate.py
@@ -124,7 +124,7 @@
         if not self._context.may_wait(self._exchange):
             return 0.0
         start_ms = need.waited_ms + opening.first_event_ms
-        if not opening.needs_permit:
+        if not opening.limits_rate:
             return (need.objective_ms - start_ms) / 1000
         latest_ms = need.patience_ms * SLOT_WAIT_PATIENCE_SHARE
         return min(MAX_WAIT_SECONDS, (latest_ms - start_ms) / 1000)
--- a/src/brassdrum/gateway/throttling/signals.py
+++ b/src/brassdrum/gateway/throttling/signals.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 from brassdrum.gateway.model import EndpointSignals
@@ -101,6 +101,11 @@
         self._pause_by_endpoint: dict[str, Pause] = {}
         self._gone_at_by_endpoint: dict[str, float] = {}
         self._statement_by_endpoint: dict[str, _Statement] = {}
+        self._on_pause_answered: Callable[[str], None] = lambda _: None
+
+    def set_pause_observer(self, on_answered: Callable[[str], None]) -> None:
+        """Set the function that is called when a response tells whether a pause goes on."""
+        self._on_pause_answered = on_answered
 
     @property
     def limited_count(self) -> int:
@@ -122,6 +127,11 @@
         pause = self._pause_by_endpoint.get(endpoint)
         return -math.inf if pause is None else pause.until
 
+    def is_reopening(self, endpoint: str, now: float) -> bool:
+        """Return whether a pause is over and no later request has shown that it does not go on."""
+        pause = self._pause_by_endpoint.get(endpoint)
+        return pause is not None and not pause.is_active(now)
+
     def draining(self) -> set[str]:
         """Return the endpoints that say that they are about to stop."""
         return {name for name, each in self._statement_by_endpoint.items() if each.draining}
@@ -134,8 +144,7 @@
         Responses may overtake each other, so one takes back what an earlier one said only if its
         request was sent after that.
         """
-        if signals.pause is not None:
-            self._pause_by_endpoint.setdefault(endpoint, Pause()).extend(signals.pause, now)
+        self._record_pause(endpoint, signals.pause, sent_at, now)
         known = self._statement(endpoint)
         rate_limit, draining = signals.rate_limit, signals.draining
         if sent_at <= known.stated_at:
@@ -186,6 +195,16 @@
                 self._statement_by_endpoint.pop(endpoint, None)
                 self._pause_by_endpoint.pop(endpoint, None)
 
+    def _record_pause(self, endpoint: str, pause: float | None, sent_at: float, now: float) -> None:
+        """Extend a pause, or end it if a request sent after it was not asked for another one."""
+        if pause is not None:
+            self._pause_by_endpoint.setdefault(endpoint, Pause()).extend(pause, now)
+        elif self.is_reopening(endpoint, sent_at):
+            del self._pause_by_endpoint[endpoint]
+        else:
+            return
+        self._on_pause_answered(endpoint)
+
     def _statement(self, endpoint: str) -> _Statement:
         return self._statement_by_endpoint.get(endpoint, _NOTHING_SAID)
 
