Hold the engine of the test of a cut stream until the stream is resumed

The test failed once in a run beside other work (load 15): the engine had sent all 900 tokens before the daemon's stop cut the stream. The engine now pauses after 20 of 40 tokens until the test ends, and the assertions are the same. With the fault planted (the relay's end cancels streams) it fails by the 410 as before.

--- a/features/openai_silences.feature
+++ b/features/openai_silences.feature
@@ -54,7 +54,8 @@
   # Guards against cancelling streams that another daemon may go on with.
   Scenario: A daemon's time to stop ends with a stream on it
     Given a site of 2 daemons and 1 engine
-    When a stream of 900 tokens is cut by a daemon that stops and waits for nobody
+    And the engine is replaced by one that pauses after 20 of 40 tokens until the stream is resumed
+    When the stream is cut by a daemon that stops and waits for nobody
     And the caller resumes it at the other daemon
     Then the two parts together are the answer byte for byte
     And the cut stream is recorded as not_ready
--- a/features/steps/openai_silence_steps.py
+++ b/features/steps/openai_silence_steps.py
@@ -257,9 +257,55 @@
     context.stopping.result(ANSWER_SECONDS)
 
 
-@when("a stream of {tokens:d} tokens is cut by a daemon that stops and waits for nobody")
-def step_cut_stream(context, tokens):
+class PausingEngine:
+    """Pause in a stream until the test ends; send the rest to who resumes it, unless cancelled."""
+
+    def __init__(self, sent, tokens):
+        self._sent = sent
+        self._tokens = tokens
+        self._cancelled = False
+        self.ended = threading.Event()
+
+    def plan(self, head):
+        """Return the pieces to send for one request."""
+        if head.startswith(b"POST /v1/completions"):
+            return self._begin(stream_id_of(head))
+        if b"/cancel" in head.split(b"\r\n")[0]:
+            self._cancelled = True
+            return [response(b"{}")]
+        match = re.match(rb"GET /v1/streams/([^?]+)\?from=(\d+)", head)
+        if match is None:
+            return [response(b"{}", status="404 Not Found")]
+        if self._cancelled:
+            return [response(b"{}", status="410 Gone")]
+        return self._rest(match[1].decode(), int(match[2]))
+
+    def _begin(self, stream):
+        yield UNFRAMED % b"200 OK"
+        for index in range(self._sent):
+            yield event(stream, index)
+        self.ended.wait()
+
+    def _rest(self, stream, start):
+        yield UNFRAMED % b"200 OK"
+        for index in range(start, self._tokens):
+            yield event(stream, index)
+        yield event(stream, self._tokens, "stop") + b"data: [DONE]\n\n"
+
+
+@given(
+    "the engine is replaced by one that pauses after {sent:d} of {tokens:d} tokens until the "
+    "stream is resumed"
+)
+def step_pausing_engine(context, sent, tokens):
+    engine = PausingEngine(sent, tokens)
+    replace_engine(context, 0, engine.plan)
+    context.stack.push(engine.ended.set)
     context.tokens = tokens
+
+
+@when("the stream is cut by a daemon that stops and waits for nobody")
+def step_cut_stream(context):
     daemon = context.site.daemons[0]
     shutdown = ShutdownSettings(notice_seconds=0, drain_seconds=0)
     daemon.settings = daemon.settings.model_copy(update={"shutdown": shutdown})
@@ -267,7 +313,7 @@
     daemon.core.metrics.requests = RecordingCounter(context.results)
     answer = Answer()
     first = Caller(daemon.url, context.secret)
-    body = completion_body(max_tokens=tokens)
+    body = completion_body(max_tokens=context.tokens)
     stopping = None
     try:
         for _ in first.stream("POST", "/v1/completions", body, None, answer, time.monotonic()):
