Let plants of the soak show their fault at every run

Cause: two plants were found only when the moments fell well. The scenario of hoard_memory failed once in a run beside a soak (the allocation came after the end of a run of 1 s); one of the new planted scenarios failed in one of three runs by themselves, which one is not recorded; miss_deadlines was found in one of two runs (all endless answers were those of callers that left, and the daemons ended with the run).

What changed: memory is hoarded from the start and read at the end too; runs with a plant last 1.5 s longer than their callers; the streams before a pause begin one after the other, and give_up_silent has a seed with three pauses.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -51,7 +51,7 @@
       | hide_evacuations | 12   | 9       | no work for an evacuated zone              |
       | hide_cold        | 27   | 6       | cold endpoints get no more than they bear  |
       | break_long       | 24   | 6       | slow readers get their whole answer        |
-      | give_up_silent   | 2    | 3       | pauses of sound endpoints cost no answer   |
+      | give_up_silent   | 288   | 4       | pauses of sound endpoints cost no answer   |
       | pass_everything_on | 10 | 2       | endless answers are bounded in bytes       |
       | miss_deadlines   | 10   | 2       | endless answers end with their requests    |
       | hoard_memory     | 3    | 1       | daemons fit their hosts                    |
--- a/src/brassdrum/soak/actions.py
+++ b/src/brassdrum/soak/actions.py
@@ -27,8 +27,8 @@
 _CUT_MODES = ("reset", "silent", "live")
 _SLOW_READERS = 4
 _STREAMS_IN_PAUSE = 12
-# A stream takes 0.12 s.
-_STREAM_BEGIN_SECONDS = 0.07
+# Between the beginning of the first of them, 0.01 s apart, and the pause; each takes 0.12 s.
+_STREAM_BEGIN_SECONDS = 0.12
 _PAUSED = ("one", "zone", "all", "one")
 _STORE_FAULTS = ("busy", "silent", "slow", "lost")
 
--- a/src/brassdrum/soak/callers.py
+++ b/src/brassdrum/soak/callers.py
@@ -23,6 +23,8 @@
 # The platform's rule: callers give a stream up after a silence of four times its objective.
 _SILENCE_SECONDS = 4.0
 _READ_BYTES = 65536
+# Streams of 0.12 s that begin so far apart are at different events at any moment.
+_STREAM_GAP_SECONDS = 0.01
 # Slow readers take 12 MB in 1.2 s at best after a stall of up to 2 s; the rest is for slow paths.
 _SLOW_PATIENCE_SECONDS = 20.0
 _SLOW_TRIES = 10
@@ -104,11 +106,12 @@
         self._run(self._ask_long, daemon, request, stall)
 
     def stream_from_all(self, count: int) -> None:
-        """Start callers that ask each daemon in turn for one stream."""
+        """Start callers that ask each daemon in turn for one stream, shortly after each other."""
         for number in range(count):
             self._stream_count += 1
             daemon = self._daemons[number % len(self._daemons)]
-            self._run(self._ask_stream, daemon, f"p{self._seed}-{self._stream_count}")
+            request = f"p{self._seed}-{self._stream_count}"
+            self._run(self._ask_stream, daemon, request, number * _STREAM_GAP_SECONDS)
 
     def stop(self) -> None:
         """Let callers send nothing more."""
@@ -162,7 +165,8 @@
             self._send(connection, sending, daemon, path)
             connection.close()
 
-    def _ask_stream(self, daemon: DaemonProcess, request: str) -> None:
+    def _ask_stream(self, daemon: DaemonProcess, request: str, delay: float) -> None:
+        time.sleep(delay)
         connection = http.client.HTTPConnection(
             daemon.host, daemon.port, timeout=CALLER_TIMEOUT_SECONDS
         )
--- a/src/brassdrum/soak/planted_daemon.py
+++ b/src/brassdrum/soak/planted_daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import sys
-import threading
 from collections.abc import Callable
 
 from brassdrum.gateway.request import exchange
@@ -11,6 +10,7 @@
 from brassdrum.platform.serve import serve
 
 _HOARDED_BYTES = 256 << 20
+_HOARD: list[bytes] = []
 
 
 def _give_up_silent() -> None:
@@ -50,9 +50,8 @@
 
 
 def _hoard_memory() -> None:
-    """Use far more memory than a daemon may, a second after the start."""
-    hoard: list[bytes] = []
-    threading.Timer(1.0, lambda: hoard.append(b"x" * _HOARDED_BYTES)).start()
+    """Use far more memory than a daemon may, from the start."""
+    _HOARD.append(b"x" * _HOARDED_BYTES)
 
 
 _PLANT_BY_NAME: dict[str, Callable[[], None]] = {
--- a/src/brassdrum/soak/run.py
+++ b/src/brassdrum/soak/run.py
@@ -39,6 +39,8 @@
 _RESTART_SECONDS = 0.2
 # Held memory ends by itself after 3.2 s; then nothing may be left.
 _SETTLE_SECONDS = 5.0
+# Longer than a daemon may hold an endless answer after its request.
+_PLANT_SETTLE_SECONDS = 1.5
 # Entries of replicas on the platform are at most 1.2 s old.
 _LISTED_AGAIN_SECONDS = 0.4
 # What a planted fault lets each replica do wrong.
@@ -148,8 +150,10 @@
             self._stop.set()
             self.callers.stop()
             self.history.unfinished = self.callers.join()
+            for daemon in self.daemons:
+                self._note_peak(daemon)
             # No planted fault is about memory that stays held.
-            time.sleep(0.0 if self._plant else _SETTLE_SECONDS)
+            time.sleep(_PLANT_SETTLE_SECONDS if self._plant else _SETTLE_SECONDS)
             self.history.held_at_end = sum(replica.held() for replica in self.replicas)
             self.history.errors_by_daemon = {
                 daemon.name: daemon.logged_errors() for daemon in self.daemons
@@ -395,11 +399,14 @@
             ACTIONS.get(fault.kind)(self, fault)
         time.sleep(max(0.0, started + self.size.seconds - time.monotonic()))
 
+    def _note_peak(self, daemon: DaemonProcess) -> None:
+        peaks = self.history.peak_mb_by_daemon
+        peaks[daemon.name] = max(peaks.get(daemon.name, 0.0), daemon.peak_memory_mb())
+
     def _keep_running(self) -> None:
         while not self._stop.is_set():
             for daemon in self.daemons:
-                peaks = self.history.peak_mb_by_daemon
-                peaks[daemon.name] = max(peaks.get(daemon.name, 0.0), daemon.peak_memory_mb())
+                self._note_peak(daemon)
                 if daemon.wanted and daemon.ended():
                     time.sleep(_RESTART_SECONDS)
                     if self._stop.is_set():
