Give the owner of an attempt in a scenario what attempts ask of it

slow_endpoints.feature 'An attempt records its first event once' ended with an AttributeError: its owner had no last_event_id. Its checks are unchanged.

--- a/features/steps/slow_endpoint_steps.py
+++ b/features/steps/slow_endpoint_steps.py
@@ -511,7 +511,9 @@
         next_attempt_number=lambda: 1,
         load_changed=lambda: None,
     )
-    owner = SimpleNamespace(request=SimpleNamespace(id="a"))
+    owner = SimpleNamespace(
+        request=SimpleNamespace(id="a"), last_event_id=None, new_progress=lambda: None
+    )
     placed = placement(engine_entry(1))
     attempt = Attempt(host, owner, placed)
     loop.advance(0.3)
