Let the raw endpoint of the tests read a request's body before it closes the connection

'A caller reads nothing for longer ...' failed once in a run at load 15: the stream broke off. The endpoint closed its connection with the request's body possibly unread, which resets a connection and loses what the daemon has not read.

--- a/features/raw_endpoint.py
+++ b/features/raw_endpoint.py
@@ -1,6 +1,7 @@
 """An endpoint below HTTP: it sends what a test tells it, also without end."""
 
 import itertools
+import re
 import socket
 import threading
 
@@ -57,7 +58,7 @@
     def _serve(self, connection):
         with connection:
             connection.settimeout(_ACCEPT_SECONDS)
-            head = self._read_head(connection)
+            head = self._read_request(connection)
             with self._lock:
                 self.heads.append(head)
             try:
@@ -66,9 +67,10 @@
                 # The other side has closed the connection, as the tests expect.
                 return
 
-    def _read_head(self, connection):
+    def _read_request(self, connection):
+        """Read a whole request; a close with unread bytes would reset what was sent."""
         data = b""
-        while b"\r\n\r\n" not in data and not self._stopped.is_set():
+        while not _is_whole(data) and not self._stopped.is_set():
             try:
                 received = connection.recv(CHUNK_BYTES)
             except TimeoutError:
@@ -99,6 +101,12 @@
                 self.exhausted = self.sent_bytes >= MAX_SENT_BYTES
 
 
+def _is_whole(request):
+    head, end, body = request.partition(b"\r\n\r\n")
+    length = re.search(rb"(?im)^Content-Length: (\d+)", head)
+    return bool(end) and len(body) >= (int(length[1]) if length else 0)
+
+
 def endless(start, piece):
     """Return a plan that sends a start once and a piece again and again."""
     return lambda head: itertools.chain([start], itertools.repeat(piece))
