--- a/src/brassdrum/gateway/measures.py
+++ b/src/brassdrum/gateway/measures.py
@@ -148,6 +148,10 @@
         """Count a connection that was closed before its request was read."""
         self._record("unread_connections", 1, {})
 
+    def record_cut_connection(self, stage: str) -> None:
+        """Count a connection that closed while its request was read, held or being answered."""
+        self._record("cut_connections", 1, {"stage": stage})
+
     def record_endpoint_exit(self) -> None:
         """Count an endpoint whose process exited during requests of this daemon."""
         self._record("endpoint_ends", 1, {})
--- a/src/brassdrum/gateway/metrics_registry.py
+++ b/src/brassdrum/gateway/metrics_registry.py
@@ -25,6 +25,7 @@
     "refusals": "Requests refused at the border, by status.",
     "taken_over": "Requests that another daemon handed over.",
     "unread_connections": "Connections of callers closed before their request was read.",
+    "cut_connections": "Connections closed under a request that no endpoint had, by stage.",
     "endpoint_ends": "Endpoints seen to end under requests.",
     "sends": "Attempts at endpoints, by band.",
     "given_up_attempts": "Attempts ended because their endpoint was silent, by outcome.",
--- a/src/brassdrum/gateway/net/callers.py
+++ b/src/brassdrum/gateway/net/callers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import re
 import selectors
 import socket
 from collections.abc import Callable
@@ -32,6 +33,8 @@
 _MAX_PIPELINED_BYTES = 65536
 # How often it is checked whether a caller has left whose socket is not read.
 _LEFT_CHECK_SECONDS = 0.5
+# ``h11`` quotes the line that it rejects, which may hold a key; what comes before is logged.
+_QUOTED = re.compile(r":|\bbytearray\(|\bb['\"]")
 _REASON_PHRASES = {400: b"Bad Request", 408: b"Request Timeout", 413: b"Content Too Large"}
 _REASON_PHRASES |= {
     431: b"Request Header Fields Too Large",
@@ -121,8 +124,13 @@
         responder: Responder,
         on_closed: Callable[[CallerConnection], None],
         pacer: Pacer | None = None,
+        on_cut: Callable[[str], None] | None = None,
     ) -> None:
         self.flow: CallerFlow | UnpacedFlow = UnpacedFlow() if pacer is None else pacer.open()
+        self._on_cut = on_cut
+        self._cut_recorded = False
+        # Bytes of responses that the socket has not taken yet.
+        self._unsent = 0
         self._loop = loop
         self._responder = responder
         self._on_closed = on_closed
@@ -213,6 +221,11 @@
         if not self.busy and not self._transport.closed:
             self._close()
 
+    def record_stop(self) -> None:
+        """Record a request or a response that the end of the daemon cuts off."""
+        if self.busy and not self._responding:
+            self._record_cut("the daemon stopped")
+
     def connection_made(self) -> None:
         """Do nothing: accepted connections are already established."""
 
@@ -223,6 +236,7 @@
             self._handle_disconnect()
             return
         if not data and (not self._reading or self._closing):
+            self._record_left()
             self._close()
             return
         if self._closing:
@@ -252,7 +266,7 @@
 
     def _drained(self) -> None:
         """Handle bytes that the caller has taken."""
-        self.flow.set_unsent(self._transport.write_buffer_size)
+        self._set_unsent()
         if self._transport.closed:
             self._close()
             return
@@ -298,7 +312,7 @@
             self._head = RequestHead(event.method, event.target, event.headers.raw_items())
             if self._head.size > self._limits.header_bytes:
                 # h11 limits only incomplete heads, not one that arrives in a single read.
-                self._send_error(431)
+                self._send_error(431, "the head is too long")
                 return
             if not self.flow.reserve_body(self._declared_body_bytes()):
                 self._body_refused = True
@@ -312,6 +326,7 @@
         elif isinstance(event, h11.EndOfMessage):
             self._dispatch_request()
         elif isinstance(event, h11.ConnectionClosed):
+            self._record_left()
             self._close()
 
     def _declared_body_bytes(self) -> int:
@@ -326,7 +341,7 @@
         """Keep a part of a request body, or drop it if there is no room for the body."""
         self._body_bytes += len(data)
         if self._body_bytes > self._limits.body_bytes:
-            self._send_error(413)
+            self._send_error(413, "the body is too long")
             return
         if not self._body_refused and not self.flow.reserve_body(self._body_bytes):
             self._body_refused = True
@@ -357,8 +372,7 @@
         """Refuse a request whose chunk extensions have no end."""
         limit = framing_limit(self._limits.header_bytes, self._body_bytes)
         if self._reading and self._request_bytes - self._body_bytes > limit:
-            _logger.info("malformed request", extra={"error": f"its framing exceeds {limit} bytes"})
-            self._send_error(431)
+            self._send_error(431, f"its framing exceeds {limit} bytes")
 
     def _begin_reading(self) -> None:
         if self._reading:
@@ -367,9 +381,13 @@
         self._body_bytes = 0
         self._request_bytes = 0
         self._body_refused = False
+        self._cut_recorded = False
         self.flow.deliver_until = 0.0
         self._limits = self._responder.limits()
-        self._start_timer(self._limits.header_seconds, lambda: self._send_error(408))
+        self._start_timer(
+            self._limits.header_seconds,
+            lambda: self._send_error(408, "the request was not complete in time"),
+        )
 
     def _start_idle_timer(self) -> None:
         if self._responder.closing():
@@ -386,12 +404,15 @@
             self._timer = None
 
     def _reject_malformed(self, error: h11.RemoteProtocolError) -> None:
-        _logger.info("malformed request", extra={"error": str(error)})
-        self._send_error(error.error_status_hint)
+        self._send_error(error.error_status_hint, _QUOTED.split(str(error), maxsplit=1)[0].strip())
 
-    def _send_error(self, status: int) -> None:
+    def _send_error(self, status: int, reason: str) -> None:
         """Send an error response, if still possible, and close the connection."""
-        if self._codec.our_state is h11.IDLE or self._codec.our_state is h11.SEND_RESPONSE:
+        is_sendable = self._codec.our_state is h11.IDLE or (
+            self._codec.our_state is h11.SEND_RESPONSE
+        )
+        self._record_cut(reason, status if is_sendable else 0)
+        if is_sendable:
             self._send(
                 h11.Response(
                     status_code=status,
@@ -419,6 +440,7 @@
 
     def _delivery_expired(self) -> None:
         log_events.NOT_READ.write(_logger, unsent=self._transport.write_buffer_size)
+        self._count_cut("delivering")
         self.abort()
 
     def _send(self, event: h11.Event) -> None:
@@ -427,10 +449,44 @@
         data = self._codec.send(event)
         if data:
             self._transport.write(data)
-            self.flow.set_unsent(self._transport.write_buffer_size)
+            self._set_unsent()
+
+    def _set_unsent(self) -> None:
+        self._unsent = self._transport.write_buffer_size
+        self.flow.set_unsent(self._unsent)
+
+    def _record_left(self) -> None:
+        """Record a caller that left while its request was read or its response delivered."""
+        if self._reading or self._unsent:
+            self._record_cut("the caller closed its connection")
+
+    def _record_cut(self, reason: str, status: int = 0) -> None:
+        """Log that the connection closes under a request, once a request."""
+        if self._cut_recorded:
+            return
+        stage = "reading"
+        if not self._reading and self._unsent:
+            stage = "delivering"
+        log_events.CONNECTION_CLOSED.write(
+            _logger,
+            request=None,
+            stage=stage,
+            status=status,
+            unsent=self._unsent,
+            reason=reason,
+        )
+        self._count_cut(stage)
+
+    def _count_cut(self, stage: str) -> None:
+        """Count a connection that closes under a request, once a request."""
+        if self._on_cut is not None and not self._cut_recorded:
+            self._on_cut(stage)
+        self._cut_recorded = True
 
     def _handle_disconnect(self) -> None:
         handler, self._handler = self._handler, None
+        if handler is None:
+            self._record_left()
         self._responding = False
         self._close()
         if handler is not None:
--- a/src/brassdrum/gateway/ports.py
+++ b/src/brassdrum/gateway/ports.py
@@ -49,6 +49,7 @@
         self._peer_pages = peer_pages
         self._listeners: list[Listener] = []
         self._connections: set[CallerConnection] = set()
+        self._peer_connections: set[CallerConnection] = set()
 
     def open(self) -> None:
         """Listen on the ports of the settings."""
@@ -61,8 +62,11 @@
 
     @property
     def busy(self) -> bool:
-        """Return whether a caller's request is read or processed, or its response delivered."""
-        return any(each.busy for each in self._connections)
+        """Return whether a request is read or processed, or its response delivered.
+
+        Other daemons count like callers: a forwarded answer that is cut off is lost to its caller.
+        """
+        return any(each.busy for each in self._connections | self._peer_connections)
 
     def close_idle(self) -> None:
         """Close the connections of callers that have no request."""
@@ -70,9 +74,11 @@
             connection.close_if_idle()
 
     def close(self) -> None:
-        """Stop listening; open connections stay."""
+        """Stop listening; open connections end with the process, and busy ones are recorded."""
         for listener in self._listeners:
             listener.close()
+        for connection in self._connections | self._peer_connections:
+            connection.record_stop()
 
     def _listen(self, port: int, accept: Callable[[socket.socket], None]) -> None:
         daemon = self._daemon
@@ -98,9 +104,22 @@
             )
             sock.close()
             return
-        self._connections.add(
-            CallerConnection(daemon.loop, sock, daemon, self._connections.discard, daemon.pacer)
+        self._track(self._connections, sock, daemon)
+
+    def _track(
+        self, connections: set[CallerConnection], sock: socket.socket, responder: Responder
+    ) -> None:
+        """Serve a connection, and keep it among others until it closes."""
+        daemon = self._daemon
+        connection = CallerConnection(
+            daemon.loop,
+            sock,
+            responder,
+            connections.discard,
+            daemon.pacer,
+            daemon.metrics.record_cut_connection,
         )
+        connections.add(connection)
 
     def _accept_probe(self, sock: socket.socket) -> None:
         responder = ReadinessResponder(self._daemon.ready)
@@ -108,8 +127,7 @@
 
     def _accept_peer(self, sock: socket.socket) -> None:
         daemon = self._daemon
-        responder = PeerResponder(daemon, self._peer_pages)
-        CallerConnection(daemon.loop, sock, responder, _ignore, daemon.pacer)
+        self._track(self._peer_connections, sock, PeerResponder(daemon, self._peer_pages))
 
     def _accept_scraper(self, sock: socket.socket) -> None:
         # The first scrape waits for the set-up; requests do not.
--- a/src/brassdrum/gateway/request/early.py
+++ b/src/brassdrum/gateway/request/early.py
@@ -53,9 +53,15 @@
 class HeldRequestQueue:
     """A bounded queue of held requests, in order of arrival."""
 
-    def __init__(self, loop: Timers, refuse: Callable[[HeldRequest, str], None]) -> None:
+    def __init__(
+        self,
+        loop: Timers,
+        refuse: Callable[[HeldRequest, str], None],
+        caller_left: Callable[[HeldRequest], None],
+    ) -> None:
         self._loop = loop
         self._refuse = refuse
+        self._caller_left = caller_left
         self._held: list[HeldRequest] = []
         self._held_bytes = 0
 
@@ -69,7 +75,7 @@
         """Hold a request; return None if the queue is full."""
         if len(self._held) >= _MAX_HELD_REQUESTS or self._held_bytes + len(body) > _MAX_HELD_BYTES:
             return None
-        held = HeldRequest(connection, head, body, request, self._loop.now(), self._remove)
+        held = HeldRequest(connection, head, body, request, self._loop.now(), self._drop)
         held.timer = self._loop.call_later(
             max_hold_seconds(request), lambda: self._refuse_held(held, "no configuration yet")
         )
@@ -92,6 +98,10 @@
         self._remove(held)
         self._refuse(held, detail)
 
+    def _drop(self, held: HeldRequest) -> None:
+        self._remove(held)
+        self._caller_left(held)
+
     def _remove(self, held: HeldRequest) -> None:
         if held.timer is not None:
             held.timer.cancel()
--- a/src/brassdrum/gateway/request/intake.py
+++ b/src/brassdrum/gateway/request/intake.py
@@ -70,7 +70,7 @@
     def __init__(self, context: IntakeContext, rng: random.Random) -> None:
         self._context = context
         self._random = rng
-        self._held_requests = HeldRequestQueue(context.loop, self._refuse_held)
+        self._held_requests = HeldRequestQueue(context.loop, self._refuse_held, self._record_left)
 
     def handle(
         self, connection: CallerConnection, head: RequestHead, body: bytes | None
@@ -161,6 +161,18 @@
         arrival = Arrival(held.connection, held.body, held.arrived)
         self._refuse(arrival, Refusal(503, detail, seconds, held.request.id))
 
+    def _record_left(self, held: HeldRequest) -> None:
+        """Record a held request whose caller has left."""
+        self._context.metrics.record_cut_connection("held")
+        log_events.CONNECTION_CLOSED.write(
+            _logger,
+            request=held.request.id,
+            stage="held",
+            status=0,
+            unsent=0,
+            reason="the caller closed its connection",
+        )
+
     def _refuse_body(self, arrival: Arrival, head: RequestHead) -> None:
         """Refuse a request whose body found no room among what connections buffer."""
         name, seconds = "", _NO_ROOM_RETRY_AFTER_SECONDS
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -414,6 +414,16 @@
     "The caller did not take its whole answer in its time; its connection was closed.",
     "Look at the caller, or at the network to it.",
 )
+CONNECTION_CLOSED = LOG_EVENTS.add(
+    "connection closed",
+    Topic.FAILURE,
+    "request stage status unsent reason",
+    "A connection closed under a request that no endpoint has, or that has its answer. `stage` is "
+    "`reading` (the request was read in part; the caller got `status`, or nothing if it is 0), "
+    "`held` (`request` waited for a configuration; the caller got nothing) or `delivering` (the "
+    "answer is whole; the caller lacks at least its last `unsent` bytes).",
+    "Read `reason`. Many with `the daemon stopped`: lengthen the grace time.",
+)
 REFUSED = LOG_EVENTS.add(
     "refused",
     Topic.FAILURE,
