--- a/features/steps/starting_steps.py
+++ b/features/steps/starting_steps.py
@@ -26,7 +26,9 @@
     context.loop = SimulatedLoop()
     context.refused = []
     context.held_requests = HeldRequestQueue(
-        context.loop, lambda held, _detail: context.refused.append(held.request.id)
+        context.loop,
+        lambda held, _detail: context.refused.append(held.request.id),
+        lambda _held: None,
     )
     context.arrived_by_caller = {}
     context.held_by_caller = {}
--- a/src/brassdrum/gateway/net/callers.py
+++ b/src/brassdrum/gateway/net/callers.py
@@ -34,7 +34,7 @@
 # How often it is checked whether a caller has left whose socket is not read.
 _LEFT_CHECK_SECONDS = 0.5
 # ``h11`` quotes the line that it rejects, which may hold a key; what comes before is logged.
-_QUOTED = re.compile(r":|\bbytearray\(|\bb['\"]")
+_QUOTED = re.compile(r":|\(|\bb['\"]")
 _REASON_PHRASES = {400: b"Bad Request", 408: b"Request Timeout", 413: b"Content Too Large"}
 _REASON_PHRASES |= {
     431: b"Request Header Fields Too Large",
