Keep a silent stream's attempt when the second endpoint answers a failure below 500

A stream was cut although its first endpoint went on when the second one answered 404, 410, 429 or another status below 500: that answer ended the first attempt, and only then was it found to be of no use to a caller that has a part of the stream.

Such an answer now ends its own attempt alone.

--- a/features/silent_endpoints.feature
+++ b/features/silent_endpoints.feature
@@ -116,3 +116,17 @@
     When the endpoint that uses it is silent for 6 s after a renewal was due
     Then its request is told of the silence
     And the memory is released within 4 s of the endpoint's last answer
+
+  # Guards against a live attempt that is ended for an answer that its caller cannot use.
+  Scenario Outline: A stream keeps its first endpoint when the second one answers <status>
+    Given a stream in progress at the first of three endpoints
+    When that endpoint is silent until another one is sought
+    And the second endpoint answers <status> as its own failure
+    And the first endpoint goes on
+    Then the caller has each byte of the answer once and its end
+    And no attempt is left
+
+    Examples:
+      | status |
+      | 404    |
+      | 429    |
--- a/features/steps/silent_endpoint_steps.py
+++ b/features/steps/silent_endpoint_steps.py
@@ -281,6 +281,14 @@
     owner.response_completed()
 
 
+@when("the second endpoint answers {status:d} as its own failure")
+def step_second_own_failure(context, status):
+    owner = second_owner(context)
+    owner.response_started(status, [*HEADERS, (b"Content-Length", b"6")])
+    owner.response_data(b"failed")
+    owner.response_completed()
+
+
 @when("the second endpoint is silent too")
 def step_second_silent(context):
     second_owner(context)
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -457,6 +457,10 @@
             if self._continue_without(attempt, detail, self._sends.consume_retry_after_run):
                 self._failed_attempt = attempt if is_whole else self._failed_attempt
                 return True
+        elif self._delivery.started:
+            # Of no use to the caller, which has a part of a success.
+            if self._continue_without(attempt, detail, lambda: False):
+                return True
         else:
             self._settle(attempt)
         if self._delivery.started:
