Give back retries that reached no endpoint or are not needed any more

A request kept its retry when its caller left while an endpoint was sought, and when the send reached no endpoint; where each reservation of memory was refused, one request took nine retries in 6 s with nothing sent. The budget is shared, so that others were not sent again. Found by a reviewer; the three new scenarios failed before.

--- a/features/silent_endpoints.feature
+++ b/features/silent_endpoints.feature
@@ -130,3 +130,27 @@
       | status |
       | 404    |
       | 429    |
+
+  # Guards against a retry budget that is used up by retries that were never sent.
+  Scenario: A retry whose caller leaves before it is sent is given back
+    Given a stream in progress at the first of three endpoints
+    When that endpoint is silent until another one is sought
+    And no other endpoint has room
+    And its caller gives it up
+    Then no retry was taken
+
+  # Guards against a retry budget that is used up by sends that reached no endpoint.
+  Scenario: A retry that reached no endpoint is given back
+    Given a stream in progress at the first of three endpoints
+    When that endpoint is silent until another one is sought
+    And the second endpoint cannot be reached
+    And the first endpoint goes on
+    Then no retry was taken
+
+  # Guards against one request that takes retry after retry without being sent.
+  Scenario: Retries whose memory reservation is refused are given back
+    Given a stream in progress at the first of three endpoints
+    When that endpoint is silent until another one is sought
+    And each memory reservation for it is refused
+    And the gateway runs for 5 s
+    Then no retry was taken
--- a/features/steps/silent_endpoint_steps.py
+++ b/features/steps/silent_endpoint_steps.py
@@ -15,6 +15,7 @@
 from brassdrum.gateway.model import DeclaredRequest, Reservation, RouteKind
 from brassdrum.gateway.net.upstream import CallFailure, EndpointCall
 from brassdrum.gateway.placing.load import LoadTable
+from brassdrum.gateway.placing.placement import Helper
 from brassdrum.gateway.placing.reservations import ReservationManager
 from brassdrum.gateway.request.exchange import Exchange
 from brassdrum.gateway.throttling.permits import Permit
@@ -497,3 +498,28 @@
     released = [at for at, body in context.pool.orders if "release" in body]
     assert released, context.pool.orders
     assert released[0] - context.silent_since < seconds
+
+
+@when("the gateway runs for {seconds:g} s")
+def step_gateway_runs(context, seconds):
+    context.daemon.loop.advance(seconds)
+
+
+@when("each memory reservation for it is refused")
+def step_reservations_refused(context):
+    daemon = context.daemon
+    place = daemon.place
+
+    class Refusing:
+        def acquire(self, reservations, consumer, on_done, on_silent):
+            daemon.loop.call_later(0.01, lambda: on_done(False))
+            return SimpleNamespace(release=lambda: None)
+
+    daemon.reservations = Refusing()
+
+    def place_with_helper(exchange, need):
+        found = place(exchange, need)
+        return found and replace(found, helpers=(Helper(daemon.entries[2], 1000),))
+
+    daemon.place = place_with_helper
+    context.pass_silence()
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -672,7 +672,7 @@
         self._deadline_timer.cancel()
         self._watchdog.stop()
         self._delivery.detach()
-        self._search.end()
+        self._stop_seeking()
         self._context.exchange_finished(self, outcome, status, detail)
 
 
--- a/src/brassdrum/gateway/request/send_limits.py
+++ b/src/brassdrum/gateway/request/send_limits.py
@@ -54,6 +54,7 @@
         self.count = 0
         self._unsent_count = 0
         self._holds_retry = False
+        self._last_send_took_retry = False
         self._budget = budget
         self._exchange = exchange
         self._delivery = delivery
@@ -61,12 +62,16 @@
     def record_send(self) -> None:
         """Count a send."""
         self.count += 1
+        self._last_send_took_retry = self._holds_retry
         self._holds_retry = False
 
     def record_unsent(self) -> None:
-        """Take back the last send, since it reached no endpoint."""
+        """Take back the last send and its retry, since it reached no endpoint."""
         self.count -= 1
         self._unsent_count += 1
+        if self._last_send_took_retry:
+            self._last_send_took_retry = False
+            self._budget.return_retry(self._exchange.service)
 
     def return_unsent_retry(self) -> None:
         """Give the retry back that was taken for a send which is not needed any more."""
