Avoid an endpoint that goes on after a silence if it has failed otherwise since

An endpoint that had fallen silent once and later refused connections, crashed or failed was used again as soon as one kept attempt went on: the mark of its silence stayed, and ended any avoidance. A certain failure other than a silence now removes the mark.

--- a/features/silent_endpoints.feature
+++ b/features/silent_endpoints.feature
@@ -154,3 +154,15 @@
     And each memory reservation for it is refused
     And the gateway runs for 5 s
     Then no retry was taken
+
+  # Guards against requests to an endpoint that is avoided for another reason than its silence.
+  Scenario Outline: An endpoint that goes on stays avoided for a failure <seconds> s after its silence
+    Given an endpoint that fell silent and is avoided
+    When it fails for another reason after <seconds> s
+    And it goes on
+    Then it is still avoided
+
+    Examples:
+      | seconds |
+      | 0.1     |
+      | 3600    |
--- a/features/steps/silent_endpoint_steps.py
+++ b/features/steps/silent_endpoint_steps.py
@@ -408,8 +408,8 @@
     context.monitor = EndpointMonitor(
         loop, RoutingState(), SimpleNamespace(), lambda: None, CrashGuard(loop, LoadTable())
     )
-    context.monitor.endpoint_fell_silent("engine-1")
     context.monitor.endpoint_failed("engine-1", certain=True, detail="the endpoint is silent")
+    context.monitor.endpoint_fell_silent("engine-1")
     notice = FailureNotice("engine-1", 3.2, 3.2)
     context.monitor._failure_detector.apply_notice(notice, loop.now())
     assert context.monitor.is_suspect("engine-1")
@@ -523,3 +523,14 @@
 
     daemon.place = place_with_helper
     context.pass_silence()
+
+
+@when("it fails for another reason after {seconds:g} s")
+def step_fails_otherwise(context, seconds):
+    context.loop.advance(seconds)
+    context.monitor.endpoint_failed("engine-1", certain=True, detail="connection refused")
+
+
+@then("it is still avoided")
+def step_still_avoided(context):
+    assert context.monitor.is_suspect("engine-1")
--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -90,6 +90,9 @@
 
     def endpoint_failed(self, endpoint: str, *, certain: bool, detail: str) -> None:
         """Record a failure; a certain one makes the endpoint suspect by itself."""
+        if certain:
+            # An endpoint that goes on has recovered from its silence, not from this.
+            self._silent_since_by_endpoint.pop(endpoint, None)
         if self._failure_detector.record_failure(endpoint, self._loop.now(), certain=certain):
             self._log_suspect(endpoint, detail, certain)
 
@@ -108,6 +111,7 @@
         Its entry may stay in the list for about as long. The id names the start of the process, so
         it is never used again.
         """
+        self._silent_since_by_endpoint.pop(entry.id, None)
         if self._failure_detector.record_exit(entry.id, self._loop.now()):
             self._log_suspect(entry.id, detail, True)
 
@@ -122,7 +126,7 @@
 
     def endpoint_fell_silent(self, endpoint: str) -> None:
         """Record that an endpoint has sent nothing for too long on one connection."""
-        self._silent_since_by_endpoint.setdefault(endpoint, self._loop.now())
+        self._silent_since_by_endpoint[endpoint] = self._loop.now()
 
     def endpoint_answered(self, endpoint: str) -> None:
         """Record that an endpoint goes on after a silence, and use it again."""
--- a/src/brassdrum/gateway/request/attempt.py
+++ b/src/brassdrum/gateway/request/attempt.py
@@ -370,9 +370,10 @@
 
     def fell_silent(self, *, certain: bool, detail: str) -> None:
         """Record that the endpoint has sent nothing for too long; once a silence."""
-        if certain and not self.silent:
-            self._context.endpoint_monitor.endpoint_fell_silent(self.endpoint)
+        is_new = not self.silent
         super().fell_silent(certain=certain, detail=detail)
+        if certain and is_new:
+            self._context.endpoint_monitor.endpoint_fell_silent(self.endpoint)
 
     def went_on(self) -> None:
         """Record that the endpoint sends again, so that it is not avoided any longer."""
