Look again at a stalled attempt that could not be replaced

A request stayed at a dead endpoint until its deadline when the retry budget was empty, or no other endpoint took requests, at the one moment at which its stall was found. It matters more since silent attempts are kept. The attempt is looked at again each 0.5 s.

--- a/features/silent_endpoints.feature
+++ b/features/silent_endpoints.feature
@@ -166,3 +166,11 @@
       | seconds |
       | 0.1     |
       | 3600    |
+
+  # Guards against a request that stays at a dead endpoint after a moment without retries.
+  Scenario: A silent request is sent again once the retry budget has room
+    Given a stream in progress at the first of three endpoints
+    When that endpoint is silent until another one is sought
+    And the retry budget is empty at that moment and not later
+    And the gateway runs for 4 s
+    Then the request was sent to another endpoint
--- a/features/steps/silent_endpoint_steps.py
+++ b/features/steps/silent_endpoint_steps.py
@@ -534,3 +534,15 @@
 @then("it is still avoided")
 def step_still_avoided(context):
     assert context.monitor.is_suspect("engine-1")
+
+
+@when("the retry budget is empty at that moment and not later")
+def step_budget_empty(context):
+    context.daemon.retries_left = lambda service: 0.0
+    context.pass_silence()
+    context.daemon.retries_left = lambda service: 10.0
+
+
+@then("the request was sent to another endpoint")
+def step_sent_elsewhere(context):
+    assert len(context.daemon.pool.calls) == 2
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -398,6 +398,7 @@
 
     def _add_attempt(self, attempt: CallAttempt) -> None:
         """Take an attempt in that is about to start."""
+        self._watchdog.stop()
         self._search.end()
         self._delivery.detach()
         self._attempts.add(attempt)
@@ -577,6 +578,8 @@
         attempt.fell_silent(certain=certain, detail=detail)
         if self._sends.consume_retry_after_run():
             self._resend(attempt, detail)
+        else:
+            self.restart_stall_timer(None)
 
     def _can_replace(self, attempt: CallAttempt) -> bool:
         """Return whether a stalled attempt may be replaced by another one."""
--- a/src/brassdrum/gateway/request/silence_watch.py
+++ b/src/brassdrum/gateway/request/silence_watch.py
@@ -15,6 +15,9 @@
 
 __all__ = ["StallWatchdog", "StallWatchdogOwner"]
 
+# How soon a stalled attempt that could not be replaced is looked at again.
+_RECHECK_SECONDS = 0.5
+
 
 class StallWatchdogOwner(Protocol):
     """The exchange whose current attempt is watched."""
@@ -57,6 +60,8 @@
     def _expired(self) -> None:
         owner = self._owner
         if not owner.can_replace_attempt():
+            # The retry budget may have room later, or another endpoint may take requests.
+            self._timer = self._loop.call_later(_RECHECK_SECONDS, self._expired)
             return
         prefill_seconds = owner.queued_prefill_seconds()
         if owner.route.streams:
