Let each search for an endpoint ask for permits in its own time

After one search without a permit, every later search of the same request failed at once, and the decision of a search that had ended could still arrive. Found by a reviewer; 'A second silence asks for permits anew' failed before.

--- a/features/silent_endpoints.feature
+++ b/features/silent_endpoints.feature
@@ -174,3 +174,50 @@
     And the retry budget is empty at that moment and not later
     And the gateway runs for 4 s
     Then the request was sent to another endpoint
+
+  # Guards against a second silence that asks for no permit since the first one did in vain.
+  Scenario: A second silence asks for permits anew
+    Given a stream in progress at the first of three endpoints
+    When that endpoint is silent until another one is sought
+    And no permit is granted
+    And the first endpoint sends event 3
+    And the gateway runs for 1 s
+    And the first endpoint sends event 4
+    And the gateway runs for 1 s
+    And the first endpoint sends event 5
+    And the gateway runs for 1 s
+    And the first endpoint sends event 6
+    And the gateway runs for 1.3 s
+    Then a permit is asked for again
+
+  # Guards against a refusal as not run while a silent attempt may run.
+  Scenario: A request whose content is quarantined meanwhile is not refused
+    Given a check in progress at the first of three endpoints
+    When that endpoint is silent until another one is sought
+    And its content is quarantined
+    Then the caller has no answer yet
+
+  # Guards against events that are read faster than the caller takes them, or never.
+  Scenario: Only the attempt that is delivered waits for the caller
+    Given a stream in progress at the first of three endpoints
+    When that endpoint is silent until another one is sought
+    And the request is sent to the second endpoint
+    Then neither attempt waits for the caller
+    When the second endpoint sends event 3
+    Then the second attempt waits for the caller
+
+  # Guards against a second run that repeats or leaves out events.
+  Scenario: The second attempt asks for the events that the caller lacks
+    Given a stream in progress at the first of three endpoints
+    When that endpoint is silent until another one is sought
+    And the request is sent to the second endpoint
+    Then the second endpoint is asked to go on after event 2
+
+  # Guards against sound endpoints that are taken for failing ones after they went on.
+  Scenario: The daemon learns that an endpoint fell silent and that it goes on
+    Given a stream in progress at the first of three endpoints
+    When that endpoint is silent until another one is sought
+    And the request is sent to the second endpoint
+    Then the first endpoint counts as silent and failing
+    When the first endpoint sends event 3
+    Then the first endpoint does not count as silent
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -45,6 +45,7 @@
 
     def __init__(self):
         self.suspected = set()
+        self.silent = set()
         self.slowdowns = FakeSlowdowns()
 
     def endpoint_failed(self, endpoint, *, certain, detail):
@@ -53,10 +54,12 @@
             self.suspected.add(endpoint)
 
     def endpoint_fell_silent(self, endpoint):
-        """Ignore a silence."""
+        """Record a silence."""
+        self.silent.add(endpoint)
 
     def endpoint_answered(self, endpoint):
-        """Ignore the end of a silence."""
+        """Record the end of a silence."""
+        self.silent.discard(endpoint)
 
     def endpoint_answered_failure(self, endpoint, detail):
         """Ignore an error response."""
--- a/features/steps/silent_endpoint_steps.py
+++ b/features/steps/silent_endpoint_steps.py
@@ -19,6 +19,7 @@
 from brassdrum.gateway.placing.reservations import ReservationManager
 from brassdrum.gateway.request.exchange import Exchange
 from brassdrum.gateway.throttling.permits import Permit
+from brassdrum.outcomes.quarantine import ContentStatus, Judgement
 from brassdrum.platform.dialect import PlatformDialect
 from brassdrum.telemetry import log_events
 from features.gateway_world import (
@@ -546,3 +547,60 @@
 @then("the request was sent to another endpoint")
 def step_sent_elsewhere(context):
     assert len(context.daemon.pool.calls) == 2
+
+
+@when("the {ordinal:w} endpoint sends event {number:d}")
+def step_sends_event(context, ordinal, number):
+    owner = context.daemon.pool.calls[NUMBERS[ordinal]].owner
+    if owner.reply is None:
+        begin_stream(owner)
+    owner.response_data(event(number))
+
+
+@then("the caller has no answer yet")
+def step_no_answer(context):
+    assert context.connection.status is None, context.connection.status
+
+
+@then("a permit is asked for again")
+def step_permit_asked(context):
+    names = [name for name, _ in context.daemon.events]
+    last_send = len(names) - 1 - names[::-1].index("sent again")
+    assert "permit" in names[last_send:], names[last_send:]
+
+
+@when("its content is quarantined")
+def step_quarantined(context):
+    judgement = Judgement(ContentStatus.QUARANTINED, 60.0)
+    context.daemon.crash_guard.judge = lambda *_: judgement
+    context.daemon.crash_guard.refuse = lambda _: SimpleNamespace(
+        causes=(), ends=6, seconds_left=60.0
+    )
+    context.pass_silence()
+
+
+@then("neither attempt waits for the caller")
+def step_unpaced(context):
+    assert [call.read_gate for call in context.daemon.pool.calls] == [None, None]
+
+
+@then("the second attempt waits for the caller")
+def step_paced(context):
+    assert context.daemon.pool.calls[1].read_gate is not None
+
+
+@then("the second endpoint is asked to go on after event {number:d}")
+def step_resumes_after(context, number):
+    headers = {name.lower(): value for name, value in context.daemon.pool.calls[1].request.headers}
+    assert headers[b"last-event-id"] == b"%d" % number, headers
+
+
+@then("the first endpoint counts as silent and failing")
+def step_counts_silent(context):
+    assert context.daemon.endpoint_monitor.silent == {"engine-1"}
+    assert context.daemon.endpoint_monitor.suspected == {"engine-1"}
+
+
+@then("the first endpoint does not count as silent")
+def step_counts_sound(context):
+    assert context.daemon.endpoint_monitor.silent == set()
--- a/src/brassdrum/gateway/request/endpoint_search.py
+++ b/src/brassdrum/gateway/request/endpoint_search.py
@@ -56,6 +56,7 @@
     def begin(self) -> None:
         """Seek an endpoint."""
         self.active = True
+        self._gate.search_begun()
         self.dispatch()
 
     def end(self) -> None:
--- a/src/brassdrum/gateway/request/send_gate.py
+++ b/src/brassdrum/gateway/request/send_gate.py
@@ -35,6 +35,9 @@
 class GatedSearch(Protocol):
     """The search for an endpoint that waits for the gate."""
 
+    # Whether an endpoint is still sought.
+    active: bool
+
     def dispatch(self) -> None:
         """Place the request and send it."""
 
@@ -54,6 +57,10 @@
         self._exchange = exchange
         self._search = search
 
+    def search_begun(self) -> None:
+        """Allow a new search its own time to ask for permits."""
+        self._ask_until = None
+
     def admits(self, endpoint: str) -> bool:
         """Return whether the request may be sent to an endpoint as far as its rate is limited."""
         if not self._context.throttle.needs_permit(endpoint):
@@ -99,7 +106,7 @@
         self.permit = None
 
         def decided(permit: Permit) -> None:
-            if not self._exchange.finished:
+            if not self._exchange.finished and self._search.active:
                 self._permit_decided(permit, max_wait)
 
         self._context.throttle.request_permit(endpoint, max_wait, decided)
