Read the time of bounded sockets from the clock, and keep the tests' own rules

The pool takes a clock, the stand-in of the platform writes the head, and the endless server is a module of its own whose scenario ends it. No check was changed.

--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -23,24 +23,19 @@
 from brassdrum.gateway.request.events import EventStreamReader
 from brassdrum.platform.dialect import PlatformDialect
 from brassdrum.platform.store import PlatformStore
+from features.endless_server import CAP_BYTES, SEND_BUFFER_BYTES, EndlessServer, send_without_end
 from features.gateway_world import (
     HOST,
     KEY,
     behaviours,
     create_follower,
     event,
-    read_request,
-    send_response,
 )
 from features.steps.explaining_steps import lines
 from features.steps.gateway_steps import ALL_EVENTS, received_requests, send_request
 from features.support import StepThread, eventually
 
 KB, MB = 1 << 10, 1 << 20
-# A stand-in stops here, so that a scenario ends on code without a limit.
-CAP_BYTES = 64 * MB
-# What the kernel takes for a stand-in beyond what the daemon reads.
-SEND_BUFFER_BYTES = 64 * KB
 SLOW_SECONDS = 0.02
 # Above the limits on time of all calls that are given up, which are 1 s and less.
 GIVEN_UP_SECONDS = 10.0
@@ -89,21 +84,6 @@
 }
 
 
-def send_without_end(counter, connection, piece, pause=0.0):
-    """Send a piece again and again until the connection is closed, and count the bytes."""
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-    try:
-        while counter.endless_bytes < CAP_BYTES and not counter.released.is_set():
-            connection.sendall(piece)
-            counter.endless_bytes += len(piece)
-            if pause:
-                counter.released.wait(pause)
-    except OSError:
-        counter.cut_off.set()
-        raise
-    counter.released.wait(20)
-
-
 @behaviours.register("endless answer")
 def endless_answer(endpoint, connection, request):
     """Send the beginning of the endpoint's script, and its piece without end."""
@@ -338,48 +318,6 @@
 # Calls that probe and reserve.
 
 
-class EndlessServer:
-    """Answer each request with a beginning and with a piece without end."""
-
-    def __init__(self, beginning, piece, pause=0.0):
-        self.endless_bytes = 0
-        self.calls = 0
-        self.cut_off = threading.Event()
-        self.released = threading.Event()
-        self._script = (beginning, piece, pause)
-        self._socket = socket.create_server(("127.0.0.1", 0))
-        self.port = self._socket.getsockname()[1]
-        self.address = f"127.0.0.1:{self.port}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self):
-        """Stop."""
-        self.released.set()
-        self._socket.close()
-
-    def _accept(self):
-        while True:
-            try:
-                connection, _ = self._socket.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
-
-    def _serve(self, connection):
-        beginning, piece, pause = self._script
-        with connection, contextlib.suppress(OSError), connection.makefile("rb") as stream:
-            while (request := read_request(stream)) is not None:
-                self.calls += 1
-                if piece is None:
-                    page = beginning(self.calls)
-                    self.endless_bytes += len(page)
-                    send_response(connection, 200, page, request)
-                    continue
-                connection.sendall(beginning)
-                send_without_end(self, connection, piece, pause)
-                return
-
-
 OK_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -391,14 +329,7 @@
 
 
 def run_loop(context, loop):
-    thread = threading.Thread(target=loop.run, daemon=True)
-    thread.start()
-
-    def stop():
-        loop.stop()
-        thread.join(5)
-
-    context.stack.push(stop)
+    StepThread(context, loop.run, unblock=loop.stop)
 
 
 @when("a reservation is made there")
--- a/src/brassdrum/bounded_socket.py
+++ b/src/brassdrum/bounded_socket.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import socket
-import time
+
+from brassdrum.clock import Clock, SystemClock
 
 __all__ = ["BoundedSocket", "ResponseTooLongError"]
 
@@ -19,14 +20,17 @@
     for ever.
     """
 
+    _clock: Clock = SystemClock()
     _read_until: float | None = None
     _silence_seconds = 0.0
     _bytes_left = 0
 
     @classmethod
-    def take_over(cls, sock: socket.socket) -> BoundedSocket:
+    def take_over(cls, sock: socket.socket, clock: Clock) -> BoundedSocket:
         """Return a socket for an open connection; the one given can no longer be used."""
-        return cls(sock.family, sock.type, sock.proto, fileno=sock.detach())
+        taken = cls(sock.family, sock.type, sock.proto, fileno=sock.detach())
+        taken._clock = clock
+        return taken
 
     def bound_reads(self, silence_seconds: float, until: float, max_bytes: int) -> None:
         """Limit each wait, the monotonic time of the last read, and the bytes of all reads."""
@@ -49,7 +53,7 @@
             return super().recv_into(*arguments)  # type: ignore[arg-type]
         if self._bytes_left <= 0:
             raise ResponseTooLongError("the response is longer than what is read of one")
-        left = self._read_until - time.monotonic()
+        left = self._read_until - self._clock.monotonic()
         if left <= 0:
             raise TimeoutError("the response was not complete in time")
         self.settimeout(min(left, self._silence_seconds))
--- a/src/brassdrum/http_pool.py
+++ b/src/brassdrum/http_pool.py
@@ -5,13 +5,13 @@
 import http.client
 import socket
 import threading
-import time
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
 from brassdrum.bounded_socket import BoundedSocket
+from brassdrum.clock import Clock, SystemClock
 from brassdrum.deferred_http import ConnectFailedError, ExchangeFailedError
 
 __all__ = ["ConnectFailedError", "Connected", "Exchange", "ExchangeFailedError", "HttpPool"]
@@ -116,7 +116,11 @@
     """Open, reuse and close connections to one base URL."""
 
     def __init__(
-        self, url: str, timeout: float = 5.0, on_call: Callable[[int], None] | None = None
+        self,
+        url: str,
+        timeout: float = 5.0,
+        on_call: Callable[[int], None] | None = None,
+        clock: Clock | None = None,
     ) -> None:
         parts = urlsplit(url)
         self.url = url
@@ -124,6 +128,7 @@
         self._port = parts.port or 80
         self._timeout = timeout
         self._on_call = on_call
+        self._clock = clock or SystemClock()
         self._idle: deque[http.client.HTTPConnection] = deque()
         self._lock = threading.Lock()
 
@@ -232,7 +237,7 @@
             connection.close()
             raise ConnectFailedError(_describe(error)) from error
         connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection.sock = BoundedSocket.take_over(connection.sock)
+        connection.sock = BoundedSocket.take_over(connection.sock, self._clock)
         return connection
 
     def _send(
@@ -248,7 +253,7 @@
         try:
             # getresponse() lets go of the socket when the server will close the connection.
             sock: BoundedSocket = connection.sock
-            read_until = time.monotonic() + time_limit
+            read_until = self._clock.monotonic() + time_limit
             sock.bound_reads(timeout, read_until, _MAX_HEAD_BYTES)
             connection.request(method, path, body=body, headers=dict(headers or {}))
             response = connection.getresponse()
--- a/src/brassdrum/platform/standin.py
+++ b/src/brassdrum/platform/standin.py
@@ -93,6 +93,12 @@
     return "" if match is None else match.group(1).decode()
 
 
+def open_head(request: str, status: int) -> bytes:
+    """Return the beginning of the head of a replica's answer to a request."""
+    head = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {request}\r\nX-Replica-Seal: s1\r\n"
+    return head.encode()
+
+
 def answer_head(request: ReplicaRequest, size: int) -> bytes:
     """Return the head of a replica's answer with a body of a size."""
     echoed = request.header_by_name.get("x-attempt-id", "")
--- a/src/brassdrum/soak/endless.py
+++ b/src/brassdrum/soak/endless.py
@@ -6,6 +6,9 @@
 import socket
 import threading
 import time
+from dataclasses import dataclass
+
+from brassdrum.platform.standin import open_head
 
 __all__ = ["ENDLESS_KINDS", "FAILURE_KIND", "STREAM_KINDS", "EndlessLimit", "send_endless"]
 
@@ -19,7 +22,14 @@
 _LINE_BYTES = 1024
 FAILURE_KIND = "failure"
 
-_Piece = tuple[bytes, bytes]
+
+@dataclass(frozen=True, slots=True)
+class _Endless:
+    """What is sent without end, and what precedes it: a head with a status, if any, and bytes."""
+
+    piece: bytes
+    status: int | None = None
+    beginning: bytes = b""
 
 
 def _repeated(unit: bytes, size: int = _PIECE_BYTES) -> bytes:
@@ -30,25 +40,26 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
-def _piece_by_kind() -> dict[str, _Piece]:
-    """Return by kind what follows the head of a failure, a stream or nothing, and that head."""
+def _endless_by_kind() -> dict[str, _Endless]:
+    """Return what is sent of each kind."""
     filler = b"x" * _LINE_BYTES
-    head = b"HTTP/1.1 %d X\r\nX-Attempt-Id: %%b\r\nX-Replica-Seal: s1\r\n"
     chunked = b"Transfer-Encoding: chunked\r\n\r\n"
     return {
-        "head": (head % 200, _repeated(b"X-Filler: " + filler + b"\r\n")),
-        "informational": (b"", _repeated(b"HTTP/1.1 103 X\r\nX-Filler: " + filler + b"\r\n\r\n")),
-        "slow_heads": (b"", b"HTTP/1.1 103 X\r\n\r\n"),
-        FAILURE_KIND: (head % 500 + chunked, _chunk(_repeated(filler, _FAILURE_PIECE_BYTES))),
-        "garbage": (b"", os.urandom(_PIECE_BYTES)),
-        "event": (head % 200 + chunked + _chunk(b"id: 1\ndata: "), _chunk(_repeated(filler))),
-        "comments": (head % 200 + chunked, _chunk(_repeated(b": " + filler + b"\n\n"))),
-        "slow_comments": (head % 200 + chunked, _chunk(b":\n\n")),
+        "head": _Endless(_repeated(b"X-Filler: " + filler + b"\r\n"), 200),
+        "informational": _Endless(
+            _repeated(b"HTTP/1.1 103 X\r\nX-Filler: " + filler + b"\r\n\r\n")
+        ),
+        "slow_heads": _Endless(b"HTTP/1.1 103 X\r\n\r\n"),
+        FAILURE_KIND: _Endless(_chunk(_repeated(filler, _FAILURE_PIECE_BYTES)), 500, chunked),
+        "garbage": _Endless(os.urandom(_PIECE_BYTES)),
+        "event": _Endless(_chunk(_repeated(filler)), 200, chunked + _chunk(b"id: 1\ndata: ")),
+        "comments": _Endless(_chunk(_repeated(b": " + filler + b"\n\n")), 200, chunked),
+        "slow_comments": _Endless(_chunk(b":\n\n"), 200, chunked),
     }
 
 
-_PIECE_BY_KIND = _piece_by_kind()
-ENDLESS_KINDS = tuple(_PIECE_BY_KIND)
+_ENDLESS_BY_KIND = _endless_by_kind()
+ENDLESS_KINDS = tuple(_ENDLESS_BY_KIND)
 # Those that only a stream can have.
 STREAM_KINDS = ("event", "comments", "slow_comments")
 
@@ -78,13 +89,14 @@
 
 def send_endless(connection: socket.socket, request: str, kind: str) -> None:
     """Send bytes of a kind until the connection is closed or the longest time is over."""
-    head, piece = _PIECE_BY_KIND[kind]
+    endless = _ENDLESS_BY_KIND[kind]
+    head = b"" if endless.status is None else open_head(request, endless.status)
     until = time.monotonic() + _LONGEST_SECONDS
     connection.settimeout(_LONGEST_SECONDS)
     try:
-        connection.sendall(head.replace(b"%b", request.encode()))
+        connection.sendall(head + endless.beginning)
         while time.monotonic() < until:
-            connection.sendall(piece)
+            connection.sendall(endless.piece)
             time.sleep(_PIECE_SECONDS)
     except OSError:
         return  # The daemon has closed the connection.
