--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -23,7 +23,14 @@
 from brassdrum.gateway.request.events import EventStreamReader
 from brassdrum.platform.dialect import PlatformDialect
 from brassdrum.platform.store import PlatformStore
-from features.endless_server import CAP_BYTES, SEND_BUFFER_BYTES, EndlessServer, send_without_end
+from features.endless_server import (
+    CAP_BYTES,
+    KB,
+    MB,
+    SEND_BUFFER_BYTES,
+    EndlessServer,
+    send_without_end,
+)
 from features.gateway_world import (
     HOST,
     KEY,
@@ -35,7 +42,6 @@
 from features.steps.gateway_steps import ALL_EVENTS, received_requests, send_request
 from features.support import StepThread, eventually
 
-KB, MB = 1 << 10, 1 << 20
 SLOW_SECONDS = 0.02
 # Above the limits on time of all calls that are given up, which are 1 s and less.
 GIVEN_UP_SECONDS = 10.0
--- a/src/brassdrum/platform/standin.py
+++ b/src/brassdrum/platform/standin.py
@@ -32,7 +32,7 @@
 )
 from brassdrum.soak.store_server import store_handler
 
-__all__ = ["Replica", "Store", "boot_file", "caller_headers", "request_of"]
+__all__ = ["Replica", "Store", "boot_file", "caller_headers", "open_head", "request_of"]
 
 _CONFIGURATION_TOPIC = "keyed.op"
 _ENDPOINT_TOPIC = "keyed.servers"
@@ -102,8 +102,7 @@
 def answer_head(request: ReplicaRequest, size: int) -> bytes:
     """Return the head of a replica's answer with a body of a size."""
     echoed = request.header_by_name.get("x-attempt-id", "")
-    head = f"HTTP/1.1 200 X\r\nX-Attempt-Id: {echoed}\r\nX-Replica-Seal: s1\r\n"
-    return f"{head}Content-Length: {size}\r\n\r\n".encode()
+    return open_head(echoed, 200) + f"Content-Length: {size}\r\n\r\n".encode()
 
 
 class Store:
