Do not reuse a connection that ended with an answer without a length

Callers saw a needless retry, or a failed request on a route that may run once less: a request that was waiting for a slot was sent over the connection that the answer before it had ended.

Cause: the HTTP codec calls both sides done after an answer without a length, so the connection went back to the pool though the end of it had been read. Until the loop's next round discarded it, the next request could take it; it failed with EPIPE and counted as one that may have run.

Evidence: the new scenario failed before (the second call: reused, 'Broken pipe'), and passes now. The pool now keeps no connection whose end has been read.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -67,6 +67,12 @@
       | in chunks     | in a later event           | as framed |
       | with a length | in a later event           | as framed |
 
+  # Guards against a request that is sent over a connection which ended with the answer before it.
+  Scenario: A connection that ended with an answer without a length carries no further request
+    Given an endpoint whose answers have no length
+    When a request is sent to it as soon as the answer before it has ended
+    Then both requests are answered, each over a connection of its own
+
   Scenario: A stream that broke off unframed because its endpoint crashed counts as its crash
     Given a gateway in front of two endpoints
     And its log is kept
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -5,7 +5,10 @@
 
 from behave import given, then, when
 
-from features.gateway_world import HOST, KEY, behaviours, event
+from brassdrum.clock import SystemClock
+from brassdrum.gateway.net.loop import EventLoop
+from brassdrum.gateway.net.upstream import EndpointPool, OutgoingRequest
+from features.gateway_world import HOST, KEY, FakeEndpoint, behaviours, event
 from features.steps.crashing_steps import crash_lines
 from features.steps.gateway_steps import received_requests
 from features.support import eventually
@@ -118,6 +121,64 @@
     assert len(received_requests(context)) == 2
 
 
+class NextCall:
+    """Send one more request when the answer has ended, and stop the loop at the end of all."""
+
+    def __init__(self, loop, pool, address, left):
+        self._loop, self._pool, self._address, self._left = loop, pool, address, left
+        self.ends = []
+        self.calls = []
+
+    def start(self):
+        """Send the next request."""
+        headers = [(b"Host", b"x"), (b"X-Attempt-Id", b"a"), (b"Content-Length", b"0")]
+        request = OutgoingRequest(b"POST", b"/check/a", headers, b"")
+        self._left -= 1
+        self.calls.append(self._pool.call(self._address, self, request))
+
+    def response_started(self, status, headers):
+        """Ignore the head."""
+
+    def response_data(self, content):
+        """Ignore the body."""
+
+    def response_completed(self):
+        """Record the end."""
+        self._ended("whole")
+
+    def call_failed(self, how, detail):
+        """Record the failure."""
+        self._ended(detail)
+
+    def _ended(self, end):
+        self.ends.append(end)
+        if self._left:
+            self.start()
+        else:
+            self._loop.stop()
+
+
+@given("an endpoint whose answers have no length")
+def step_unframed_endpoint(context):
+    context.endpoint = FakeEndpoint("endpoint-1")
+    context.stack.push(context.endpoint.close)
+    context.endpoint.default_behaviour = "no content length"
+
+
+@when("a request is sent to it as soon as the answer before it has ended")
+def step_send_next(context):
+    loop = EventLoop(SystemClock())
+    context.sender = NextCall(loop, EndpointPool(loop), context.endpoint.address, 2)
+    context.sender.start()
+    loop.run()
+
+
+@then("both requests are answered, each over a connection of its own")
+def step_both_answered(context):
+    assert context.sender.ends == ["whole", "whole"], context.sender.ends
+    assert [each.reused for each in context.sender.calls] == [False, False]
+
+
 @then("the log records its content for each of {count:d} endpoints that crashed, whatever its id")
 def step_log_names(context, count):
     eventually(lambda: len(crash_lines(context)) == count, "the crash is logged")
--- a/src/brassdrum/gateway/net/upstream.py
+++ b/src/brassdrum/gateway/net/upstream.py
@@ -99,6 +99,7 @@
         self._meter = AnswerMeter()
         self._opened_at = loop.now()
         self._answered = False
+        self._ended = False
         self._checks_ack = False
         self._ack_timer: Timer | None = None
         begun = pool.dial(address)
@@ -154,6 +155,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Handle data or EOF from the endpoint."""
+        self._ended = not data
         if data and not self._answered:
             self._answered = True
             self._pool.observer.reached(self.address, self._opened_at)
@@ -250,9 +252,12 @@
         assert call is not None
         both_done = self._codec.our_state is h11.DONE and self._codec.their_state is h11.DONE
         # Trailing data belongs to no request; after an early response, the endpoint may still
-        # expect the rest of the request body.
+        # expect the rest of the request body. An answer without a length ends with its connection.
         reusable = (
-            both_done and not self._codec.trailing_data[0] and not self._transport.write_buffer_size
+            both_done
+            and not self._ended
+            and not self._codec.trailing_data[0]
+            and not self._transport.write_buffer_size
         )
         if reusable:
             self._codec.start_next_cycle()
