Ask an endpoint whether it still runs before an answer without a length counts as whole

Cause: the operating system closes the connections of a process that crashes in the same way as a process does that has sent all. The end of the connection was taken for the end of the answer wherever no event was open. Two hypotheses of the claim were looked at: that the daemon could not know (it can: the process that ends takes its listening socket and all its connections along), and that the exit detector would have told (it was asked only after a failure).

The change: the end of a connection alone proves nothing any more. Before such an answer ends for its caller, the endpoint is asked by a liveness check. An answer over a connection that was open before the request was sent proves that the process goes on; a refused connection, another incarnation or 421 that it has ended; neither is unknown. Unless it runs, the answer counts as broken off and takes the path of all others: resumed, sent again, or a visible end. Answers that end in the same round of the loop share a question. Answers of daemons always have a length or chunks, so one without is cut.

Whole answers without a length from endpoints that live are delivered as before.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -67,6 +67,65 @@
       | in chunks     | in a later event           | as framed |
       | with a length | in a later event           | as framed |
 
+  # Guards against a crash between two events that is taken for the end of the stream.
+  Scenario Outline: A resumable stream without a length, <end>, goes on at another endpoint
+    Given a gateway in front of two endpoints
+    And the next answer is a stream with neither that ends after an event, <end>
+    When a caller sends a "text"
+    Then the response is 200 with body "all events"
+    And two endpoints received the request
+
+    Examples: Ends of the endpoint
+      | end                              |
+      | closed by a crash                |
+      | closed by a crash, back in 20 ms |
+      | closed by a restart at once      |
+
+  # Guards against a crash between two events that is taken for the end of the stream.
+  Scenario Outline: A stream without a length that may run once, <end>, looks broken to its caller
+    Given a gateway in front of two endpoints
+    And the endpoints answer a stream with neither that ends <content>, <end>
+    When a caller sends a "once"
+    Then the caller sees a broken answer and only whole events
+
+    Examples: Ends of the endpoint
+      | content         | end                              |
+      | after an event  | closed by a crash                |
+      | after a comment | closed by a crash                |
+      | after an event  | closed by a crash, back in 20 ms |
+      | after an event  | closed by a restart at once      |
+
+  # Guards against a crash that is taken for the end of a plain answer without a length.
+  Scenario Outline: A plain answer without a length that ends <content>, <end>, is not delivered as whole
+    Given a gateway in front of two endpoints
+    And the next plain answer has no length and ends <content>, <end>
+    When a caller sends a "<kind>"
+    Then the response is <status> with body "<body>"
+    And endpoints received <sends> requests
+
+    Examples: Ends of the endpoint
+      | kind  | content            | end                              | status | body          | sends |
+      | check | in the middle      | closed by a crash                | 200    | endpoint name | 2     |
+      | check | before its content | closed by a crash                | 200    | endpoint name | 2     |
+      | check | in the middle      | closed by a crash, back in 20 ms | 200    | endpoint name | 2     |
+      | check | in the middle      | closed by a restart at once      | 200    | endpoint name | 2     |
+      | hold  | in the middle      | closed by a crash                | 502    |               | 1     |
+      | hold  | before its content | closed by a crash                | 502    |               | 1     |
+      | hold  | in the middle      | closed by a restart at once      | 502    |               | 1     |
+
+  # Guards against a crash that is taken for the end of a long answer, which is not kept whole.
+  Scenario: A long plain answer without a length whose endpoint crashes looks broken to its caller
+    Given a gateway in front of two endpoints
+    And the next plain answer has no length and ends far from its start, closed by a crash
+    When a caller sends a "check"
+    Then the response is incomplete
+
+  # Guards against an endpoint that is asked once for each of the answers that end with it.
+  Scenario: Answers that end at the same moment share one question to their endpoint
+    Given an endpoint whose answers have no length
+    When it is asked for 40 answers at once whether its process still runs
+    Then it runs as far as 40 answers know, after 1 question
+
   # Guards against a request that is sent over a connection which ended with the answer before it.
   Scenario: A connection that ended with an answer without a length carries no further request
     Given an endpoint whose answers have no length
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -162,6 +162,15 @@
         self.crashed = False
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def restart_at_once(self):
+        """Restart so fast that the address never refuses a connection: all open ones end."""
+        self.incarnation += 1
+        self.name = f"{self.name.split('@')[0]}@{self.incarnation}"
+        for connection in self._connections:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+        self._connections = []
+
     def entry(self, draining=False):
         """Return the endpoint's entry in the store."""
         return EndpointEntry(self.name, self.service, self.address, self.zone, self.slots, draining)
@@ -198,6 +207,9 @@
                     continue
                 if request.target == "/report":
                     self.released.wait(self.report_seconds)
+                    if request.header_by_name.get("x-expect-replica", self.name) != self.name:
+                        send_response(connection, 421, b"", request, seal=False)
+                        continue
                     send_response(connection, 200, b"{}", request, seal=False)
                     continue
                 if "x-attempt-id" not in request.header_by_name:
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -6,8 +6,10 @@
 from behave import given, then, when
 
 from brassdrum.clock import SystemClock
+from brassdrum.gateway.guards.process_check import ProcessChecker, ProcessState
 from brassdrum.gateway.net.loop import EventLoop
 from brassdrum.gateway.net.upstream import EndpointPool, OutgoingRequest
+from brassdrum.platform.dialect import PlatformDialect
 from features.gateway_world import HOST, KEY, FakeEndpoint, behaviours, event
 from features.steps.crashing_steps import crash_lines
 from features.steps.gateway_steps import received_requests
@@ -24,6 +26,13 @@
     "after a comment": (WHOLE_EVENTS, b": done\n"),
     "in a comment": (WHOLE_EVENTS, b": do"),
 }
+# Content of a plain answer before its early end; the last is more than a daemon keeps.
+PLAIN_BY_NAME = {
+    "in the middle": b"half of an answ",
+    "before its content": b"",
+    "far from its start": b"x" * 600_000,
+}
+BACK_SECONDS = 0.02
 RESET = b"\x01\0\0\0\0\0\0\0"
 MISSING_BYTES = 20
 
@@ -38,6 +47,7 @@
             self.events, tail = (each.replace(b"\n", b"\r\n") for each in (self.events, tail))
         self.body = self.events + tail
         self.end = end
+        self.content_type = "text/event-stream"
 
     def head(self, request):
         """Return the status line and headers."""
@@ -46,7 +56,7 @@
             f"HTTP/{version} 200 OK",
             f"X-Attempt-Id: {request.header_by_name.get('x-attempt-id')}",
             "X-Replica-Seal: seal-1",
-            "Content-Type: text/event-stream",
+            f"Content-Type: {self.content_type}",
         ]
         if self.framing == "in chunks":
             lines.append("Transfer-Encoding: chunked")
@@ -75,8 +85,14 @@
         connection.sendall(piece)
     if script.end == "as framed":
         return None
-    if script.end == "closed by a crash":
+    if script.end == "closed by a restart at once":
+        endpoint.restart_at_once()
+        return False
+    if script.end.startswith("closed by a crash"):
         endpoint.crash()
+        if script.end.endswith("back in 20 ms"):
+            time.sleep(BACK_SECONDS)
+            endpoint.restart()
         return False
     if script.end == "reset":
         # Sent bytes are read first: a reset may overtake them.
@@ -102,6 +118,15 @@
         endpoint.queued_behaviours = shared
 
 
+@given("the next plain answer has no length and ends {content}, {end}")
+def step_script_plain(context, content, end):
+    shared = ["scripted answer"]
+    for endpoint in context.endpoints:
+        script = AnswerScript("with neither", "before any event", end)
+        script.body, script.content_type = PLAIN_BY_NAME[content], "text/plain"
+        endpoint.script, endpoint.queued_behaviours = script, shared
+
+
 @then("the caller sees a broken answer and only whole events")
 def step_broken(context):
     answer = context.answer
@@ -165,6 +190,28 @@
     context.endpoint.default_behaviour = "no content length"
 
 
+@when("it is asked for {count:d} answers at once whether its process still runs")
+def step_ask(context, count):
+    loop = EventLoop(SystemClock())
+    context.checker = ProcessChecker(loop, EndpointPool(loop), PlatformDialect())
+    context.states = []
+
+    def checked(state):
+        context.states.append(state)
+        if len(context.states) == count:
+            loop.stop()
+
+    for _ in range(count):
+        context.checker.check(context.endpoint.entry(), loop.now(), checked)
+    loop.run()
+
+
+@then("it runs as far as {count:d} answers know, after {questions:d} question")
+def step_asked(context, count, questions):
+    assert context.states == [ProcessState.RUNNING] * count, context.states
+    assert context.checker.questions_sent == questions
+
+
 @when("a request is sent to it as soon as the answer before it has ended")
 def step_send_next(context):
     loop = EventLoop(SystemClock())
--- a/src/brassdrum/bench/load/daemon.py
+++ b/src/brassdrum/bench/load/daemon.py
@@ -9,7 +9,7 @@
 
 from brassdrum.bench.load.endpoint_monitor import FailureModel, SimulatedEndpointMonitor
 from brassdrum.bench.load.engine import EngineRun, SimulatedEngine
-from brassdrum.bench.load.forwarding import FORWARDED, ForwardedRequest, PeerPool
+from brassdrum.bench.load.forwarding import CHUNKED, FORWARDED, ForwardedRequest, PeerPool
 from brassdrum.bench.load.loop import SimulatedLoop
 from brassdrum.bench.load.network import SimulatedNetwork
 from brassdrum.bench.load.retries import SimulatedRetries
@@ -185,7 +185,8 @@
 
         def event(number: int) -> None:
             if number == 1:
-                owner.response_started(200, _signal_headers(head, fleet.loop.now()))
+                signals = _signal_headers(head, fleet.loop.now())
+                owner.response_started(200, [*signals, CHUNKED])
             owner.response_data(b"id: %d\ndata: x\n\n" % (first + number - 1))
 
         helpers = [fleet.engine_by_id[each.address] for each in sending.sending.helpers]
--- a/src/brassdrum/bench/load/forwarding.py
+++ b/src/brassdrum/bench/load/forwarding.py
@@ -14,11 +14,13 @@
 if TYPE_CHECKING:
     from brassdrum.bench.load.daemon import SimulatedDaemon
 
-__all__ = ["FORWARDED", "ForwardedRequest", "PeerPool"]
+__all__ = ["CHUNKED", "FORWARDED", "ForwardedRequest", "PeerPool"]
 
 # The way between daemons.
 _WAY_SECONDS = 0.0015
 FORWARDED = b"forwarded"
+# Simulated answers are framed as those of daemons and engines are.
+CHUNKED = (b"Transfer-Encoding", b"chunked")
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +59,7 @@
 
     def start_response(self, status: int, headers: Headers) -> None:
         """Hand on the start of an answer."""
-        self._later(lambda: self._owner.response_started(status, headers))
+        self._later(lambda: self._owner.response_started(status, [*headers, CHUNKED]))
 
     def send_data(self, content: bytes) -> None:
         """Hand on a part of the body."""
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -20,6 +20,7 @@
 from brassdrum.gateway.forwarding.targets import ForwardTargets
 from brassdrum.gateway.guards.crash_guard import CrashGuard
 from brassdrum.gateway.guards.endings import AffectedRequest, ExitDetector, LostRequest
+from brassdrum.gateway.guards.process_check import ProcessChecker
 from brassdrum.gateway.measures import GatewayMetrics, MetricsSources
 from brassdrum.gateway.model import (
     CallerLimits,
@@ -105,6 +106,7 @@
         self.load_table = LoadTable()
         self.pool = EndpointPool(self.loop)
         self.peer_pool = EndpointPool(self.loop)
+        self.process_check = ProcessChecker(self.loop, self.pool, dialect)
         self.pacer = Pacer(self.loop, BufferBudget(settings.buffer_bytes))
         self.metrics = GatewayMetrics(settings.name)
         self.reservations = ReservationManager(
--- a/src/brassdrum/gateway/forwarding/forwarded_attempt.py
+++ b/src/brassdrum/gateway/forwarding/forwarded_attempt.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Protocol
 
 from brassdrum.gateway.forwarding.targets import ForwardTargets
 from brassdrum.gateway.forwarding.terms import read_result, without_forwarding
 from brassdrum.gateway.guards.endings import LostRequest
+from brassdrum.gateway.guards.process_check import ProcessState
 from brassdrum.gateway.model import (
     DaemonAddress,
     Dialect,
@@ -121,6 +123,10 @@
     def interrupted(self, lost: LostRequest) -> None:
         """Do nothing: the other daemon looks whether the endpoint has ended."""
 
+    def check_sender(self, done: Callable[[ProcessState], None]) -> None:
+        """Report that the daemon has ended: daemons send no answers without a length or chunks."""
+        self._context.loop.post(lambda: done(ProcessState.ENDED))
+
     def rejected(self, reply: Reply) -> None:
         """Avoid a daemon that could not send the request to any endpoint."""
         if self.unsent:
@@ -129,7 +135,7 @@
     def response_started(self, status: int, headers: Headers) -> None:
         """Handle the status and headers of the response."""
         result = read_result(headers)
-        self.framing = framing_of(headers)
+        self.framing = framing_of(self._owner.request.method, status, headers)
         self.content_length = content_length_of(headers)
         self._owner.tried_endpoints.update(result.tried)
         reply = self._context.dialect.read_reply(
--- a/src/brassdrum/gateway/guards/process_check.py
+++ b/src/brassdrum/gateway/guards/process_check.py
@@ -27,6 +27,7 @@
 # about to stop listening.
 _RETRY_DELAY_SECONDS = 0.01
 _MAX_QUESTIONS = 4
+_UNIDENTIFIED = EndpointIdentity()
 
 
 class ProcessState(StrEnum):
@@ -47,7 +48,7 @@
 
     refused: bool = False
     connected_at: float | None = None
-    identity: EndpointIdentity = EndpointIdentity()
+    identity: EndpointIdentity = _UNIDENTIFIED
     lost_pooled: bool = False
 
     def state(self, entry: EndpointEntry, sent_at: float) -> ProcessState:
--- a/src/brassdrum/gateway/model.py
+++ b/src/brassdrum/gateway/model.py
@@ -325,6 +325,27 @@
     cold_seconds: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointIdentity:
+    """What the answer to a liveness check says of the process that sent it.
+
+    ``name`` and ``born`` are as in its entry, None where it does not say them. ``refused`` says
+    that it is not the endpoint that was asked for.
+    """
+
+    name: str | None = None
+    born: int | None = None
+    refused: bool = False
+
+    def contradicts(self, entry: EndpointEntry) -> bool:
+        """Return whether the answer came from another process than the one of the entry."""
+        if self.refused:
+            return True
+        if self.name is not None and self.name != entry.name:
+            return True
+        return None not in (self.born, entry.born) and self.born != entry.born
+
+
 class Dialect(Protocol):
     """Convert between the wire format of headers and the types of this module."""
 
@@ -343,6 +364,12 @@
     def read_signals(self, status: int, headers: Headers) -> EndpointSignals | None:
         """Return what the endpoint asks for, or None if the response is from another endpoint."""
 
+    def check_headers(self, entry: EndpointEntry) -> Headers:
+        """Return the headers of a liveness check that only the given endpoint accepts."""
+
+    def read_identity(self, status: int, headers: Headers, body: bytes) -> EndpointIdentity:
+        """Return what the answer to a liveness check says of its sender; never raises."""
+
     def encode_reserve(self, ticket: str, tokens: int, seconds: float, *, wait: bool) -> bytes:
         """Return the body of a request that reserves memory at an endpoint."""
 
--- a/src/brassdrum/gateway/net/upstream.py
+++ b/src/brassdrum/gateway/net/upstream.py
@@ -97,13 +97,14 @@
         self._established = False
         self._codec = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._meter = AnswerMeter()
-        self._opened_at = loop.now()
+        self.opened_at = loop.now()
         self._answered = False
         self._ended = False
         self._checks_ack = False
         self._ack_timer: Timer | None = None
         begun = pool.dial(address)
         self.failed = begun.error != 0
+        self.refused = begun.error == errno.ECONNREFUSED
         if self.failed:
             return
         self._timer: Timer | None = loop.call_later(
@@ -117,6 +118,11 @@
         """Return whether the connection is closed."""
         return self._transport.closed
 
+    @property
+    def acknowledged(self) -> bool:
+        """Return whether the other host has acknowledged all that was sent."""
+        return not self.closed and not self._transport.unacknowledged_bytes
+
     @property
     def unsent_bytes(self) -> int:
         """Return the bytes of the request that the endpoint has not taken yet."""
@@ -158,7 +164,7 @@
         self._ended = not data
         if data and not self._answered:
             self._answered = True
-            self._pool.observer.reached(self.address, self._opened_at)
+            self._pool.observer.reached(self.address, self.opened_at)
         call, meter = self._call, self._meter
         if call is None:
             # Neither data nor EOF is expected on an idle connection.
@@ -187,6 +193,7 @@
         if self._call is None:
             self._pool.discard(self)
             return
+        self._call.refused = error.errno == errno.ECONNREFUSED
         self._fail_call(str(error))
 
     def _send_request(self) -> None:
@@ -319,12 +326,24 @@
         self.sent = False
         self.response_started = False
         self.reused = False
+        # Whether the other host refused the connection, so that nothing listens there.
+        self.refused = False
         self.connection: EndpointConnection | None = None
         # Returns how many bytes of the response may be read now; 0 pauses it.
         self.read_gate: Callable[[], int] | None = None
         # Called once if the other host does not acknowledge the request in time.
         self.on_unacknowledged: Callable[[], None] | None = None
 
+    @property
+    def acknowledged(self) -> bool:
+        """Return whether the other host has acknowledged the whole request."""
+        return self.sent and self.connection is not None and self.connection.acknowledged
+
+    @property
+    def connected_at(self) -> float | None:
+        """Return when its connection was begun, or None without one."""
+        return None if self.connection is None else self.connection.opened_at
+
     @property
     def unsent_bytes(self) -> int:
         """Return the bytes of the request that the endpoint has not taken yet."""
@@ -381,6 +400,7 @@
             connection = EndpointConnection(self, self._loop, address)
             self.connections_opened += 1
         if connection.failed:
+            call.refused = connection.refused
             self.observer.connection_failed(address)
             self._loop.post(lambda: owner.call_failed(CallFailure.NOT_SENT, "connect failed"))
             return call
--- a/src/brassdrum/gateway/request/attempt.py
+++ b/src/brassdrum/gateway/request/attempt.py
@@ -8,6 +8,7 @@
 from brassdrum.gateway.following.beliefs import EndpointMonitor
 from brassdrum.gateway.following.routing_state import RoutingState
 from brassdrum.gateway.guards.endings import LostRequest
+from brassdrum.gateway.guards.process_check import ProcessCheck, ProcessState
 from brassdrum.gateway.model import (
     DeclaredRequest,
     Dialect,
@@ -49,6 +50,7 @@
     routing_state: RoutingState
     endpoint_monitor: EndpointMonitor
     throttle: EndpointThrottle
+    process_check: ProcessCheck
 
     def response_interrupted(self, attempt: Attempt, lost: LostRequest) -> None:
         """Handle a response that an endpoint cut off without a reason."""
@@ -210,6 +212,10 @@
         """Handle a response that broke off without a reason."""
         raise NotImplementedError
 
+    def check_sender(self, done: Callable[[ProcessState], None]) -> None:
+        """Report later whether the process that sent the response still runs."""
+        raise NotImplementedError
+
     def rejected(self, reply: Reply) -> None:
         """Handle a reply that says that the request was not executed."""
         raise NotImplementedError
@@ -393,6 +399,10 @@
         """Look whether the endpoint has exited."""
         self._context.response_interrupted(self, lost)
 
+    def check_sender(self, done: Callable[[ProcessState], None]) -> None:
+        """Report later whether the endpoint's process still runs."""
+        self._context.process_check.check(self._placement.entry, self.sent_at, done)
+
     def rejected(self, reply: Reply) -> None:
         """Record which endpoint is at fault for a request that was not executed."""
         monitor = self._context.endpoint_monitor
@@ -416,7 +426,7 @@
         if signals is not None:
             self._context.signals_received(self.endpoint, signals, self.sent_at)
         self.reply = self._context.dialect.read_reply(self._owner.request, status, headers)
-        self.framing = framing_of(headers)
+        self.framing = framing_of(self._owner.request.method, status, headers)
         self.content_length = content_length_of(headers)
         self._owner.attempt_response_started(self, self.reply)
 
--- a/src/brassdrum/gateway/request/completeness.py
+++ b/src/brassdrum/gateway/request/completeness.py
@@ -1,4 +1,8 @@
-"""Decide whether an answer whose body ended as its framing says is complete."""
+"""Decide whether an answer whose body ended as its framing says is complete.
+
+The end of a connection alone proves nothing: the operating system closes the connections of a
+process that crashes in the same way. Such an end needs the proof that the process still runs.
+"""
 
 from __future__ import annotations
 
@@ -9,9 +13,16 @@
 __all__ = ["ContentEnd", "Framing", "break_reason", "content_length_of", "framing_of"]
 
 
+_BODILESS_STATUSES = (204, 304)
+
+
 class Framing(StrEnum):
-    """What marks the end of an answer's body; ``CLOSE``: an orderly end of its connection."""
+    """What marks the end of an answer's body.
 
+    ``BODILESS`` answers have none. ``CLOSE`` is an orderly end of the connection, as after a crash.
+    """
+
+    BODILESS = "bodiless"
     LENGTH = "length"
     CHUNKED = "chunked"
     CLOSE = "close"
@@ -26,8 +37,10 @@
     AFTER_EVENT = auto()
 
 
-def framing_of(headers: Headers) -> Framing:
-    """Return the framing that the headers of a response declare."""
+def framing_of(method: bytes, status: int, headers: Headers) -> Framing:
+    """Return the framing that a response to a request of the given method declares."""
+    if method == b"HEAD" or status in _BODILESS_STATUSES:
+        return Framing.BODILESS
     value_by_name = {name.lower(): value for name, value in headers}
     if b"chunked" in value_by_name.get(b"transfer-encoding", b"").lower():
         return Framing.CHUNKED
@@ -36,9 +49,10 @@
 
 def content_length_of(headers: Headers) -> bytes | None:
     """Return the length that the headers of a response declare, or None without one."""
-    if framing_of(headers) is not Framing.LENGTH:
+    value_by_name = {name.lower(): value for name, value in headers}
+    if b"chunked" in value_by_name.get(b"transfer-encoding", b"").lower():
         return None
-    return next(value for name, value in headers if name.lower() == b"content-length")
+    return value_by_name.get(b"content-length")
 
 
 def break_reason(framing: Framing, content: ContentEnd) -> str | None:
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -9,6 +9,7 @@
 from brassdrum.gateway.forwarding.forwarder import Forwarder
 from brassdrum.gateway.forwarding.terms import ForwardTerms
 from brassdrum.gateway.guards.endings import LostRequest
+from brassdrum.gateway.guards.process_check import ProcessState
 from brassdrum.gateway.model import (
     AttemptParameters,
     DeclaredRequest,
@@ -23,7 +24,7 @@
 from brassdrum.gateway.placing.placement import Placement, PlacementRequest
 from brassdrum.gateway.request.answer_progress import AnswerProgress
 from brassdrum.gateway.request.attempt import Attempt, CallAttempt, helper_name
-from brassdrum.gateway.request.completeness import ContentEnd, break_reason
+from brassdrum.gateway.request.completeness import ContentEnd, Framing, break_reason
 from brassdrum.gateway.request.delivery import AnswerDelivery, PacedFlow
 from brassdrum.gateway.request.endpoint_search import EndpointSearch
 from brassdrum.gateway.request.events import StreamError
@@ -265,15 +266,35 @@
         reply = attempt.reply
         assert reply is not None
         attempt.finish()
-        if reply.kind is ReplyKind.FAILURE:
-            if self._delivery.forwarding or not self._failure_settled(attempt, reply):
-                self._deliver_failure(attempt, reply)
-            return
-        content = attempt.reader.content_end if self.route.streams else ContentEnd.OPAQUE
+        streams = self.route.streams and reply.kind is not ReplyKind.FAILURE
+        content = attempt.reader.content_end if streams else ContentEnd.OPAQUE
         reason = break_reason(attempt.framing, content)
         if reason is not None:
             self._handle_interrupted_attempt(attempt, reason, response_started=True)
             return
+        if attempt.framing is not Framing.CLOSE:
+            self._complete(attempt, reply)
+            return
+        self._may_have_run = True
+        self._watchdog.stop()
+        attempt.check_sender(lambda state: self._sender_checked(attempt, reply, state))
+
+    def _sender_checked(self, attempt: CallAttempt, reply: Reply, state: ProcessState) -> None:
+        """Complete an answer that ended with its connection, if its endpoint goes on."""
+        if self._finished or attempt not in self._attempts:
+            return
+        if state is ProcessState.RUNNING:
+            self._complete(attempt, reply)
+            return
+        reason = f"the connection ended without a length, and the endpoint's process is {state}"
+        self._handle_interrupted_attempt(attempt, reason, response_started=True)
+
+    def _complete(self, attempt: CallAttempt, reply: Reply) -> None:
+        """Deliver the end of a complete answer."""
+        if reply.kind is ReplyKind.FAILURE:
+            if self._delivery.forwarding or not self._failure_settled(attempt, reply):
+                self._deliver_failure(attempt, reply)
+            return
         self._settle(attempt)
         self._attempts.remove(attempt)
         attempt.served()
--- a/src/brassdrum/gateway/request/running_attempts.py
+++ b/src/brassdrum/gateway/request/running_attempts.py
@@ -17,6 +17,10 @@
     def __init__(self) -> None:
         self._attempts: list[CallAttempt] = []
 
+    def __contains__(self, attempt: CallAttempt) -> bool:
+        """Return whether an attempt may still bring the answer."""
+        return attempt in self._attempts
+
     @property
     def newest(self) -> CallAttempt | None:
         """Return the newest attempt in progress, or None."""
--- a/src/brassdrum/platform/dialect.py
+++ b/src/brassdrum/platform/dialect.py
@@ -8,6 +8,8 @@
 from brassdrum.gateway.model import (
     AttemptParameters,
     DeclaredRequest,
+    EndpointEntry,
+    EndpointIdentity,
     EndpointSignals,
     Headers,
     HelperReference,
@@ -42,6 +44,10 @@
 _RETRY_AFTER = b"retry-after"
 # Milliseconds for which the endpoint stays cold.
 _COLD_LEFT = b"x-cold-remaining"
+# The name of the endpoint that answers a health check.
+_NAME = b"x-replica-id"
+# The Unix millisecond of the endpoint's start, in its report.
+_BORN = "born"
 
 _HOP_BY_HOP = set(
     b"connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer "
@@ -140,6 +146,23 @@
             cold_seconds=None if cold_ms is None else cold_ms / 1000,
         )
 
+    def check_headers(self, entry: EndpointEntry) -> Headers:
+        """Return the headers of a liveness check that only the given endpoint accepts."""
+        return [
+            (b"Host", entry.address.encode("latin-1")),
+            (b"X-Expect-Replica", entry.name.encode("latin-1", "replace")),
+        ]
+
+    def read_identity(self, status: int, headers: Headers, body: bytes) -> EndpointIdentity:
+        """Return what the answer to a liveness check says of its sender."""
+        value_by_name = {name.lower(): value for name, value in headers}
+        name = value_by_name.get(_NAME)
+        return EndpointIdentity(
+            name=None if name is None else name.decode("latin-1"),
+            born=_born(body),
+            refused=status == _WRONG_ENDPOINT,
+        )
+
     def encode_reserve(self, ticket: str, tokens: int, seconds: float, *, wait: bool) -> bytes:
         """Return the order that holds memory at an endpoint."""
         content = {"op": "reserve", "id": ticket, "token_count": tokens, "wait": wait}
@@ -187,6 +210,16 @@
     return _number(prompt), _number(answer or b"0")
 
 
+def _born(report: bytes) -> int | None:
+    """Return the start time that a report names, or None."""
+    try:
+        content = json.loads(report)
+    except (ValueError, RecursionError):
+        return None
+    born = content.get(_BORN) if isinstance(content, dict) else None
+    return born if type(born) is int else None
+
+
 def _part_names(value: bytes) -> tuple[str, ...]:
     """Return the names of a prompt's parts, without their lengths."""
     entries = value.decode("latin-1").split(",")
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -407,6 +407,15 @@
     "its connection was closed after `bytes`, and the answer counts as broken off.",
     "Look at what the endpoint sends: its server or a proxy in front of it is broken.",
 )
+ANSWER_END_CHECKED = LOG_EVENTS.add(
+    "answer end checked",
+    Topic.BELIEF,
+    "endpoint state refused accepted same_connection",
+    "An answer without a length ended with its connection, and its endpoint was asked whether the "
+    "process still runs. `refused`: nothing listens there. `accepted`: it took a connection. "
+    "`same_connection`: one that was open before the request was sent.",
+    "If `state` is not running, the answer counts as broken off; see calling.md.",
+)
 NOT_READ = LOG_EVENTS.add(
     "response not read",
     Topic.FAILURE,
