Order lists by the store's revision, and count the time that messages wait into their ages

Cause: an age in a message was counted from the moment at which the message was read. A daemon that wakes reads the messages of the first second of its suspension, which fill its socket's buffer, as if they had just been sent: its own list seemed just confirmed, it told the others an age of some ms, and they took its list over since they ordered lists by age. Ruled out: that the store's read brought the old list (the list came from the woken daemon, as 'endpoint changed back' names it).

The change, in two parts, each of which holds without the other: - Lists are ordered by the store's revision within an era; ages order them only where one is unknown. Revisions are forgotten when the era changes. - Messages carry the time of sending by the sender's clock. What a message takes beyond the least time of that sender's recent messages is added to every age in it and taken off every time left (lists, notices that endpoints leave or fail, crashes, signals, cold seconds). So the woken daemon knows that its list is old, and reads the store at once. The log says 'peer message late'. The age in a peer's start page counts from the question, not from the answer.

--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -16,6 +16,7 @@
 from brassdrum.gateway.model import (
     Bounds,
     EndpointEntry,
+    EndpointRecords,
     FleetConfiguration,
     GatewaySettings,
     OperatorRecords,
@@ -58,6 +59,7 @@
         self.evacuated_zones = frozenset()
         self.operator_revision = 1
         self.calls = 0
+        self.list_revision = None
         self._object_by_value = {}
 
     def operator_records(self):
@@ -74,7 +76,8 @@
     def endpoints(self):
         """Return the records of the endpoints."""
         self._count_call()
-        return [self._record(entry.id, entry) for entry in self.entries]
+        records = tuple(self._record(entry.id, entry) for entry in self.entries)
+        return EndpointRecords(records, self.list_revision)
 
     def daemons(self):
         """Return the addresses of the announced daemons, by name."""
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -399,7 +399,7 @@
 
     def read():
         try:
-            return store.endpoints()
+            return store.endpoints().records
         except PlatformUnavailableError as error:
             return error
 
--- a/features/steps/endpoint_list_steps.py
+++ b/features/steps/endpoint_list_steps.py
@@ -121,7 +121,7 @@
 
 @then('the records "{keys}" are read')
 def step_records(context, keys):
-    read = [record.key for record in context.client.endpoints()]
+    read = [record.key for record in context.client.endpoints().records]
     assert read == keys.split(), read
 
 
--- a/features/steps/gateway_adapter_steps.py
+++ b/features/steps/gateway_adapter_steps.py
@@ -240,7 +240,7 @@
 @then("reading the endpoints raises an unavailable platform")
 def step_read_fails(context):
     try:
-        found = context.client.endpoints()
+        found = context.client.endpoints().records
     except PlatformUnavailableError:
         return
     raise AssertionError(f"a broken page was read as {found}")
@@ -311,7 +311,7 @@
 
 @then("all endpoints are read")
 def step_all_read(context):
-    assert [record.key for record in context.client.endpoints()] == list("123456789")
+    assert [record.key for record in context.client.endpoints().records] == list("123456789")
 
 
 @then("a store that answers 503, 429 or nothing raises an unavailable platform")
--- a/features/steps/soak_load_steps.py
+++ b/features/steps/soak_load_steps.py
@@ -78,7 +78,7 @@
 
 @then('it reads that the replica in "{zone}" is cold')
 def step_read_cold(context, zone):
-    (record,) = context.reader.endpoints()
+    (record,) = context.reader.endpoints().records
     entry = context.reader.decode_endpoint(record)
     assert entry.zone == zone
     assert entry.cold_seconds > 0, entry
--- a/src/brassdrum/bench/store_calls.py
+++ b/src/brassdrum/bench/store_calls.py
@@ -27,6 +27,7 @@
     Bounds,
     DaemonAddress,
     EndpointEntry,
+    EndpointRecords,
     FleetConfiguration,
     OperatorRecords,
     StoreRecord,
@@ -74,10 +75,12 @@
         configuration = StoreRecord("config", str(self.version).encode())
         return OperatorRecords(configuration, frozenset(), self.version, self.era)
 
-    def endpoints(self) -> list[StoreRecord]:
+    def endpoints(self) -> EndpointRecords:
         """Return the list of endpoints."""
         self._count("endpoints")
-        return [StoreRecord(name, name.encode()) for name in self._entries_by_id]
+        return EndpointRecords(
+            tuple(StoreRecord(name, name.encode()) for name in self._entries_by_id)
+        )
 
     def daemons(self) -> dict[str, DaemonAddress]:
         """Return the addresses of daemons by name."""
--- a/src/brassdrum/gateway/following/beliefs.py
+++ b/src/brassdrum/gateway/following/beliefs.py
@@ -194,6 +194,7 @@
             signals=tuple(self.signals.notices(now)),
             evacuations=self._routing_state.evacuation.announced,
             cold=self.cold.notices(),
+            revision=self._routing_state.revision,
         )
 
     def apply_peer_update(self, host: str, belief: PeerStatus) -> None:
--- a/src/brassdrum/gateway/following/first_state.py
+++ b/src/brassdrum/gateway/following/first_state.py
@@ -133,7 +133,7 @@
             self._asking = True
             self._submit(
                 lambda: StartPage.decode(self._fetch(host, START_PATH)),
-                lambda future: self._asked(host, future),
+                lambda future: self._asked(host, now, future),
             )
         self._loop.call_later(_STEP_SECONDS, self._step)
 
@@ -144,7 +144,7 @@
             return min(each.host for each in targets)
         return self._random.choice(targets).host
 
-    def _asked(self, host: str, future: Future[StartPage]) -> None:
+    def _asked(self, host: str, asked_at: float, future: Future[StartPage]) -> None:
         self._asking = False
         now = self._loop.now()
         self._ask_not_before = now + _ASK_SECONDS
@@ -161,7 +161,8 @@
             # Another peer is asked at once.
             self._ask_not_before = now
         elif page.age is not None:
-            self._pull(host, now - page.age, page.reads)
+            # The page may have been on the way for long; it was written after the question.
+            self._pull(host, asked_at - page.age, page.reads)
         elif page.failed_ago is not None and page.failed_ago < _RECENT_FAILURE_SECONDS:
             # Until one of them has read the store, the others ask it.
             self._ask_not_before = now + _READ_RETRY_SECONDS
--- a/src/brassdrum/gateway/following/follower.py
+++ b/src/brassdrum/gateway/following/follower.py
@@ -88,7 +88,8 @@
 
     ``leaving`` names endpoints that are draining whatever their record says. ``era`` is that of the
     store. ``evacuations`` is None where a peer knows of none. ``cold`` are the seconds for which
-    endpoints stay cold, None as told by their records.
+    endpoints stay cold, None as told by their records. ``revision`` is that of the list in the
+    store, None where it is not known.
     """
 
     configuration: StoreRecord | None
@@ -97,6 +98,7 @@
     era: int | None = None
     evacuations: Evacuations | None = None
     cold: dict[str, float] | None = None
+    revision: int | None = None
 
     def encode(self) -> bytes:
         """Return the compressed form that is sent to peers."""
@@ -108,6 +110,7 @@
             ],
             "leaving": list(self.leaving),
             "era": self.era,
+            "revision": self.revision,
         }
         evacuations = self.evacuations
         if evacuations is not None:
@@ -142,9 +145,15 @@
             content["era"],
             evacuations,
             content.get("cold"),
+            _whole(content.get("revision")),
         )
 
 
+def _whole(value: object) -> int | None:
+    """Return a whole number, or None for anything else."""
+    return value if type(value) is int else None
+
+
 class Follower:
     """Read the store when the local state becomes stale, and peers that have newer state."""
 
@@ -228,13 +237,14 @@
         cold = self._cold.seconds_left_by_endpoint()
         # The seconds left fall, so a snapshot with cold endpoints is reused for a moment only.
         moment = int(self._loop.now() / _COLD_REUSE_SECONDS) if cold else 0
-        mark = (known.version, known.digest, known.era, evacuations, moment)
+        revision = known.revision
+        mark = (known.version, known.digest, known.era, revision, evacuations, moment)
         if self._encoded_snapshot is None or self._encoded_version != mark:
             named = self._records_by_id
             records = tuple(named[name] for name in known.endpoints_by_id if name in named)
             leaving = tuple(name for name, each in known.endpoints_by_id.items() if each.draining)
             self._encoded_snapshot = Snapshot(
-                self._configuration, records, leaving, known.era, evacuations, cold
+                self._configuration, records, leaving, known.era, evacuations, cold, revision
             ).encode()
             self._encoded_version = mark
         return self._encoded_snapshot
@@ -270,11 +280,11 @@
         # was read. Configurations are ordered by their version alone.
         same_era = belief.era == known.era
         if same_era and belief.version == known.version:
-            known.confirm_read(belief.digest, read_at, belief.reads)
+            known.confirm_read(belief.digest, read_at, belief.reads, belief.revision)
         newer_list = (
             same_era
             and belief.digest != known.digest
-            and (known.read_at is None or read_at > known.read_at)
+            and not known.is_outdated(read_at, belief.era, belief.revision)
         )
         if not (belief.version > known.version or newer_list):
             return
@@ -327,12 +337,18 @@
 
     def _read(self, _sent: float) -> Snapshot:
         # Read the list first, so that it is never older than its recorded time.
-        endpoints = tuple(self._store.endpoints())
+        listed = self._store.endpoints()
         # Taken after the list: a list that is older than its era is only filtered more strictly.
         era = self._store.era
         records = self._store.operator_records()
         evacuations = Evacuations(records.evacuated_zones, records.era, records.revision)
-        return Snapshot(records.configuration, endpoints, era=era, evacuations=evacuations)
+        return Snapshot(
+            records.configuration,
+            listed.records,
+            era=era,
+            evacuations=evacuations,
+            revision=listed.revision,
+        )
 
     def _read_done(self, sent: float, future: Future[Snapshot]) -> None:
         self._reading = False
@@ -352,7 +368,9 @@
         self._apply(
             snapshot,
             "store",
-            lambda entries: self._routing_state.apply_store_list(entries, sent, snapshot.era),
+            lambda entries: self._routing_state.apply_store_list(
+                entries, sent, snapshot.era, snapshot.revision
+            ),
             self._loop.now(),
         )
         assert self._peers is not None
@@ -386,7 +404,7 @@
             snapshot,
             host,
             lambda entries: self._routing_state.apply_peer_list(
-                entries, read_at, reads, snapshot.era
+                entries, read_at, reads, snapshot.era, snapshot.revision
             ),
             # The ends that a peer tells contain the margin that is added to those of a list.
             read_at if snapshot.cold is None else self._loop.now() - LIST_MARGIN_SECONDS,
--- a/src/brassdrum/gateway/following/routing_state.py
+++ b/src/brassdrum/gateway/following/routing_state.py
@@ -54,6 +54,8 @@
         self.read_at: float | None = None
         # Sequence number of the store read, by any daemon, that this state is based on.
         self.reads = 0
+        # That of the list in the store, None where the store or the peer told none.
+        self.revision: int | None = None
         self.digest = ""
         self._routes_by_host: dict[str, list[Route]] = {}
         self._organisation_by_key: dict[str, Organisation] = {}
@@ -161,13 +163,25 @@
 
     def update_era(self, era: int | None, now: float) -> bool:
         """Set the era of the store; return whether the store was restored from a backup."""
-        return self._restored_list_filter.update_era(era, now)
+        earlier = self.era
+        restored = self._restored_list_filter.update_era(era, now)
+        if self.era != earlier:
+            # Revisions of one era say nothing of another.
+            self.revision = None
+        return restored
 
     def apply_store_list(
-        self, entries: Iterable[EndpointEntry], now: float, era: int | None = None
+        self,
+        entries: Iterable[EndpointEntry],
+        now: float,
+        era: int | None = None,
+        revision: int | None = None,
     ) -> list[EndpointChange]:
-        """Apply the full list read from the store at the given time; return the changes."""
-        if self._is_outdated(now, era):
+        """Apply the full list read from the store at the given time; return the changes.
+
+        What the store answers holds, also where its revisions begin anew.
+        """
+        if self._is_read_before(now) or self._restored_list_filter.is_older_era(era):
             return []
         self.update_era(era, now)
         if self._store_unavailable or (
@@ -180,24 +194,47 @@
             self._store_recovered_at is not None
             and now - self._store_recovered_at < _RECOVERY_SECONDS
         )
+        self.revision = revision
         return self._replace({entry.id: entry for entry in entries}, now, recovering=recovering)
 
     def apply_peer_list(
-        self, entries: Iterable[EndpointEntry], read_at: float, reads: int, era: int | None = None
+        self,
+        entries: Iterable[EndpointEntry],
+        read_at: float,
+        reads: int,
+        era: int | None = None,
+        revision: int | None = None,
     ) -> list[EndpointChange]:
         """Apply a peer's list, which the peer has already filtered, if it is newer."""
-        if self._is_outdated(read_at, era):
+        if self.is_outdated(read_at, era, revision):
             return []
         self.update_era(era, read_at)
         self.reads = max(self.reads, reads)
+        self.revision = revision
+        if self.read_at is not None:
+            # A list of a higher revision was read later, whatever its age says.
+            read_at = max(self.read_at, read_at)
         return self._replace({entry.id: entry for entry in entries}, read_at, recovering=False)
 
-    def _is_outdated(self, read_at: float, era: int | None) -> bool:
-        """Return whether a list is older than the current one or from before a restore."""
-        older = self.read_at is not None and read_at <= self.read_at
-        return older or self._restored_list_filter.is_older_era(era)
+    def is_outdated(self, read_at: float, era: int | None, revision: int | None) -> bool:
+        """Return whether a peer's list is not newer than the current one.
 
-    def confirm_read(self, digest: str, read_at: float, reads: int) -> None:
+        The store's revision orders the lists of an era, since a list's age is only as true as the
+        clocks and the path by which it came.
+        """
+        if self._restored_list_filter.is_older_era(era):
+            return True
+        ordered = era == self.era and None not in (revision, self.revision)
+        if ordered and revision != self.revision:
+            return revision < self.revision
+        return self._is_read_before(read_at)
+
+    def _is_read_before(self, read_at: float) -> bool:
+        return self.read_at is not None and read_at <= self.read_at
+
+    def confirm_read(
+        self, digest: str, read_at: float, reads: int, revision: int | None = None
+    ) -> None:
         """Advance the read time when a peer has read the same list later.
 
         Each read counts once: network delay makes a list look newer at every hop, so a list's age
@@ -207,6 +244,8 @@
             return
         self.reads = reads
         self.read_at = max(self.read_at, read_at)
+        if None not in (revision, self.revision):
+            self.revision = max(self.revision, revision)
 
     def recently_left(self, now: float) -> dict[str, float]:
         """Return the seconds since each recently departed endpoint began to leave."""
--- a/src/brassdrum/gateway/model.py
+++ b/src/brassdrum/gateway/model.py
@@ -203,6 +203,17 @@
     value: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointRecords:
+    """The records of all endpoints, as of a revision within an era of the store.
+
+    ``revision`` rises with each record that is written; None where the store tells none.
+    """
+
+    records: tuple[StoreRecord, ...]
+    revision: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorRecords:
     """What the operator wrote to the store, as of a revision within an era of the store.
@@ -395,7 +406,7 @@
     def operator_records(self) -> OperatorRecords:
         """Return the latest configuration and the evacuated zones, from one read."""
 
-    def endpoints(self) -> list[StoreRecord]:
+    def endpoints(self) -> EndpointRecords:
         """Return the records of all endpoints."""
 
     def daemons(self) -> dict[str, DaemonAddress]:
--- a/src/brassdrum/gateway/peering/merged_status.py
+++ b/src/brassdrum/gateway/peering/merged_status.py
@@ -71,6 +71,7 @@
             slowdown=self._slowdown(now, fleet=fleet) if heartbeat else None,
             # Members only receive from their aggregator, so fleet digests need not say it.
             keeps_demand=not fleet,
+            sent_at=now,
         )
 
     def _slowdown(self, now: float, *, fleet: bool) -> SlowdownReport | None:
--- a/src/brassdrum/gateway/peering/peer_messages.py
+++ b/src/brassdrum/gateway/peering/peer_messages.py
@@ -14,6 +14,7 @@
     demand_kept_section,
     demand_section,
     evacuation_section,
+    order_section,
     slowdown_section,
 )
 from brassdrum.gateway.peering.peer_status import PeerStatus, read_status, write_status
--- a/src/brassdrum/gateway/peering/peer_status.py
+++ b/src/brassdrum/gateway/peering/peer_status.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from brassdrum.gateway.following.evacuations import Evacuations
-from brassdrum.gateway.following.suspicion import FailureNotice
+from brassdrum.gateway.following.suspicion import (
+    CORROBORATION_SECONDS,
+    FailureNotice,
+    unexpired_notices,
+)
 from brassdrum.gateway.peering.wire import DURATION_BYTES, FieldReader, FieldWriter, duration_ms
 from brassdrum.gateway.placing.slowdown import SlowdownReport
 from brassdrum.gateway.sharing.demand import DemandRow
 from brassdrum.gateway.throttling.cold import ColdNotice
-from brassdrum.gateway.throttling.signals import SignalNotice
+from brassdrum.gateway.throttling.signals import SignalNotice, aged_notices
 from brassdrum.outcomes.crash_reports import CrashReport, ObservedCrash
 from brassdrum.outcomes.fingerprint import CALLER_BITS
 
@@ -47,7 +51,9 @@
     messages that tell of none. ``cold`` names endpoints that are known to be cold from more than
     the list. ``demand`` is empty while no request waits for a slot, and None in messages that leave
     it as it was; ``keeps_demand`` says that the sender understands these. ``slowdown`` is None in
-    messages that leave as it was how slow endpoints are.
+    messages that leave as it was how slow endpoints are. ``sent_at`` is the time of sending by the
+    sender's clock. ``revision`` is that of the list in the store, which rises with each record; it
+    orders the lists of an era. Both are None in messages of earlier releases.
     """
 
     version: int
@@ -65,6 +71,23 @@
     demand: tuple[DemandRow, ...] | None = ()
     keeps_demand: bool = False
     slowdown: SlowdownReport | None = None
+    sent_at: float | None = None
+    revision: int | None = None
+
+    def aged(self, seconds: float) -> PeerStatus:
+        """Return what the status says some seconds after it was sent."""
+        return replace(
+            self,
+            age=None if self.age is None else self.age + seconds,
+            failing=tuple(unexpired_notices(self.failing, seconds)),
+            draining=tuple(replace(each, age=each.age + seconds) for each in self.draining),
+            recent_failures=self.recent_failures if seconds < CORROBORATION_SECONDS else (),
+            endings=tuple(each.aged(seconds) for each in self.endings),
+            signals=None if self.signals is None else tuple(aged_notices(self.signals, seconds)),
+            cold=tuple(
+                replace(each, left=each.left - seconds) for each in self.cold if each.left > seconds
+            ),
+        )
 
 
 def write_status(writer: FieldWriter, status: PeerStatus) -> None:
--- a/src/brassdrum/gateway/peering/peers.py
+++ b/src/brassdrum/gateway/peering/peers.py
@@ -11,7 +11,8 @@
 import logging
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import TypeVar
 
 from brassdrum.gateway.model import DaemonAddress
 from brassdrum.gateway.net.datagrams import DatagramTransport
@@ -41,6 +42,7 @@
 from brassdrum.gateway.peering.row_publisher import RowPublisher, RowUpdate
 from brassdrum.gateway.peering.spreading import fanout_branches
 from brassdrum.gateway.peering.topology import Topology
+from brassdrum.gateway.peering.transit import TransitTimes
 from brassdrum.gateway.placing.load import LoadTable
 from brassdrum.gateway.placing.slowdown import SlowdownTable
 from brassdrum.gateway.throttling.ownership import Member
@@ -49,6 +51,8 @@
 
 __all__ = ["Peers"]
 
+_MessageT = TypeVar("_MessageT", Report, Digest)
+
 _logger = logging.getLogger(__name__)
 # Delay before changes are sent, so that a burst takes one datagram per receiver. It grows with
 # the fleet: 4 ms up to 9 daemons, 27 ms at 60.
@@ -141,6 +145,7 @@
         self._status = MergedStatus(
             local_status, self._group, self._aggregators, self.demand, slowdowns
         )
+        self._transit_times = TransitTimes()
         self._permits = PermitBroker(loop, self, rate_limit, incarnation)
         datagrams.listen(self._handle_datagram)
         loop.call_later(0.0, self._send_heartbeat)
@@ -577,9 +582,9 @@
                 case Hello():
                     self._handle_hello(message)
                 case Report():
-                    self._handle_report(message)
+                    self._handle_report(self._with_true_ages(message))
                 case Digest():
-                    self._handle_digest(message, data, direct=True)
+                    self._handle_digest(self._with_true_ages(message), data, direct=True)
                 case ForwardedDigest():
                     self._handle_forwarded_digest(message)
                 case PermitRequest():
@@ -589,6 +594,20 @@
         except ValueError as error:
             _logger.warning("peer message dropped", extra={"error": str(error), "from": source})
 
+    def _with_true_ages(self, message: _MessageT) -> _MessageT:
+        """Return a message with the ages that it has when it is read."""
+        sender, sent_at = message.sender, message.status.sent_at
+        if sent_at is None:
+            return message
+        host = sender.address.host
+        seconds = self._transit_times.excess(host, sender.incarnation, sent_at, self._loop.now())
+        if not seconds:
+            return message
+        log_events.PEER_MESSAGE_LATE.write(
+            _logger, host=host, seconds=round(seconds, 3), sequence=sender.sequence
+        )
+        return replace(message, status=message.status.aged(seconds))
+
     def _handle_hello(self, hello: Hello) -> None:
         now = self._loop.now()
         address = hello.sender.address
@@ -657,7 +676,7 @@
                 self._send_bytes(host, data)
         digest = decode_message(message.digest)
         if isinstance(digest, Digest):
-            self._handle_digest(digest, message.digest, direct=False)
+            self._handle_digest(self._with_true_ages(digest), message.digest, direct=False)
 
     def _handle_digest(self, digest: Digest, data: bytes, *, direct: bool) -> None:
         now = self._loop.now()
--- a/src/brassdrum/outcomes/crash_reports.py
+++ b/src/brassdrum/outcomes/crash_reports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from brassdrum.outcomes.fingerprint import ALL_CALLERS
 
@@ -37,6 +37,12 @@
     crashes: tuple[ObservedCrash, ...]
     served_age: float | None = None
 
+    def aged(self, seconds: float) -> CrashReport:
+        """Return the report as of some seconds later."""
+        served_age = None if self.served_age is None else self.served_age + seconds
+        crashes = tuple(replace(each, age=each.age + seconds) for each in self.crashes)
+        return replace(self, crashes=crashes, served_age=served_age)
+
     @property
     def size_bytes(self) -> int:
         """Return what the report takes in a datagram."""
--- a/src/brassdrum/platform/store.py
+++ b/src/brassdrum/platform/store.py
@@ -6,7 +6,7 @@
 import json
 import logging
 import threading
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from urllib.parse import quote
 
@@ -15,6 +15,7 @@
 from brassdrum.gateway.model import (
     DaemonAddress,
     EndpointEntry,
+    EndpointRecords,
     FleetConfiguration,
     OperatorRecords,
     StoreRecord,
@@ -92,9 +93,11 @@
             pages[0].era,
         )
 
-    def endpoints(self) -> list[StoreRecord]:
+    def endpoints(self) -> EndpointRecords:
         """Return the whole list of endpoints."""
-        return self._newest(_ENDPOINT_TOPIC)
+        pages = list(self._pages(_ENDPOINT_TOPIC))
+        # The first page's revision: later pages may hold newer records, never older ones.
+        return EndpointRecords(tuple(_records(pages)), pages[0].revision or None)
 
     def daemons(self) -> dict[str, DaemonAddress]:
         """Return the addresses of daemons that announced themselves, by name."""
@@ -128,8 +131,7 @@
         self._call("POST", f"/log-append?topic={topic}&part=0", framed)
 
     def _newest(self, topic: str) -> list[StoreRecord]:
-        items = (item for page in self._pages(topic) for item in page.items)
-        return [record for record in map(_record, items) if record is not None]
+        return _records(self._pages(topic))
 
     def _pages(self, topic: str) -> Iterator[_Page]:
         after = ""
@@ -193,6 +195,12 @@
         return era
 
 
+def _records(pages: Iterable[_Page]) -> list[StoreRecord]:
+    """Return the records of pages, without those that cannot be read."""
+    items = (item for page in pages for item in page.items)
+    return [record for record in map(_record, items) if record is not None]
+
+
 def _record(item: dict) -> StoreRecord | None:
     """Return one record of a page, or None where it cannot be read; the others hold."""
     try:
--- a/src/brassdrum/telemetry/log_events.py
+++ b/src/brassdrum/telemetry/log_events.py
@@ -416,6 +416,14 @@
     "`same_connection`: one that was open before the request was sent.",
     "If `state` is not running, the answer counts as broken off; see calling.md.",
 )
+PEER_MESSAGE_LATE = LOG_EVENTS.add(
+    "peer message late",
+    Topic.BELIEF,
+    "host seconds sequence",
+    "A message of `host` was read `seconds` later than usual; what it says counts as that much "
+    "older.",
+    "Many from all hosts: this process was suspended or is overloaded. From one: the path to it.",
+)
 NOT_READ = LOG_EVENTS.add(
     "response not read",
     Topic.FAILURE,
