Refuse odd entries at one border, and end a request at once whose handler raises

What callers saw (a report of other operators, seen here): with one entry whose address decodes and cannot be connected to (port 65536, an octet of 300) beside sound ones, the requests that were placed there got nothing until a 503 seconds later.

Cause: the border checked the shape of an address only. connect_ex raised OverflowError, and looked an odd octet up as a name, which blocks. The exception left the connection's handler, and nobody ended or placed the request again. Looked for elsewhere: names with a line end or beyond Latin-1 raise where the header is written, names of 300 bytes and half surrogates where messages to peers are, slots of 300 digits in placement; hosts of daemons in messages to peers. Deep nesting, numbers of 5,000 digits and wrong types were refused already.

The change: gateway/entry_check.py says for every value of an entry whether it can be used; dial takes numeric addresses only and never looks a name up. Apart from that, whatever raises: a request that could not be sent is placed elsewhere, one whose handler raises fails at once (503 only where nothing was sent), and so does a request at admission.

--- a/src/brassdrum/gateway/model.py
+++ b/src/brassdrum/gateway/model.py
@@ -7,6 +7,8 @@
 from enum import Enum, auto
 from typing import Protocol
 
+from brassdrum.network_address import is_host
+
 __all__ = [
     "AttemptParameters",
     "Bounds",
@@ -35,6 +37,8 @@
     "StoreRecord",
 ]
 
+# Messages to peers carry names of at most 255 bytes.
+_MAX_ZONE_BYTES = 255
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -192,7 +196,9 @@
     def decode(cls, data: bytes) -> DaemonAddress:
         """Decode a value from the store, or raise ``ValueError``."""
         host, capacity, zone = data.decode().split(" ", 2)
-        return cls(host, zone, int(capacity))
+        if not is_host(host) or not zone.isprintable() or len(zone.encode()) > _MAX_ZONE_BYTES:
+            raise ValueError(f"{data[:60]!r} is no address of a daemon")
+        return cls(host, zone, max(0, int(capacity)))
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/brassdrum/gateway/net/callers.py
+++ b/src/brassdrum/gateway/net/callers.py
@@ -360,7 +360,13 @@
         self._head, self._body = None, bytearray()
         self._reading = False
         self._responding = True
-        handler = self._responder.handle(self, head, body)
+        try:
+            handler = self._responder.handle(self, head, body)
+        except Exception:
+            # Nothing was sent to an endpoint: from there on requests end by themselves.
+            _logger.exception("request handler failed")
+            self._send_error(503, "its handler failed")
+            return
         if self._responding:
             self._handler = handler
 
--- a/src/brassdrum/gateway/net/transport.py
+++ b/src/brassdrum/gateway/net/transport.py
@@ -15,6 +15,7 @@
 from brassdrum.gateway.net.flow_control import MAX_READ_BYTES
 from brassdrum.gateway.net.loop import EventLoop
 from brassdrum.gateway.net.write_buffer import WriteBuffer
+from brassdrum.network_address import split_address
 
 __all__ = ["BegunConnection", "Dialer", "Transport", "TransportOwner", "dial"]
 
@@ -31,9 +32,12 @@
 
 @dataclass(frozen=True, slots=True)
 class BegunConnection:
-    """A connection in progress; ``error`` is the error number if it failed at once, or else 0."""
+    """A connection in progress; ``error`` is the error number if it failed at once, or else 0.
 
-    socket: socket.socket
+    ``socket`` is None for what is no address.
+    """
+
+    socket: socket.socket | None
     error: int
 
 
@@ -41,12 +45,18 @@
 
 
 def dial(address: str) -> BegunConnection:
-    """Begin a TCP connection to an address of the form HOST:PORT."""
-    host, _, port = address.rpartition(":")
+    """Begin a TCP connection to an address of the form HOST:PORT.
+
+    One that is no address of a host and a port fails at once, and no name is looked up.
+    """
+    try:
+        target = split_address(address)
+    except ValueError:
+        return BegunConnection(None, errno.EINVAL)
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _KERNEL_BUFFER_BYTES)
-    code = sock.connect_ex((host, int(port)))
+    code = sock.connect_ex(target)
     if code in (0, errno.EINPROGRESS):
         return BegunConnection(sock, 0)
     sock.close()
--- a/src/brassdrum/gateway/net/upstream.py
+++ b/src/brassdrum/gateway/net/upstream.py
@@ -156,8 +156,12 @@
         """Send the pending request."""
         self._stop_timer()
         self._established = True
-        if self._call is not None:
+        if self._call is None:
+            return
+        try:
             self._send_request()
+        except Exception as error:
+            self._handler_failed(error)
 
     def data_received(self, data: bytes) -> None:
         """Handle data or EOF from the endpoint."""
@@ -180,6 +184,9 @@
                 return
             self._fail_call(str(error))
             return
+        except Exception as error:
+            self._handler_failed(error)
+            return
         # The connection may carry another call by now.
         exceeded = meter.exceeded_limit() if self._call is call else None
         if exceeded is not None:
@@ -200,12 +207,11 @@
         call = self._call
         assert call is not None
         request = call.request
-        call.sent = True
-        self._transport.write(
-            self._codec.send(
-                h11.Request(method=request.method, target=request.target, headers=request.headers)
-            )
+        head = self._codec.send(
+            h11.Request(method=request.method, target=request.target, headers=request.headers)
         )
+        call.sent = True
+        self._transport.write(head)
         if request.body:
             self._transport.write(self._codec.send(h11.Data(data=request.body)))
             # The transport keeps what is unsent.
@@ -297,6 +303,11 @@
         )
         self._fail_call(f"the answer was broken off: {limit}")
 
+    def _handler_failed(self, error: Exception) -> None:
+        """End the call whose handler failed, so that nobody waits for it."""
+        _logger.exception("call handler failed", extra={"address": self.address})
+        self._fail_call(f"a handler of the call failed: {type(error).__name__}")
+
     def _fail_call(self, detail: str) -> None:
         self._stop_timer()
         self._stop_ack_timer()
--- a/src/brassdrum/gateway/request/endpoint_search.py
+++ b/src/brassdrum/gateway/request/endpoint_search.py
@@ -35,6 +35,9 @@
     def refuse_quarantined(self, judgement: Judgement) -> None:
         """Refuse a request that crashes the endpoints that run it."""
 
+    def handler_failed(self, error: Exception) -> None:
+        """Fail the request after an unexpected error."""
+
 
 class EndpointSearch:
     """The search for an endpoint for one request, from its begin until it is sent or ended."""
@@ -76,6 +79,12 @@
         """Place the request and send it, unless the search has ended."""
         if not self.active:
             return
+        try:
+            self._dispatch()
+        except Exception as error:
+            self._exchange.handler_failed(error)
+
+    def _dispatch(self) -> None:
         exchange = self._exchange
         judgement = self._context.crash_guard.judge(exchange.traits, exchange.tried_endpoints)
         if judgement.status is ContentStatus.QUARANTINED:
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import functools
+import logging
 import math
 from collections.abc import Callable
+from typing import Concatenate, ParamSpec
 
 from brassdrum.gateway.following.evacuations import refusal_detail
 from brassdrum.gateway.forwarding.forwarder import Forwarder
@@ -52,6 +55,9 @@
 
 __all__ = ["Exchange"]
 
+_logger = logging.getLogger(__name__)
+_Arguments = ParamSpec("_Arguments")
+
 # Endpoints enforce the deadline too; this leaves time for their own response to arrive.
 _DEADLINE_GRACE_SECONDS = 0.05
 # About the time in which an endpoint frees a slot.
@@ -63,6 +69,24 @@
 _FIRST_SERVER_ERROR = 500
 
 
+def fails_request(
+    handler: Callable[Concatenate[Exchange, _Arguments], None],
+) -> Callable[Concatenate[Exchange, _Arguments], None]:
+    """Fail the request at once if one of its handlers raises an unexpected error."""
+
+    @functools.wraps(handler)
+    def handle(exchange: Exchange, *args: _Arguments.args, **kwargs: _Arguments.kwargs) -> None:
+        was_finished = exchange.finished
+        try:
+            handler(exchange, *args, **kwargs)
+        except Exception as error:
+            if was_finished:
+                raise
+            exchange.handler_failed(error)
+
+    return handle
+
+
 class Exchange:
     """Process one request: own its attempts and decide what is delivered to its caller."""
 
@@ -199,6 +223,18 @@
         self._cancel_attempts()
         self.fail(detail)
 
+    def handler_failed(self, error: Exception) -> None:
+        """Fail the request after an unexpected error, which must not keep its caller waiting."""
+        _logger.exception("request handler failed", extra={"request": self.request.id})
+        if self._finished:
+            # The outcome is recorded, but the caller may not have the end of its answer.
+            self._delivery.abort()
+            return
+        # A refusal would promise that it has not run.
+        self._may_have_run = self._may_have_run or self.send_count > 0
+        self.abort(f"a handler of the request failed: {type(error).__name__}")
+
+    @fails_request
     def attempt_response_started(self, attempt: CallAttempt, reply: Reply) -> None:
         """Retry the request if the endpoint did not execute it."""
         if reply.kind is ReplyKind.SUCCESS or reply.kind is ReplyKind.FAILURE:
@@ -213,6 +249,7 @@
         attempt.rejected(reply)
         self._retry_not_executed(attempt, f"the endpoint answered {reply.status}, not run")
 
+    @fails_request
     def attempt_response_data(self, attempt: CallAttempt, content: bytes) -> None:
         """Forward complete events, or what is due of an answer that is not streamed."""
         reply = attempt.reply
@@ -261,6 +298,7 @@
         """Watch the endpoint again, which now may send."""
         self.restart_stall_timer(None)
 
+    @fails_request
     def attempt_completed(self, attempt: CallAttempt) -> None:
         """Complete the response to the caller, unless the endpoint broke it off."""
         reply = attempt.reply
@@ -279,6 +317,7 @@
         self._watchdog.stop()
         attempt.check_sender(lambda state: self._sender_checked(attempt, reply, state))
 
+    @fails_request
     def _sender_checked(self, attempt: CallAttempt, reply: Reply, state: ProcessState) -> None:
         """Complete an answer that ended with its connection, if its endpoint goes on."""
         if self._finished or attempt not in self._attempts:
@@ -309,6 +348,7 @@
         self._finish(Outcome.SERVED, reply.status, "")
         self._delivery.end()
 
+    @fails_request
     def attempt_connection_lost(self, attempt: CallAttempt, how: CallFailure, detail: str) -> None:
         """Retry the request where its route permits that."""
         attempt.finish()
@@ -344,7 +384,15 @@
         self.timing.record_send(self._context.loop.now(), placement.first_event_ms)
         attempt = Attempt(self._context, self, placement)
         self._add_attempt(attempt)
-        attempt.start()
+        try:
+            attempt.start()
+        except Exception as error:
+            if attempt.may_have_run:
+                raise
+            _logger.exception("request could not be sent", extra={"endpoint": attempt.endpoint})
+            attempt.cancel()
+            detail = f"it could not be sent: {type(error).__name__}"
+            self.attempt_connection_lost(attempt, CallFailure.NOT_SENT, detail)
 
     def forward(self) -> None:
         """Hand the request to another daemon, since this one can reach no endpoint."""
@@ -393,6 +441,7 @@
         """Return the latencies of the request up to now."""
         return self.timing.report(self.route, self._context.loop.now())
 
+    @fails_request
     def reservation_unusable(self, attempt: Attempt, detail: str) -> None:
         """Place the request again after a memory reservation was refused or came too late."""
         attempt.unsent = True
@@ -583,12 +632,14 @@
         assert newest is not None
         return newest.queued_prefill_seconds
 
+    @fails_request
     def endpoint_stalled(self, *, certain: bool) -> None:
         """Seek a replacement for the current attempt after a stall."""
         newest = self._attempts.newest
         assert newest is not None
         self._replace_silent(newest, "the endpoint is silent", certain=certain)
 
+    @fails_request
     def attempt_unresponsive(self, attempt: CallAttempt, detail: str, *, certain: bool) -> None:
         """Seek a replacement for an attempt whose endpoint does not answer."""
         if self._can_replace(attempt):
--- a/src/brassdrum/json_fields.py
+++ b/src/brassdrum/json_fields.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 from typing import Any, ClassVar, Self
 
-__all__ = ["Document", "Field", "FieldError"]
+__all__ = ["Document", "Field", "FieldError", "whole_number_in"]
 
 _MISSING: Any = object()
 _TRUE_WORDS = frozenset(("1", "on", "t", "true", "y", "yes"))
@@ -285,3 +285,13 @@
 
 def _describe(value: object) -> str:
     return repr(value)[:60]
+
+
+def whole_number_in(text: bytes, name: str) -> int | None:
+    """Return a whole number that a JSON object holds under a name, or None for anything else."""
+    try:
+        content = json.loads(text)
+    except (ValueError, RecursionError):
+        return None
+    value = content.get(name) if isinstance(content, dict) else None
+    return value if type(value) is int else None
--- a/src/brassdrum/platform/dialect.py
+++ b/src/brassdrum/platform/dialect.py
@@ -18,6 +18,7 @@
     RequestHead,
 )
 from brassdrum.header_values import optional_decimal
+from brassdrum.json_fields import whole_number_in
 
 __all__ = ["PlatformDialect"]
 
@@ -159,7 +160,7 @@
         name = value_by_name.get(_NAME)
         return EndpointIdentity(
             name=None if name is None else name.decode("latin-1"),
-            born=_born(body),
+            born=whole_number_in(body, _BORN),
             refused=status == _WRONG_ENDPOINT,
         )
 
@@ -210,16 +211,6 @@
     return _number(prompt), _number(answer or b"0")
 
 
-def _born(report: bytes) -> int | None:
-    """Return the start time that a report names, or None."""
-    try:
-        content = json.loads(report)
-    except (ValueError, RecursionError):
-        return None
-    born = content.get(_BORN) if isinstance(content, dict) else None
-    return born if type(born) is int else None
-
-
 def _part_names(value: bytes) -> tuple[str, ...]:
     """Return the names of a prompt's parts, without their lengths."""
     entries = value.decode("latin-1").split(",")
--- a/src/brassdrum/platform/documents.py
+++ b/src/brassdrum/platform/documents.py
@@ -7,6 +7,7 @@
 from typing import Literal
 
 from brassdrum.errors import InvalidDocumentError
+from brassdrum.gateway.entry_check import MAX_COLD_SECONDS, entry_problem
 from brassdrum.gateway.model import (
     CallerLimits,
     EndpointEntry,
@@ -140,7 +141,7 @@
     """
 
     service: str = Field(min_length=1)
-    address: str = Field(pattern=r"^[0-9.]+:[0-9]+\Z")
+    address: str
     zone: str
     version: str
     slots: int = Field(ge=1)
@@ -209,7 +210,7 @@
         content = _Server.parse(text)
     except FieldError as error:
         raise InvalidDocumentError(f"Endpoint entry {name} is not understood: {error}.") from error
-    return EndpointEntry(
+    entry = EndpointEntry(
         name=name,
         service=content.service,
         address=content.address,
@@ -217,5 +218,9 @@
         slots=content.slots,
         draining=content.state == "draining",
         born=content.born,
-        cold_seconds=max(0.0, content.cold_left_ms) / 1000,
+        cold_seconds=min(max(0.0, content.cold_left_ms) / 1000, MAX_COLD_SECONDS),
     )
+    problem = entry_problem(entry)
+    if problem is not None:
+        raise InvalidDocumentError(f"Endpoint entry {name[:60]!r} is not usable: {problem}.")
+    return entry
