Refuse a response whose connection ends inside its head

What callers saw (a report of other operators; it holds for the OpenAI-compatible daemons): a service closed its connection inside the head of its answer, and callers got a 200 with an empty body, framed as whole.

Cause: http.client takes the end of a connection for the end of a head. Without the length, which had not come yet, the body was what came until the end: nothing. The gateway's own reading (h11) refuses such heads; the store's answers and pages of peers are read by the same client as services.

The change: a head must end with its blank line, interim heads too.

--- a/src/brassdrum/http_pool.py
+++ b/src/brassdrum/http_pool.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import BinaryIO
 from urllib.parse import urlsplit
 
 from brassdrum.bounded_socket import BoundedSocket
@@ -27,6 +28,7 @@
 _MAX_TRANSFER_SECONDS = 10.0
 _SWITCHING_PROTOCOLS = 101
 _FIRST_FINAL_STATUS = 200
+_BLANK_LINES = (b"\r\n", b"\n")
 _FAILURES = (OSError, http.client.HTTPException)
 
 
@@ -92,15 +94,46 @@
         self.connection.close()
 
 
+class HeadBrokenOffError(http.client.HTTPException):
+    """Tell that a connection ended inside the head of a response."""
+
+
+class _HeadStream:
+    """Remember the last line that was read of a head."""
+
+    def __init__(self, stream: BinaryIO) -> None:
+        self.last_line = b""
+        self._stream = stream
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return the next line, empty at the end of the connection."""
+        self.last_line = self._stream.readline(limit)
+        return self.last_line
+
+
 class _FinalResponse(http.client.HTTPResponse):
-    """Skip interim responses; ``http.client`` skips status 100 only."""
+    """Check that heads are whole, and skip interim responses.
+
+    ``http.client`` takes the end of the connection for the end of a head, and skips status 100
+    only.
+    """
 
     def begin(self) -> None:
-        """Read the head of the final response."""
-        super().begin()
+        """Read the head of the final response, or raise ``HeadBrokenOffError``."""
+        self._begin_checked()
         while self.status < _FIRST_FINAL_STATUS and self.status != _SWITCHING_PROTOCOLS:
             self.headers = self.msg = None  # type: ignore[assignment]
+            self._begin_checked()
+
+    def _begin_checked(self) -> None:
+        stream = self.fp
+        self.fp = head = _HeadStream(stream)
+        try:
             super().begin()
+        finally:
+            self.fp = stream
+        if head.last_line not in _BLANK_LINES:
+            raise HeadBrokenOffError("the connection ended inside the head of the response")
 
 
 class _Connection(http.client.HTTPConnection):
