Ask whether a service still listens after its response without a length

What callers saw: a service's process ended in the middle of an answer without a length, and the OpenAI-compatible daemon passed the part on, and kept it by a claim, as whole.

The change: such an answer counts only if the service's host accepts a connection after it; otherwise it is an endpoint that ended or did not respond, with all that follows from it. A process that is back at once is not told from one that went on here, since services of this interface tell no incarnation.

Evidence: the scenario of broken_heads.feature where the process has gone failed before.

--- a/features/broken_heads.feature
+++ b/features/broken_heads.feature
@@ -26,3 +26,13 @@
       | store  | in the value of its length |
       | peer   | after its status line      |
       | peer   | before the blank line      |
+
+  # Guards against a service whose process ends in the middle of a response without a length.
+  Scenario Outline: A service's response without a length is <verdict> where its process <state>
+    Given a service that answers without a length and then <state>
+    Then its response is <verdict>
+
+    Examples: What the process does
+      | state    | verdict |
+      | goes on  | whole   |
+      | has gone | refused |
--- a/src/brassdrum/endpoints/endings.py
+++ b/src/brassdrum/endpoints/endings.py
@@ -7,7 +7,7 @@
 
 from brassdrum.clock import Clock
 from brassdrum.errors import EndpointEndedError, EndpointFailedError
-from brassdrum.http_pool import HttpPool
+from brassdrum.http_pool import ExchangeFailedError, HttpPool
 
 __all__ = ["ExitCheck"]
 
@@ -28,6 +28,17 @@
         self._clock = clock
         self._other_urls = other_urls
 
+    def check_running(self) -> None:
+        """Raise ``EndpointFailedError`` unless the process still listens.
+
+        For a response that ended with its connection, as it does where the process ends.
+        """
+        if not self._pool.accepts(_CONNECT_CHECK_TIMEOUT_SECONDS):
+            reason = (
+                "its response has no length, and the process may have ended in the middle of it"
+            )
+            raise self.no_response_error(ExchangeFailedError(reason))
+
     def no_response_error(self, error: Exception) -> EndpointFailedError:
         """Return the error for a request that was sent but got no response.
 
--- a/src/brassdrum/endpoints/service.py
+++ b/src/brassdrum/endpoints/service.py
@@ -59,6 +59,7 @@
                 time_limit=request.timeout_seconds,
                 fresh=True,
             )
+            ends_with_connection = exchange.ends_with_connection
             body = exchange.read()
         except ConnectFailedError as error:
             raise EndpointUnreachableError(
@@ -66,5 +67,7 @@
             ) from error
         except ExchangeFailedError as error:
             raise self._exit_check.no_response_error(error) from error
+        if ends_with_connection:
+            self._exit_check.check_running()
         content_type = exchange.header("Content-Type") or "application/octet-stream"
         return ServiceResponse(exchange.status, content_type, body)
--- a/src/brassdrum/http_pool.py
+++ b/src/brassdrum/http_pool.py
@@ -57,6 +57,11 @@
     silence_seconds: float
     read_until: float
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether nothing but the end of the connection marks the end of the body."""
+        return self.response.length is None and not self.response.chunked
+
     @property
     def status(self) -> int:
         """Return the HTTP status."""
