Let daemons that are all about to stop agree on one owner of each endpoint

Cause: a daemon that is about to stop is no member any more. Once all that are alive are, the set of members is empty for each of them, and each took itself for the owner of all endpoints and granted the whole rate.

The change: where no member stays, all aggregators that are alive are the members, those that are leaving too. The set is the same at all of them once each has heard the others leave; a daemon that becomes an owner by it grants nothing until the others have settled, as for any change.

--- a/features/endpoint_limits.feature
+++ b/features/endpoint_limits.feature
@@ -104,6 +104,19 @@
     Then it waits 1.5 s before it schedules them
 
   # Guards against a permit that a suspended daemon reads seconds later.
+  # Guards against daemons that are all about to stop and each schedule an endpoint as its only owner.
+  Scenario Outline: <count> daemons that are all about to stop, <gap> s apart, keep to one owner
+    Given <count> daemons without requests in <zones> zones that schedule 5 endpoints
+    When all are about to stop, <gap> s apart
+    Then at no time do two of them grant permits for the same endpoint
+    And in the end each endpoint has one owner that all agree on
+
+    Examples: Fleets
+      | count | zones | gap |
+      | 3     | 1     | 1.0 |
+      | 3     | 1     | 0.0 |
+      | 6     | 3     | 0.3 |
+
   Scenario: A reply that comes after its timeout allows nothing
     Given a daemon that asked another one for a permit
     When the reply is read 0.2 s later
--- a/src/brassdrum/gateway/peering/peers.py
+++ b/src/brassdrum/gateway/peering/peers.py
@@ -169,10 +169,13 @@
         return None if self.is_aggregator else self._aggregator_host
 
     def members(self) -> frozenset[Member]:
-        """Return all aggregators that are not about to stop."""
-        schedules = self.is_aggregator and not self.leaving
-        own = {Member(self._own.host, self._incarnation)} if schedules else set()
-        return self._aggregators.live_members() | own
+        """Return all aggregators that are not about to stop, or all if every one is.
+
+        Daemons that are all about to stop still have to agree on one owner of each endpoint.
+        """
+        own = {Member(self._own.host, self._incarnation)} if self.is_aggregator else set()
+        staying = self._aggregators.live_members() | (set() if self.leaving else own)
+        return staying or self._aggregators.members() | own
 
     def send_message(self, host: str, message: PermitRequest | PermitReply) -> None:
         """Send a datagram; it may get lost."""
--- a/src/brassdrum/gateway/peering/publishers.py
+++ b/src/brassdrum/gateway/peering/publishers.py
@@ -106,6 +106,12 @@
         known = self._aggregator_by_host
         return all(host in known and known[host].status.keeps_demand for host in hosts)
 
+    def members(self) -> frozenset[Member]:
+        """Return all aggregators, those that are leaving too."""
+        return frozenset(
+            Member(host, each.sender.incarnation) for host, each in self._aggregator_by_host.items()
+        )
+
     def live_members(self) -> frozenset[Member]:
         """Return the aggregators that are not leaving."""
         return frozenset(
--- a/src/brassdrum/gateway/throttling/permits.py
+++ b/src/brassdrum/gateway/throttling/permits.py
@@ -37,7 +37,7 @@
         """Return the host of the aggregator of this daemon, or None if it is one itself."""
 
     def members(self) -> frozenset[Member]:
-        """Return all aggregators that are not about to stop."""
+        """Return all aggregators that are not about to stop, or all if every one is."""
 
     def send_message(self, host: str, message: PermitRequest | PermitReply) -> None:
         """Send a datagram; it may get lost."""
