Take a failure that names no request for another call's answer

Cause: orders and requests share the connections to an endpoint. An extra answer lies in a connection until the next call, and a failure without the id of a request was taken for the answer to it, though endpoints echo the id in all that they answer to requests.

The change: such a failure is unverified, as one with another request's id was before: sent again where the route may, else a visible failure of the daemon's own. What another daemon forwards keeps its own rules, since daemons mark their own failures.

Not looked at: an extra answer that the next order takes for its own; orders and reports name no id by which it could be told.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -18,6 +18,7 @@
       | check | lost response               | 200    | endpoint name | 2     |
       | check | response to another request | 200    | endpoint name | 2     |
       | check | unsigned                    | 200    | endpoint name | 2     |
+      | check | late answer to an order     | 200    | endpoint name | 2     |
       | check | truncated                   | 200    | endpoint name | 2     |
       | check | invalid HTTP                | 200    | endpoint name | 2     |
       | check | no content length           | 200    | endpoint name | 1     |
@@ -33,6 +34,7 @@
       | hold | lost response               | 502    |               | 1     |
       | hold | response to another request | 502    |               | 1     |
       | hold | unsigned                    | 502    |               | 1     |
+      | hold | late answer to an order     | 502    |               | 1     |
       | hold | truncated                   | 502    |               | 1     |
       | hold | invalid HTTP                | 502    |               | 1     |
       | hold | plain 503                   | 502    |               | 1     |
@@ -45,6 +47,7 @@
       | text | stream with a missing event  | 200    | all events | 2     |
       | text | stalled stream               | 200    | all events | 2     |
       | text | lost response                | 200    | all events | 2     |
+      | text | late answer to an order      | 200    | all events | 2     |
       | once | stream                       | 200    | all events | 1     |
       | once | lost response                | 502    |            | 1     |
 
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -443,6 +443,13 @@
     send_response(connection, 200, b"not yours", request)
 
 
+@behaviours.register("late answer to an order")
+def late_order_answer(endpoint, connection, request):
+    """Send what refuses an order, which names no request, and stop."""
+    connection.sendall(b'HTTP/1.1 409 Conflict\r\nContent-Length: 14\r\n\r\n{"free":25000}')
+    return False
+
+
 @behaviours.register("unsigned")
 def unsigned(endpoint, connection, request):
     """Send a response without the X-Replica-Seal header."""
--- a/src/brassdrum/gateway/model.py
+++ b/src/brassdrum/gateway/model.py
@@ -318,12 +318,14 @@
     """The status and headers of a response.
 
     ``faulty_endpoint`` is the endpoint that the reply reports as the cause of a failure.
+    ``names_request`` says that the reply names the request that it answers.
     """
 
     kind: ReplyKind
     status: int
     headers: Headers
     faulty_endpoint: str | None = None
+    names_request: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/brassdrum/gateway/request/attempt.py
+++ b/src/brassdrum/gateway/request/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from brassdrum.gateway.following.beliefs import EndpointMonitor
@@ -425,7 +426,11 @@
         signals = self._context.dialect.read_signals(status, headers)
         if signals is not None:
             self._context.signals_received(self.endpoint, signals, self.sent_at)
-        self.reply = self._context.dialect.read_reply(self._owner.request, status, headers)
+        reply = self._context.dialect.read_reply(self._owner.request, status, headers)
+        if reply.kind is ReplyKind.FAILURE and not reply.names_request:
+            # A late copy of an answer to another call; answers to orders and reports name none.
+            reply = replace(reply, kind=ReplyKind.UNVERIFIED)
+        self.reply = reply
         self.framing = framing_of(self._owner.request.method, status, headers)
         self.content_length = content_length_of(headers)
         self._owner.attempt_response_started(self, self.reply)
--- a/src/brassdrum/platform/dialect.py
+++ b/src/brassdrum/platform/dialect.py
@@ -131,6 +131,7 @@
             status,
             _end_to_end(headers, set()),
             None if culprit is None else culprit.decode("latin-1"),
+            _REQUEST_ID in value_by_name,
         )
 
     def read_signals(self, status: int, headers: Headers) -> EndpointSignals | None:
