Let the soak crash endpoints between events, pause a daemon for long and list odd entries

Three kinds of faults, drawn apart so that the plans of earlier seeds stay: a replica without lengths ends in the middle of many streams; a daemon sleeps for 6.5 s while a replica leaves, and the others are judged by the bound as it is; another writer leaves an entry that cannot be used.

In the same commit: an endpoint whose connections are all lost without an answer counts as unknown, not as running, since a proxy in front of an ended one accepts and closes.

--- a/features/steps/soak_load_steps.py
+++ b/features/steps/soak_load_steps.py
@@ -26,6 +26,7 @@
 def step_earlier_faults(context, seed, seconds, digest):
     added = (
         *("evacuate", "turn_cold", "read_slowly", "pause_replicas", "endless"),
+        *("crash_unframed", "leave_in_sleep", "odd_entry"),
         *("refuse_in_pause", "reload_in_pause", "revoke_in_pause", "terminate_in_pause"),
     )
     earlier = [fault for fault in draw_plan(seed, float(seconds)) if fault.kind not in added]
--- a/src/brassdrum/gateway/guards/process_check.py
+++ b/src/brassdrum/gateway/guards/process_check.py
@@ -23,10 +23,10 @@
 _logger = logging.getLogger(__name__)
 # A live process answers within a round trip, 1 to 5 ms between zones, whatever its load.
 _CHECK_TIMEOUT_SECONDS = 0.3
-# A connection that is lost while it is being opened says nothing: the endpoint may be full, or be
-# about to stop listening.
+# A connection that is lost without an answer says nothing: the endpoint may be full, or be about to
+# stop listening, or a proxy stands in front of it. The delay doubles with each question.
 _RETRY_DELAY_SECONDS = 0.01
-_MAX_QUESTIONS = 4
+_MAX_QUESTIONS = 5
 _UNIDENTIFIED = EndpointIdentity()
 
 
@@ -219,11 +219,9 @@
             return
         self._lost_pooled = self._lost_pooled or (call is not None and call.reused)
         if self._questions == _MAX_QUESTIONS:
-            # It still listens, which a process that has ended does not.
-            accepted = how is not CallFailure.NOT_SENT
-            self._finish_unanswered(self._loop.now() if accepted else None)
+            self._finish_unanswered(None)
             return
-        self._loop.call_later(_RETRY_DELAY_SECONDS, self.ask)
+        self._loop.call_later(_RETRY_DELAY_SECONDS * 2 ** (self._questions - 1), self.ask)
 
     def _timed_out(self) -> None:
         call, accepted_at = self._call, None
--- a/src/brassdrum/platform/standin.py
+++ b/src/brassdrum/platform/standin.py
@@ -184,6 +184,21 @@
         }
         self.records.put(_ENDPOINT_TOPIC, replica.name, json.dumps(content).encode())
 
+    def list_odd(self, name: str, fields: Mapping[str, object]) -> None:
+        """Write an entry of another writer, which differs from a sound one in some fields."""
+        content = {
+            "service": _SERVICE,
+            "address": "127.0.0.1:9",
+            "zone": ZONES[0],
+            "version": "v1",
+            "slots": 64,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 0,
+        }
+        text = json.dumps({**content, **fields})
+        self.records.put(_ENDPOINT_TOPIC, name, text.encode())
+
     def remove_replica(self, name: str) -> None:
         """Drop a replica's entry."""
         self.records.drop(_ENDPOINT_TOPIC, name)
--- a/src/brassdrum/soak/actions.py
+++ b/src/brassdrum/soak/actions.py
@@ -29,6 +29,15 @@
 _STREAMS_IN_PAUSE = 12
 # Between the beginning of the first of them, 0.01 s apart, and the pause; each takes 0.12 s.
 _STREAM_BEGIN_SECONDS = 0.12
+_LEAVES_AFTER_SECONDS = 1.7
+_ODD_FIELDS: tuple[dict[str, object], ...] = (
+    {"address": "127.0.0.1:65536"},
+    {"address": "127.0.0.300:80"},
+    {"address": "nowhere:80"},
+    {"slots": 10**300},
+    {"zone": "\ud800"},
+    {"service": None},
+)
 _PAUSED = ("one", "zone", "all", "one")
 _STORE_FAULTS = ("busy", "silent", "slow", "lost")
 
@@ -113,6 +122,35 @@
     soak.replica_ends(soak.pick_replica(fault))
 
 
+@ACTIONS.register("crash_unframed")
+def crash_unframed(soak: Soak, fault: PlannedFault) -> None:
+    """Let a replica crash in the middle of streams that have neither length nor chunks."""
+    replica = soak.pick_replica(fault)
+    replica.faults.unframed = 1.0
+    soak.callers.stream_from_all(_STREAMS_IN_PAUSE)
+    soak.after(_STREAM_BEGIN_SECONDS, partial(soak.replica_ends, replica))
+
+
+@ACTIONS.register("leave_in_sleep")
+def leave_in_sleep(soak: Soak, fault: PlannedFault) -> None:
+    """Freeze a daemon, in half of the cases the first by name, while a replica leaves."""
+    daemon = soak.pick_daemon(fault)
+    if fault.variant % 2:
+        daemon = min(soak.daemons, key=lambda each: each.name)
+    soak.disturb(daemon.name, fault.seconds)
+    daemon.send(signal.SIGSTOP)
+    soak.after(fault.seconds, lambda: daemon.send(signal.SIGCONT))
+    soak.after(_LEAVES_AFTER_SECONDS, partial(drain, soak, fault))
+
+
+@ACTIONS.register("odd_entry")
+def odd_entry(soak: Soak, fault: PlannedFault) -> None:
+    """Let another writer leave an entry that cannot be used, for the span of the fault."""
+    name = f"odd-{soak.seed}-{fault.choice}"
+    soak.store.list_odd(name, _ODD_FIELDS[fault.variant % len(_ODD_FIELDS)])
+    soak.after(fault.seconds, lambda: soak.store.remove_replica(name))
+
+
 @ACTIONS.register("drain")
 def drain(soak: Soak, fault: PlannedFault) -> None:
     """Let a replica leave; it serves for a while longer."""
--- a/src/brassdrum/soak/plan.py
+++ b/src/brassdrum/soak/plan.py
@@ -42,6 +42,9 @@
     "reload_in_pause": "a daemon gets SIGHUP while replicas pause",
     "revoke_in_pause": "a key is taken away and another one is given while replicas pause",
     "terminate_in_pause": "a daemon gets SIGTERM while replicas pause",
+    "crash_unframed": "a replica whose streams have no length ends in the middle of many of them",
+    "leave_in_sleep": "a daemon is paused for long, and a replica leaves meanwhile",
+    "odd_entry": "another writer leaves an entry among the replicas that cannot be used",
     "endless": "a replica sends endless bytes that are no answer, to a share of its requests",
 }.items():
     FAULT_KINDS.register(_name)(_meaning)
@@ -65,6 +68,17 @@
 _NEXT_PAUSE_SHARE = 0.4
 _NEXT_PAUSE_SECONDS = 0.5
 _MOST_IN_SERIES = 3
+# Drawn apart from the others, so that the plans of seeds stay as they were.
+_CRASH_UNFRAMED_KIND = "crash_unframed"
+_CRASH_UNFRAMED_SHARE = 0.7
+_ODD_ENTRY_KIND = "odd_entry"
+_ODD_ENTRY_SHARE = 0.7
+_SLEEP_KIND = "leave_in_sleep"
+_SLEEP_SHARE = 0.7
+# A replica leaves 1.7 s after its beginning, and daemons have 4.5 s to know of it.
+_SLEEP_SECONDS = 6.5
+# After the daemon has woken, what the others do is judged for this long.
+_AFTER_SLEEP_SECONDS = 1.0
 _ENDLESS_KIND = "endless"
 _ENDLESS_PER_SECOND = 0.3
 _CUT_KIND = "cut_off"
@@ -101,6 +115,7 @@
     load_kinds = [draw.kind for draw in _LOAD_DRAWS]
     drawn_apart = (_COPY_KIND, *_SIGNAL_KINDS, *_ANSWER_KINDS, _CUT_KIND, *load_kinds)
     drawn_apart += (_PAUSE_KIND, *_IN_PAUSE_KINDS, _ENDLESS_KIND)
+    drawn_apart += (_CRASH_UNFRAMED_KIND, _ODD_ENTRY_KIND, _SLEEP_KIND)
     kinds = [kind for kind in FAULT_KINDS if kind not in drawn_apart]
     count = max(1, round((seconds - _QUIET_START_SECONDS) * _FAULTS_PER_SECOND))
     faults = [
@@ -121,9 +136,25 @@
     faults.extend(_pauses(seed, seconds))
     endless_kinds = (_ENDLESS_KIND,) * max(1, round(seconds * _ENDLESS_PER_SECOND))
     faults.extend(_drawn_apart(seed, _ENDLESS_KIND, endless_kinds, _ANSWER_SHARE, seconds))
+    for kind, share in (
+        (_CRASH_UNFRAMED_KIND, _CRASH_UNFRAMED_SHARE),
+        (_ODD_ENTRY_KIND, _ODD_ENTRY_SHARE),
+    ):
+        faults.extend(_drawn_apart(seed, kind, (kind,), share, seconds - _QUIET_START_SECONDS))
+    faults.extend(_sleeps(seed, seconds))
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def _sleeps(seed: int, seconds: float) -> list[PlannedFault]:
+    """Return a long pause of a daemon, in most of the runs that are long enough for it."""
+    rng = random.Random(f"{seed} {_SLEEP_KIND}")
+    latest = seconds - _SLEEP_SECONDS - _AFTER_SLEEP_SECONDS
+    if rng.random() >= _SLEEP_SHARE or latest <= 0.2:
+        return []
+    at = rng.uniform(0.2, latest)
+    return [PlannedFault(at, _SLEEP_KIND, _SLEEP_SECONDS, rng.randrange(1000), rng.randrange(2))]
+
+
 def _cuts(seed: int, seconds: float) -> list[PlannedFault]:
     """Return a cut between some daemons and all replicas, in most of the longer runs."""
     rng = random.Random(f"{seed} {_CUT_KIND}")
