--- a/features/steps/endpoint_list_steps.py
+++ b/features/steps/endpoint_list_steps.py
@@ -11,8 +11,8 @@
 
 from brassdrum.bench.load.loop import SimulatedLoop
 from brassdrum.gateway.following.beliefs import EndpointMonitor
-from brassdrum.gateway.following.follower import Snapshot
 from brassdrum.gateway.following.routing_state import RoutingState
+from brassdrum.gateway.following.snapshot import Snapshot
 from brassdrum.gateway.guards.crash_guard import CrashGuard
 from brassdrum.gateway.model import (
     AttemptParameters,
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -19,8 +19,8 @@
     EvacuationState,
     newest_evacuations,
 )
-from brassdrum.gateway.following.follower import Snapshot
 from brassdrum.gateway.following.routing_state import RoutingState
+from brassdrum.gateway.following.snapshot import Snapshot
 from brassdrum.gateway.model import (
     DaemonAddress,
     DeclaredRequest,
--- a/features/steps/gateway_knowledge_steps.py
+++ b/features/steps/gateway_knowledge_steps.py
@@ -5,8 +5,8 @@
 from behave import given, then, when
 
 from brassdrum.bench.load.loop import SimulatedLoop
-from brassdrum.gateway.following.follower import Snapshot
 from brassdrum.gateway.following.routing_state import RoutingState
+from brassdrum.gateway.following.snapshot import Snapshot
 from brassdrum.gateway.model import (
     EndpointEntry,
     StoreRecord,
--- a/features/steps/store_copy_steps.py
+++ b/features/steps/store_copy_steps.py
@@ -16,9 +16,10 @@
 from brassdrum.clock import ManualClock
 from brassdrum.errors import BrassdrumError
 from brassdrum.gateway.following.beliefs import EndpointMonitor
-from brassdrum.gateway.following.follower import Follower, Snapshot
+from brassdrum.gateway.following.follower import Follower
 from brassdrum.gateway.following.registration import Registration
 from brassdrum.gateway.following.routing_state import RoutingState
+from brassdrum.gateway.following.snapshot import Snapshot
 from brassdrum.gateway.guards.crash_guard import CrashGuard
 from brassdrum.gateway.guards.endings import AffectedRequest
 from brassdrum.gateway.model import Bounds, DaemonAddress, EndpointEntry, FleetConfiguration
--- a/src/brassdrum/gateway/following/follower.py
+++ b/src/brassdrum/gateway/following/follower.py
@@ -6,12 +6,9 @@
 
 from __future__ import annotations
 
-import base64
-import json
 import logging
 import math
 import random
-import zlib
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass, replace
@@ -23,6 +20,7 @@
 from brassdrum.gateway.following.evacuations import Evacuations
 from brassdrum.gateway.following.first_state import CopyLimit, FirstState, retry_seconds
 from brassdrum.gateway.following.routing_state import EndpointChange, RoutingState
+from brassdrum.gateway.following.snapshot import Snapshot
 from brassdrum.gateway.following.start_page import StartPage
 from brassdrum.gateway.model import Bounds, ControlStore, EndpointEntry, StoreRecord
 from brassdrum.gateway.net.loop import EventLoop, Timer
@@ -31,7 +29,7 @@
 from brassdrum.gateway.throttling.cold import LIST_MARGIN_SECONDS
 from brassdrum.telemetry import log_events
 
-__all__ = ["KNOWLEDGE_PATH", "Follower", "FollowerObservers", "Snapshot"]
+__all__ = ["KNOWLEDGE_PATH", "Follower", "FollowerObservers"]
 
 _logger = logging.getLogger(__name__)
 KNOWLEDGE_PATH = "/knowledge"
@@ -56,8 +54,6 @@
 _MAX_PAGE_BYTES = 8 << 20
 _COLD_REUSE_SECONDS = 0.05
 _PULL_RETRY_SECONDS = 0.25
-# The fastest level of zlib; a configuration of 300 routes shrinks to a tenth.
-_COMPRESSION_LEVEL = 1
 _MIN_CHECK_SECONDS = 0.02
 # Before the first state is known.
 _START_CHECK_SECONDS = 0.01
@@ -82,78 +78,6 @@
     on_restored: Callable[[], None]
 
 
-@dataclass(frozen=True, slots=True)
-class Snapshot:
-    """The result of one read from the store or a peer.
-
-    ``leaving`` names endpoints that are draining whatever their record says. ``era`` is that of the
-    store. ``evacuations`` is None where a peer knows of none. ``cold`` are the seconds for which
-    endpoints stay cold, None as told by their records. ``revision`` is that of the list in the
-    store, None where it is not known.
-    """
-
-    configuration: StoreRecord | None
-    endpoints: tuple[StoreRecord, ...]
-    leaving: tuple[str, ...] = ()
-    era: int | None = None
-    evacuations: Evacuations | None = None
-    cold: dict[str, float] | None = None
-    revision: int | None = None
-
-    def encode(self) -> bytes:
-        """Return the compressed form that is sent to peers."""
-        value = None if self.configuration is None else self.configuration.value
-        content = {
-            "configuration": None if value is None else base64.b64encode(value).decode(),
-            "endpoints": [
-                [record.key, base64.b64encode(record.value).decode()] for record in self.endpoints
-            ],
-            "leaving": list(self.leaving),
-            "era": self.era,
-            "revision": self.revision,
-        }
-        evacuations = self.evacuations
-        if evacuations is not None:
-            zones = sorted(evacuations.zones)
-            content["evacuations"] = [evacuations.era, evacuations.revision, zones]
-        if self.cold is not None:
-            content["cold"] = self.cold
-        return zlib.compress(json.dumps(content).encode(), _COMPRESSION_LEVEL)
-
-    @classmethod
-    def decode(cls, data: bytes) -> Snapshot:
-        """Decode a peer's snapshot, or raise ``ValueError``."""
-        try:
-            content = json.loads(zlib.decompress(data))
-        except zlib.error as error:
-            raise ValueError(f"cannot decompress the peer's snapshot: {error}") from error
-        value = content["configuration"]
-        record = None if value is None else StoreRecord("config", base64.b64decode(value))
-        endpoints = tuple(
-            StoreRecord(key, base64.b64decode(entry)) for key, entry in content["endpoints"]
-        )
-        # Daemons of earlier releases send none.
-        evacuations = None
-        if content.get("evacuations") is not None:
-            # Later releases may append fields.
-            era, revision, zones, *_ = content["evacuations"]
-            evacuations = Evacuations(frozenset(zones), era, revision)
-        return cls(
-            record,
-            endpoints,
-            tuple(content["leaving"]),
-            content["era"],
-            evacuations,
-            content.get("cold"),
-            _whole(content.get("revision")),
-        )
-
-
-def _whole(value: object) -> int | None:
-    """Return a whole number, or None for anything else."""
-    return value if type(value) is int else None
-
-
 class Follower:
     """Read the store when the local state becomes stale, and peers that have newer state."""
 
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import functools
 import logging
 import math
 from collections.abc import Callable
-from typing import Concatenate, ParamSpec
 
 from brassdrum.gateway.following.evacuations import refusal_detail
 from brassdrum.gateway.forwarding.forwarder import Forwarder
@@ -32,6 +30,7 @@
 from brassdrum.gateway.request.endpoint_search import EndpointSearch
 from brassdrum.gateway.request.events import StreamError
 from brassdrum.gateway.request.exchange_context import ExchangeContext
+from brassdrum.gateway.request.handler_guard import fails_request
 from brassdrum.gateway.request.outcome import LatencyReport, Outcome, ResponseTiming
 from brassdrum.gateway.request.patience import (
     WaitDeadlines,
@@ -42,21 +41,15 @@
 from brassdrum.gateway.request.send_limits import SendLimits
 from brassdrum.gateway.request.silence_watch import StallWatchdog
 from brassdrum.gateway.request.story import RequestStory
+from brassdrum.gateway.request.traits import traits_of
 from brassdrum.gateway.sharing.demand import DemandKey, demand_key
 from brassdrum.gateway.throttling.permits import Permit
-from brassdrum.outcomes.fingerprint import (
-    RequestTraits,
-    caller_mask,
-    content_fingerprint,
-    prompt_parts,
-)
 from brassdrum.outcomes.quarantine import ContentStatus, Judgement
 from brassdrum.telemetry import log_events
 
 __all__ = ["Exchange"]
 
 _logger = logging.getLogger(__name__)
-_Arguments = ParamSpec("_Arguments")
 
 # Endpoints enforce the deadline too; this leaves time for their own response to arrive.
 _DEADLINE_GRACE_SECONDS = 0.05
@@ -69,24 +62,6 @@
 _FIRST_SERVER_ERROR = 500
 
 
-def fails_request(
-    handler: Callable[Concatenate[Exchange, _Arguments], None],
-) -> Callable[Concatenate[Exchange, _Arguments], None]:
-    """Fail the request at once if one of its handlers raises an unexpected error."""
-
-    @functools.wraps(handler)
-    def handle(exchange: Exchange, *args: _Arguments.args, **kwargs: _Arguments.kwargs) -> None:
-        was_finished = exchange.finished
-        try:
-            handler(exchange, *args, **kwargs)
-        except Exception as error:
-            if was_finished:
-                raise
-            exchange.handler_failed(error)
-
-    return handle
-
-
 class Exchange:
     """Process one request: own its attempts and decide what is delivered to its caller."""
 
@@ -102,7 +77,7 @@
         forwarded: ForwardTerms | None = None,
         flow: PacedFlow | None = None,
     ) -> None:
-        self.traits = _traits(request, body, "" if organisation is None else organisation.name)
+        self.traits = traits_of(request, body, "" if organisation is None else organisation.name)
         self.request = request
         self.route = route
         self.organisation = organisation
@@ -749,12 +724,3 @@
         self._delivery.detach()
         self._stop_seeking()
         self._context.exchange_finished(self, outcome, status, detail)
-
-
-def _traits(request: DeclaredRequest, body: bytes, organisation: str) -> RequestTraits:
-    """Return what a request may have in common with others."""
-    content = content_fingerprint(
-        organisation, request.method, request.host.encode(), request.target, body
-    )
-    parts = prompt_parts(request.model, request.prompt_parts)
-    return RequestTraits(content, parts, caller_mask(organisation))
