--- a/features/steps/broken_head_steps.py
+++ b/features/steps/broken_head_steps.py
@@ -1,7 +1,7 @@
 """Steps for responses that break off inside their head, or have no length."""
 
+import contextlib
 import socket
-import threading
 
 from behave import given, then
 
@@ -12,6 +12,7 @@
 from brassdrum.http_pool import HttpPool
 from brassdrum.platform.store import PlatformStore
 from features.raw_endpoint import RawEndpoint
+from features.support import StepThread
 
 STATUS = b"HTTP/1.1 200 OK\r\n"
 LENGTH = b"Content-Length: 20\r\n"
@@ -63,15 +64,17 @@
 class UnframedService:
     """A service that answers one request, and ends with it or goes on."""
 
-    def __init__(self, goes_on):
+    def __init__(self, context, goes_on):
         self._goes_on = goes_on
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.url = f"http://127.0.0.1:{self._listener.getsockname()[1]}"
-        self._thread = threading.Thread(target=self._serve, daemon=True)
-        self._thread.start()
+        StepThread(context, self._serve, unblock=self.close)
 
     def _serve(self):
-        connection, _ = self._listener.accept()
+        try:
+            connection, _ = self._listener.accept()
+        except OSError:
+            return
         connection.recv(65536)
         connection.sendall(UNFRAMED)
         if not self._goes_on:
@@ -79,15 +82,15 @@
         connection.close()
 
     def close(self):
-        """Close the listener."""
-        self._thread.join(5)
+        """Wake the thread, and close the listener."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
 
 @given("a service that answers without a length and then {state}")
 def step_unframed(context, state):
-    context.service = UnframedService(state == "goes on")
-    context.stack.push(context.service.close)
+    context.service = UnframedService(context, state == "goes on")
 
 
 @then("its response is {verdict:w}")
