State the framing rule, the limit on names and the soak's entries once each

Read through as a newcomer, no behaviour changed: content_length_of uses the rule of framing_of again; one limit on names in messages; one check for whole numbers; one name for what asks endpoints (ProcessChecker; the protocol of one implementation is gone); one query for members; the soak's odd entries are usual ones with other fields. Three step functions are written straight; their assertions are as they were.

--- a/features/steps/late_message_steps.py
+++ b/features/steps/late_message_steps.py
@@ -1,6 +1,7 @@
 """Steps for messages that are read long after they were sent, in simulated time."""
 
 import random
+from dataclasses import replace
 from unittest import mock
 
 from behave import given, then, when
@@ -248,7 +249,6 @@
 
 
 def tell(context, revision, age, era=1):
-    fetches = []
     with mock.patch.object(context.follower, "_begin_pull"):
         context.follower._peers = mock.Mock(fetch_delay=lambda: 0.0)
         status = PeerStatus(-1, "another", age, 9, era=era, revision=revision)
@@ -323,11 +323,8 @@
     sender = network.join(other.host)
 
     def send(sequence, sent_at):
-        status = context.status.aged(0.0)
-        report = Report(
-            Sender("daemon-2", other, 1, sequence),
-            PeerStatus(**{**{f: getattr(status, f) for f in status.__slots__}, "sent_at": sent_at}),
-        )
+        status = replace(context.status, sent_at=sent_at)
+        report = Report(Sender("daemon-2", other, 1, sequence), status)
         assert decode_message(encode_message(report)).status.sent_at == sent_at
         sender.send(own.host, encode_message(report))
 
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -50,15 +50,15 @@
 
 @when("the list holds an entry with {oddity} beside two sound ones")
 def step_odd_list(context, oddity):
-    odd = json.dumps({**SOUND, **FIELDS_BY_ODDITY.get(oddity, {})})
-    text = TEXT_BY_ODDITY.get(oddity, odd)
-    name = NAME_BY_ODDITY.get(oddity, "engine-3")
     assert oddity in {**FIELDS_BY_ODDITY, **NAME_BY_ODDITY, **TEXT_BY_ODDITY}
+    sound = json.dumps(SOUND)
+    odd_name = NAME_BY_ODDITY.get(oddity, "engine-3")
+    odd = json.dumps({**SOUND, **FIELDS_BY_ODDITY.get(oddity, {})})
+    odd = TEXT_BY_ODDITY.get(oddity, odd)
     context.known, context.refusals = [], []
-    for key, value in (("engine-1", json.dumps(SOUND)), (name, text), ("engine-2", odd)):
-        value = json.dumps(SOUND) if key == "engine-2" else value
+    for name, text in (("engine-1", sound), (odd_name, odd), ("engine-2", sound)):
         try:
-            context.known.append(decode_endpoint(key, value.encode()).name)
+            context.known.append(decode_endpoint(name, text.encode()).name)
         except InvalidDocumentError as error:
             context.refusals.append(error.message)
 
@@ -106,6 +106,7 @@
     dialect = daemon.dialect
     one = context.endpoints[0].name
     patch_by_handler = {
+        "admission": lambda: mock.patch("brassdrum.gateway.request.intake.admit", raising),
         "placement": lambda: mock.patch.object(daemon.placer, "place", raising),
         "request to one endpoint": lambda: mock.patch.object(
             dialect, "endpoint_headers", raising_for(one, dialect.endpoint_headers)
@@ -118,10 +119,7 @@
             daemon.endpoint_monitor, "endpoint_served", raising
         ),
     }
-    if handler == "admission":
-        patch = mock.patch("brassdrum.gateway.request.intake.admit", raising)
-    else:
-        patch = patch_by_handler[handler]()
+    patch = patch_by_handler[handler]()
     patch.start()
     context.stack.push(patch.stop)
 
--- a/src/brassdrum/gateway/daemon.py
+++ b/src/brassdrum/gateway/daemon.py
@@ -106,7 +106,7 @@
         self.load_table = LoadTable()
         self.pool = EndpointPool(self.loop)
         self.peer_pool = EndpointPool(self.loop)
-        self.process_check = ProcessChecker(self.loop, self.pool, dialect)
+        self.process_checker = ProcessChecker(self.loop, self.pool, dialect)
         self.pacer = Pacer(self.loop, BufferBudget(settings.buffer_bytes))
         self.metrics = GatewayMetrics(settings.name)
         self.reservations = ReservationManager(
--- a/src/brassdrum/gateway/entry_check.py
+++ b/src/brassdrum/gateway/entry_check.py
@@ -6,14 +6,12 @@
 
 from __future__ import annotations
 
-from brassdrum.gateway.model import EndpointEntry
+from brassdrum.gateway.model import MAX_NAME_BYTES, EndpointEntry
 from brassdrum.network_address import split_address
 
 __all__ = ["MAX_COLD_SECONDS", "entry_problem"]
 
 MAX_COLD_SECONDS = 86_400.0
-# Messages to peers carry names of at most 255 bytes.
-_MAX_NAME_BYTES = 255
 _MAX_SLOTS = 100_000
 # The Unix millisecond of the year 10000.
 _MAX_BORN_MS = 253_402_300_800_000
@@ -26,10 +24,10 @@
     except ValueError as error:
         return f"address {error}"
     # The name goes into a header, and with the start time into messages to peers.
-    if not _is_header_text(entry.name) or len(entry.id.encode()) > _MAX_NAME_BYTES:
+    if not _is_header_text(entry.name) or len(entry.id.encode()) > MAX_NAME_BYTES:
         return "its name is empty, too long or not printable"
     for field, text in (("service", entry.service), ("zone", entry.zone)):
-        if not text.isprintable() or len(text.encode()) > _MAX_NAME_BYTES:
+        if not text.isprintable() or len(text.encode()) > MAX_NAME_BYTES:
             return f"its {field} is too long or not printable"
     if entry.slots > _MAX_SLOTS:
         return f"it has more than {_MAX_SLOTS} slots"
--- a/src/brassdrum/gateway/following/snapshot.py
+++ b/src/brassdrum/gateway/following/snapshot.py
@@ -9,6 +9,7 @@
 
 from brassdrum.gateway.following.evacuations import Evacuations
 from brassdrum.gateway.model import StoreRecord
+from brassdrum.json_fields import whole_number
 
 __all__ = ["Snapshot"]
 
@@ -79,10 +80,5 @@
             content["era"],
             evacuations,
             content.get("cold"),
-            _whole(content.get("revision")),
+            whole_number(content.get("revision")),
         )
-
-
-def _whole(value: object) -> int | None:
-    """Return a whole number, or None for anything else."""
-    return value if type(value) is int else None
--- a/src/brassdrum/gateway/guards/process_check.py
+++ b/src/brassdrum/gateway/guards/process_check.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Protocol
 
 from brassdrum.gateway.model import Dialect, EndpointEntry, EndpointIdentity, Headers
 from brassdrum.gateway.net.answer_limits import MAX_CONTROL_ANSWER_BYTES
@@ -18,7 +17,7 @@
 from brassdrum.gateway.net.upstream import CallFailure, EndpointCall, EndpointPool, OutgoingRequest
 from brassdrum.telemetry import log_events
 
-__all__ = ["ProcessCheck", "ProcessChecker", "ProcessState"]
+__all__ = ["ProcessChecker", "ProcessState"]
 
 _logger = logging.getLogger(__name__)
 # A live process answers within a round trip, 1 to 5 ms between zones, whatever its load.
@@ -76,15 +75,6 @@
     done: Callable[[ProcessState], None]
 
 
-class ProcessCheck(Protocol):
-    """Tells whether the process that sent an answer still runs."""
-
-    def check(
-        self, entry: EndpointEntry, sent_at: float, done: Callable[[ProcessState], None]
-    ) -> None:
-        """Report later how the process is that took a request at a time."""
-
-
 class ProcessChecker:
     """Ask endpoints; answers that end at the same moment share a question."""
 
@@ -94,6 +84,7 @@
         self._pool = pool
         self._dialect = dialect
         self._waiters_by_endpoint: dict[str, list[_Waiter]] = {}
+        # The endpoints with a question under way or about to be sent.
         self._asked: set[str] = set()
 
     def check(
--- a/src/brassdrum/gateway/model.py
+++ b/src/brassdrum/gateway/model.py
@@ -10,6 +10,7 @@
 from brassdrum.network_address import is_host
 
 __all__ = [
+    "MAX_NAME_BYTES",
     "AttemptParameters",
     "Bounds",
     "CallerLimits",
@@ -38,7 +39,7 @@
 ]
 
 # Messages to peers carry names of at most 255 bytes.
-_MAX_ZONE_BYTES = 255
+MAX_NAME_BYTES = 255
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -196,7 +197,7 @@
     def decode(cls, data: bytes) -> DaemonAddress:
         """Decode a value from the store, or raise ``ValueError``."""
         host, capacity, zone = data.decode().split(" ", 2)
-        if not is_host(host) or not zone.isprintable() or len(zone.encode()) > _MAX_ZONE_BYTES:
+        if not is_host(host) or not zone.isprintable() or len(zone.encode()) > MAX_NAME_BYTES:
             raise ValueError(f"{data[:60]!r} is no address of a daemon")
         return cls(host, zone, max(0, int(capacity)))
 
--- a/src/brassdrum/gateway/peering/peers.py
+++ b/src/brassdrum/gateway/peering/peers.py
@@ -176,7 +176,7 @@
         """
         own = {Member(self._own.host, self._incarnation)} if self.is_aggregator else set()
         staying = self._aggregators.live_members() | (set() if self.leaving else own)
-        return staying or self._aggregators.members() | own
+        return staying or self._aggregators.live_members(with_leaving=True) | own
 
     def send_message(self, host: str, message: PermitRequest | PermitReply) -> None:
         """Send a datagram; it may get lost."""
--- a/src/brassdrum/gateway/peering/publishers.py
+++ b/src/brassdrum/gateway/peering/publishers.py
@@ -106,18 +106,12 @@
         known = self._aggregator_by_host
         return all(host in known and known[host].status.keeps_demand for host in hosts)
 
-    def members(self) -> frozenset[Member]:
-        """Return all aggregators, those that are leaving too."""
-        return frozenset(
-            Member(host, each.sender.incarnation) for host, each in self._aggregator_by_host.items()
-        )
-
-    def live_members(self) -> frozenset[Member]:
-        """Return the aggregators that are not leaving."""
+    def live_members(self, *, with_leaving: bool = False) -> frozenset[Member]:
+        """Return the aggregators, those that are leaving only if asked for."""
         return frozenset(
             Member(host, each.sender.incarnation)
             for host, each in self._aggregator_by_host.items()
-            if not each.sender.leaving
+            if with_leaving or not each.sender.leaving
         )
 
     def name(self, host: str) -> str | None:
--- a/src/brassdrum/gateway/request/attempt.py
+++ b/src/brassdrum/gateway/request/attempt.py
@@ -9,7 +9,7 @@
 from brassdrum.gateway.following.beliefs import EndpointMonitor
 from brassdrum.gateway.following.routing_state import RoutingState
 from brassdrum.gateway.guards.endings import LostRequest
-from brassdrum.gateway.guards.process_check import ProcessCheck, ProcessState
+from brassdrum.gateway.guards.process_check import ProcessChecker, ProcessState
 from brassdrum.gateway.model import (
     DeclaredRequest,
     Dialect,
@@ -51,7 +51,7 @@
     routing_state: RoutingState
     endpoint_monitor: EndpointMonitor
     throttle: EndpointThrottle
-    process_check: ProcessCheck
+    process_checker: ProcessChecker
 
     def response_interrupted(self, attempt: Attempt, lost: LostRequest) -> None:
         """Handle a response that an endpoint cut off without a reason."""
@@ -402,7 +402,7 @@
 
     def check_sender(self, done: Callable[[ProcessState], None]) -> None:
         """Report later whether the endpoint's process still runs."""
-        self._context.process_check.check(self._placement.entry, self.sent_at, done)
+        self._context.process_checker.check(self._placement.entry, self.sent_at, done)
 
     def rejected(self, reply: Reply) -> None:
         """Record which endpoint is at fault for a request that was not executed."""
--- a/src/brassdrum/gateway/request/completeness.py
+++ b/src/brassdrum/gateway/request/completeness.py
@@ -12,7 +12,6 @@
 
 __all__ = ["ContentEnd", "Framing", "break_reason", "content_length_of", "framing_of"]
 
-
 _BODILESS_STATUSES = (204, 304)
 
 
@@ -41,18 +40,21 @@
     """Return the framing that a response to a request of the given method declares."""
     if method == b"HEAD" or status in _BODILESS_STATUSES:
         return Framing.BODILESS
-    value_by_name = {name.lower(): value for name, value in headers}
-    if b"chunked" in value_by_name.get(b"transfer-encoding", b"").lower():
-        return Framing.CHUNKED
-    return Framing.LENGTH if b"content-length" in value_by_name else Framing.CLOSE
+    return _declared_framing(headers)
 
 
 def content_length_of(headers: Headers) -> bytes | None:
     """Return the length that the headers of a response declare, or None without one."""
+    if _declared_framing(headers) is not Framing.LENGTH:
+        return None
+    return next(value for name, value in headers if name.lower() == b"content-length")
+
+
+def _declared_framing(headers: Headers) -> Framing:
     value_by_name = {name.lower(): value for name, value in headers}
     if b"chunked" in value_by_name.get(b"transfer-encoding", b"").lower():
-        return None
-    return value_by_name.get(b"content-length")
+        return Framing.CHUNKED
+    return Framing.LENGTH if b"content-length" in value_by_name else Framing.CLOSE
 
 
 def break_reason(framing: Framing, content: ContentEnd) -> str | None:
--- a/src/brassdrum/gateway/request/exchange.py
+++ b/src/brassdrum/gateway/request/exchange.py
@@ -288,6 +288,7 @@
         if attempt.framing is not Framing.CLOSE:
             self._complete(attempt, reply)
             return
+        # It has run, whatever its sender turns out to be; the check has a time limit of its own.
         self._may_have_run = True
         self._watchdog.stop()
         attempt.check_sender(lambda state: self._sender_checked(attempt, reply, state))
--- a/src/brassdrum/json_fields.py
+++ b/src/brassdrum/json_fields.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 from typing import Any, ClassVar, Self
 
-__all__ = ["Document", "Field", "FieldError", "whole_number_in"]
+__all__ = ["Document", "Field", "FieldError", "whole_number", "whole_number_in"]
 
 _MISSING: Any = object()
 _TRUE_WORDS = frozenset(("1", "on", "t", "true", "y", "yes"))
@@ -287,11 +287,15 @@
     return repr(value)[:60]
 
 
+def whole_number(value: object) -> int | None:
+    """Return a decoded value if it is a whole number, or None for anything else."""
+    return value if type(value) is int else None
+
+
 def whole_number_in(text: bytes, name: str) -> int | None:
     """Return a whole number that a JSON object holds under a name, or None for anything else."""
     try:
         content = json.loads(text)
     except (ValueError, RecursionError):
         return None
-    value = content.get(name) if isinstance(content, dict) else None
-    return value if type(value) is int else None
+    return whole_number(content.get(name)) if isinstance(content, dict) else None
--- a/src/brassdrum/platform/standin.py
+++ b/src/brassdrum/platform/standin.py
@@ -172,20 +172,17 @@
 
     def list_replica(self, replica: ReplicaServer, *, draining: bool) -> None:
         """Write a replica's entry."""
-        content = {
-            "service": _SERVICE,
+        fields = {
             "address": replica.address,
             "zone": replica.zone,
-            "version": "v1",
             "slots": 8,
             "state": "draining" if draining else "ready",
             "cold_left_ms": replica.remaining_cold_ms(),
-            "seq": 0,
         }
-        self.records.put(_ENDPOINT_TOPIC, replica.name, json.dumps(content).encode())
+        self.list_entry(replica.name, fields)
 
-    def list_odd(self, name: str, fields: Mapping[str, object]) -> None:
-        """Write an entry of another writer, which differs from a sound one in some fields."""
+    def list_entry(self, name: str, fields: Mapping[str, object]) -> None:
+        """Write an entry that differs from a usual one in some fields."""
         content = {
             "service": _SERVICE,
             "address": "127.0.0.1:9",
@@ -196,8 +193,7 @@
             "cold_left_ms": 0,
             "seq": 0,
         }
-        text = json.dumps({**content, **fields})
-        self.records.put(_ENDPOINT_TOPIC, name, text.encode())
+        self.records.put(_ENDPOINT_TOPIC, name, json.dumps({**content, **fields}).encode())
 
     def remove_replica(self, name: str) -> None:
         """Drop a replica's entry."""
--- a/src/brassdrum/soak/actions.py
+++ b/src/brassdrum/soak/actions.py
@@ -147,7 +147,7 @@
 def odd_entry(soak: Soak, fault: PlannedFault) -> None:
     """Let another writer leave an entry that cannot be used, for the span of the fault."""
     name = f"odd-{soak.seed}-{fault.choice}"
-    soak.store.list_odd(name, _ODD_FIELDS[fault.variant % len(_ODD_FIELDS)])
+    soak.store.list_entry(name, _ODD_FIELDS[fault.variant % len(_ODD_FIELDS)])
     soak.after(fault.seconds, lambda: soak.store.remove_replica(name))
 
 
