Show that a planned stop cuts streams whose replica was silent for a second

A review case: a daemon that stops takes streams until little more than their time is left, without room for the silence that a sound replica may have. Nothing is fixed.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -11,6 +11,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -23,6 +24,8 @@
 HOST = "shop.example"
 KEY = "n2ctnfzs989anu6wsjnb"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# A script that is stopped from outside ends its daemons, too.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 BOUNDS = {
     "seed_lag_s": 3,
     "reuse_after_s": 2,
@@ -311,6 +314,11 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def start_again(self) -> None:
+        """Kill the process if it still runs, as the platform does, and start another one."""
+        self.end()
+        self.start()
+
     def end(self) -> None:
         """Kill the process if it still runs."""
         self.send(signal.SIGKILL)
@@ -327,8 +335,11 @@
             return False
 
 
-def make_fleet(count: int, store: Store, folder: Path) -> list[Daemon]:
-    """Return daemons with settings like those of a small deployment, not started yet."""
+def make_fleet(count: int, store: Store, folder: Path, zone: str | None = None) -> list[Daemon]:
+    """Return daemons with settings like those of a small deployment, not started yet.
+
+    They are spread over three zones unless one is given.
+    """
     hosts = [f"127.71.0.{number}" for number in range(11, 11 + count)]
     ports = free_ports(hosts, 4)
     daemons = []
@@ -341,7 +352,7 @@
             "machine_class": "front",
             "serves": ["front", "control"],
             "ip": host,
-            "zone": f"z{number % 3 + 1}",
+            "zone": zone or f"z{number % 3 + 1}",
             "region": "r",
             "zones": {"z1": "r", "z2": "r", "z3": "r"},
             "listen_addrs": {
